Lay the workspace: core decisions, platform client, protocol, programs, demo

Cause: there was nothing. Change: a workspace of ten packages with the thin path as separate processes (platform stand-in, backend servers, nine boxes of two programs each).

--- /dev/null
+++ b/packages/caller/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Client library for callers.
+ */
+
+export * from "./caller.js";
--- /dev/null
+++ b/packages/cli/src/context.ts
@@ -0,0 +1,61 @@
+/**
+ * What every command of the command line is given.
+ */
+
+import { type ExitCode, exitCodes } from "@chalkdale/runtime";
+
+/** Flags of the command line. */
+export interface CommandFlags {
+    readonly at?: string;
+    readonly platform?: string;
+    readonly box?: string[];
+    readonly json: boolean;
+    readonly dryRun: boolean;
+    readonly author?: string;
+    readonly caller?: string;
+    readonly service?: string;
+    readonly html?: string;
+    readonly undo: boolean;
+}
+
+/** The surroundings of a command. */
+export interface CommandContext {
+    readonly flags: CommandFlags;
+    readonly write: (text: string) => void;
+    readonly writeError: (text: string) => void;
+    readonly signal: AbortSignal;
+}
+
+/** One command. */
+export interface Command {
+    /** Words that name it, such as `settings check`. */
+    readonly words: readonly string[];
+    readonly usage: string;
+    readonly summary: string;
+    readonly run: (args: readonly string[], context: CommandContext) => Promise<ExitCode>;
+}
+
+/** A failure that is told in one line, with its exit code. */
+export class CommandError extends Error {
+    constructor(message: string, readonly exitCode: ExitCode) {
+        super(message);
+    }
+}
+
+/** Tells a failure and returns its exit code. */
+export function writeFailure({ writeError }: CommandContext, error: unknown): ExitCode {
+    if (error instanceof CommandError) {
+        writeError(`chalkdale: ${error.message}`);
+        return error.exitCode;
+    }
+    writeError(`chalkdale: ${error instanceof Error ? error.message : String(error)}`);
+    return exitCodes.failure;
+}
+
+/** Returns the one argument that a command takes. */
+export function onlyArgument(args: readonly string[], name: string): string {
+    if (args.length !== 1) {
+        throw new CommandError(`expected ${name}; see chalkdale --help`, exitCodes.usage);
+    }
+    return args[0];
+}
--- /dev/null
+++ b/packages/cli/src/table.ts
@@ -0,0 +1,11 @@
+/**
+ * Tables for people.
+ */
+
+/** Returns rows under a header, columns padded to the widest cell. */
+export function formatTable(header: readonly string[], rows: readonly (readonly string[])[]): string {
+    const widths = header.map((title, column) => Math.max(title.length, ...rows.map(row => row[column].length)));
+    return [header, ...rows]
+        .map(row => row.map((cell, column) => cell.padEnd(widths[column])).join("  ").trimEnd())
+        .join("\n");
+}
--- /dev/null
+++ b/packages/core/src/decide/router.ts
@@ -0,0 +1,432 @@
+/**
+ * The decisions of one entry box, joined: from a request to the region, the
+ * availability zone and the backend server that serve it.
+ *
+ * No I/O. Time comes from the injected clock, chance from the injected
+ * source. State comes in through the `apply` functions, requests through
+ * {@link Router.begin}, and time through {@link Router.tick}.
+ */
+
+import { requestError, type RequestError } from "../errors/errors.js";
+import type { Clock, RandomSource } from "../kernel/environment.js";
+import { type BoxId, type Milliseconds, milliseconds, type RegionId, type ServiceId, type ZoneId } from "../kernel/ids.js";
+import { Err, Ok, type Result } from "../kernel/result.js";
+import type { CompiledRegion, CompiledService, CompiledSettings, CompiledZone } from "../settings/compiled.js";
+import type { MemberList, ProbeResult, ServerMember } from "../state/members.js";
+import type { BoxPresence, BoxStatus, OriginTraffic, ZoneSummary } from "../state/traffic.js";
+import { callerKeyOf, type LookupAnswer, orderBoxes } from "./lookup.js";
+import { admitByPriority } from "./overload.js";
+import { createPresence } from "./presence.js";
+import { type CapacityRights, createRegionCapacity, type RegionCapacity } from "./region-capacity.js";
+import { createRetryBudget, type RetryBudget } from "./retry-budget.js";
+import type { ChoicePolicy, PooledServer, ServerDescription, ServerOutcome, ServerPool } from "./server-pool.js";
+import { createServerDirectory } from "./server-directory.js";
+import type { SpentTicket, TicketBook } from "./tickets.js";
+import { createTrafficPlan, type PlanChange, type PlannedTraffic } from "./traffic-plan.js";
+
+/** A request as the router sees it. */
+export interface RouteRequest {
+    readonly service: ServiceId;
+    readonly callerAddress: string;
+    readonly method: string;
+    /** Milliseconds until the caller's deadline; undefined for the settings' timeout. */
+    readonly remaining?: number;
+    readonly ticket?: string;
+}
+
+/** How a request ended for its caller. */
+export type RequestEnd =
+    | { readonly kind: "answered"; readonly status: number; }
+    | { readonly kind: "refused"; }
+    | { readonly kind: "unknown"; };
+
+/** A request that the box has taken on. */
+export interface ActiveRequest {
+    readonly service: CompiledService;
+    readonly origin: CompiledRegion;
+    readonly zone: CompiledZone;
+    readonly startedAt: Milliseconds;
+    readonly deadline: Milliseconds;
+    /** Chooses a backend server for the next attempt and takes the capacity for it. */
+    readonly assign: () => Result<PooledServer, RequestError>;
+    /** Notes the end of an attempt. */
+    readonly settle: (outcome: ServerOutcome) => void;
+    /** Returns whether another attempt is within the retry budget and the deadline. */
+    readonly mayRetry: () => boolean;
+    /** Notes the end of the request; only the first call counts. */
+    readonly end: (end: RequestEnd) => void;
+}
+
+/** Asks which boxes a caller should use. */
+export interface LookupQuery {
+    readonly service: ServiceId;
+    readonly callerAddress: string;
+    readonly wantsTicket: boolean;
+}
+
+/** Decisions of one box. */
+export interface Router {
+    readonly applySettings: (settings: CompiledSettings) => void;
+    readonly applyMembers: (list: MemberList) => void;
+    readonly applySummary: (summary: ZoneSummary, age: number) => void;
+    readonly applyProbe: (probe: ProbeResult) => void;
+    readonly applyRights: (rights: CapacityRights) => void;
+    /** Takes shares from which to start when no peer is heard. */
+    readonly applyLastShares: (traffic: readonly OriginTraffic[]) => void;
+    /** Stops taking requests; look-ups no longer name this box. */
+    readonly leave: () => void;
+    /** Lets time act; call it a few times a second. Returns what changed in the plan. */
+    readonly tick: () => readonly PlanChange[];
+    readonly isReady: () => boolean;
+    readonly lookUp: (query: LookupQuery) => Result<LookupAnswer, RequestError>;
+    readonly begin: (request: RouteRequest) => Result<ActiveRequest, RequestError>;
+    /** Returns what other boxes are told. */
+    readonly status: () => BoxStatus;
+    /** Returns units per second wanted from each region above the floor. */
+    readonly wantedUnits: () => Readonly<Record<string, number>>;
+    /** Returns servers that the box should probe itself. */
+    readonly wantProbes: () => readonly ServerMember[];
+    readonly describe: () => RouterDescription;
+    readonly inFlight: () => number;
+    readonly settings: () => CompiledSettings | undefined;
+}
+
+/** The router's state for people. */
+export interface RouterDescription {
+    readonly settingsVersion: number | undefined;
+    readonly planVersion: number;
+    readonly ready: boolean;
+    readonly leaving: boolean;
+    readonly inFlight: number;
+    readonly traffic: readonly OriginTraffic[];
+    readonly capacity: readonly { readonly region: RegionId; readonly units: number; }[];
+    readonly servers: readonly (ServerDescription & { readonly service: ServiceId; readonly zone: ZoneId; })[];
+    readonly boxes: readonly BoxId[];
+}
+
+export interface RouterOptions {
+    readonly presence: Omit<BoxPresence, "leaving" | "inFlight">;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly tickets: TicketBook;
+    readonly policy?: ChoicePolicy;
+}
+
+/** The policy that measured best; see docs/design/backend-choice.md. */
+export const defaultPolicy: ChoicePolicy = "deadlineSet";
+
+/** Milliseconds from its first settings for which a fresh box waits for peers before it starts from what it has. */
+const joinPatience = 3000;
+
+/** Creates the router of a fresh box: it serves nothing until it has settings and has looked for peers. */
+export function createRouter(options: RouterOptions): Router {
+    const { clock, tickets } = options;
+    const startedAt = clock();
+    const plan = createTrafficPlan({ startedAt });
+    const capacity = createRegionCapacity(startedAt);
+    const directory = createServerDirectory({ policy: options.policy ?? defaultPolicy, random: options.random });
+    const presence = createPresence();
+    const retryBudgets = new Map<ServiceId, RetryBudget>();
+    let settings: CompiledSettings | undefined;
+    let settingsSince = startedAt;
+    let leaving = false;
+    let inFlight = 0;
+
+    return {
+        applySettings(next) {
+            if (settings !== undefined && next.version <= settings.version) {
+                return;
+            }
+            settingsSince = settings === undefined ? clock() : settingsSince;
+            settings = next;
+            directory.applySettings(next, clock());
+            plan.applySettings(next, clock());
+        },
+        applyMembers(list) {
+            directory.applyMembers(list, clock());
+            presence.applyMembers(list);
+        },
+        applySummary(summary, age) {
+            plan.applySummary(summary, age, clock());
+            presence.applySummary(summary, age, clock());
+        },
+        applyProbe: probe => directory.applyProbe(probe, clock()),
+        applyRights: capacity.setRights,
+        applyLastShares: plan.applyLastShares,
+        leave() {
+            leaving = true;
+        },
+        tick,
+        isReady,
+        lookUp,
+        begin,
+        status: () => ({
+            presence: ownPresence(),
+            traffic: isReady() ? plan.traffic() : [],
+            served: plan.served(),
+            settingsVersion: settings?.version ?? 0,
+        }),
+        wantedUnits,
+        wantProbes: () => directory.wantProbes(clock()),
+        describe,
+        inFlight: () => inFlight,
+        settings: () => settings,
+    };
+
+    function ownPresence(): BoxPresence {
+        return { ...options.presence, leaving, inFlight };
+    }
+
+    function tick(): readonly PlanChange[] {
+        tickets.expire();
+        return isReady() ? plan.tick(directory.observe, clock()) : [];
+    }
+
+    function isReady(): boolean {
+        const patient = clock() - settingsSince < joinPatience;
+        return settings !== undefined && (plan.hasPeers() || !patient);
+    }
+
+    function lookUp(query: LookupQuery): Result<LookupAnswer, RequestError> {
+        if (settings === undefined || !isReady()) {
+            return Err(requestError("notReady"));
+        }
+        const service = settings.services.get(query.service);
+        if (service === undefined) {
+            return Err(requestError("unknownService"));
+        }
+        const origin = originOf(settings, query.callerAddress);
+        const named = presence.named(clock(), ownPresence());
+        const ordered = orderBoxes(settings, origin, callerKeyOf(query.callerAddress), named);
+        const answer: LookupAnswer = {
+            service: service.id,
+            origin: origin.id,
+            boxes: ordered,
+            lifetime: service.values.answerLifetime * 1000,
+            configurationVersion: settings.version,
+            planVersion: plan.version(),
+        };
+        return Ok(query.wantsTicket ? withTicket(answer, service) : answer);
+    }
+
+    /** Adds a ticket; it can be spent at this box only, so this box is named first. */
+    function withTicket(answer: LookupAnswer, service: CompiledService): LookupAnswer {
+        if (leaving) {
+            return answer;
+        }
+        const { box, region, zone, address, port } = options.presence;
+        const others = answer.boxes.filter(named => named.box !== box);
+        const ticket = tickets.mint(service.id, milliseconds(service.values.ticketLifetime * 1000));
+        return { ...answer, boxes: [{ box, region, zone, address, port }, ...others], ticket };
+    }
+
+    function originOf(current: CompiledSettings, address: string): CompiledRegion {
+        const site = current.clientBlocks.find(address);
+        const own = current.regions.find(region => region.id === options.presence.region);
+        return site === undefined ? own ?? current.regions[0] : current.regions[site];
+    }
+
+    function begin(request: RouteRequest): Result<ActiveRequest, RequestError> {
+        if (settings === undefined || !isReady()) {
+            return Err(requestError("notReady"));
+        }
+        if (leaving) {
+            return Err(requestError("boxLeaving"));
+        }
+        const service = settings.services.get(request.service);
+        if (service === undefined) {
+            return Err(requestError("unknownService"));
+        }
+        const admitted = admitByPriority(inFlight, settings.root.requestsInFlight, service.values.priority);
+        if (admitted.err) {
+            return Err(requestError("tooManyRequests", admitted.val));
+        }
+        const ticket = takeTicket(service, request);
+        if (ticket.err) {
+            return ticket;
+        }
+        return Ok(start(settings, service, request, ticket.val));
+    }
+
+    function takeTicket(
+        service: CompiledService,
+        request: RouteRequest,
+    ): Result<SpentTicket | undefined, RequestError> {
+        if (request.ticket !== undefined) {
+            return tickets.spend(request.ticket, service.id);
+        }
+        return service.values.ticketMethods.includes(request.method)
+            ? Err(requestError("ticketRequired"))
+            : Ok(undefined);
+    }
+
+    function start(
+        current: CompiledSettings,
+        service: CompiledService,
+        request: RouteRequest,
+        ticket: SpentTicket | undefined,
+    ): ActiveRequest {
+        const origin = originOf(current, request.callerAddress);
+        const traffic = plan.trafficOf(service, origin, clock());
+        const zoneIndex = traffic.next();
+        const remaining = request.remaining ?? service.values.requestTimeout * 1000;
+        inFlight++;
+        const budget = retryBudgetOf(service);
+        budget.started();
+        return createActiveRequest({
+            service,
+            origin,
+            zone: current.zones[zoneIndex],
+            own: current.regions.find(region => region.id === options.presence.region) ?? origin,
+            pool: directory.pool(service, zoneIndex),
+            traffic,
+            zoneIndex,
+            capacity,
+            clock,
+            budget,
+            ticket,
+            deadline: milliseconds(clock() + remaining),
+            released: () => {
+                inFlight--;
+            },
+        });
+    }
+
+    function retryBudgetOf(service: CompiledService): RetryBudget {
+        let budget = retryBudgets.get(service.id);
+        if (budget === undefined) {
+            budget = createRetryBudget(() => settings?.services.get(service.id)?.values.retryRatio ?? 0);
+            retryBudgets.set(service.id, budget);
+        }
+        return budget;
+    }
+
+    function wantedUnits(): Readonly<Record<string, number>> {
+        if (settings === undefined) {
+            return {};
+        }
+        const units = plan.ownUnitsByRegion();
+        return Object.fromEntries(settings.regions.map(region => {
+            const wanted = units[region.index] * wishFactor + wishExtra - region.floorPerBox;
+            return [region.id, Math.max(0, wanted)];
+        }));
+    }
+
+    function describe(): RouterDescription {
+        const at = clock();
+        return {
+            settingsVersion: settings?.version,
+            planVersion: plan.version(),
+            ready: isReady(),
+            leaving,
+            inFlight,
+            traffic: plan.traffic(),
+            capacity: (settings?.regions ?? []).map(region => ({
+                region: region.id,
+                units: capacity.unitsAt(region, at),
+            })),
+            servers: directory.describe(at),
+            boxes: presence.named(at, ownPresence()).map(named => named.box),
+        };
+    }
+}
+
+/** A box asks for this much more than it used, so that it can grow between renewals. */
+const wishFactor = 1.5;
+/** And for this many units per second at least. */
+const wishExtra = 5;
+
+interface ActiveRequestParts {
+    readonly service: CompiledService;
+    readonly origin: CompiledRegion;
+    /** Undefined when the share belongs to a place that is no longer in the settings. */
+    readonly zone: CompiledZone | undefined;
+    readonly own: CompiledRegion;
+    readonly pool: ServerPool | undefined;
+    readonly traffic: PlannedTraffic;
+    readonly zoneIndex: number;
+    readonly capacity: RegionCapacity;
+    readonly clock: Clock;
+    readonly budget: RetryBudget;
+    readonly ticket: SpentTicket | undefined;
+    readonly deadline: Milliseconds;
+    readonly released: () => void;
+}
+
+function createActiveRequest(parts: ActiveRequestParts): ActiveRequest {
+    const { service, origin, zone, own, pool, traffic, capacity, clock, deadline } = parts;
+    const startedAt = clock();
+    const tried: PooledServer["id"][] = [];
+    let ended = false;
+
+    return {
+        service,
+        origin,
+        zone: zone!,
+        startedAt,
+        deadline,
+        assign,
+        settle(outcome) {
+            const last = tried.at(-1);
+            if (last !== undefined) {
+                pool?.settle(last, outcome, clock());
+            }
+        },
+        mayRetry: () => clock() < deadline && parts.budget.tryRetry(),
+        end,
+    };
+
+    function assign(): Result<PooledServer, RequestError> {
+        const at = clock();
+        if (zone === undefined || pool === undefined) {
+            return Err(requestError("shiftCapReached", { retryAfter: traffic.timeToLeave(parts.zoneIndex) }));
+        }
+        if (at >= deadline) {
+            return Err(requestError("deadlineTooShort"));
+        }
+        const room = takeRoom(zone, at);
+        if (room.err) {
+            return room;
+        }
+        const chosen = pool.choose(at, deadline - at, tried);
+        if (chosen.err) {
+            capacity.putBack(zone.region, service.values.requestCost);
+            const { kind, retryAfter } = chosen.val;
+            return kind === "noServerAvailable" && tried.length === 0
+                ? Err(requestError("shiftCapReached", { retryAfter: traffic.timeToLeave(parts.zoneIndex) }))
+                : Err(requestError(kind, { retryAfter }));
+        }
+        tried.push(chosen.val.id);
+        traffic.sent(parts.zoneIndex);
+        return chosen;
+    }
+
+    /** Takes the capacity of the region and the room on the link to it. */
+    function takeRoom(target: CompiledZone, at: Milliseconds): Result<void, RequestError> {
+        const link = capacity.takeLink(own, target.region, at);
+        if (link.err) {
+            return Err(requestError("linkLimitReached", link.val));
+        }
+        const units = capacity.take(target.region, service.values.requestCost, at);
+        return units.err ? Err(requestError("capacityReached", units.val)) : Ok(undefined);
+    }
+
+    function end(result: RequestEnd): void {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        parts.released();
+        switch (result.kind) {
+            case "answered":
+                parts.ticket?.finish({ kind: "answered", status: result.status });
+                return;
+            case "refused":
+                parts.ticket?.finish({ kind: "notRun" });
+                return;
+            case "unknown":
+                parts.ticket?.finish({ kind: "unknown" });
+                return;
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/bin/chalkdale-entry.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/bundle/main.mjs";
--- /dev/null
+++ b/packages/platform/src/conditional.ts
@@ -0,0 +1,96 @@
+/**
+ * Read, change and write back one object until it stands.
+ */
+
+import { type ObjectVersion, objectVersion } from "@chalkdale/core";
+import type { CallOptions, Platform, PlatformOutcome, StoredObject } from "./platform.js";
+
+/** What a change makes of an object's value: the next value, or a reason to stop. */
+export type ValueStep<Value, Reason> =
+    | { readonly kind: "write"; readonly value: Value; }
+    /** The value already is as wanted. */
+    | { readonly kind: "keep"; }
+    | { readonly kind: "stop"; readonly reason: Reason; };
+
+/** How a change ended. */
+export type ChangeOutcome<Value, Reason> =
+    | { readonly kind: "written"; readonly value: Value; readonly version: ObjectVersion; }
+    | { readonly kind: "kept"; readonly value: Value; readonly version: ObjectVersion; }
+    | { readonly kind: "stopped"; readonly reason: Reason; }
+    | { readonly kind: "unavailable"; readonly reason: string; }
+    | { readonly kind: "unknown"; readonly reason: string; };
+
+/** Bounds of a change. */
+export interface ChangeOptions extends CallOptions {
+    /** Writes that are tried when others write at the same time. */
+    readonly attempts: number;
+}
+
+/**
+ * Changes an object under conditional update. After a write whose answer was
+ * lost the object is read again; the step function must then recognise its
+ * own write and answer `keep`, or write again if it did not take effect.
+ */
+export async function changeObject<Value, Reason>(
+    platform: Platform,
+    key: string,
+    step: (current: Value | undefined) => ValueStep<Value, Reason>,
+    options: ChangeOptions,
+): Promise<ChangeOutcome<Value, Reason>> {
+    let lostAnswer: string | undefined;
+    for (let attempt = 0; attempt < options.attempts; attempt++) {
+        const read = await platform.get(key, options);
+        if (read.kind !== "done" && read.kind !== "absent") {
+            return failure(read, lostAnswer);
+        }
+        const current = read.kind === "done" ? read.value : undefined;
+        const next = step(current?.value as Value | undefined);
+        switch (next.kind) {
+            case "stop":
+                return { kind: "stopped", reason: next.reason };
+            case "keep":
+                return {
+                    kind: "kept",
+                    value: current?.value as Value,
+                    version: current?.version ?? objectVersion(0),
+                };
+            case "write": {
+                const written = await write(platform, key, current, next.value, options);
+                if (written.kind === "done") {
+                    return { kind: "written", value: next.value, version: written.value.version };
+                }
+                if (written.kind === "unavailable") {
+                    return failure(written, lostAnswer);
+                }
+                if (written.kind === "unknown") {
+                    lostAnswer = written.reason;
+                }
+            }
+        }
+    }
+    return lostAnswer === undefined
+        ? { kind: "unavailable", reason: "too many writers at once" }
+        : { kind: "unknown", reason: lostAnswer };
+}
+
+function write(
+    platform: Platform,
+    key: string,
+    current: StoredObject | undefined,
+    value: unknown,
+    options: CallOptions,
+): Promise<PlatformOutcome<StoredObject>> {
+    return current === undefined
+        ? platform.create(key, value, options)
+        : platform.update(key, current.version, value, options);
+}
+
+function failure<Value, Reason>(
+    outcome: PlatformOutcome<unknown>,
+    lostAnswer: string | undefined,
+): ChangeOutcome<Value, Reason> {
+    const reason = "reason" in outcome ? outcome.reason : outcome.kind;
+    return lostAnswer === undefined
+        ? { kind: "unavailable", reason }
+        : { kind: "unknown", reason: `${lostAnswer}, then ${reason}` };
+}
--- /dev/null
+++ b/packages/platform/src/http-platform.ts
@@ -0,0 +1,111 @@
+/**
+ * The object API by JSON over HTTP.
+ *
+ * `GET /v1/objects/KEY`, `GET /v1/objects?prefix=P`, `POST /v1/objects/KEY`
+ * to create, `PUT /v1/objects/KEY` with `If-Match: VERSION`, and
+ * `GET /v1/watch?prefix=P&from=VERSION&wait=MILLISECONDS`.
+ */
+
+import type { ObjectVersion } from "@chalkdale/core";
+import { Agent, errors, request } from "undici";
+import type { CallOptions, Platform, PlatformOutcome, StoredObject, WatchBatch } from "./platform.js";
+
+/** Time that a watch's answer may take beyond its wait, in milliseconds. */
+const watchGrace = 2000;
+const connectTimeout = 1000;
+
+/** Codes of errors that show that nothing was sent. */
+const notSentCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+
+interface Call {
+    readonly method: "GET" | "POST" | "PUT";
+    readonly path: string;
+    readonly headers?: Record<string, string>;
+    readonly body?: unknown;
+    readonly timeout: number;
+    readonly signal: AbortSignal;
+}
+
+/** Creates a client of the platform at a URL such as `http://127.0.0.1:7000`. It closes when the signal aborts. */
+export function createHttpPlatform(url: string, signal: AbortSignal): Platform {
+    const agent = new Agent({ connections: 4, connect: { timeout: connectTimeout } });
+    signal.addEventListener("abort", () => void agent.destroy().catch(() => undefined), { once: true });
+
+    return {
+        get: (key, options) => call<StoredObject>({ method: "GET", path: pathOf(key), ...options }),
+        list: (prefix, options) =>
+            call<WatchBatch>({ method: "GET", path: `/v1/objects?prefix=${encodeURIComponent(prefix)}`, ...options }),
+        create: (key, body, options) =>
+            call<StoredObject>({ method: "POST", path: pathOf(key), body, ...options }),
+        update: (key, version, body, options) =>
+            call<StoredObject>({
+                method: "PUT",
+                path: pathOf(key),
+                headers: { "if-match": String(version) },
+                body,
+                ...options,
+            }),
+        watch,
+    };
+
+    function watch(prefix: string, from: ObjectVersion, options: CallOptions): Promise<PlatformOutcome<WatchBatch>> {
+        const query = `prefix=${encodeURIComponent(prefix)}&from=${from}&wait=${options.timeout}`;
+        return call<WatchBatch>({
+            method: "GET",
+            path: `/v1/watch?${query}`,
+            timeout: options.timeout + watchGrace,
+            signal: options.signal,
+        });
+    }
+
+    async function call<Value>({ method, path, headers, body, timeout, signal: caller }: Call) {
+        try {
+            const response = await request(`${url}${path}`, {
+                method,
+                headers: { "content-type": "application/json", ...headers },
+                body: body === undefined ? undefined : JSON.stringify(body),
+                dispatcher: agent,
+                signal: AbortSignal.any([caller, AbortSignal.timeout(timeout)]),
+            });
+            const text = await response.body.text();
+            return outcomeOf<Value>(response.statusCode, text, method);
+        }
+        catch (error) {
+            return failureOf<Value>(error, method);
+        }
+    }
+}
+
+function pathOf(key: string): string {
+    return `/v1/objects/${key.split("/").map(encodeURIComponent).join("/")}`;
+}
+
+function outcomeOf<Value>(status: number, text: string, method: Call["method"]): PlatformOutcome<Value> {
+    switch (status) {
+        case 200:
+        case 201:
+            return { kind: "done", value: JSON.parse(text) as Value };
+        case 404:
+            return { kind: "absent" };
+        case 409:
+        case 412:
+            return { kind: "conflict" };
+        case 429:
+        case 503:
+            return { kind: "unavailable", reason: `status ${status}` };
+        default:
+            return method === "GET"
+                ? { kind: "unavailable", reason: `status ${status}` }
+                : { kind: "unknown", reason: `status ${status}` };
+    }
+}
+
+function failureOf<Value>(error: unknown, method: Call["method"]): PlatformOutcome<Value> {
+    const code = error instanceof errors.UndiciError || error instanceof Error
+        ? (error as { code?: string; }).code ?? error.name
+        : String(error);
+    const notSent = notSentCodes.has(code);
+    return method === "GET" || notSent
+        ? { kind: "unavailable", reason: code }
+        : { kind: "unknown", reason: code };
+}
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,10 @@
+/**
+ * What all programs share: start and stop, logs, time, streams, addresses.
+ */
+
+export * from "./addresses.js";
+export * from "./clock.js";
+export * from "./log.js";
+export * from "./program.js";
+export * from "./streams.js";
+export * from "./task.js";
--- /dev/null
+++ b/packages/runtime/src/log.ts
@@ -0,0 +1,82 @@
+/**
+ * Logs of one line of key=value pairs for each event: time, level, event,
+ * then the event's fields. Values are quoted when they need it.
+ */
+
+import { type ConsolaInstance, createConsola, type LogObject } from "consola";
+
+/** A field's value. */
+export type LogValue = string | number | boolean | undefined;
+/** Fields of an event; those that are undefined are left out. */
+export type LogFields = Readonly<Record<string, LogValue>>;
+/** How much is logged. */
+export type LogLevel = "error" | "warn" | "info" | "debug";
+
+/** Logs of one program. */
+export interface Log {
+    readonly error: (event: string, fields?: LogFields) => void;
+    readonly warn: (event: string, fields?: LogFields) => void;
+    readonly info: (event: string, fields?: LogFields) => void;
+    readonly debug: (event: string, fields?: LogFields) => void;
+    /** Returns a log that adds fields to every event. */
+    readonly child: (fields: LogFields) => Log;
+}
+
+export interface LogOptions {
+    readonly level?: LogLevel;
+    /** Takes each line without its line end. Standard error by default. */
+    readonly write?: (line: string) => void;
+    /** Wall-clock time of each line. */
+    readonly now?: () => Date;
+}
+
+const levelNumbers: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 3, debug: 4 };
+
+/** Creates the log of a program. */
+export function createLog(options: LogOptions = {}): Log {
+    const write = options.write ?? (line => process.stderr.write(`${line}\n`));
+    const now = options.now ?? (() => new Date());
+    const logger = createConsola({
+        level: levelNumbers[options.level ?? "info"],
+        reporters: [{ log: entry => write(formatEntry(entry, now())) }],
+        throttle: 0,
+    });
+    return wrap(logger, {});
+}
+
+/** A log that keeps nothing. */
+export const silentLog: Log = createLog({ write: () => undefined });
+
+function wrap(logger: ConsolaInstance, common: LogFields): Log {
+    const at = (level: LogLevel) => (event: string, fields: LogFields = {}) => {
+        logger[level]({ message: event, additional: undefined, fields: { ...common, ...fields } } as never);
+    };
+    return {
+        error: at("error"),
+        warn: at("warn"),
+        info: at("info"),
+        debug: at("debug"),
+        child: fields => wrap(logger, { ...common, ...fields }),
+    };
+}
+
+function formatEntry(entry: LogObject, time: Date): string {
+    const { fields = {}, message } = entry as unknown as { fields?: LogFields; message?: string; };
+    const event = message ?? String(entry.args[0] ?? "");
+    return formatFields({ time: time.toISOString(), level: entry.type, event, ...fields });
+}
+
+/** Returns fields as `key=value` pairs on one line. */
+export function formatFields(fields: LogFields): string {
+    return Object.entries(fields)
+        .filter(([, value]) => value !== undefined)
+        .map(([key, value]) => `${key}=${formatValue(value)}`)
+        .join(" ");
+}
+
+const plainValue = /^[^\s"=]+$/;
+
+function formatValue(value: LogValue): string {
+    const text = typeof value === "number" && !Number.isInteger(value) ? value.toFixed(3) : String(value);
+    return plainValue.test(text) ? text : JSON.stringify(text);
+}
