--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -6,12 +6,7 @@
  * everything anew from the platform or from any peer.
  */
 
-import {
-    type Clock,
-    type OriginTraffic,
-    summariseZone,
-    sumUpTraffic,
-} from "@chalkdale/core";
+import { type Clock, type OriginTraffic, summariseZone, sumUpTraffic } from "@chalkdale/core";
 import {
     createPeerSubscriptions,
     type PeerHandlers,
@@ -163,18 +158,20 @@
     /** Sends the status of this box's entry program to the relays; their answers prove contact. */
     async function publishStatus(caller: AbortSignal): Promise<void> {
         const records = ownStatuses();
-        await Promise.all(topology.reportTargets().map(async target => {
-            const connection = subscriptions.connection(target.box);
-            const sentAt = clock();
-            const answer = await connection?.publish(identity, records, caller).catch(() => undefined);
-            if (answer === undefined) {
-                return;
-            }
-            contact.note(sentAt);
-            if (answer.superseded) {
-                superseded = newestOf(records);
-            }
-        }));
+        await Promise.all(
+            topology.reportTargets().map(async target => {
+                const connection = subscriptions.connection(target.box);
+                const sentAt = clock();
+                const answer = await connection?.publish(identity, records, caller).catch(() => undefined);
+                if (answer === undefined) {
+                    return;
+                }
+                contact.note(sentAt);
+                if (answer.superseded) {
+                    superseded = newestOf(records);
+                }
+            }),
+        );
     }
 
     /** As a relay: sums up the boxes of the zone. */
@@ -249,9 +246,9 @@
 
     function sharesNow(): readonly OriginTraffic[] {
         const summaries = hub.list(recordKeys.summaryPrefix);
-        return sumUpTraffic(summaries.flatMap(({ payload }) =>
-            payload.kind === "summary" ? payload.summary.traffic : []
-        ));
+        return sumUpTraffic(
+            summaries.flatMap(({ payload }) => payload.kind === "summary" ? payload.summary.traffic : []),
+        );
     }
 
     function status(): AgentStatus {
--- a/packages/agent/src/capacity-holder.ts
+++ b/packages/agent/src/capacity-holder.ts
@@ -17,7 +17,13 @@
     releaseGrant,
     renewGrant,
 } from "@chalkdale/core";
-import { type CallOptions, objectKeys, type Platform, type PlatformOutcome, type StoredObject } from "@chalkdale/platform";
+import {
+    type CallOptions,
+    objectKeys,
+    type Platform,
+    type PlatformOutcome,
+    type StoredObject,
+} from "@chalkdale/platform";
 import type { Log } from "@chalkdale/runtime";
 
 /** The lease of one entry program. */
@@ -79,7 +85,9 @@
             case "absent":
                 options.onContact(sentAt);
                 return "absent";
-            default:
+            case "conflict":
+            case "unavailable":
+            case "unknown":
                 log.warn("lease.unavailable", { holder, reason: reasonOf(read) });
                 return undefined;
         }
@@ -112,7 +120,11 @@
     }
 
     /** After a lost answer: the object itself says whether the write took effect. */
-    async function settleUnknown(serial: number, sentAt: Milliseconds, signal: AbortSignal): Promise<"again" | "ended"> {
+    async function settleUnknown(
+        serial: number,
+        sentAt: Milliseconds,
+        signal: AbortSignal,
+    ): Promise<"again" | "ended"> {
         const read = await readObject(signal);
         if (read === undefined || read === "absent") {
             return "ended";
--- a/packages/agent/src/claims.ts
+++ b/packages/agent/src/claims.ts
@@ -2,12 +2,7 @@
  * Answers the claims of entry programs and keeps their leases renewed.
  */
 
-import {
-    type Clock,
-    createGrantObserver,
-    type Milliseconds,
-    milliseconds,
-} from "@chalkdale/core";
+import { type Clock, createGrantObserver, type Milliseconds, milliseconds } from "@chalkdale/core";
 import type { CapacityClaim, ClaimedCapacity } from "@chalkdale/peer";
 import type { Platform } from "@chalkdale/platform";
 import { createTask, type Log, type Stepped } from "@chalkdale/runtime";
--- a/packages/agent/src/operators-server.ts
+++ b/packages/agent/src/operators-server.ts
@@ -39,7 +39,7 @@
         case "/readyz":
             return text(ready ? 200 : 503, ready ? "ready" : "no settings yet");
         case "/status":
-            return { status: 200, type: "application/json", body: JSON.stringify(status, finiteOnly) };
+            return { status: 200, type: "application/json", body: JSON.stringify(status) };
         case "/metrics":
             return text(200, metricsOf(status));
         default:
@@ -47,10 +47,6 @@
     }
 }
 
-function finiteOnly(_: string, value: unknown): unknown {
-    return value === Infinity ? null : value;
-}
-
 /** The Prometheus text format, version 0.0.4. */
 function metricsOf(status: AgentStatus): string {
     const { rss } = process.memoryUsage();
--- a/packages/agent/src/platform-feed.ts
+++ b/packages/agent/src/platform-feed.ts
@@ -3,9 +3,22 @@
  * other box reads now and then while its relays are silent.
  */
 
-import { type Clock, type MemberList, type Milliseconds, milliseconds, objectVersion, type OriginTraffic } from "@chalkdale/core";
+import {
+    type Clock,
+    type MemberList,
+    type Milliseconds,
+    milliseconds,
+    objectVersion,
+    type OriginTraffic,
+} from "@chalkdale/core";
 import { type PeerRecord, recordKeys } from "@chalkdale/peer";
-import { objectKeys, type Platform, type PlatformOutcome, type StoredObject, type WatchBatch } from "@chalkdale/platform";
+import {
+    objectKeys,
+    type Platform,
+    type PlatformOutcome,
+    type StoredObject,
+    type WatchBatch,
+} from "@chalkdale/platform";
 import { createTask, type Log, type Stepped } from "@chalkdale/runtime";
 
 export interface PlatformFeedOptions {
@@ -88,6 +101,9 @@
     }
 
     function take(outcome: PlatformOutcome<WatchBatch>, sentAt: Milliseconds, more: readonly StoredObject[]): void {
+        if (options.signal.aborted) {
+            return;
+        }
         noteAvailability(outcome);
         if (outcome.kind !== "done") {
             listed = false;
--- a/packages/agent/src/topology.ts
+++ b/packages/agent/src/topology.ts
@@ -40,7 +40,9 @@
     return { boxes, subscriptions, reportTargets, lists };
 
     function lists(): readonly MemberList[] {
-        return hub.list(recordKeys.membersPrefix).flatMap(({ payload }) => payload.kind === "members" ? [payload.list] : []);
+        return hub.list(recordKeys.membersPrefix).flatMap(({ payload }) =>
+            payload.kind === "members" ? [payload.list] : []
+        );
     }
 
     function boxes(): readonly ReachableBox[] {
--- a/packages/caller/src/caller.ts
+++ b/packages/caller/src/caller.ts
@@ -6,7 +6,16 @@
  * deadline and cancellation on.
  */
 
-import { Err, errorAnswers, type ErrorKind, type LookupAnswer, type NamedBox, Ok, type RanState, type Result } from "@chalkdale/core";
+import {
+    Err,
+    errorAnswers,
+    type ErrorKind,
+    type LookupAnswer,
+    type NamedBox,
+    Ok,
+    type RanState,
+    type Result,
+} from "@chalkdale/core";
 import { Agent, type Dispatcher } from "undici";
 import { createLookupCache } from "./lookup-cache.js";
 
@@ -75,7 +84,8 @@
         keepAliveTimeout: 20_000,
         headersTimeout: 0,
         bodyTimeout: 0,
-        connect: { timeout: connectTimeout, localAddress: options.localAddress },
+        connect: { timeout: connectTimeout },
+        localAddress: options.localAddress,
     });
     const lookups = createLookupCache({ ask, clock });
 
@@ -86,7 +96,11 @@
     };
 
     /** Asks the known addresses in turn. */
-    async function ask(service: string, ticket: boolean, signal?: AbortSignal): Promise<Result<LookupAnswer, CallerError>> {
+    async function ask(
+        service: string,
+        ticket: boolean,
+        signal?: AbortSignal,
+    ): Promise<Result<LookupAnswer, CallerError>> {
         let failure: CallerError = { kind: "unreachable", ran: "not-run" };
         const known = lookups.latest(service)?.boxes.map(addressOf) ?? [];
         for (const address of new Set([...known, ...options.boxes])) {
--- a/packages/caller/src/lookup-cache.ts
+++ b/packages/caller/src/lookup-cache.ts
@@ -15,7 +15,11 @@
 }
 
 export interface LookupCacheOptions {
-    readonly ask: (service: string, ticket: boolean, signal?: AbortSignal) => Promise<Result<LookupAnswer, CallerError>>;
+    readonly ask: (
+        service: string,
+        ticket: boolean,
+        signal?: AbortSignal,
+    ) => Promise<Result<LookupAnswer, CallerError>>;
     readonly clock: () => number;
 }
 
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -64,5 +64,7 @@
     process.exit(exitCodes.usage);
 }
 
-const outcome = await command.run(cli.input.slice(command.words.length), context).catch(error => writeFailure(context, error));
+const outcome = await command.run(cli.input.slice(command.words.length), context).catch(error =>
+    writeFailure(context, error)
+);
 process.exit(outcome);
--- a/packages/cli/src/settings-file.ts
+++ b/packages/cli/src/settings-file.ts
@@ -36,7 +36,9 @@
         const file = onlyArgument(args, "FILE");
         const document = await readTreeFile(file, context);
         const nodes = Object.keys(document.nodes).length;
-        context.write(context.flags.json ? JSON.stringify({ faults: [], nodes }) : `${file}: ${nodes} nodes, no faults`);
+        context.write(
+            context.flags.json ? JSON.stringify({ faults: [], nodes }) : `${file}: ${nodes} nodes, no faults`,
+        );
         return exitCodes.success;
     },
 };
--- a/packages/core/src/decide/capacity-lease.ts
+++ b/packages/core/src/decide/capacity-lease.ts
@@ -131,14 +131,20 @@
     request: CapacityRequest,
     others: readonly CapacityGrant[],
 ): number {
-    const wanted = Math.max(0, request.wanted[region] ?? 0);
-    const wantedByOthers = others.reduce((sum, grant) => sum + (grant.wanted[region] ?? 0), 0);
-    const heldByOthers = others.reduce((sum, grant) => sum + (grant.units[region] ?? 0), 0);
+    const wanted = amountOf(request.wanted, region);
+    const wantedByOthers = others.reduce((sum, grant) => sum + amountOf(grant.wanted, region), 0);
+    const heldByOthers = others.reduce((sum, grant) => sum + amountOf(grant.units, region), 0);
     const allWanted = wanted + wantedByOthers;
     const fair = allWanted > pool ? wanted * pool / allWanted : wanted;
     return Math.max(0, Math.min(fair, pool - heldByOthers));
 }
 
+/** Returns an amount; what is no amount counts as none. */
+function amountOf(units: UnitsByRegion, region: string): number {
+    const amount = units[region];
+    return Number.isFinite(amount) ? Math.max(0, amount) : 0;
+}
+
 /** A holder's own view of what it may use. */
 export interface HeldCapacity {
     readonly units: UnitsByRegion;
--- a/packages/core/src/decide/goal.ts
+++ b/packages/core/src/decide/goal.ts
@@ -106,8 +106,10 @@
         units.set(service.id, new Float64Array(input.settings.zones.length));
         capacities.set(
             service.id,
-            Float64Array.from(input.settings.zones, zone =>
-                believedServers(input, service, zone.index) * serverUnits[zone.region.index]),
+            Float64Array.from(
+                input.settings.zones,
+                zone => believedServers(input, service, zone.index) * serverUnits[zone.region.index],
+            ),
         );
     }
     return {
@@ -171,10 +173,13 @@
 /** Assumed between regions whose latency the settings do not state. */
 const unknownLatency = 100;
 
+/** Idle traffic is placed as if it were this many requests per second, so that places of equal price share it. */
+const leastRate = 1;
+
 /** An old rate counts for more, since silence may hide a rise. */
 function pessimisticRate(demand: Demand): number {
     const factor = Math.min(greatestDemandFactor, 1 + 0.5 * demand.age / demandAgeScale);
-    return demand.rate * factor;
+    return Math.max(leastRate, demand.rate * factor);
 }
 
 function placePortion(
@@ -194,7 +199,7 @@
             loads.regionCapacity[option.region],
             option.headroomPrice,
         );
-        const price = option.fixedPrice + Math.max(zonePrice, regionPrice);
+        const price = option.fixedPrice + zonePrice + regionPrice;
         if (price < least) {
             least = price;
             best = option;
--- a/packages/core/src/decide/lookup.ts
+++ b/packages/core/src/decide/lookup.ts
@@ -46,7 +46,11 @@
     boxes: readonly NamedBox[],
 ): NamedBox[] {
     return boxes
-        .map(named => ({ named, latency: latencyTo(settings, origin, named), score: hashText(`${callerKey} ${named.box}`) }))
+        .map(named => ({
+            named,
+            latency: latencyTo(settings, origin, named),
+            score: hashText(`${callerKey} ${named.box}`),
+        }))
         .sort((a, b) => a.latency - b.latency || b.score - a.score)
         .slice(0, namedBoxes)
         .map(entry => entry.named);
--- a/packages/core/src/decide/presence.ts
+++ b/packages/core/src/decide/presence.ts
@@ -38,7 +38,7 @@
         named(at, self) {
             const zones = new Set([...lists.keys(), ...summaries.keys()]);
             const others = [...zones].flatMap(zone => inZone(zone, at)).filter(named => named.box !== self.box);
-            return self.leaving ? others : [...others, nameOf(self)];
+            return self.leaving || !self.ready ? others : [...others, nameOf(self)];
         },
     };
 
@@ -49,7 +49,7 @@
         const heard = summaries.get(zone);
         if (heard !== undefined && at - heard.madeAt <= summaryTrust) {
             return heard.summary.boxes
-                .filter(presence => !presence.leaving && !leavingByList.has(presence.box))
+                .filter(presence => presence.ready && !presence.leaving && !leavingByList.has(presence.box))
                 .map(nameOf);
         }
         return listed(zone);
--- a/packages/core/src/decide/router.ts
+++ b/packages/core/src/decide/router.ts
@@ -7,9 +7,16 @@
  * {@link Router.begin}, and time through {@link Router.tick}.
  */
 
-import { requestError, type RequestError } from "../errors/errors.js";
+import { type RequestError, requestError } from "../errors/errors.js";
 import type { Clock, RandomSource } from "../kernel/environment.js";
-import { type BoxId, type Milliseconds, milliseconds, type RegionId, type ServiceId, type ZoneId } from "../kernel/ids.js";
+import {
+    type BoxId,
+    type Milliseconds,
+    milliseconds,
+    type RegionId,
+    type ServiceId,
+    type ZoneId,
+} from "../kernel/ids.js";
 import { Err, Ok, type Result } from "../kernel/result.js";
 import type { CompiledRegion, CompiledService, CompiledSettings, CompiledZone } from "../settings/compiled.js";
 import type { MemberList, ProbeResult, ServerMember } from "../state/members.js";
@@ -19,8 +26,8 @@
 import { createPresence } from "./presence.js";
 import { type CapacityRights, createRegionCapacity, type RegionCapacity } from "./region-capacity.js";
 import { createRetryBudget, type RetryBudget } from "./retry-budget.js";
-import type { ChoicePolicy, PooledServer, ServerDescription, ServerOutcome, ServerPool } from "./server-pool.js";
 import { createServerDirectory } from "./server-directory.js";
+import type { ChoicePolicy, PooledServer, ServerDescription, ServerOutcome, ServerPool } from "./server-pool.js";
 import type { SpentTicket, TicketBook } from "./tickets.js";
 import { createTrafficPlan, type PlanChange, type PlannedTraffic } from "./traffic-plan.js";
 
@@ -105,7 +112,7 @@
 }
 
 export interface RouterOptions {
-    readonly presence: Omit<BoxPresence, "leaving" | "inFlight">;
+    readonly presence: Omit<BoxPresence, "ready" | "leaving" | "inFlight">;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly tickets: TicketBook;
@@ -174,7 +181,7 @@
     };
 
     function ownPresence(): BoxPresence {
-        return { ...options.presence, leaving, inFlight };
+        return { ...options.presence, ready: isReady() && hasRights(), leaving, inFlight };
     }
 
     function tick(): readonly PlanChange[] {
@@ -187,6 +194,11 @@
         return settings !== undefined && (plan.hasPeers() || !patient);
     }
 
+    /** Whether this box may send anything to any region: without rights it names others. */
+    function hasRights(): boolean {
+        return settings!.regions.some(region => capacity.unitsAt(region, clock()) > 0);
+    }
+
     function lookUp(query: LookupQuery): Result<LookupAnswer, RequestError> {
         if (settings === undefined || !isReady()) {
             return Err(requestError("notReady"));
@@ -211,7 +223,7 @@
 
     /** Adds a ticket; it can be spent at this box only, so this box is named first. */
     function withTicket(answer: LookupAnswer, service: CompiledService): LookupAnswer {
-        if (leaving) {
+        if (leaving || !hasRights()) {
             return answer;
         }
         const { box, region, zone, address, port } = options.presence;
@@ -233,6 +245,9 @@
         if (leaving) {
             return Err(requestError("boxLeaving"));
         }
+        if (!hasRights()) {
+            return Err(requestError("noCapacityRights"));
+        }
         const service = settings.services.get(request.service);
         if (service === undefined) {
             return Err(requestError("unknownService"));
--- a/packages/core/src/decide/server-pool.ts
+++ b/packages/core/src/decide/server-pool.ts
@@ -9,8 +9,8 @@
  * endpoint says.
  */
 
-import type { RandomSource } from "../kernel/environment.js";
 import type { ErrorKind } from "../errors/errors.js";
+import type { RandomSource } from "../kernel/environment.js";
 import { type Milliseconds, milliseconds, type ServerId } from "../kernel/ids.js";
 import { Err, Ok, type Result } from "../kernel/result.js";
 import type { SettingValues } from "../settings/values.js";
--- a/packages/core/src/decide/shift.ts
+++ b/packages/core/src/decide/shift.ts
@@ -9,6 +9,7 @@
  * so the deployment keeps the cap without asking anyone.
  */
 
+import { developmentCheck } from "../kernel/assert.js";
 import { type Milliseconds, milliseconds } from "../kernel/ids.js";
 
 /** Longest time in milliseconds that one step may be credited with. */
@@ -62,7 +63,8 @@
         last = step.at;
         const allowance = step.capPerMinute * elapsed / millisecondsPerMinute;
         const gained = boundGains(step, allowance);
-        if (gained < negligibleShare) {
+        developmentCheck(Number.isFinite(gained), "gains are finite");
+        if (!(gained >= negligibleShare)) {
             return;
         }
         moveShares(step.goal, gained);
--- a/packages/core/src/decide/tickets.ts
+++ b/packages/core/src/decide/tickets.ts
@@ -10,7 +10,7 @@
  */
 
 import { createHmac, timingSafeEqual } from "node:crypto";
-import { requestError, type RequestError } from "../errors/errors.js";
+import { type RequestError, requestError } from "../errors/errors.js";
 import { type BoxId, type IncarnationId, type Milliseconds, milliseconds, type ServiceId } from "../kernel/ids.js";
 import { Err, Ok, type Result } from "../kernel/result.js";
 
--- a/packages/core/src/decide/traffic-plan.ts
+++ b/packages/core/src/decide/traffic-plan.ts
@@ -59,8 +59,8 @@
 
 /** Milliseconds between two computations of the goals. */
 const goalInterval = 1000;
-/** Change of a wanted share that is worth a new plan version. */
-const noticeableChange = 0.02;
+/** A goal is replaced when a wanted share changes by more than this. */
+const noticeableChange = 0.05;
 /** Summaries older than this, in milliseconds, no longer count as a peer's shares. */
 const summaryLifetime = 30_000;
 /** Demand of a zone that fell silent is counted for this many milliseconds more. */
@@ -267,15 +267,16 @@
         const changes: PlanChange[] = [];
         for (const { demand, shares } of goals) {
             const entry = entries.get(trafficKey({ service: demand.service.id, origin: demand.origin.id }))!;
-            if (largestDifference(entry.goal, shares) > noticeableChange) {
-                changes.push({
-                    service: demand.service.id,
-                    origin: demand.origin.id,
-                    cause,
-                    goal: namedShares(shares),
-                });
+            if (largestDifference(entry.goal, shares) <= noticeableChange) {
+                continue;
             }
             entry.goal = shares;
+            changes.push({
+                service: demand.service.id,
+                origin: demand.origin.id,
+                cause,
+                goal: namedShares(shares),
+            });
         }
         version += changes.length > 0 ? 1 : 0;
         return changes;
--- a/packages/core/src/decide/warmth.ts
+++ b/packages/core/src/decide/warmth.ts
@@ -9,7 +9,7 @@
 export interface Warmth {
     /** Warmth by zone index, 0 to 1. Reads live. */
     readonly values: Float64Array;
-    /** Notes the requests per second that each zone served since the last note. */
+    /** Notes the requests per second that each zone served; places beyond the rates stay as they are. */
     readonly note: (rates: ArrayLike<number>, at: Milliseconds) => void;
 }
 
@@ -32,7 +32,7 @@
             if (elapsed <= 0 || mean <= 0) {
                 return;
             }
-            for (let zone = 0; zone < values.length; zone++) {
+            for (let zone = 0; zone < rates.length; zone++) {
                 const inUse = Math.min(1, rates[zone] / (mean * warmPartOfMean));
                 const constant = inUse > values[zone] ? warmUp : warmUp * coolingFactor;
                 values[zone] += (inUse - values[zone]) * (1 - Math.exp(-elapsed / constant));
--- a/packages/core/src/errors/errors.ts
+++ b/packages/core/src/errors/errors.ts
@@ -13,6 +13,7 @@
     | "bodyTooLarge"
     | "bodyTooLargeMidway"
     | "notReady"
+    | "noCapacityRights"
     | "boxLeaving"
     | "tooManyRequests"
     | "shiftCapReached"
@@ -55,8 +56,15 @@
     unknownService: answer(404, "not-run", undefined, false, "no such service in the settings"),
     headerTooLarge: answer(431, "not-run", undefined, false, "the request header exceeds the limit"),
     bodyTooLarge: answer(413, "not-run", undefined, false, "the request body exceeds the limit"),
-    bodyTooLargeMidway: answer(413, "unknown", undefined, false, "the request body exceeded the limit while it was sent on"),
+    bodyTooLargeMidway: answer(
+        413,
+        "unknown",
+        undefined,
+        false,
+        "the request body exceeded the limit while it was sent on",
+    ),
     notReady: answer(503, "not-run", aSecond, true, "the box has no configuration yet"),
+    noCapacityRights: answer(503, "not-run", aSecond, true, "the box has no right to any capacity yet, or no more"),
     boxLeaving: answer(503, "not-run", soon, true, "the box is stopping"),
     tooManyRequests: answer(503, "not-run", soon, true, "the box holds as many requests as it may"),
     shiftCapReached: answer(503, "not-run", aSecond, false, "the shift cap allows no more traffic elsewhere"),
--- a/packages/core/src/state/traffic.ts
+++ b/packages/core/src/state/traffic.ts
@@ -31,6 +31,8 @@
     readonly address: string;
     readonly port: number;
     readonly peerPort: number;
+    /** False until the box may send requests on. */
+    readonly ready: boolean;
     readonly leaving: boolean;
     readonly inFlight: number;
 }
--- a/packages/entry/src/callers-server.ts
+++ b/packages/entry/src/callers-server.ts
@@ -85,7 +85,11 @@
     socket.end(`${head.join("\r\n")}\r\n\r\n${body}`);
 }
 
-async function handle(request: IncomingMessage, response: ServerResponse, options: CallersServerOptions): Promise<void> {
+async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    options: CallersServerOptions,
+): Promise<void> {
     response.on("error", () => response.destroy());
     try {
         const url = request.url ?? "";
--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -191,7 +191,12 @@
             }
             if (job.body.kind === "stream" && job.body.exceeded()) {
                 const error = requestError("bodyTooLargeMidway");
-                return { kind: "failed", outcome: { kind: "abandoned", deadlineExpired: false }, error, mayRepeat: false };
+                return {
+                    kind: "failed",
+                    outcome: { kind: "abandoned", deadlineExpired: false },
+                    error,
+                    mayRepeat: false,
+                };
             }
             const mayRepeat = !job.atMostOnce && safeMethods.has(job.request.method ?? "");
             return {
--- a/packages/entry/src/headers.ts
+++ b/packages/entry/src/headers.ts
@@ -59,7 +59,9 @@
         }
     }
     const forwardedFor = headers["x-forwarded-for"];
-    result["x-forwarded-for"] = forwardedFor === undefined ? facts.callerAddress : `${String(forwardedFor)}, ${facts.callerAddress}`;
+    result["x-forwarded-for"] = forwardedFor === undefined
+        ? facts.callerAddress
+        : `${String(forwardedFor)}, ${facts.callerAddress}`;
     result[ownHeaders.deadline] = String(Math.max(0, Math.floor(facts.remaining)));
     return result;
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -2,7 +2,7 @@
  * The entry program's parts, as other packages and tests use them.
  */
 
-export { errorBody, type ErrorBody } from "./answers.js";
+export { type ErrorBody, errorBody } from "./answers.js";
 export { type CallersServerOptions, serveCallers } from "./callers-server.js";
 export { ownHeaders } from "./headers.js";
 export { createMetrics, type Metrics } from "./metrics.js";
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -8,7 +8,12 @@
 /** Counters and latencies of one entry program. */
 export interface Metrics {
     /** Notes the end of a request; the latency is in milliseconds. */
-    readonly ended: (service: string, zone: string, outcome: "answered" | "brokenOff" | ErrorKind, latency: number) => void;
+    readonly ended: (
+        service: string,
+        zone: string,
+        outcome: "answered" | "brokenOff" | ErrorKind,
+        latency: number,
+    ) => void;
     readonly lookup: () => void;
     /** Returns the Prometheus text format, version 0.0.4. */
     readonly text: (gauges: Readonly<Record<string, number>>) => string;
--- a/packages/entry/src/operators-server.ts
+++ b/packages/entry/src/operators-server.ts
@@ -44,12 +44,14 @@
         case "/healthz":
             return text(200, "ok");
         case "/readyz":
-            return state.ready && !state.leaving ? text(200, "ready") : text(503, state.leaving ? "leaving" : "not ready");
+            return state.ready && !state.leaving
+                ? text(200, "ready")
+                : text(503, state.leaving ? "leaving" : "not ready");
         case "/status":
             return {
                 status: 200,
                 type: "application/json",
-                body: JSON.stringify({ ...state, totals: metrics.totals() }, finiteOnly),
+                body: JSON.stringify({ ...state, totals: metrics.totals() }),
             };
         case "/metrics":
             return text(200, metrics.text(gaugesOf(router)));
@@ -69,7 +71,3 @@
         process_cpu_seconds_total: (process.cpuUsage().user + process.cpuUsage().system) / 1e6,
     };
 }
-
-function finiteOnly(_: string, value: unknown): unknown {
-    return value === Infinity || value === -Infinity ? null : value;
-}
--- a/packages/peer/src/connect-client.ts
+++ b/packages/peer/src/connect-client.ts
@@ -2,9 +2,9 @@
  * The protocol between processes over Connect and HTTP/2.
  */
 
+import { type Address, urlOf } from "@chalkdale/runtime";
 import { type Client, createClient } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
-import { type Address, urlOf } from "@chalkdale/runtime";
 import * as wire from "./generated/chalkdale/peer/v1/peer_pb.js";
 import { type PeerRecord, recordFromWire, recordToWire } from "./payload.js";
 import type { PeerConnection, PeerNetwork } from "./peer-network.js";
--- a/packages/peer/src/connect-server.ts
+++ b/packages/peer/src/connect-server.ts
@@ -2,9 +2,9 @@
  * Serves the protocol between processes over Connect and HTTP/2.
  */
 
+import type { Address } from "@chalkdale/runtime";
 import type { ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
-import type { Address } from "@chalkdale/runtime";
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
 import * as wire from "./generated/chalkdale/peer/v1/peer_pb.js";
 import { recordFromWire, recordToWire } from "./payload.js";
--- a/packages/peer/src/payload.ts
+++ b/packages/peer/src/payload.ts
@@ -160,6 +160,7 @@
         address: presence.address,
         port: presence.port,
         peerPort: presence.peerPort,
+        ready: presence.ready,
         leaving: presence.leaving,
         inFlight: presence.inFlight,
     };
--- a/packages/platform/src/http-platform.ts
+++ b/packages/platform/src/http-platform.ts
@@ -35,8 +35,7 @@
         get: (key, options) => call<StoredObject>({ method: "GET", path: pathOf(key), ...options }),
         list: (prefix, options) =>
             call<WatchBatch>({ method: "GET", path: `/v1/objects?prefix=${encodeURIComponent(prefix)}`, ...options }),
-        create: (key, body, options) =>
-            call<StoredObject>({ method: "POST", path: pathOf(key), body, ...options }),
+        create: (key, body, options) => call<StoredObject>({ method: "POST", path: pathOf(key), body, ...options }),
         update: (key, version, body, options) =>
             call<StoredObject>({
                 method: "PUT",
--- a/packages/settings/src/checks.ts
+++ b/packages/settings/src/checks.ts
@@ -72,7 +72,9 @@
 function checkLatencies(document: SettingsDocument): DocumentFault[] {
     return pathsOfKind(document, "region")
         .filter(node =>
-            Object.keys(document.nodes[node].latencyTo ?? {}).some(name => document.nodes[`/regions/${name}`] === undefined)
+            Object.keys(document.nodes[node].latencyTo ?? {}).some(name =>
+                document.nodes[`/regions/${name}`] === undefined
+            )
         )
         .map(node => ({ node, key: "latencyTo", expected: "expected names of regions only" }));
 }
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -56,7 +56,14 @@
 };
 
 const placeKeys: readonly SettingKey[] = ["drain", "zoneLatency"];
-const regionKeys: readonly SettingKey[] = [...placeKeys, "capacity", "linkLimit", "clientBlocks", "latencyTo", "floorShare"];
+const regionKeys: readonly SettingKey[] = [
+    ...placeKeys,
+    "capacity",
+    "linkLimit",
+    "clientBlocks",
+    "latencyTo",
+    "floorShare",
+];
 const serviceKeys: readonly SettingKey[] = [
     "drain",
     "shiftCap",
--- a/packages/settings/src/tree-file.ts
+++ b/packages/settings/src/tree-file.ts
@@ -2,14 +2,7 @@
  * Reads the settings tree from a YAML text, with all faults at once.
  */
 
-import {
-    Err,
-    type NodePath,
-    type NodeValues,
-    Ok,
-    type Result,
-    type SettingsDocument,
-} from "@chalkdale/core";
+import { Err, type NodePath, type NodeValues, Ok, type Result, type SettingsDocument } from "@chalkdale/core";
 import { checkDocument, type DocumentFault } from "./checks.js";
 import { faultAt, faultsOfIssues, type SettingsFault } from "./faults.js";
 import { fileSchema, type SettingsFile } from "./schema.js";
--- a/packages/testing/src/demo/main.ts
+++ b/packages/testing/src/demo/main.ts
@@ -4,11 +4,11 @@
  * box stops as planned. Ends with status 0 only if all of it came out right.
  */
 
-import { type ValueChange } from "@chalkdale/settings";
-import { applyEdit, readTree, type StoredSettings } from "@chalkdale/settings";
 import { objectVersion, type SettingsDocument } from "@chalkdale/core";
 import { objectKeys, type Platform } from "@chalkdale/platform";
 import { urlOf } from "@chalkdale/runtime";
+import { type ValueChange } from "@chalkdale/settings";
+import { applyEdit, readTree, type StoredSettings } from "@chalkdale/settings";
 import { readFile } from "node:fs/promises";
 import { resolve } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
@@ -73,7 +73,14 @@
         throw new Error(`examples/pedala.yaml has ${read.val.length} faults`);
     }
     const nodes = { ...read.val.nodes };
-    nodes["/"] = { ...nodes["/"], shiftCap: shiftPerMinute, isolationTime: 3, leaseTime: 6, answerLifetime: 1, warmUp: 5 };
+    nodes["/"] = {
+        ...nodes["/"],
+        shiftCap: shiftPerMinute,
+        isolationTime: 3,
+        leaseTime: 6,
+        answerLifetime: 1,
+        warmUp: 5,
+    };
     ["ro-nord", "eu-vest", "eu-sud"].forEach((region, index) => {
         nodes[`/regions/${region}`] = { ...nodes[`/regions/${region}`], clientBlocks: [`127.${index + 1}.0.0/16`] };
     });
@@ -104,8 +111,16 @@
     }, 30_000);
     const took = (performance.now() - editedAt) / 1000;
     const fastest = before / shiftPerMinute * 60;
-    checks.expect(before > 0.2, `ro-nord-a had ${(before * 100).toFixed(0)}% of ro-nord's profil-api traffic before the edit`);
-    checks.expect(took >= fastest * 0.5, `the shift took ${took.toFixed(1)} s; the cap allows no less than ${(fastest / 2).toFixed(1)} s into two places`);
+    checks.expect(
+        before > 0.2,
+        `ro-nord-a had ${(before * 100).toFixed(0)}% of ro-nord's profil-api traffic before the edit`,
+    );
+    checks.expect(
+        took >= fastest * 0.5,
+        `the shift took ${took.toFixed(1)} s; the cap allows no less than ${
+            (fastest / 2).toFixed(1)
+        } s into two places`,
+    );
 }
 
 async function edit(platform: Platform, change: ValueChange): Promise<void> {
--- a/packages/testing/src/demo/traffic.ts
+++ b/packages/testing/src/demo/traffic.ts
@@ -142,7 +142,9 @@
             failed,
             wrong,
             lines: [
-                `served ${served}, refused as not run ${refused}, p50 ${latencies.getValueAtPercentile(50)} ms, p99 ${latencies.getValueAtPercentile(99)} ms`,
+                `served ${served}, refused as not run ${refused}, p50 ${latencies.getValueAtPercentile(50)} ms, p99 ${
+                    latencies.getValueAtPercentile(99)
+                } ms`,
                 "served by region and availability zone:",
                 ...places,
                 ...(kinds.length > 0 ? ["refused or failed by kind:", ...kinds] : []),
--- a/packages/testing/src/launch/deployment.ts
+++ b/packages/testing/src/launch/deployment.ts
@@ -3,7 +3,16 @@
  * stand-in, backend servers, and the programs of each box.
  */
 
-import { configuredBoxes, type MemberList, pathsOfKind, regionId, serverId, serviceId, type SettingsDocument, zoneId } from "@chalkdale/core";
+import {
+    configuredBoxes,
+    type MemberList,
+    pathsOfKind,
+    regionId,
+    serverId,
+    serviceId,
+    type SettingsDocument,
+    zoneId,
+} from "@chalkdale/core";
 import { createHttpPlatform, objectKeys, type Platform } from "@chalkdale/platform";
 import { type Address, sleep, urlOf } from "@chalkdale/runtime";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
@@ -11,7 +20,7 @@
 import { join } from "node:path";
 import { request } from "undici";
 import { stringify } from "yaml";
-import { startProcess, type StartedProcess } from "./process.js";
+import { type StartedProcess, startProcess } from "./process.js";
 
 /** Backend servers of one service. */
 export interface BackendFleet {
@@ -104,7 +113,8 @@
         writeMembers,
         startAgent,
         startEntry,
-        waitUntilReady: timeout => waitFor(async () => (await Promise.all(boxes.map(isReady))).every(ready => ready), timeout),
+        waitUntilReady: timeout =>
+            waitFor(async () => (await Promise.all(boxes.map(isReady))).every(ready => ready), timeout),
         stop,
     };
 
@@ -122,17 +132,20 @@
 
     async function writeBoxFile(box: RunningBox): Promise<void> {
         const text = ({ address, port }: Address) => `${address}:${port}`;
-        await writeFile(boxFile(box), stringify({
-            box: box.id,
-            deployment: options.document.deployment,
-            region: box.region,
-            zone: box.zone,
-            callers: text(box.callers),
-            peers: text(box.peers),
-            operators: { entry: text(box.operators.entry), agent: text(box.operators.agent) },
-            platform: text(platformAddress),
-            seeds: boxes.filter(other => other.id !== box.id).slice(0, 3).map(other => text(other.peers)),
-        }));
+        await writeFile(
+            boxFile(box),
+            stringify({
+                box: box.id,
+                deployment: options.document.deployment,
+                region: box.region,
+                zone: box.zone,
+                callers: text(box.callers),
+                peers: text(box.peers),
+                operators: { entry: text(box.operators.entry), agent: text(box.operators.agent) },
+                platform: text(platformAddress),
+                seeds: boxes.filter(other => other.id !== box.id).slice(0, 3).map(other => text(other.peers)),
+            }),
+        );
     }
 
     function startAgent(box: RunningBox): void {
--- a/packages/testing/src/launch/process.ts
+++ b/packages/testing/src/launch/process.ts
@@ -23,6 +23,10 @@
 export const workspace = resolve(dirname(fileURLToPath(import.meta.url)), "../../../../..");
 
 const stopTimeout = 8000;
+const running = new Set<ChildProcess>();
+
+/** Nothing that was started here outlives this process. */
+process.once("exit", () => running.forEach(child => child.kill("SIGKILL")));
 
 /** Starts a Node script of the workspace; each line it writes to standard error goes to `onLine`. */
 export function startProcess(
@@ -38,7 +42,8 @@
     const exited = new Promise<number | undefined>(done => {
         child.once("exit", code => done(code ?? undefined));
     });
-    process.once("exit", () => child.kill("SIGKILL"));
+    running.add(child);
+    child.once("exit", () => running.delete(child));
     const signal = (name: NodeJS.Signals) => void child.kill(name);
     return {
         name,
--- a/packages/testing/src/standins/backend-server.ts
+++ b/packages/testing/src/standins/backend-server.ts
@@ -123,7 +123,12 @@
     };
 }
 
-async function handle(request: IncomingMessage, response: ServerResponse, state: BackendState, id: string): Promise<void> {
+async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    state: BackendState,
+    id: string,
+): Promise<void> {
     const url = new URL(request.url ?? "", "http://backend");
     response.on("error", () => response.destroy());
     response.setHeader("x-server", id);
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,7 +2,8 @@
 import { build } from "esbuild";
 
 const programs = ["agent", "entry", "cli"];
-const banner = "import { createRequire as createBundleRequire } from \"node:module\"; const require = createBundleRequire(import.meta.url);";
+const banner =
+    "import { createRequire as createBundleRequire } from \"node:module\"; const require = createBundleRequire(import.meta.url);";
 
 await Promise.all(programs.map(program =>
     build({
