--- a/packages/settings/src/yaml-source.ts
+++ b/packages/settings/src/yaml-source.ts
@@ -29,7 +29,7 @@
 export function parseYaml(file: string, text: string): YamlSource {
     const lines = new LineCounter();
     const tooLong = text.length > longestText;
-    const document = parseDocument(tooLong ? "" : text, { lineCounter: lines, uniqueKeys: true });
+    const document = parseDocument(tooLong ? "" : text, { lineCounter: lines, uniqueKeys: true, stringKeys: true });
     const syntaxFaults = document.errors.map(error => ({
         ...placeAt(error.pos[0]),
         message: error.message.split("\n")[0],
@@ -40,6 +40,9 @@
     return { file, value: valueOf(), syntaxFaults, placeOf };
 
     function valueOf(): unknown {
+        if (syntaxFaults.length > 0) {
+            return undefined;
+        }
         try {
             return document.toJS({ maxAliasCount: mostAliases });
         }
