--- a/packages/testing/src/launch/backends-process.ts
+++ b/packages/testing/src/launch/backends-process.ts
@@ -1,6 +1,6 @@
 /**
  * All backend servers of a deployment in one process:
- * `backends-process ADMIN-PORT WORK-MILLISECONDS NAME:PORT ...`.
+ * `backends-process ADMIN-PORT WORK-MILLISECONDS SLOTS NAME:PORT ...`.
  *
  * `GET /counts` tells what each did; `POST /behaviour?server=NAME` changes one.
  */
@@ -9,12 +9,12 @@
 import { type BackendServer, serveBackend } from "../standins/backend-server.js";
 
 const stop = new AbortController();
-const [adminPort, workTime, ...places] = process.argv.slice(2);
+const [adminPort, workTime, slots, ...places] = process.argv.slice(2);
 const servers = new Map<string, BackendServer>();
 for (const place of places) {
     const [id, port] = place.split(":");
     const address = { address: "127.0.0.1", port: Number(port) };
-    servers.set(id, await serveBackend(id, address, { workTime: Number(workTime) }, stop.signal));
+    servers.set(id, await serveBackend(id, address, { workTime: Number(workTime), slots: Number(slots) }, stop.signal));
 }
 
 const admin = createServer((request, response) => {
--- a/packages/testing/src/launch/deployment.ts
+++ b/packages/testing/src/launch/deployment.ts
@@ -70,7 +70,9 @@
     readonly basePort: number;
     /** Where the programs' logs go; inherited by default. */
     readonly onLog?: (process: string, line: string) => void;
+    /** Milliseconds of work for a request, and slots, of each backend server. */
     readonly workTime?: number;
+    readonly slots?: number;
 }
 
 const host = "127.0.0.1";
@@ -89,6 +91,7 @@
         start("backends", "packages/testing/dist/src/launch/backends-process.js", [
             String(backendAdmin.port),
             String(options.workTime ?? 5),
+            String(options.slots ?? 6),
             ...backends.map(({ id, address }) => `${id}:${address.port}`),
         ]),
     ];
--- a/packages/testing/src/standins/backend-server.ts
+++ b/packages/testing/src/standins/backend-server.ts
@@ -216,7 +216,10 @@
         counts.saved.set(body, (counts.saved.get(body) ?? 0) + 1);
     }
     const cold = counts.answered < behaviour.warmAfter ? behaviour.coldFactor : 1;
-    await sleep(Number(url.searchParams.get("ms") ?? behaviour.workTime) * cold, signal);
+    const workTime = Number(url.searchParams.get("ms") ?? behaviour.workTime) * cold;
+    if (workTime > 0) {
+        await sleep(workTime, signal);
+    }
     if (signal.aborted) {
         return;
     }
