--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,6 +8,7 @@
             "packages/peer/src/generated/**",
             "packages/*/bin/**",
             "**/*.mjs",
+            "**/*.cjs",
         ],
     },
     ...tseslint.configs.recommended,
--- a/packages/core/src/decide/bucket.ts
+++ b/packages/core/src/decide/bucket.ts
@@ -28,6 +28,8 @@
     readonly putBack: (cost: number) => void;
 }
 
+/** Bursts that a window is charged with: one at its start, and one for a rate that moved between boxes within it. */
+const burstsPerWindow = 2;
 const longestWait = 60_000;
 
 /** Creates an empty bucket. */
@@ -54,7 +56,7 @@
     /** Adds what has accrued and returns the refill in units per second. */
     function refillTo(cost: number, rate: number, at: Milliseconds): number {
         burst = rate * bucketWindow / 1000 < cost ? 0 : Math.max(cost, rate * burstPart);
-        const refill = Math.max(0, rate - burst / (bucketWindow / 1000));
+        const refill = Math.max(0, rate - burstsPerWindow * burst / (bucketWindow / 1000));
         const elapsed = Math.max(0, at - last);
         last = milliseconds(Math.max(last, at));
         tokens = Math.min(burst, tokens + refill * elapsed / 1000);
--- a/packages/core/src/decide/router.ts
+++ b/packages/core/src/decide/router.ts
@@ -86,6 +86,10 @@
     readonly tick: () => readonly PlanChange[];
     readonly isReady: () => boolean;
     readonly lookUp: (query: LookupQuery) => Result<LookupAnswer, RequestError>;
+    /**
+     * Takes a request on, or refuses it. What became of a ticket goes before any other refusal: an
+     * operation that has run, or may have, is never answered as not run.
+     */
     readonly begin: (request: RouteRequest) => Result<ActiveRequest, RequestError>;
     /** Returns what other boxes are told. */
     readonly status: () => BoxStatus;
@@ -239,6 +243,10 @@
     }
 
     function begin(request: RouteRequest): Result<ActiveRequest, RequestError> {
+        const known = request.ticket === undefined ? Ok(undefined) : tickets.check(request.ticket, request.service);
+        if (known.err) {
+            return known;
+        }
         if (settings === undefined || !isReady()) {
             return Err(requestError("notReady"));
         }
--- a/packages/core/src/decide/server-pool.ts
+++ b/packages/core/src/decide/server-pool.ts
@@ -170,7 +170,7 @@
         if (probe.leaving) {
             server.leavingAt = takenAt;
         }
-        else if (takenAt > server.leavingAt) {
+        else if (probe.ready && takenAt > server.leavingAt) {
             server.leavingAt = never;
         }
         if (returned) {
--- a/packages/core/src/decide/tickets.ts
+++ b/packages/core/src/decide/tickets.ts
@@ -33,6 +33,8 @@
 export interface TicketBook {
     /** Returns a new ticket for a service. */
     readonly mint: (service: ServiceId, lifetime: Milliseconds) => string;
+    /** Says why a ticket cannot be spent, what it was spent on included; takes nothing. */
+    readonly check: (ticket: string, service: ServiceId) => Result<void, RequestError>;
     /** Takes a ticket for one run, or says why not. */
     readonly spend: (ticket: string, service: ServiceId) => Result<SpentTicket, RequestError>;
     /** Forgets spent tickets that have expired. */
@@ -81,7 +83,11 @@
             const body = [ticketPrefix, options.box, options.incarnation, serial, expiresAt].join("~");
             return `${body}~${codeOf(body, service)}`;
         },
-        spend,
+        check: (ticket, service) => examine(ticket, service).map(() => undefined),
+        spend: (ticket, service) =>
+            examine(ticket, service).andThen(facts =>
+                operations.size >= limit ? Err(requestError("tooManyRequests")) : Ok(start(facts))
+            ),
         expire() {
             const now = options.clock();
             for (const [serial, state] of operations) {
@@ -93,7 +99,7 @@
         size: () => operations.size,
     };
 
-    function spend(ticket: string, service: ServiceId): Result<SpentTicket, RequestError> {
+    function examine(ticket: string, service: ServiceId): Result<TicketFacts, RequestError> {
         const facts = parseTicket(ticket);
         if (facts === undefined) {
             return Err(requestError("ticketInvalid"));
@@ -114,10 +120,7 @@
         if (facts.expiresAt < options.clock()) {
             return Err(requestError("ticketExpired"));
         }
-        if (operations.size >= limit) {
-            return Err(requestError("tooManyRequests"));
-        }
-        return Ok(start(facts));
+        return Ok(facts);
     }
 
     function start({ serial, expiresAt }: TicketFacts): SpentTicket {
--- a/packages/testing/src/session/fake-network.ts
+++ b/packages/testing/src/session/fake-network.ts
@@ -14,8 +14,10 @@
 
 /** A network whose links can be cut. */
 export interface FakeNetwork {
-    /** Returns the network as one box sees it. */
-    readonly of: (box: string) => PeerNetwork;
+    /** Returns the network as one box sees it; its name is asked at every call. */
+    readonly of: (box: () => string) => PeerNetwork;
+    /** Gives the box at an address another name. */
+    readonly rename: (address: Address, box: string) => void;
     /** Makes an agent reachable at an address. */
     readonly attach: (box: string, address: Address, handlers: PeerHandlers) => void;
     readonly detach: (address: Address) => void;
@@ -36,6 +38,12 @@
         attach(box, address, handlers) {
             attached.set(keyOf(address), { box, handlers });
         },
+        rename(address, box) {
+            const target = attached.get(keyOf(address));
+            if (target !== undefined) {
+                attached.set(keyOf(address), { ...target, box });
+            }
+        },
         detach(address) {
             attached.delete(keyOf(address));
         },
@@ -51,23 +59,23 @@
         return target.handlers;
     }
 
-    function connect(from: string, address: Address): PeerConnection {
+    function connect(from: () => string, address: Address): PeerConnection {
         return {
             subscribe: (self, scope, signal) => subscribe(from, address, self, scope, signal),
-            publish: async (self, records) => reach(from, address).publish(self, structuredClone(records)),
-            claim: async claim => reach(from, address).claim(structuredClone(claim)),
+            publish: async (self, records) => reach(from(), address).publish(self, structuredClone(records)),
+            claim: async claim => reach(from(), address).claim(structuredClone(claim)),
         };
     }
 
     async function* subscribe(
-        from: string,
+        from: () => string,
         address: Address,
         self: PeerIdentity,
         scope: SubscriptionScope,
         signal: AbortSignal,
     ): AsyncGenerator<readonly PeerRecord[]> {
-        for await (const records of reach(from, address).subscribe(self, scope, signal)) {
-            reach(from, address);
+        for await (const records of reach(from(), address).subscribe(self, scope, signal)) {
+            reach(from(), address);
             yield structuredClone(records);
         }
     }
--- a/packages/testing/src/session/session.ts
+++ b/packages/testing/src/session/session.ts
@@ -32,7 +32,7 @@
     zoneId,
 } from "@chalkdale/core";
 import { createStateClient, type StateClient } from "@chalkdale/entry";
-import { objectKeys } from "@chalkdale/platform";
+import { objectKeys, type Platform, type PlatformOutcome } from "@chalkdale/platform";
 import { type Address, formatFields, type Log, type LogFields, silentLog } from "@chalkdale/runtime";
 import { createObjectStore, type ObjectStore } from "../standins/object-store.js";
 import { createFakeNetwork, type FakeNetwork } from "./fake-network.js";
@@ -57,10 +57,12 @@
 
 /** A box of a session. */
 export interface SessionBox {
+    /** Name within the session: the box's own, or with `~old` for one that was replaced but runs on. */
+    key: string;
     readonly id: string;
     readonly zone: string;
     readonly region: string;
-    readonly peer: Address;
+    peer: Address;
     /** Undefined while the program is not running. */
     agent: Agent | undefined;
     router: Router | undefined;
@@ -112,6 +114,12 @@
     readonly writeMembers: (zone: string, leaving?: readonly string[]) => void;
     readonly startBox: (id: string) => void;
     readonly startAgent: (id: string) => void;
+    readonly startEntry: (id: string) => void;
+    /**
+     * Replaces a box while its old programs run on, as when a machine thought dead is only cut off.
+     * The old one is reached as `ID~old`.
+     */
+    readonly replaceCutOff: (id: string) => void;
     /** Ends a program, or both of a box, without notice. */
     readonly kill: (id: string, program?: "agent" | "entry") => void;
     /** Lines recorded so far. */
@@ -120,6 +128,11 @@
     readonly end: () => Promise<void>;
 }
 
+/** Name of the platform for {@link FakeNetwork.reaches}. */
+export const platformName = "platform";
+
+const replacedPortStep = 500;
+
 /** Length of a step in milliseconds. */
 const stepLength = 10;
 const firstPort = 9000;
@@ -138,7 +151,6 @@
     const members = placeServers(options, zonePaths);
     const servers = createFakeServers(clock.now, [...members.values()].flat(), options.workTime ?? 10);
     const boxes = placeBoxes(options.document, zonePaths);
-    const paused = new Set<string>();
     let incarnations = 0;
     let document = options.document;
 
@@ -165,17 +177,19 @@
         writeMembers,
         startBox,
         startAgent,
+        startEntry,
+        replaceCutOff,
         kill,
         lines,
         note,
         async end() {
-            boxes.forEach(({ id }) => kill(id));
+            boxes.forEach(({ key }) => kill(key));
             await settle();
         },
     };
 
     function box(id: string): SessionBox {
-        const found = boxes.find(candidate => candidate.id === id);
+        const found = boxes.find(candidate => candidate.key === id);
         if (found === undefined) {
             throw new Error(`no box ${id}`);
         }
@@ -206,7 +220,9 @@
         store.put(objectKeys.members(zone), {
             region: regionId(region),
             zone: zoneId(zone),
-            boxes: boxes.filter(candidate => candidate.zone === zone).map(({ id, peer }) => ({
+            boxes: boxes.filter(candidate => candidate.zone === zone && candidate.key === candidate.id).map((
+                { id, peer },
+            ) => ({
                 id,
                 address: peer.address,
                 port: peer.port - 1000,
@@ -229,8 +245,8 @@
             self: { box: boxId(id), zone: zoneId(target.zone), region: target.region, peer: target.peer },
             incarnation: nextIncarnation(),
             seeds: boxes.filter(other => other.id !== id).slice(0, 3).map(other => other.peer),
-            platform: store.platform,
-            network: network.of(id),
+            platform: platformOf(target),
+            network: network.of(() => target.key),
             probe: async server => servers.probe(server),
             clock: clock.now,
             log: logOf({ program: "agent", box: id }),
@@ -239,6 +255,33 @@
         network.attach(id, target.peer, target.agent.handlers);
     }
 
+    function replaceCutOff(id: string): void {
+        const old = box(id);
+        old.key = `${id}~old`;
+        boxes.push({
+            ...old,
+            key: id,
+            peer: { ...old.peer, port: old.peer.port + replacedPortStep },
+            owners: { agent: new AbortController(), entry: new AbortController() },
+        });
+        network.rename(old.peer, old.key);
+        startBox(id);
+    }
+
+    /** The platform as one box sees it: gone while the network says that it does not reach it. */
+    function platformOf(target: SessionBox): Platform {
+        const cut = { kind: "unavailable", reason: "cut off" } as const;
+        const call = <Value>(run: (platform: Platform) => Promise<PlatformOutcome<Value>>) =>
+            network.reaches(target.key, platformName) ? run(store.platform) : Promise.resolve(cut);
+        return {
+            get: (...args) => call(platform => platform.get(...args)),
+            list: (...args) => call(platform => platform.list(...args)),
+            create: (...args) => call(platform => platform.create(...args)),
+            update: (...args) => call(platform => platform.update(...args)),
+            watch: (...args) => call(platform => platform.watch(...args)),
+        };
+    }
+
     function startBox(id: string): void {
         startAgent(id);
         startEntry(id);
@@ -274,7 +317,7 @@
             router: target.router,
             agent: target.peer,
             seeds: boxes.filter(other => other.id !== id).slice(0, 2).map(other => other.peer),
-            network: network.of(id),
+            network: network.of(() => target.key),
             probe: async server => servers.probe(server),
             clock: clock.now,
             log: logOf({ program: "entry", box: id }),
@@ -311,8 +354,8 @@
 
     function stepPrograms(): void {
         store.step();
-        for (const { id, agent, client, paused: isPaused } of boxes) {
-            if (isPaused || paused.has(id)) {
+        for (const { agent, client, paused } of boxes) {
+            if (paused) {
                 continue;
             }
             agent?.step();
@@ -438,6 +481,7 @@
     const ids = configuredBoxes(document);
     return zonePaths.flatMap(path =>
         (document.nodes[path].boxes ?? []).map(id => ({
+            key: id,
             id,
             zone: nameOf(path),
             region: path.split("/")[2],
