--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -6,7 +6,7 @@
  * everything anew from the platform or from any peer.
  */
 
-import { type Clock, type OriginTraffic, summariseZone, sumUpTraffic } from "@chalkdale/core";
+import { type Clock, type OriginTraffic, regionId, summariseZone, sumUpTraffic } from "@chalkdale/core";
 import {
     createPeerSubscriptions,
     type PeerHandlers,
@@ -190,16 +190,12 @@
         );
     }
 
-    /** As a relay: sums up the boxes of the zone. */
+    /** As a relay: sums up the boxes of the zone. Without any it says so, or others would go by the list. */
     async function publishSummary(): Promise<void> {
         if (!topology.subscriptions().isRelay) {
             return;
         }
-        const statuses = newestStatuses();
-        if (statuses.length === 0) {
-            return;
-        }
-        const summary = summariseZone(statuses[0].presence.region, self.zone, statuses);
+        const summary = summariseZone(regionId(self.region), self.zone, newestStatuses());
         hub.merge([{
             key: ownSummary,
             sequence: sequenceNow(),
--- a/packages/agent/src/capacity-holder.ts
+++ b/packages/agent/src/capacity-holder.ts
@@ -26,10 +26,13 @@
 } from "@chalkdale/platform";
 import type { Log } from "@chalkdale/runtime";
 
+/** What is asked for, apart from what the holder itself knows. */
+export type CapacityWish = Omit<CapacityRequest, "holder" | "lastSerial">;
+
 /** The lease of one entry program. */
 export interface CapacityHolder {
     /** Asks for capacity anew. Never rejects; without an answer the lease runs out. */
-    readonly renew: (request: Omit<CapacityRequest, "holder">, signal: AbortSignal) => Promise<void>;
+    readonly renew: (request: CapacityWish, signal: AbortSignal) => Promise<void>;
     /** Gives the lease back. */
     readonly release: (signal: AbortSignal) => Promise<void>;
     /** Returns what may be used now. */
@@ -56,16 +59,17 @@
     const { holder, platform, clock, log } = options;
     const observer = options.observer ?? createGrantObserver();
     let held: HeldCapacity = nothingHeld;
+    let lastSerial = 0;
 
     return { renew, release, held: () => held };
 
-    async function renew(request: Omit<CapacityRequest, "holder">, signal: AbortSignal): Promise<void> {
+    async function renew(request: CapacityWish, signal: AbortSignal): Promise<void> {
         for (let attempt = 0; attempt < attempts; attempt++) {
             const read = await readObject(signal);
             if (read === undefined) {
                 return;
             }
-            const outcome = await writeRenewal(read, { ...request, holder }, signal);
+            const outcome = await writeRenewal(read, { ...request, holder, lastSerial }, signal);
             if (outcome === "ended") {
                 return;
             }
@@ -101,6 +105,7 @@
         const current = read === "absent" ? emptyCapacityObject : read.value as CapacityObject;
         const next = renewGrant(current, request, name => observer.isExpired(name, clock()));
         const proposed = next.grants[holder];
+        lastSerial = proposed.serial;
         held = heldWhileRenewing(held, proposed);
         const sentAt = clock();
         const written = await write(read, next, signal);
--- a/packages/core/src/decide/capacity-lease.ts
+++ b/packages/core/src/decide/capacity-lease.ts
@@ -40,6 +40,11 @@
 /** What a holder asks for. */
 export interface CapacityRequest {
     readonly holder: string;
+    /**
+     * Highest serial that the holder has ever used, written or not. An entry that was taken out and
+     * comes back must not bear a serial that an observer has already seen stand still.
+     */
+    readonly lastSerial: number;
     readonly duration: Milliseconds;
     readonly wanted: UnitsByRegion;
     readonly settingsVersion: number;
@@ -102,7 +107,7 @@
     }
     const previous = object.grants[request.holder];
     const grant: CapacityGrant = {
-        serial: (previous?.serial ?? 0) + 1,
+        serial: Math.max(previous?.serial ?? 0, request.lastSerial) + 1,
         duration: request.duration,
         units,
         wanted: request.wanted,
--- a/packages/core/src/state/traffic.ts
+++ b/packages/core/src/state/traffic.ts
@@ -52,7 +52,7 @@
     readonly boxes: readonly BoxPresence[];
     readonly traffic: readonly OriginTraffic[];
     readonly served: readonly ServedTraffic[];
-    /** Lowest settings version in force among the boxes. */
+    /** Lowest settings version in force among the boxes; 0 without any. */
     readonly settingsVersion: number;
 }
 
@@ -68,7 +68,7 @@
         boxes: statuses.map(status => status.presence),
         traffic: sumUpTraffic(statuses.flatMap(status => status.traffic)),
         served: groupBy(statuses.flatMap(status => status.served), servedKey).map(sumServed),
-        settingsVersion: Math.min(...statuses.map(status => status.settingsVersion)),
+        settingsVersion: statuses.length === 0 ? 0 : Math.min(...statuses.map(status => status.settingsVersion)),
     };
 }
 
--- a/packages/testing/test/promise-capacity.test.ts
+++ b/packages/testing/test/promise-capacity.test.ts
@@ -61,6 +61,15 @@
             }],
         ]));
 
+    it("when a box loses its agent and all others, and they take what it had", () =>
+        run(session => [
+            [8000, () => {
+                session.kill("north-1", "agent");
+                session.network.reaches = (from, to) => from === to || (from !== "north-1" && to !== "north-1");
+            }],
+            [12_000, () => undefined],
+        ]));
+
     it("when a box is replaced while the old one runs on, cut off from all", () =>
         run(session => [
             [6000, () => {
