--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -77,7 +77,8 @@
     const publishedHere = new Set<string>([ownSummary, ownProbes]);
     const hub = createRecordHub(clock, key => publishedHere.has(key));
     const contact = createContact(clock);
-    let superseded = "";
+    /** Entry programs of this box of which a relay knows a newer one. */
+    const superseded = new Set<string>();
     const topology = createTopology({ self, hub, clock, relaysPerZone: () => ownValues().relaysPerZone });
     const settingsReader = createSettingsReader(log);
     const subscriptions = createPeerSubscriptions({ ...options, self: identity, targets, onRecords });
@@ -91,7 +92,7 @@
     const claims = createClaims({
         ...options,
         contact,
-        isSuperseded: incarnation => superseded > incarnation || newestOfBox() > incarnation,
+        isSuperseded: (box, incarnation) => superseded.has(incarnation) || newestOfBox(box) > incarnation,
     });
     const tasks: Stepped[] = [
         feed,
@@ -164,7 +165,7 @@
     }
 
     /** Returns the newest entry program known of a box, or an empty text. */
-    function newestOfBox(box: string = self.box): string {
+    function newestOfBox(box: string): string {
         return hub.list(`${recordKeys.statusPrefix}${box}/`)
             .map(record => record.key.slice(record.key.lastIndexOf("/") + 1))
             .reduce((newest, incarnation) => incarnation > newest ? incarnation : newest, "");
@@ -184,7 +185,7 @@
                 }
                 contact.note(sentAt);
                 if (answer.superseded) {
-                    superseded = newestOf(records);
+                    superseded.add(newestOf(records));
                 }
             }),
         );
--- a/packages/agent/src/capacity-holder.ts
+++ b/packages/agent/src/capacity-holder.ts
@@ -31,8 +31,11 @@
 
 /** The lease of one entry program. */
 export interface CapacityHolder {
-    /** Asks for capacity anew. Never rejects; without an answer the lease runs out. */
-    readonly renew: (request: CapacityWish, signal: AbortSignal) => Promise<void>;
+    /**
+     * Asks for capacity anew. Never rejects; without an answer the lease runs out.
+     * @returns whether it came to an end, and not only to conflicts with other holders.
+     */
+    readonly renew: (request: CapacityWish, signal: AbortSignal) => Promise<boolean>;
     /** Gives the lease back. */
     readonly release: (signal: AbortSignal) => Promise<void>;
     /** Returns what may be used now. */
@@ -63,18 +66,23 @@
 
     return { renew, release, held: () => held };
 
-    async function renew(request: CapacityWish, signal: AbortSignal): Promise<void> {
+    async function renew(request: CapacityWish, signal: AbortSignal): Promise<boolean> {
         for (let attempt = 0; attempt < attempts; attempt++) {
             const read = await readObject(signal);
-            if (read === undefined) {
-                return;
+            if (read === undefined || (wantsNothing(request) && !isListed(read))) {
+                return true;
             }
             const outcome = await writeRenewal(read, { ...request, holder, lastSerial }, signal);
             if (outcome === "ended") {
-                return;
+                return true;
             }
         }
         log.warn("lease.contended", { holder });
+        return false;
+    }
+
+    function isListed(read: StoredObject | "absent"): boolean {
+        return read !== "absent" && (read.value as CapacityObject).grants[holder] !== undefined;
     }
 
     /** Reads the object; undefined when the platform does not answer. */
@@ -163,6 +171,10 @@
     }
 }
 
+function wantsNothing({ wanted }: CapacityWish): boolean {
+    return Object.values(wanted).every(units => units === 0);
+}
+
 function reasonOf(outcome: PlatformOutcome<unknown>): string {
     return "reason" in outcome ? outcome.reason : outcome.kind;
 }
--- a/packages/agent/src/claims.ts
+++ b/packages/agent/src/claims.ts
@@ -2,7 +2,7 @@
  * Answers the claims of entry programs and keeps their leases renewed.
  */
 
-import { type Clock, createGrantObserver, type Milliseconds, milliseconds } from "@chalkdale/core";
+import { type Clock, createGrantObserver, hashText, type Milliseconds, milliseconds } from "@chalkdale/core";
 import type { CapacityClaim, ClaimedCapacity } from "@chalkdale/peer";
 import type { Platform } from "@chalkdale/platform";
 import { createTask, type Log, type Stepped } from "@chalkdale/runtime";
@@ -25,7 +25,7 @@
     readonly contact: Contact;
     readonly signal: AbortSignal;
     /** Returns whether a newer process of the same box is known. */
-    readonly isSuperseded: (incarnation: string) => boolean;
+    readonly isSuperseded: (box: string, incarnation: string) => boolean;
 }
 
 interface KnownClaim {
@@ -33,12 +33,17 @@
     claimedAt: Milliseconds;
     readonly holder: CapacityHolder;
     readonly task: Stepped;
+    /** False when the last renewal met with nothing but conflicts. */
+    settled: boolean;
+    renewals: number;
 }
 
 /** A claim not repeated for this many milliseconds is forgotten. */
 const claimLifetime = 5000;
 /** Renewals within the time of a lease. */
 const renewalsPerLease = 3;
+/** A renewal after conflicts comes after this part of the usual time. */
+const contendedPart = 0.15;
 
 /** Creates an agent's claims, none at first. */
 export function createClaims(options: ClaimsOptions): Claims {
@@ -55,7 +60,7 @@
                 units: remaining > 0 ? held.units : {},
                 leaseRemaining: remaining,
                 floorRemaining: options.contact.remaining(milliseconds(claim.isolationTime * 1000)),
-                superseded: options.isSuperseded(claim.incarnation),
+                superseded: options.isSuperseded(claim.box, claim.incarnation),
             };
         },
         step() {
@@ -92,17 +97,33 @@
             observer,
             onContact: options.contact.note,
         });
-        const entry: KnownClaim = { claim, claimedAt: clock(), holder, task: { step: () => undefined } };
+        const entry = { claim, claimedAt: clock(), holder, settled: true, renewals: 0 };
         const task = createTask({
             clock,
-            interval: () => entry.claim.leaseTime * 1000 / renewalsPerLease,
+            interval: () => pauseOf(claim.incarnation, entry),
             signal: options.signal,
             onFailure: error => options.log.error("lease.failed", { reason: String(error) }),
-        }, signal => holder.renew(requestOf(entry.claim), signal));
+        }, async signal => {
+            entry.renewals++;
+            entry.settled = await holder.renew(requestOf(entry.claim), signal);
+        });
         return Object.assign(entry, { task });
     }
 }
 
+/**
+ * Milliseconds to the next renewal: a third of the lease, made uneven by
+ * hashing. Boxes that start together would otherwise write together for ever,
+ * and the same few would always win.
+ */
+function pauseOf(incarnation: string, entry: Pick<KnownClaim, "claim" | "settled" | "renewals">): number {
+    const usual = entry.claim.leaseTime * 1000 / renewalsPerLease;
+    const spread = 0.7 + 0.6 * hashText(`${incarnation} ${entry.renewals}`) / hashRange;
+    return usual * spread * (entry.settled ? 1 : contendedPart);
+}
+
+const hashRange = 0x1_0000_0000;
+
 function requestOf(claim: CapacityClaim) {
     return {
         duration: milliseconds(claim.leaseTime * 1000),
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -2,8 +2,20 @@
  * All commands of the command line.
  */
 
+import { drain, explain, status } from "./box-status.js";
 import type { Command } from "./context.js";
 import { settingsCheck, settingsShow } from "./settings-file.js";
+import { settingsApply, settingsDiff, settingsEdit, settingsHistory } from "./settings-platform.js";
 
 /** The commands, in the order of the help text. */
-export const commands: readonly Command[] = [settingsCheck, settingsShow];
+export const commands: readonly Command[] = [
+    settingsCheck,
+    settingsShow,
+    settingsDiff,
+    settingsApply,
+    settingsEdit,
+    settingsHistory,
+    status,
+    explain,
+    drain,
+];
--- a/packages/core/src/decide/goal.ts
+++ b/packages/core/src/decide/goal.ts
@@ -9,7 +9,7 @@
  * cost; with more portions it comes as near to the optimum as one likes.
  */
 
-import type { CompiledRegion, CompiledService, CompiledSettings } from "../settings/compiled.js";
+import type { CompiledRegion, CompiledService, CompiledServiceZone, CompiledSettings } from "../settings/compiled.js";
 
 /** What is known of one service in one zone. */
 export interface ZoneObservation {
@@ -150,18 +150,39 @@
         .filter(option => input.observe(service, option.zone.index).usableServers > 0)
         .map(option => {
             const { values, zone } = option;
-            const cold = 1 - input.observe(service, zone.index).warmth;
             const stays = demand.shares[zone.index] > 0 ? 1 - stayAdvantage : 1;
-            const fixed = values.latencyPrice * 2 * latencyBetween(origin, zone.region) + values.coldPrice * cold;
+            const prices = zonePrices(origin, option, input.observe(service, zone.index).warmth, 0, 1);
             return {
                 zone: zone.index,
                 region: zone.region.index,
-                fixedPrice: fixed * stays,
+                fixedPrice: (prices.latency + prices.cold) * stays,
                 headroomPrice: values.headroomPrice,
             };
         });
 }
 
+/** The parts of a zone's price. */
+export interface ZonePrices {
+    readonly latency: number;
+    readonly cold: number;
+    readonly load: number;
+}
+
+/** Returns a zone's price for an origin, with so many units per second placed of so many that it can serve. */
+export function zonePrices(
+    origin: CompiledRegion,
+    { values, zone }: CompiledServiceZone,
+    warmth: number,
+    units: number,
+    capacity: number,
+): ZonePrices {
+    return {
+        latency: values.latencyPrice * 2 * latencyBetween(origin, zone.region),
+        cold: values.coldPrice * (1 - warmth),
+        load: loadPrice(units, capacity, values.headroomPrice),
+    };
+}
+
 /** One-way milliseconds between two regions; within one, that between its zones. */
 export function latencyBetween(from: CompiledRegion, to: CompiledRegion): number {
     if (from.id === to.id) {
--- a/packages/core/src/decide/region-capacity.ts
+++ b/packages/core/src/decide/region-capacity.ts
@@ -9,9 +9,9 @@
  * name can take the floor over after the same time.
  */
 
-import { type Milliseconds, milliseconds } from "../kernel/ids.js";
+import { type Milliseconds, milliseconds, type RegionId } from "../kernel/ids.js";
 import { Ok, type Result } from "../kernel/result.js";
-import type { CompiledRegion } from "../settings/compiled.js";
+import { type CompiledRegion, floorOf } from "../settings/compiled.js";
 import { type Bucket, type BucketEmpty, createBucket } from "./bucket.js";
 import { type HeldCapacity, nothingHeld } from "./capacity-lease.js";
 
@@ -49,8 +49,8 @@
     readonly unitsAt: (region: CompiledRegion, at: Milliseconds) => number;
 }
 
-/** Creates the limits of a box that has no rights yet. */
-export function createRegionCapacity(startedAt: Milliseconds): RegionCapacity {
+/** Creates the limits of a box that stands in a region and has no rights yet. */
+export function createRegionCapacity(ownRegion: RegionId, startedAt: Milliseconds): RegionCapacity {
     const regionBuckets = new Map<string, Bucket>();
     const linkBuckets = new Map<string, Bucket>();
     let rights = noRights;
@@ -75,7 +75,7 @@
 
     function unitsAt(region: CompiledRegion, at: Milliseconds): number {
         const floorHolds = at >= rights.floorFrom && at < rights.floorUntil;
-        const floor = floorHolds ? region.floorPerBox : 0;
+        const floor = floorHolds ? floorOf(region, ownRegion) : 0;
         const leased = at < rights.leased.until ? rights.leased.units[region.id] ?? 0 : 0;
         return floor + leased;
     }
--- a/packages/core/src/decide/router.ts
+++ b/packages/core/src/decide/router.ts
@@ -18,9 +18,16 @@
     type ZoneId,
 } from "../kernel/ids.js";
 import { Err, Ok, type Result } from "../kernel/result.js";
-import type { CompiledRegion, CompiledService, CompiledSettings, CompiledZone } from "../settings/compiled.js";
+import {
+    type CompiledRegion,
+    type CompiledService,
+    type CompiledSettings,
+    type CompiledZone,
+    floorOf,
+} from "../settings/compiled.js";
 import type { MemberList, ProbeResult, ServerMember } from "../state/members.js";
 import type { BoxPresence, BoxStatus, OriginTraffic, ZoneSummary } from "../state/traffic.js";
+import { explainZone, type RouteExplanation } from "./explain.js";
 import { callerKeyOf, type LookupAnswer, orderBoxes } from "./lookup.js";
 import { admitByPriority } from "./overload.js";
 import { createPresence } from "./presence.js";
@@ -98,6 +105,8 @@
     /** Returns servers that the box should probe itself. */
     readonly wantProbes: () => readonly ServerMember[];
     readonly describe: () => RouterDescription;
+    /** Returns every step of the decision for a caller, or undefined for an unknown service. */
+    readonly explain: (service: ServiceId, callerAddress: string) => RouteExplanation | undefined;
     readonly inFlight: () => number;
     readonly settings: () => CompiledSettings | undefined;
 }
@@ -109,6 +118,8 @@
     readonly ready: boolean;
     readonly leaving: boolean;
     readonly inFlight: number;
+    /** Region of each zone. */
+    readonly zones: Readonly<Record<string, RegionId>>;
     readonly traffic: readonly OriginTraffic[];
     readonly capacity: readonly { readonly region: RegionId; readonly units: number; }[];
     readonly servers: readonly (ServerDescription & { readonly service: ServiceId; readonly zone: ZoneId; })[];
@@ -134,11 +145,12 @@
     const { clock, tickets } = options;
     const startedAt = clock();
     const plan = createTrafficPlan({ startedAt });
-    const capacity = createRegionCapacity(startedAt);
+    const capacity = createRegionCapacity(options.presence.region, startedAt);
     const directory = createServerDirectory({ policy: options.policy ?? defaultPolicy, random: options.random });
     const presence = createPresence();
     const retryBudgets = new Map<ServiceId, RetryBudget>();
     let settings: CompiledSettings | undefined;
+    let ownRegion: CompiledRegion | undefined;
     let settingsSince = startedAt;
     let leaving = false;
     let inFlight = 0;
@@ -150,6 +162,7 @@
             }
             settingsSince = settings === undefined ? clock() : settingsSince;
             settings = next;
+            ownRegion = next.regions.find(region => region.id === options.presence.region);
             directory.applySettings(next, clock());
             plan.applySettings(next, clock());
         },
@@ -180,6 +193,7 @@
         wantedUnits,
         wantProbes: () => directory.wantProbes(clock()),
         describe,
+        explain,
         inFlight: () => inFlight,
         settings: () => settings,
     };
@@ -238,8 +252,7 @@
 
     function originOf(current: CompiledSettings, address: string): CompiledRegion {
         const site = current.clientBlocks.find(address);
-        const own = current.regions.find(region => region.id === options.presence.region);
-        return site === undefined ? own ?? current.regions[0] : current.regions[site];
+        return site === undefined ? ownRegion ?? current.regions[0] : current.regions[site];
     }
 
     function begin(request: RouteRequest): Result<ActiveRequest, RequestError> {
@@ -300,7 +313,7 @@
             service,
             origin,
             zone: current.zones[zoneIndex],
-            own: current.regions.find(region => region.id === options.presence.region) ?? origin,
+            own: ownRegion ?? origin,
             pool: directory.pool(service, zoneIndex),
             traffic,
             zoneIndex,
@@ -330,11 +343,45 @@
         }
         const units = plan.ownUnitsByRegion();
         return Object.fromEntries(settings.regions.map(region => {
-            const wanted = units[region.index] * wishFactor + wishExtra - region.floorPerBox;
+            const used = units[region.index];
+            const wanted = used > 0 ? used * wishFactor + wishExtra - floorOf(region, options.presence.region) : 0;
             return [region.id, Math.max(0, wanted)];
         }));
     }
 
+    function explain(name: ServiceId, callerAddress: string): RouteExplanation | undefined {
+        const service = settings?.services.get(name);
+        if (settings === undefined || service === undefined) {
+            return undefined;
+        }
+        const at = clock();
+        const origin = originOf(settings, callerAddress);
+        const traffic = plan.inspect(service, origin, at);
+        const servers = service.zones.map(({ zone }) => directory.observe(service, zone.index, at));
+        const allServers = servers.reduce((sum, { usableServers }) => sum + usableServers, 0);
+        const capacityOfAll = settings.regions.reduce((sum, region) => sum + region.values.capacity, 0);
+        return {
+            service: service.id,
+            origin: origin.id,
+            originFrom: settings.clientBlocks.find(callerAddress) === undefined ? "region of the box" : "client block",
+            settingsVersion: settings.version,
+            planVersion: plan.version(),
+            zones: service.zones.map((place, index) =>
+                explainZone({
+                    place,
+                    service,
+                    origin,
+                    share: traffic.shares[index],
+                    goal: traffic.goal[index],
+                    observation: { ...servers[index], warmth: traffic.warmth[index] },
+                    capacityHere: capacity.unitsAt(place.zone.region, at),
+                    units: traffic.served[index] * service.values.requestCost,
+                    capacity: capacityOfAll * servers[index].usableServers / Math.max(1, allServers),
+                })
+            ),
+        };
+    }
+
     function describe(): RouterDescription {
         const at = clock();
         return {
@@ -343,6 +390,7 @@
             ready: isReady(),
             leaving,
             inFlight,
+            zones: Object.fromEntries((settings?.zones ?? []).map(zone => [zone.id, zone.region.id])),
             traffic: plan.traffic(),
             capacity: (settings?.regions ?? []).map(region => ({
                 region: region.id,
@@ -355,9 +403,9 @@
 }
 
 /** A box asks for this much more than it used, so that it can grow between renewals. */
-const wishFactor = 1.5;
-/** And for this many units per second at least. */
-const wishExtra = 5;
+const wishFactor = 1.3;
+/** And, where it sends anything, for this many units per second on top. */
+const wishExtra = 1;
 
 interface ActiveRequestParts {
     readonly service: CompiledService;
--- a/packages/core/src/decide/server-pool.ts
+++ b/packages/core/src/decide/server-pool.ts
@@ -103,6 +103,8 @@
     leavingAt: Milliseconds;
     probe: ProbeResult | undefined;
     probeAt: Milliseconds;
+    /** Requests of other boxes that it holds, smoothed over probes. */
+    ofOthers: number;
 }
 
 /** Evidence older than this, in milliseconds, does not make a server usable. */
@@ -116,6 +118,10 @@
 /** Whole answers this recent outweigh a probe that says not ready. */
 const answerOutweighsProbe = 2000;
 const smoothing = 0.2;
+/** Slow, since boxes that all believe the newest probe would all go to the same server. */
+const probeSmoothing = 0.2;
+/** Without answers the believed latency halves in this many milliseconds, so that a slow start is not held against a server for ever. */
+const latencyHalfLife = 1000;
 /** Weight of a server at the start of its slow start. */
 const leastWeight = 0.1;
 /** Utilisation up to which a server counts as lightly loaded. */
@@ -166,6 +172,8 @@
         const returned = probe.ready && server.probe?.ready === false;
         server.probe = probe;
         server.probeAt = takenAt;
+        const ofOthers = Math.max(0, probe.inUse + probe.queued - server.outstanding);
+        server.ofOthers += (ofOthers - server.ofOthers) * probeSmoothing;
         server.evidenceAt = milliseconds(Math.max(server.evidenceAt, takenAt));
         if (probe.leaving) {
             server.leavingAt = takenAt;
@@ -201,7 +209,7 @@
             return Err({ kind: "serversBusy", retryAfter: milliseconds(typicalLatency() + busyWait) });
         }
         const server = pick(at, remaining);
-        if (server === undefined || predictedTime(server, at) > remaining) {
+        if (server === undefined) {
             return Err({ kind: "deadlineTooShort", retryAfter: milliseconds(typicalLatency() + busyWait) });
         }
         server.outstanding++;
@@ -374,24 +382,21 @@
 
     /** Requests at the server for each of its slots, weighted for slow start. */
     function loadOf(server: ServerState, at: Milliseconds): number {
-        const atServer = Math.max(server.outstanding, reportedRequests(server, at));
-        return (atServer + 1) / (options.values().slots * weightOf(server, at));
+        return (requestsAt(server) + 1) / (options.values().slots * weightOf(server, at));
     }
 
-    /** What the last probe saw in the server; older reports count for less. */
-    function reportedRequests(server: ServerState, at: Milliseconds): number {
-        if (server.probe === undefined) {
-            return 0;
-        }
-        const fade = Math.max(0, 1 - (at - server.probeAt) / evidenceLimit);
-        return (server.probe.inUse + server.probe.queued) * fade;
+    /** This box's requests, known exactly, and what probes tell of the others'. */
+    function requestsAt(server: ServerState): number {
+        return server.outstanding + server.ofOthers;
     }
 
     /** Milliseconds until an answer: the mean latency, and the wait for a slot. */
     function predictedTime(server: ServerState, at: Milliseconds): number {
         const { slots } = options.values();
-        const waiting = Math.max(0, Math.max(server.outstanding, reportedRequests(server, at)) + 1 - slots);
-        return server.latency * (1 + waiting / slots);
+        const waiting = Math.max(0, requestsAt(server) + 1 - slots);
+        const silence = Math.max(0, at - server.answeredAt);
+        const believed = server.outstanding > 0 ? server.latency : server.latency * 0.5 ** (silence / latencyHalfLife);
+        return believed * (1 + waiting / slots);
     }
 
     function typicalLatency(): number {
@@ -415,5 +420,6 @@
         leavingAt: never,
         probe: undefined,
         probeAt: never,
+        ofOthers: 0,
     };
 }
--- a/packages/core/src/decide/traffic-plan.ts
+++ b/packages/core/src/decide/traffic-plan.ts
@@ -49,6 +49,8 @@
     /** Moves the shares, and now and then works the goals out anew. */
     readonly tick: (observe: ObserveServers, at: Milliseconds) => readonly PlanChange[];
     readonly trafficOf: (service: CompiledService, origin: CompiledRegion, at: Milliseconds) => PlannedTraffic;
+    /** Returns the figures behind a service's traffic from an origin. */
+    readonly inspect: (service: CompiledService, origin: CompiledRegion, at: Milliseconds) => TrafficInspection;
     readonly hasPeers: () => boolean;
     readonly version: () => number;
     readonly traffic: () => readonly OriginTraffic[];
@@ -57,6 +59,15 @@
     readonly ownUnitsByRegion: () => Float64Array;
 }
 
+/** The figures behind a service's traffic from an origin, by zone index. */
+export interface TrafficInspection {
+    readonly shares: ArrayLike<number>;
+    readonly goal: ArrayLike<number>;
+    readonly warmth: ArrayLike<number>;
+    /** Requests per second that each zone was sent. */
+    readonly served: ArrayLike<number>;
+}
+
 /** Milliseconds between two computations of the goals. */
 const goalInterval = 1000;
 /** A goal is replaced when a wanted share changes by more than this. */
@@ -87,6 +98,8 @@
 /** Creates an empty plan. */
 export function createTrafficPlan({ startedAt }: TrafficPlanOptions): TrafficPlan {
     let entries = new Map<string, Entry>();
+    /** The same entries by service and origin's index, for the way of each request. */
+    const byService = new Map<ServiceId, (Entry | undefined)[]>();
     const summaries = new Map<ZoneId, HeardSummary>();
     const warmth = new Map<ServiceId, Warmth>();
     const servedMeters = new Map<ServiceId, RateMeter[]>();
@@ -111,6 +124,15 @@
         },
         tick,
         trafficOf,
+        inspect(service, origin, at) {
+            const entry = entryOf(service, origin, at);
+            return {
+                shares: entry.shift.shares,
+                goal: entry.goal,
+                warmth: warmthOf(service, at).values,
+                served: servedRates(service, at),
+            };
+        },
         hasPeers: () => [...summaries.values()].some(heard => heard.summary.traffic.length > 0),
         version: () => version,
         traffic: () => [...entries.values()].map(describeEntry),
@@ -123,6 +145,7 @@
         const old = entries;
         settings = next;
         entries = new Map();
+        byService.clear();
         pendingCause = "settings";
         lastGoals = milliseconds(-Infinity);
         if (previous !== undefined && !sameZones(previous, next)) {
@@ -151,7 +174,11 @@
     }
 
     function trafficOf(service: CompiledService, origin: CompiledRegion, at: Milliseconds): PlannedTraffic {
-        const entry = entries.get(trafficKey({ service: service.id, origin: origin.id }));
+        return entryOf(service, origin, at);
+    }
+
+    function entryOf(service: CompiledService, origin: CompiledRegion, at: Milliseconds): Entry {
+        const entry = byService.get(service.id)?.[origin.index];
         return entry ?? addEntry(service, origin, startingShares(service, origin, at), at);
     }
 
@@ -207,6 +234,9 @@
             timeToLeave: place => timeToMove(shift.shares[place], capOf(service, place)),
         };
         entries.set(trafficKey({ service: service.id, origin: origin.id }), entry);
+        const ofService = byService.get(service.id) ?? [];
+        ofService[origin.index] = entry;
+        byService.set(service.id, ofService);
         return entry;
     }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 
 export * from "./decide/bucket.js";
 export * from "./decide/capacity-lease.js";
+export * from "./decide/explain.js";
 export * from "./decide/goal.js";
 export * from "./decide/lookup.js";
 export * from "./decide/overload.js";
--- a/packages/core/src/settings/compiled.ts
+++ b/packages/core/src/settings/compiled.ts
@@ -25,8 +25,10 @@
     readonly id: RegionId;
     readonly index: number;
     readonly values: SettingValues;
-    /** Cost units per second that each configured box may use without asking. */
-    readonly floorPerBox: number;
+    /** Cost units per second that each configured box of this region may use here without asking. */
+    readonly localFloor: number;
+    /** The same for each box of another region. */
+    readonly remoteFloor: number;
     /** Cost units per second that are given out by lease. */
     readonly leasable: number;
     /** Configured boxes in this region; never less than 1. */
@@ -94,6 +96,11 @@
     };
 }
 
+/** Returns the floor of a box in a region, by the region that the box stands in. */
+export function floorOf(region: CompiledRegion, boxRegion: RegionId): number {
+    return region.id === boxRegion ? region.localFloor : region.remoteFloor;
+}
+
 /** Returns the paths of one kind that the document names, sorted. */
 export function pathsOfKind(document: SettingsDocument, kind: ReturnType<typeof kindOfPath>): NodePath[] {
     return Object.keys(document.nodes).filter(path => kindOfPath(path) === kind).sort();
@@ -122,11 +129,15 @@
     const own = pathsOfKind(document, "zone")
         .filter(zone => zone.startsWith(`${path}/`))
         .flatMap(zone => boxesAt(document, zone));
+    const floors = values.capacity * values.floorShare;
+    const others = boxCount - own.length;
+    const localPart = own.length === 0 ? 0 : others === 0 ? 1 : values.localFloorPart;
     return {
         id: regionId(lastName(path)),
         index,
         values,
-        floorPerBox: values.capacity * values.floorShare / boxCount,
+        localFloor: own.length === 0 ? 0 : floors * localPart / own.length,
+        remoteFloor: others === 0 ? 0 : floors * (1 - localPart) / others,
         leasable: values.capacity * (1 - values.floorShare),
         boxCount: Math.max(1, own.length),
     };
--- a/packages/core/src/settings/values.ts
+++ b/packages/core/src/settings/values.ts
@@ -11,8 +11,10 @@
     readonly drain: boolean;
     /** Cost units per second that a region can serve. */
     readonly capacity: number;
-    /** Part of a region's capacity that is split evenly among the configured boxes, 0 to 1. */
+    /** Part of a region's capacity that is split among the configured boxes, 0 to 1; the rest is leased. */
     readonly floorShare: number;
+    /** Part of a region's floors that goes to its own boxes, 0 to 1; the rest to the boxes of other regions. */
+    readonly localFloorPart: number;
     /** Seconds without contact to a peer or the platform after which a box gives up its floor. */
     readonly isolationTime: number;
     /** Seconds for which a capacity grant holds unless renewed. */
@@ -83,7 +85,8 @@
 export const defaultValues: SettingValues = {
     drain: false,
     capacity: 0,
-    floorShare: 0.5,
+    floorShare: 0.3,
+    localFloorPart: 0.8,
     isolationTime: 20,
     leaseTime: 10,
     linkLimit: 1_000_000,
--- a/packages/entry/src/operators-server.ts
+++ b/packages/entry/src/operators-server.ts
@@ -3,7 +3,7 @@
  * metrics. It listens apart from callers and changes nothing.
  */
 
-import type { Router } from "@chalkdale/core";
+import { type Router, serviceId } from "@chalkdale/core";
 import type { Address } from "@chalkdale/runtime";
 import { createServer } from "node:http";
 import type { Metrics } from "./metrics.js";
@@ -39,6 +39,13 @@
     if (method !== "GET") {
         return text(405, "only GET is answered here");
     }
+    if (url.startsWith("/explain?")) {
+        const query = new URL(url, "http://box").searchParams;
+        const found = router.explain(serviceId(query.get("service") ?? ""), query.get("caller") ?? "");
+        return found === undefined
+            ? text(404, "no such service")
+            : { status: 200, type: "application/json", body: JSON.stringify(found) };
+    }
     const state = router.describe();
     switch (url) {
         case "/healthz":
--- a/packages/entry/src/state-client.ts
+++ b/packages/entry/src/state-client.ts
@@ -173,6 +173,7 @@
         const sentAt = clock();
         const { isolationTime, leaseTime } = settings.root;
         const answer = await agent.claim({
+            box: options.self.box,
             incarnation: options.self.incarnation,
             wanted: router.wantedUnits(),
             settingsVersion: settings.version,
--- a/packages/peer/src/connect-server.ts
+++ b/packages/peer/src/connect-server.ts
@@ -40,9 +40,9 @@
             return handlers.publish({ box, incarnation }, known);
         },
         claim(request: wire.ClaimRequest) {
-            const { incarnation, wanted, pools, leaseTime, isolationTime } = request;
+            const { box, incarnation, wanted, pools, leaseTime, isolationTime } = request;
             const settingsVersion = Number(request.settingsVersion);
-            return handlers.claim({ incarnation, wanted, settingsVersion, pools, leaseTime, isolationTime });
+            return handlers.claim({ box, incarnation, wanted, settingsVersion, pools, leaseTime, isolationTime });
         },
     };
 }
--- a/packages/peer/src/peer-network.ts
+++ b/packages/peer/src/peer-network.ts
@@ -20,6 +20,8 @@
 
 /** What an entry program asks for. Rates are in units per second, times in seconds. */
 export interface CapacityClaim {
+    /** Box of the entry program; it may ask another box's agent. */
+    readonly box: string;
     readonly incarnation: string;
     readonly wanted: Readonly<Record<string, number>>;
     readonly settingsVersion: number;
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -24,6 +24,7 @@
     drain: z.boolean(),
     capacity: positive,
     floorShare: share,
+    localFloorPart: share,
     isolationTime: seconds,
     leaseTime: seconds,
     linkLimit: positive,
@@ -63,6 +64,7 @@
     "clientBlocks",
     "latencyTo",
     "floorShare",
+    "localFloorPart",
 ];
 const serviceKeys: readonly SettingKey[] = [
     "drain",
--- a/packages/testing/src/bench/process-usage.ts
+++ b/packages/testing/src/bench/process-usage.ts
@@ -27,3 +27,10 @@
     const field = (name: string) => Number(new RegExp(`${name}:\\s+(\\d+)`).exec(text)?.[1] ?? 0) / 1024;
     return { all: field("VmRSS"), own: field("RssAnon") };
 }
+
+/** Returns the bytes that a process has read and written by system calls, those of sockets included. */
+export function transferredBytes(id: number): number {
+    const text = readFileSync(`/proc/${id}/io`, "utf8");
+    const field = (name: string) => Number(new RegExp(`${name}: (\\d+)`).exec(text)?.[1] ?? 0);
+    return field("rchar") + field("wchar");
+}
--- a/packages/testing/src/launch/deployment.ts
+++ b/packages/testing/src/launch/deployment.ts
@@ -73,6 +73,8 @@
     /** Milliseconds of work for a request, and slots, of each backend server. */
     readonly workTime?: number;
     readonly slots?: number;
+    /** Runs all entry programs without callers in one process, so that many agents fit on a machine. */
+    readonly sharedEntries?: boolean;
 }
 
 const host = "127.0.0.1";
@@ -105,7 +107,12 @@
     for (const box of boxes) {
         await writeBoxFile(box);
         startAgent(box);
-        startEntry(box);
+        if (options.sharedEntries !== true) {
+            startEntry(box);
+        }
+    }
+    if (options.sharedEntries === true) {
+        support.push(start("entries", "packages/testing/dist/src/launch/entries-process.js", boxes.map(boxFile)));
     }
     return {
         platform,
@@ -117,10 +124,14 @@
         startAgent,
         startEntry,
         waitUntilReady: timeout =>
-            waitFor(async () => (await Promise.all(boxes.map(isReady))).every(ready => ready), timeout),
+            waitFor(async () => (await Promise.all(boxes.map(isBoxReady))).every(ready => ready), timeout),
         stop,
     };
 
+    function isBoxReady(box: RunningBox): Promise<boolean> {
+        return answers(options.sharedEntries === true ? box.operators.agent : box.operators.entry, "/readyz");
+    }
+
     function start(name: string, script: string, args: readonly string[]): StartedProcess {
         return startProcess(name, script, args, line => options.onLog?.(name, line));
     }
@@ -190,8 +201,8 @@
     }
 
     async function stop(): Promise<void> {
-        const running = boxes.flatMap(box => [box.entry, box.agent]);
-        await Promise.all(running.map(process => process.stop()));
+        const running = boxes.flatMap(box => [box.entry as StartedProcess | undefined, box.agent]);
+        await Promise.all(running.map(process => process?.stop()));
         await Promise.all(support.map(process => process.stop()));
         owner.abort();
         await rm(folder, { recursive: true, force: true });
@@ -245,10 +256,6 @@
     }
 }
 
-function isReady(box: RunningBox): Promise<boolean> {
-    return answers(box.operators.entry, "/readyz");
-}
-
 /** Waits until a condition holds; throws when it does not in time. */
 export async function waitFor(condition: () => Promise<boolean>, timeout = 20_000): Promise<void> {
     const end = performance.now() + timeout;
--- a/packages/testing/src/promises/main.ts
+++ b/packages/testing/src/promises/main.ts
@@ -10,6 +10,10 @@
 import { mechanisms, promiseTexts } from "./mechanisms.js";
 import { runProofs } from "./proofs.js";
 
+/** A mechanism that is out when this process is ended is put back on exit. */
+process.once("SIGTERM", () => process.exit(1));
+process.once("SIGINT", () => process.exit(1));
+
 const write = (line: string) => process.stdout.write(`${line}\n`);
 const failed = await proveAll();
 const survived = process.argv.includes("--undo") ? await undoAll() : 0;
@@ -43,6 +47,8 @@
             continue;
         }
         writeFileSync(path, original.replace(find, replace));
+        const putBack = () => writeFileSync(path, original);
+        process.once("exit", putBack);
         try {
             const outcome = await runProofs(specs);
             const missed = outcome.filter(test => !test.passed);
@@ -52,7 +58,8 @@
             missed.slice(0, 1).forEach(test => write(`   ${test.title}: ${test.message}`));
         }
         finally {
-            writeFileSync(path, original);
+            putBack();
+            process.off("exit", putBack);
         }
     }
     return survivors;
--- a/packages/testing/test/membership.test.ts
+++ b/packages/testing/test/membership.test.ts
@@ -29,3 +29,26 @@
         expect(await named(session => session.kill("north-1", "agent"))).to.include("north-1");
     });
 });
+
+describe("two processes of one box", () => {
+    it("the older one stops when it hears of the newer", async () => {
+        const session = smallSession();
+        await session.advance(8000);
+        session.replaceCutOff("north-1");
+        await session.advance(8000);
+        expect(session.box("north-1~old").router!.describe().leaving).to.equal(true);
+        expect(session.box("north-1").router!.describe().leaving).to.equal(false);
+        await session.end();
+    });
+
+    it("an entry program that asks another box's agent is not taken for one of its older processes", async () => {
+        for (const region of smallRegions) {
+            const session = smallSession();
+            await session.advance(8000);
+            session.kill(`${region}-1`, "agent");
+            await session.advance(12_000);
+            expect(session.box(`${region}-1`).router!.describe().leaving, region).to.equal(false);
+            await session.end();
+        }
+    });
+});
