Split the router, the plan and the session; sessions of a slow platform and a full link

Change: one request (active-request) and what zones are sent (served-traffic) stand by themselves; placement of a session too; the platform's stand-in can be slow in sessions; the limit of a link has a session and a mechanism to undo. Found: npm run capacity died at 27 boxes since a box and a backend server were given the same port; mended.

--- a/packages/core/src/decide/traffic-plan.ts
+++ b/packages/core/src/decide/traffic-plan.ts
@@ -8,9 +8,9 @@
 import { type OriginTraffic, type ServedTraffic, trafficKey, type ZoneSummary } from "../state/traffic.js";
 import { computeGoals, type Demand, type ZoneObservation } from "./goal.js";
 import { createRateMeter, type RateMeter } from "./rate-meter.js";
+import { createServedMeasure } from "./served-traffic.js";
 import { createShift, meanOfPeers, type Shift, timeToMove } from "./shift.js";
 import { createSpread, type Spread } from "./spread.js";
-import { createWarmth, type Warmth } from "./warmth.js";
 
 /** Why a goal changed. */
 export type PlanCause = "settings" | "servers" | "demand";
@@ -77,6 +77,9 @@
 /** Demand of a zone that fell silent is counted for this many milliseconds more. */
 const demandMemory = 60_000;
 
+/** Share of an origin's traffic that keeps a place warm. */
+const warmShare = 0.25;
+
 interface Entry extends PlannedTraffic {
     readonly service: CompiledService;
     readonly origin: CompiledRegion;
@@ -101,8 +104,7 @@
     /** The same entries by service and origin's index, for the way of each request. */
     const byService = new Map<ServiceId, (Entry | undefined)[]>();
     const summaries = new Map<ZoneId, HeardSummary>();
-    const warmth = new Map<ServiceId, Warmth>();
-    const servedMeters = new Map<ServiceId, RateMeter[]>();
+    const served = createServedMeasure(startedAt);
     let lastShares: readonly OriginTraffic[] = [];
     let settings: CompiledSettings | undefined;
     let version = 0;
@@ -129,14 +131,14 @@
             return {
                 shares: entry.shift.shares,
                 goal: entry.goal,
-                warmth: warmthOf(service, at).values,
-                served: servedRates(service, at),
+                warmth: warmthOf(service, at),
+                served: served.rates(service, recentSummaries(at)),
             };
         },
         hasPeers: () => [...summaries.values()].some(heard => heard.summary.traffic.length > 0),
         version: () => version,
         traffic: () => [...entries.values()].map(describeEntry),
-        served,
+        served: served.own,
         ownUnitsByRegion,
     };
 
@@ -149,8 +151,7 @@
         pendingCause = "settings";
         lastGoals = milliseconds(-Infinity);
         if (previous !== undefined && !sameZones(previous, next)) {
-            servedMeters.clear();
-            warmth.clear();
+            served.clear();
         }
         for (const entry of old.values()) {
             const service = next.services.get(entry.service.id);
@@ -230,7 +231,7 @@
                 offered.add(1);
                 return spread.next(shift.shares);
             },
-            sent: zone => metersOf(service)[zone]?.add(1),
+            sent: zone => served.sent(service, zone),
             timeToLeave: place => timeToMove(shift.shares[place], capOf(service, place)),
         };
         entries.set(trafficKey({ service: service.id, origin: origin.id }), entry);
@@ -244,15 +245,6 @@
         return service.zones[place]?.values.shiftCap ?? service.values.shiftCap;
     }
 
-    function metersOf(service: CompiledService): RateMeter[] {
-        let meters = servedMeters.get(service.id);
-        if (meters === undefined) {
-            meters = service.zones.map(() => createRateMeter(startedAt));
-            servedMeters.set(service.id, meters);
-        }
-        return meters;
-    }
-
     function tick(observe: ObserveServers, at: Milliseconds): readonly PlanChange[] {
         if (settings === undefined) {
             return [];
@@ -265,7 +257,7 @@
                 at,
                 goal: entry.goal,
                 capPerMinute: entry.service.values.shiftCap,
-                warmth: warmthOf(entry.service, at).values,
+                warmth: warmthOf(entry.service, at),
                 regionOfZone,
             });
         }
@@ -290,7 +282,7 @@
         measure(at);
         const withWarmth = (service: CompiledService, zone: number): ZoneObservation => ({
             ...observe(service, zone, at),
-            warmth: warmthOf(service, at).values[zone],
+            warmth: warmthOf(service, at)[zone],
         });
         const cause = causeNow(current, observe, at);
         const goals = computeGoals({ settings: current, demands: demandsAt(at), observe: withWarmth });
@@ -326,10 +318,7 @@
         for (const entry of entries.values()) {
             entry.offered.sample(at);
         }
-        for (const service of settings!.services.values()) {
-            metersOf(service).forEach(meter => meter.sample(at));
-            warmthOf(service, at).note(servedRates(service, at), at);
-        }
+        served.sample(settings!, recentSummaries(at), at);
     }
 
     /** Demand over all boxes: the summaries of all zones, or this box's own where none is heard. */
@@ -358,46 +347,25 @@
         );
     }
 
-    function servedRates(service: CompiledService, at: Milliseconds): Float64Array {
-        const rates = Float64Array.from(metersOf(service), meter => meter.rate());
-        for (const { summary, madeAt } of summaries.values()) {
-            if (at - madeAt > summaryLifetime) {
-                continue;
-            }
-            for (const { service: name, zone, rate } of summary.served) {
-                const index = service.zones.findIndex(place => place.zone.id === zone);
-                if (name === service.id && index >= 0) {
-                    rates[index] += rate;
-                }
-            }
-        }
-        return rates;
+    function recentSummaries(at: Milliseconds): ZoneSummary[] {
+        return [...summaries.values()]
+            .filter(({ madeAt }) => at - madeAt <= summaryLifetime)
+            .map(({ summary }) => summary);
     }
 
-    /** At first, places count as warm by the part they have in the traffic. */
-    function warmthOf(service: CompiledService, at: Milliseconds): Warmth {
-        let known = warmth.get(service.id);
-        if (known === undefined) {
-            const shares = new Float64Array(settings!.zones.length + 1);
-            for (const entry of entries.values()) {
-                if (entry.service.id === service.id) {
-                    entry.shift.shares.forEach((share, zone) => {
-                        shares[zone] = Math.max(shares[zone], Math.min(1, share * 4));
-                    });
-                }
-            }
-            known = createWarmth(shares, milliseconds(service.values.warmUp * 1000), at);
-            warmth.set(service.id, known);
-        }
-        return known;
+    function warmthOf(service: CompiledService, at: Milliseconds): Float64Array {
+        return served.warmth(service, () => firstWarmth(service), at);
     }
 
-    function served(): readonly ServedTraffic[] {
-        return [...servedMeters].flatMap(([service, meters]) =>
-            meters
-                .map((meter, index) => ({ service, zone: settings!.zones[index].id, rate: meter.rate() }))
-                .filter(traffic => traffic.rate > 0)
-        );
+    /** A place with a quarter of some origin's traffic counts as warm. */
+    function firstWarmth(service: CompiledService): Float64Array {
+        const warmth = new Float64Array(settings!.zones.length + 1);
+        for (const entry of byService.get(service.id) ?? []) {
+            entry?.shift.shares.forEach((share, zone) => {
+                warmth[zone] = Math.max(warmth[zone], Math.min(1, share / warmShare));
+            });
+        }
+        return warmth;
     }
 
     function ownUnitsByRegion(): Float64Array {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
  * decisions. Nothing here does I/O.
  */
 
+export * from "./decide/active-request.js";
 export * from "./decide/bucket.js";
 export * from "./decide/capacity-lease.js";
 export * from "./decide/explain.js";
--- a/packages/core/src/kernel/result.ts
+++ b/packages/core/src/kernel/result.ts
@@ -19,12 +19,12 @@
  * The library's own constructor takes a stack trace each time, some 50 us; a
  * refusal is an ordinary answer here and must cost no more than a success.
  */
-export function Err<Failure>(failure: Failure): tsResults.Err<Failure> {
+export const Err = <Failure>(failure: Failure): tsResults.Err<Failure> => {
     const made = Object.create(library.Err.prototype) as { ok: false; err: true; val: Failure; };
     made.ok = false;
     made.err = true;
     made.val = failure;
     return made as tsResults.Err<Failure>;
-}
+};
 
 export type { Result };
--- a/packages/testing/src/launch/deployment.ts
+++ b/packages/testing/src/launch/deployment.ts
@@ -79,6 +79,8 @@
 
 const host = "127.0.0.1";
 const pollInterval = 50;
+/** Backend servers listen from this port above the base; boxes take four ports each below it. */
+const firstBackendPort = 1000;
 
 /** Starts a deployment. All processes end with {@link Deployment.stop}. */
 export async function startDeployment(options: DeploymentOptions): Promise<Deployment> {
@@ -211,7 +213,7 @@
 
 function placeBackends({ document, fleets, basePort }: DeploymentOptions): RunningBackend[] {
     const zones = pathsOfKind(document, "zone").map(path => path.split("/")[3]);
-    let port = basePort + 100;
+    let port = basePort + firstBackendPort;
     return fleets.flatMap(({ service, count }) =>
         Array.from({ length: count }, (_, index) => ({
             id: `${service}-${index + 1}`,
--- a/packages/testing/src/promises/mechanisms.ts
+++ b/packages/testing/src/promises/mechanisms.ts
@@ -121,6 +121,14 @@
         replace: "true ?",
         specs: [sessionTest("promise-capacity")],
     },
+    {
+        promise: "P2",
+        name: "the limit of a link",
+        file: decide("router"),
+        find: "if (link.err) {",
+        replace: "if (false) {",
+        specs: [sessionTest("promise-capacity")],
+    },
     {
         promise: "P3",
         name: "the break of a caller's connection",
--- a/packages/testing/src/session/session.ts
+++ b/packages/testing/src/session/session.ts
@@ -6,12 +6,11 @@
  * No timing of the machine enters: the same calls give the same lines.
  */
 
-import { type Agent, createAgent } from "@chalkdale/agent";
+import { createAgent } from "@chalkdale/agent";
 import {
     type ActiveRequest,
     boxId,
     type ChoicePolicy,
-    configuredBoxes,
     createManualClock,
     createRouter,
     createSeededRandom,
@@ -25,24 +24,19 @@
     regionId,
     type RequestError,
     type Router,
-    serverId,
-    type ServerMember,
     serviceId,
     type SettingsDocument,
     zoneId,
 } from "@chalkdale/core";
-import { createStateClient, type StateClient } from "@chalkdale/entry";
+import { createStateClient } from "@chalkdale/entry";
 import { objectKeys, type Platform, type PlatformOutcome } from "@chalkdale/platform";
-import { type Address, formatFields, type Log, type LogFields, silentLog } from "@chalkdale/runtime";
+import { formatFields, type Log, type LogFields, silentLog } from "@chalkdale/runtime";
 import { createObjectStore, type ObjectStore } from "../standins/object-store.js";
 import { createFakeNetwork, type FakeNetwork } from "./fake-network.js";
 import { createFakeServers, type FakeServers } from "./fake-servers.js";
+import { nameOf, placeBoxes, placeServers, type SessionBox, type SessionFleet } from "./placement.js";
 
-/** Backend servers of one service, dealt out over the zones in turn. */
-export interface SessionFleet {
-    readonly service: string;
-    readonly count: number;
-}
+export type { SessionBox, SessionFleet } from "./placement.js";
 
 export interface SessionOptions {
     readonly document: SettingsDocument;
@@ -55,23 +49,6 @@
     readonly loggedBox?: string;
 }
 
-/** A box of a session. */
-export interface SessionBox {
-    /** Name within the session: the box's own, or with `~old` for one that was replaced but runs on. */
-    key: string;
-    readonly id: string;
-    readonly zone: string;
-    readonly region: string;
-    peer: Address;
-    /** Undefined while the program is not running. */
-    agent: Agent | undefined;
-    router: Router | undefined;
-    client: StateClient | undefined;
-    paused: boolean;
-    incarnation: IncarnationId;
-    readonly owners: { agent: AbortController; entry: AbortController; };
-}
-
 /** A request of a session. */
 export interface SessionRequest {
     readonly box: string;
@@ -101,6 +78,8 @@
     readonly clock: ManualClock;
     readonly store: ObjectStore;
     readonly network: FakeNetwork;
+    /** Milliseconds that each call of the platform takes before it has its effect. */
+    readonly platformDelay: { milliseconds: number; };
     readonly servers: FakeServers;
     readonly boxes: readonly SessionBox[];
     readonly box: (id: string) => SessionBox;
@@ -135,7 +114,6 @@
 
 /** Length of a step in milliseconds. */
 const stepLength = 10;
-const firstPort = 9000;
 /** Steps of agents and clients come at this distance in milliseconds, as in the programs. */
 const programStep = 100;
 
@@ -148,9 +126,11 @@
     const lines: string[] = [];
     const results: SessionResult[] = [];
     const zonePaths = pathsOfKind(options.document, "zone");
-    const members = placeServers(options, zonePaths);
+    const members = placeServers(options.fleets, zonePaths);
     const servers = createFakeServers(clock.now, [...members.values()].flat(), options.workTime ?? 10);
     const boxes = placeBoxes(options.document, zonePaths);
+    const platformDelay = { milliseconds: 0 };
+    const delayed: { readonly until: number; readonly go: () => void; }[] = [];
     let incarnations = 0;
     let document = options.document;
 
@@ -162,6 +142,7 @@
         clock,
         store,
         network,
+        platformDelay,
         servers,
         boxes,
         box,
@@ -271,8 +252,12 @@
     /** The platform as one box sees it: gone while the network says that it does not reach it. */
     function platformOf(target: SessionBox): Platform {
         const cut = { kind: "unavailable", reason: "cut off" } as const;
-        const call = <Value>(run: (platform: Platform) => Promise<PlatformOutcome<Value>>) =>
-            network.reaches(target.key, platformName) ? run(store.platform) : Promise.resolve(cut);
+        const call = async <Value>(run: (platform: Platform) => Promise<PlatformOutcome<Value>>) => {
+            if (platformDelay.milliseconds > 0) {
+                await new Promise<void>(go => delayed.push({ until: clock.now() + platformDelay.milliseconds, go }));
+            }
+            return network.reaches(target.key, platformName) ? run(store.platform) : cut;
+        };
         return {
             get: (...args) => call(platform => platform.get(...args)),
             list: (...args) => call(platform => platform.list(...args)),
@@ -354,6 +339,8 @@
 
     function stepPrograms(): void {
         store.step();
+        delayed.filter(({ until }) => clock.now() >= until).forEach(({ go }) => go());
+        delayed.splice(0, delayed.length, ...delayed.filter(({ until }) => clock.now() < until));
         for (const { agent, client, paused } of boxes) {
             if (paused) {
                 continue;
@@ -456,42 +443,3 @@
 }
 
 const settleTurns = 3;
-
-function nameOf(path: string): string {
-    return path.slice(path.lastIndexOf("/") + 1);
-}
-
-function placeServers({ fleets }: SessionOptions, zonePaths: readonly string[]): Map<string, ServerMember[]> {
-    const byZone = new Map<string, ServerMember[]>(zonePaths.map(path => [nameOf(path), []]));
-    for (const { service, count } of fleets) {
-        for (let index = 0; index < count; index++) {
-            byZone.get(nameOf(zonePaths[index % zonePaths.length]))!.push({
-                id: serverId(`${service}-${index + 1}`),
-                service: serviceId(service),
-                address: "10.0.0.1",
-                port: firstPort + 1000 + index,
-                state: "live",
-            });
-        }
-    }
-    return byZone;
-}
-
-function placeBoxes(document: SettingsDocument, zonePaths: readonly string[]): SessionBox[] {
-    const ids = configuredBoxes(document);
-    return zonePaths.flatMap(path =>
-        (document.nodes[path].boxes ?? []).map(id => ({
-            key: id,
-            id,
-            zone: nameOf(path),
-            region: path.split("/")[2],
-            peer: { address: "10.0.0.1", port: firstPort + ids.findIndex(name => name === id) },
-            agent: undefined,
-            router: undefined,
-            client: undefined,
-            paused: false,
-            incarnation: incarnationId(""),
-            owners: { agent: new AbortController(), entry: new AbortController() },
-        }))
-    );
-}
--- a/packages/testing/test/promise-capacity.test.ts
+++ b/packages/testing/test/promise-capacity.test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import { runLoad } from "../src/session/load.js";
 import type { Session } from "../src/session/session.js";
+import { withValues } from "../src/session/trees.js";
 import { smallRegions, smallSession, smallStreams, smallTree } from "./small-deployment.js";
 
 const capacity = 60;
@@ -110,6 +111,30 @@
             [6000, () => session.startAgent("east-1")],
         ]));
 
+    it("when the platform is slow, so that renewals take effect long after they were sent", () =>
+        run(session => [
+            [4000, () => {
+                session.platformDelay.milliseconds = 1500;
+            }],
+            [12_000, () => {
+                session.platformDelay.milliseconds = 0;
+            }],
+        ]));
+
+    it("when the platform is slow and boxes are replaced meanwhile", () =>
+        run(session => [
+            [2000, () => {
+                session.platformDelay.milliseconds = 2500;
+            }],
+            [6000, () => {
+                session.kill("west-1");
+                session.startBox("west-1");
+            }],
+            [8000, () => {
+                session.platformDelay.milliseconds = 0;
+            }],
+        ]));
+
     it("when all boxes are killed and replaced at once, again and again", () =>
         run(session =>
             Array.from({ length: 4 }, () => [3000, () =>
@@ -119,3 +144,24 @@
                 })])
         ));
 });
+
+describe("the limit of a link between two regions [P2]", () => {
+    it("holds while a drained region's traffic goes over it", async () => {
+        const linkLimit = 5;
+        const session = smallSession(smallTree({ shiftCap: 6 }, { capacity: 3000, linkLimit }));
+        session.editSettings(document => withValues(document, "/regions/north", { drain: true }));
+        await session.advance(8000);
+        const results = await runLoad(session, [smallStreams(40)[1]], 40_000);
+        const sent = results.filter(result => result.zone !== "" && result.zone !== "north-a");
+        for (const region of ["east", "west"]) {
+            const times = sent.filter(result => result.zone === `${region}-a`).map(result => result.startedAt);
+            for (const end of times) {
+                const inWindow = times.filter(time => time > end - bucketWindow && time <= end).length;
+                expect(inWindow).to.be.at.most(linkLimit * bucketWindow / 1000);
+            }
+            expect(times.length).to.be.greaterThan(linkLimit * 20);
+        }
+        expect(results.some(result => result.kind === "linkLimitReached")).to.equal(true);
+        await session.end();
+    });
+});
--- a/packages/testing/test/promise-configuration.test.ts
+++ b/packages/testing/test/promise-configuration.test.ts
@@ -39,6 +39,17 @@
         await session.end();
     });
 
+    it("within 3 s when the platform takes a second for each call", async () => {
+        const session = smallSession();
+        await session.advance(5000);
+        session.platformDelay.milliseconds = 1000;
+        await session.advance(5000);
+        const version = edit(session, 0.02);
+        await session.advance(3000, watchVersions(session));
+        expect(versions(session)).to.deep.equal(session.boxes.map(() => version));
+        await session.end();
+    });
+
     it("when a box is cut off from the platform and hears of it by its peers", async () => {
         const session = smallSession();
         await session.advance(5000);
