End the drains that a test leaves waiting

Cause: two tests of the planned stop left a drain that waits for a request that never ends, so the test run did not exit; found when a run was ended at its bound of 250 s after 134 tests had passed in 49 s. Change: each test aborts its drain.

--- a/packages/entry/test/planned-stop.test.ts
+++ b/packages/entry/test/planned-stop.test.ts
@@ -4,6 +4,12 @@
 import { drainBox } from "../src/index.js";
 
 describe("a planned stop [P7]", () => {
+    let owner: AbortController;
+    beforeEach(() => {
+        owner = new AbortController();
+    });
+    afterEach(() => owner.abort());
+
     /** Drains a box with requests in flight; the clock moves by hand. */
     function startDrain(requests: number, lifetime: number) {
         const clock = createManualClock();
@@ -19,10 +25,11 @@
         const announce = async () => {
             state.announced = true;
         };
-        const signal = new AbortController().signal;
-        const drained = drainBox({ router, clock: clock.now, log: silentLog, announce, signal }).then(() => {
-            state.ended = true;
-        });
+        const drained = drainBox({ router, clock: clock.now, log: silentLog, announce, signal: owner.signal }).then(
+            () => {
+                state.ended = true;
+            },
+        );
         return { clock, state, drained };
     }
 
