One interface for operators and one reading of broken YAML; test the command line

Cause: the same server stood in two programs, the same faults in two readers, and the command line had no tests. An operator can measure single sizes of npm run capacity.

--- a/packages/agent/src/operators-server.ts
+++ b/packages/agent/src/operators-server.ts
@@ -2,48 +2,27 @@
  * The agent's interface for operators: health, readiness, status, metrics.
  */
 
-import type { Address } from "@chalkdale/runtime";
-import { createServer } from "node:http";
+import { type Address, jsonAnswer, type OperatorsAnswer, serveOperators, textAnswer } from "@chalkdale/runtime";
 import type { Agent, AgentStatus } from "./agent.js";
 
-const requestTimeout = 5000;
-const mostConnections = 32;
-
 /** Listens at an address until the signal aborts. */
-export async function serveAgentOperators(address: Address, agent: Agent, signal: AbortSignal): Promise<void> {
-    const server = createServer({ requestTimeout }, (request, response) => {
-        const answer = answerTo(request.method ?? "", request.url ?? "", agent.status());
-        request.resume();
-        response.writeHead(answer.status, { "content-type": answer.type }).end(answer.body);
-    });
-    server.maxConnections = mostConnections;
-    signal.addEventListener("abort", () => {
-        server.closeAllConnections();
-        server.close();
-    }, { once: true });
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(address.port, address.address, resolve);
-    });
+export function serveAgentOperators(address: Address, agent: Agent, signal: AbortSignal): Promise<void> {
+    return serveOperators(address, url => answerTo(url, agent.status()), signal);
 }
 
-function answerTo(method: string, url: string, status: AgentStatus) {
+function answerTo(url: string, status: AgentStatus): OperatorsAnswer {
     const ready = status.settingsVersion !== undefined;
-    const text = (code: number, body: string) => ({ status: code, type: "text/plain", body: `${body}\n` });
-    if (method !== "GET") {
-        return text(405, "only GET is answered here");
-    }
     switch (url) {
         case "/healthz":
-            return text(200, "ok");
+            return textAnswer(200, "ok");
         case "/readyz":
-            return text(ready ? 200 : 503, ready ? "ready" : "no settings yet");
+            return textAnswer(ready ? 200 : 503, ready ? "ready" : "no settings yet");
         case "/status":
-            return { status: 200, type: "application/json", body: JSON.stringify(status) };
+            return jsonAnswer(status);
         case "/metrics":
-            return text(200, metricsOf(status));
+            return textAnswer(200, metricsOf(status));
         default:
-            return text(404, "not found");
+            return textAnswer(404, "not found");
     }
 }
 
--- a/packages/entry/src/callers-server.ts
+++ b/packages/entry/src/callers-server.ts
@@ -12,7 +12,7 @@
     type Router,
     serviceId,
 } from "@chalkdale/core";
-import type { Address, Log } from "@chalkdale/runtime";
+import { type Address, listenUntilAborted, type Log } from "@chalkdale/runtime";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 import { errorBody, sendError, sendJson } from "./answers.js";
@@ -54,14 +54,7 @@
     server.maxConnections = limits.connections;
     server.maxHeadersCount = limits.headerFields;
     server.on("clientError", answerClientError);
-    options.signal.addEventListener("abort", () => {
-        server.close();
-        server.closeAllConnections();
-    }, { once: true });
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(address.port, address.address, resolve);
-    });
+    await listenUntilAborted(server, address, options.signal);
     return server;
 }
 
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -10,7 +10,7 @@
 import { randomBytes } from "node:crypto";
 import { serveCallers } from "./callers-server.js";
 import { createMetrics } from "./metrics.js";
-import { serveOperators } from "./operators-server.js";
+import { serveEntryOperators } from "./operators-server.js";
 import { drainBox } from "./planned-stop.js";
 import { createServerConnections } from "./server-connections.js";
 import { createStateClient } from "./state-client.js";
@@ -41,7 +41,7 @@
         onSuperseded: () => supersededBy.abort(),
     });
     const connections = createServerConnections(owner.signal);
-    await serveOperators(settings.operators.entry, router, metrics, owner.signal);
+    await serveEntryOperators(settings.operators.entry, router, metrics, owner.signal);
     await serveCallers(settings.callers, { router, metrics, log, clock, connections, box, signal: owner.signal });
     log.info("started", { incarnation, callers: `${settings.callers.address}:${settings.callers.port}` });
     const steps = every(stepInterval, owner.signal).observe(() => client.step());
--- a/packages/entry/src/operators-server.ts
+++ b/packages/entry/src/operators-server.ts
@@ -4,67 +4,49 @@
  */
 
 import { type Router, serviceId } from "@chalkdale/core";
-import type { Address } from "@chalkdale/runtime";
-import { createServer } from "node:http";
+import { type Address, jsonAnswer, type OperatorsAnswer, serveOperators, textAnswer } from "@chalkdale/runtime";
 import type { Metrics } from "./metrics.js";
 
-const requestTimeout = 5000;
-const mostConnections = 32;
-
 /** Listens at an address until the signal aborts. */
-export async function serveOperators(
+export function serveEntryOperators(
     address: Address,
     router: Router,
     metrics: Metrics,
     signal: AbortSignal,
 ): Promise<void> {
-    const server = createServer({ requestTimeout }, (request, response) => {
-        request.resume();
-        const answer = answerTo(request.method ?? "", request.url ?? "", router, metrics);
-        response.writeHead(answer.status, { "content-type": answer.type }).end(answer.body);
-    });
-    server.maxConnections = mostConnections;
-    signal.addEventListener("abort", () => {
-        server.closeAllConnections();
-        server.close();
-    }, { once: true });
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(address.port, address.address, resolve);
-    });
+    return serveOperators(address, url => answerTo(url, router, metrics), signal);
 }
 
-function answerTo(method: string, url: string, router: Router, metrics: Metrics) {
-    const text = (status: number, body: string) => ({ status, type: "text/plain", body: `${body}\n` });
-    if (method !== "GET") {
-        return text(405, "only GET is answered here");
-    }
+function answerTo(url: string, router: Router, metrics: Metrics): OperatorsAnswer {
     if (url.startsWith("/explain?")) {
-        const query = new URL(url, "http://box").searchParams;
-        const found = router.explain(serviceId(query.get("service") ?? ""), query.get("caller") ?? "");
-        return found === undefined
-            ? text(404, "no such service")
-            : { status: 200, type: "application/json", body: JSON.stringify(found) };
+        return explainAnswer(url, router);
     }
-    const state = router.describe();
     switch (url) {
         case "/healthz":
-            return text(200, "ok");
+            return textAnswer(200, "ok");
         case "/readyz":
-            return state.ready && !state.leaving
-                ? text(200, "ready")
-                : text(503, state.leaving ? "leaving" : "not ready");
+            return readiness(router);
         case "/status":
-            return {
-                status: 200,
-                type: "application/json",
-                body: JSON.stringify({ ...state, totals: metrics.totals() }),
-            };
+            return jsonAnswer({ ...router.describe(), totals: metrics.totals() });
         case "/metrics":
-            return text(200, metrics.text(gaugesOf(router)));
+            return textAnswer(200, metrics.text(gaugesOf(router)));
         default:
-            return text(404, "not found");
+            return textAnswer(404, "not found");
+    }
+}
+
+function explainAnswer(url: string, router: Router): OperatorsAnswer {
+    const query = new URL(url, "http://box").searchParams;
+    const found = router.explain(serviceId(query.get("service") ?? ""), query.get("caller") ?? "");
+    return found === undefined ? textAnswer(404, "no such service") : jsonAnswer(found);
+}
+
+function readiness(router: Router): OperatorsAnswer {
+    const { ready, leaving } = router.describe();
+    if (leaving) {
+        return textAnswer(503, "leaving");
     }
+    return ready ? textAnswer(200, "ready") : textAnswer(503, "not ready");
 }
 
 function gaugesOf(router: Router): Record<string, number> {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./bounded-call.js";
 export * from "./clock.js";
 export * from "./log.js";
+export * from "./operators-interface.js";
 export * from "./program.js";
 export * from "./streams.js";
 export * from "./task.js";
--- a/packages/settings/src/box-file.ts
+++ b/packages/settings/src/box-file.ts
@@ -6,7 +6,7 @@
 import { Err, Ok, type Result } from "@chalkdale/core";
 import { type Address, parseEndpoint } from "@chalkdale/runtime";
 import { z } from "zod";
-import { faultsOfIssues, type SettingsFault } from "./faults.js";
+import { faultsOfIssues, type SettingsFault, syntaxFaultsOf } from "./faults.js";
 import { namePattern } from "./schema.js";
 import { parseYaml } from "./yaml-source.js";
 
@@ -46,13 +46,7 @@
 export function readBoxFile(file: string, text: string): Result<BoxSettings, readonly SettingsFault[]> {
     const source = parseYaml(file, text);
     if (source.syntaxFaults.length > 0) {
-        return Err(source.syntaxFaults.map(({ line, column, message }) => ({
-            file,
-            line,
-            column,
-            path: "",
-            expected: message,
-        })));
+        return Err(syntaxFaultsOf(source));
     }
     const parsed = boxFileSchema.safeParse(source.value ?? {});
     return parsed.success ? Ok(parsed.data) : Err(faultsOfIssues(source, parsed.error.issues));
--- a/packages/settings/src/faults.ts
+++ b/packages/settings/src/faults.ts
@@ -28,6 +28,11 @@
     return { file: source.file, line, column, path: path.map(String).join("."), expected };
 }
 
+/** Returns the faults of a text that is not YAML at all. */
+export function syntaxFaultsOf({ file, syntaxFaults }: YamlSource): SettingsFault[] {
+    return syntaxFaults.map(({ line, column, message }) => ({ file, line, column, path: "", expected: message }));
+}
+
 /** Turns all issues of a schema into faults; an unknown key becomes a fault of its own at its place. */
 export function faultsOfIssues(source: YamlSource, issues: readonly z.core.$ZodIssue[]): SettingsFault[] {
     return issues.flatMap(issue => {
--- a/packages/settings/src/tree-file.ts
+++ b/packages/settings/src/tree-file.ts
@@ -4,7 +4,7 @@
 
 import { Err, type NodePath, type NodeValues, Ok, type Result, type SettingsDocument } from "@chalkdale/core";
 import { checkDocument, type DocumentFault } from "./checks.js";
-import { faultAt, faultsOfIssues, type SettingsFault } from "./faults.js";
+import { faultAt, faultsOfIssues, type SettingsFault, syntaxFaultsOf } from "./faults.js";
 import { fileSchema, type SettingsFile } from "./schema.js";
 import { parseYaml, type YamlSource } from "./yaml-source.js";
 
@@ -12,13 +12,7 @@
 export function readTree(file: string, text: string): Result<SettingsDocument, readonly SettingsFault[]> {
     const source = parseYaml(file, text);
     if (source.syntaxFaults.length > 0) {
-        return Err(source.syntaxFaults.map(({ line, column, message }) => ({
-            file,
-            line,
-            column,
-            path: "",
-            expected: message,
-        })));
+        return Err(syntaxFaultsOf(source));
     }
     const parsed = fileSchema.safeParse(source.value);
     if (!parsed.success) {
--- a/packages/testing/src/capacity/main.ts
+++ b/packages/testing/src/capacity/main.ts
@@ -35,8 +35,14 @@
 const report = (name: string, value: number, unit: string) =>
     void process.stdout.write(`${name} ${value.toFixed(3)} ${unit}\n`);
 
+/** Numbers of boxes named on the command line; all sizes without any. */
+const wanted = process.argv.slice(2).map(Number);
+
 for (const size of sizes) {
     const boxes = regions.length * size.zonesPerRegion * size.boxesPerZone;
+    if (wanted.length > 0 && !wanted.includes(boxes)) {
+        continue;
+    }
     const needed = boxes * megabytesPerAgent * 1024 * 1024;
     if (needed > totalmem() / 2 || needed > freemem()) {
         process.stdout.write(`boxes-${boxes} not run: it needs more than half of the memory\n`);
--- a/packages/testing/src/standins/platform-server.ts
+++ b/packages/testing/src/standins/platform-server.ts
@@ -7,7 +7,7 @@
 
 import { objectVersion } from "@chalkdale/core";
 import type { PlatformOutcome } from "@chalkdale/platform";
-import { type Address, sleep, systemClock } from "@chalkdale/runtime";
+import { type Address, listenUntilAborted, sleep, systemClock } from "@chalkdale/runtime";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { createObjectStore, type ObjectStore } from "./object-store.js";
 
@@ -32,15 +32,8 @@
     const timer = setInterval(store.step, stepInterval);
     const server = createServer((request, response) => void answer(request, response, store, faults, signal));
     server.keepAliveTimeout = 60_000;
-    signal.addEventListener("abort", () => {
-        clearInterval(timer);
-        server.closeAllConnections();
-        server.close();
-    }, { once: true });
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(address.port, address.address, resolve);
-    });
+    signal.addEventListener("abort", () => clearInterval(timer), { once: true });
+    await listenUntilAborted(server, address, signal);
     return { store, faults };
 }
 
--- /dev/null
+++ b/packages/testing/test/command-line.test.ts
@@ -0,0 +1,139 @@
+/**
+ * The operators' command line as its users see it: the built program against
+ * the platform's stand-in.
+ */
+
+import { expect } from "chai";
+import { spawn } from "node:child_process";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
+import { workspace } from "../src/launch/process.js";
+import { type PlatformServer, servePlatform } from "../src/standins/platform-server.js";
+
+const port = 29_500;
+
+interface Run {
+    readonly code: number | undefined;
+    readonly output: string;
+    readonly errors: string;
+}
+
+async function chalkdale(...args: readonly string[]): Promise<Run> {
+    const program = resolve(workspace, "packages/cli/bin/chalkdale.js");
+    const child = spawn(process.execPath, [program, ...args], { stdio: ["ignore", "pipe", "pipe"] });
+    let output = "";
+    let errors = "";
+    child.stdout.on("data", chunk => {
+        output += String(chunk);
+    });
+    child.stderr.on("data", chunk => {
+        errors += String(chunk);
+    });
+    const code = await new Promise<number | undefined>(done => child.once("close", ended => done(ended ?? undefined)));
+    return { code, output, errors };
+}
+
+describe("the command line", () => {
+    let owner: AbortController;
+    let platform: PlatformServer;
+    let folder: string;
+    const at = ["--platform", `127.0.0.1:${port}`];
+    const example = resolve(workspace, "examples/pedala.yaml");
+
+    before(async () => {
+        owner = new AbortController();
+        platform = await servePlatform({ address: "127.0.0.1", port }, owner.signal);
+        folder = await mkdtemp(join(tmpdir(), "chalkdale-"));
+    });
+    after(async () => {
+        owner.abort();
+        await rm(folder, { recursive: true, force: true });
+    });
+
+    async function variant(name: string, from: string, to: string): Promise<string> {
+        const file = join(folder, name);
+        await writeFile(file, (await readFile(example, "utf8")).replace(from, to));
+        return file;
+    }
+
+    it("tells its help and its version", async () => {
+        expect((await chalkdale("--help")).output).to.include("settings apply");
+        expect((await chalkdale("--version")).output.trim()).to.equal("0.1.0");
+    });
+
+    it("ends with 2 for what it does not know", async () => {
+        expect((await chalkdale("paint")).code).to.equal(2);
+        expect((await chalkdale("settings", "show", example, "--at", "/nowhere")).code).to.equal(2);
+    });
+
+    it("shows where a value comes from", async () => {
+        const run = await chalkdale("settings", "show", example, "--at", "/services/profil-api/ro-nord/ro-nord-a");
+        expect(run.code).to.equal(0);
+        expect(run.output).to.match(/slots +6 +\/services\/profil-api\n/);
+    });
+
+    it("refuses a file with faults with 3 and names the places", async () => {
+        const file = await variant("faults.yaml", "capacity: 900", "capacity: lots");
+        const run = await chalkdale("settings", "check", file);
+        expect(run.code).to.equal(3);
+        expect(run.errors).to.include("faults.yaml:16:17: regions.ro-nord.settings.capacity: expected number");
+    });
+
+    it("applies a file, then only its differences, and acts on nothing in a dry run", async () => {
+        expect((await chalkdale("settings", "apply", example, ...at)).code).to.equal(0);
+        const stored = () => platform.store.read("config/settings")!;
+        const version = stored().version;
+        expect((await chalkdale("settings", "apply", example, ...at)).output).to.include("no changes");
+        const file = await variant("cap.yaml", "shiftCap: 0.1 ", "shiftCap: 0.2 ");
+        const dry = await chalkdale("settings", "apply", file, "--dry-run", ...at);
+        expect(dry.output).to.match(/\/ +shiftCap +0\.1 +0\.2/);
+        expect(stored().version).to.equal(version);
+        expect((await chalkdale("settings", "apply", file, ...at)).code).to.equal(0);
+        expect((await chalkdale("settings", "history", "--json", ...at)).output).to.include("\"to\":0.2");
+    });
+
+    it("edits one value, and settles a write whose answer was lost", async () => {
+        platform.store.faults.lostAnswers = 1;
+        const run = await chalkdale("settings", "edit", "shiftCap=0.3", "--at", "/", ...at);
+        expect(run.code).to.equal(0);
+        const { document, edits } = platform.store.read("config/settings")!.value as {
+            document: { nodes: Record<string, { shiftCap: number; }>; };
+            edits: { changes: { to: unknown; }[]; }[];
+        };
+        expect(document.nodes["/"].shiftCap).to.equal(0.3);
+        expect(edits.filter(({ changes }) => changes.some(({ to }) => to === 0.3))).to.have.length(1);
+    });
+
+    it("refuses an edit that would leave the tree with faults", async () => {
+        const run = await chalkdale("settings", "edit", "capacity=-5", "--at", "/regions/ro-nord", ...at);
+        expect(run.code).to.equal(3);
+        expect(run.errors).to.include("/regions/ro-nord capacity");
+    });
+
+    it("merges what two operators edit at once", async () => {
+        const [one, other] = await Promise.all([
+            chalkdale("settings", "edit", "headroomPrice=50", "--at", "/", ...at),
+            chalkdale("settings", "edit", "coldPrice=20", "--at", "/", ...at),
+        ]);
+        expect([one.code, other.code]).to.deep.equal([0, 0]);
+        const { document } = platform.store.read("config/settings")!.value as {
+            document: { nodes: Record<string, unknown>; };
+        };
+        expect(document.nodes["/"]).to.include({ headroomPrice: 50, coldPrice: 20 });
+    });
+
+    it("ends with 4 when the platform is out, and says what to do", async () => {
+        platform.store.faults.outage = true;
+        const run = await chalkdale("settings", "history", ...at);
+        platform.store.faults.outage = false;
+        expect(run.code).to.equal(4);
+        expect(run.errors).to.include("try again later");
+    });
+
+    it("tells a box that it cannot reach", async () => {
+        const run = await chalkdale("status", "--box", "127.0.0.1:1");
+        expect(run.code).to.equal(4);
+        expect(run.output).to.include("unreachable");
+    });
+});
