--- a/packages/testing/test/command-line.test.ts
+++ b/packages/testing/test/command-line.test.ts
@@ -77,7 +77,7 @@
         const file = await variant("faults.yaml", "capacity: 900", "capacity: lots");
         const run = await chalkdale("settings", "check", file);
         expect(run.code).to.equal(3);
-        expect(run.errors).to.include("faults.yaml:16:17: regions.ro-nord.settings.capacity: expected number");
+        expect(run.errors).to.include("faults.yaml:14:17: regions.ro-nord.settings.capacity: expected number");
     });
 
     it("applies a file, then only its differences, and acts on nothing in a dry run", async () => {
@@ -99,10 +99,11 @@
         expect(run.code).to.equal(0);
         const { document, edits } = platform.store.read("config/settings")!.value as {
             document: { nodes: Record<string, { shiftCap: number; }>; };
-            edits: { changes: { to: unknown; }[]; }[];
+            edits: { changes: { key: string; to: unknown; }[]; }[];
         };
         expect(document.nodes["/"].shiftCap).to.equal(0.3);
-        expect(edits.filter(({ changes }) => changes.some(({ to }) => to === 0.3))).to.have.length(1);
+        expect(edits.filter(({ changes }) => changes.some(({ key, to }) => key === "shiftCap" && to === 0.3))).to.have
+            .length(1);
     });
 
     it("refuses an edit that would leave the tree with faults", async () => {
