Call a box ready only when it has a right to capacity

Cause: the demo failed its last check: 93 of 3687 requests were refused (41 at capacity, 52 at a link) where the check allows 2%. Found: /readyz said ready before a box had its floor; for about a second only some boxes were named, callers went to other regions' boxes, and those have small floors and a link between. Ruled out: the shift (traffic of each region stayed in it), the load (half of capacity). Change: ready means that requests can be sent on; the demo begins its traffic when every box names all boxes. The check itself is as it was. Left: a cold start of a whole deployment refuses some requests for seconds; DESIGN says so.

--- a/packages/core/src/decide/router.ts
+++ b/packages/core/src/decide/router.ts
@@ -352,7 +352,7 @@
         return {
             settingsVersion: settings?.version,
             planVersion: plan.version(),
-            ready: isReady(),
+            ready: isReady() && hasRights(),
             leaving,
             inFlight,
             zones: Object.fromEntries((settings?.zones ?? []).map(zone => [zone.id, zone.region.id])),
--- a/packages/testing/src/demo/main.ts
+++ b/packages/testing/src/demo/main.ts
@@ -39,6 +39,7 @@
 
 try {
     await deployment.waitUntilReady(20_000);
+    await waitFor(() => allAreNamed(deployment));
     say(`started ${deployment.boxes.length * 2} processes of ${deployment.boxes.length} boxes, and the stand-ins`);
     const traffic = createTraffic(deployment);
     await pause(steadyTime);
@@ -87,6 +88,15 @@
     return { ...read.val, nodes };
 }
 
+/** Whether every box names all boxes, so that callers of each region find boxes there. */
+async function allAreNamed({ boxes }: Deployment): Promise<boolean> {
+    const named = await Promise.all(boxes.map(async box => {
+        const { body } = await request(urlOf(box.operators.entry, "/status"));
+        return (await body.json() as { boxes: string[]; }).boxes.length;
+    }));
+    return named.every(count => count === boxes.length);
+}
+
 async function drainBackend({ writeMembers, backends, backendAdmin }: Deployment, id: string): Promise<void> {
     const zone = backends.find(backend => backend.id === id)!.zone;
     await writeMembers(zone, new Set([id]));
