Let each mechanism be missed by a proof

Found: a session's box that was cut off still got the answer of a watch that had been under way before the cut. Change: a cut also loses answers that are under way; the moved line is found.

--- a/packages/testing/src/promises/mechanisms.ts
+++ b/packages/testing/src/promises/mechanisms.ts
@@ -124,7 +124,7 @@
     {
         promise: "P2",
         name: "the limit of a link",
-        file: decide("router"),
+        file: decide("active-request"),
         find: "if (link.err) {",
         replace: "if (false) {",
         specs: [sessionTest("promise-capacity")],
--- a/packages/testing/src/session/session.ts
+++ b/packages/testing/src/session/session.ts
@@ -252,11 +252,16 @@
     /** The platform as one box sees it: gone while the network says that it does not reach it. */
     function platformOf(target: SessionBox): Platform {
         const cut = { kind: "unavailable", reason: "cut off" } as const;
+        const lost = { kind: "unknown", reason: "cut off" } as const;
         const call = async <Value>(run: (platform: Platform) => Promise<PlatformOutcome<Value>>) => {
             if (platformDelay.milliseconds > 0) {
                 await new Promise<void>(go => delayed.push({ until: clock.now() + platformDelay.milliseconds, go }));
             }
-            return network.reaches(target.key, platformName) ? run(store.platform) : cut;
+            if (!network.reaches(target.key, platformName)) {
+                return cut;
+            }
+            const outcome = await run(store.platform);
+            return network.reaches(target.key, platformName) ? outcome : lost;
         };
         return {
             get: (...args) => call(platform => platform.get(...args)),
