--- a/packages/entry/bin/chalkdale-entry.js
+++ b/packages/entry/bin/chalkdale-entry.js
@@ -1,2 +1,2 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=8
 import "../dist/bundle/main.mjs";
