--- /dev/null
+++ b/packages/gateway/src/exchange.ts
@@ -0,0 +1,145 @@
+/**
+ * One request to one backend server and its whole answer.
+ *
+ * An answer counts only if it carries the request's id, is framed, and came
+ * whole. Whatever else comes over the connection breaks the exchange, and the
+ * connection is not used again.
+ */
+
+import type { Milliseconds } from "@chalkdale/core";
+import { type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
+import type { Socket } from "node:net";
+import type { HeaderNames } from "./caller-protocol.js";
+
+/** A whole answer of a server. */
+export interface ServerAnswer {
+    readonly status: number;
+    /** Names and values in turn, as received. */
+    readonly rawHeaders: readonly string[];
+    readonly headers: NodeJS.Dict<string | string[]>;
+    readonly body: Buffer;
+    /** True if the connection may carry another request. */
+    readonly reusable: boolean;
+}
+
+/** How an exchange ended. */
+export type ExchangeOutcome =
+    | { readonly kind: "answer"; readonly answer: ServerAnswer; }
+    /** The connection ended or spoiled the answer; the request may have run. */
+    | { readonly kind: "broken"; readonly reason: string; }
+    /** The owner aborted it. */
+    | { readonly kind: "cancelled"; };
+
+export interface ExchangeOptions {
+    readonly socket: Socket;
+    readonly method: string;
+    readonly path: string;
+    /** Names and values in turn. */
+    readonly rawHeaders: readonly string[];
+    readonly body: Buffer;
+    readonly requestId: string | undefined;
+    readonly headers: Pick<HeaderNames, "requestId">;
+    readonly signal: AbortSignal;
+    /** Told when the answer begins. */
+    readonly onHead?: () => void;
+}
+
+/** Largest answer that is taken in whole, in bytes. */
+export const largestAnswer = 32 * 1024 * 1024;
+
+/** Sends the request and resolves with how it ended. Never rejects. */
+export function exchange(options: ExchangeOptions): Promise<ExchangeOutcome> {
+    const { socket, signal } = options;
+    return new Promise(resolve => {
+        let settled = false;
+        let request: ClientRequest;
+        const onAbort = () => settle({ kind: "cancelled" });
+        signal.addEventListener("abort", onAbort, { once: true });
+        try {
+            request = httpRequest({
+                createConnection: () => socket,
+                method: options.method,
+                path: options.path,
+                headers: options.rawHeaders as string[],
+                setHost: false,
+            });
+        }
+        catch (error) {
+            settle({ kind: "broken", reason: String(error) });
+            return;
+        }
+        request.on("error", error => settle({ kind: "broken", reason: error.message }));
+        let isComplete = () => false;
+        request.on("close", () => {
+            if (!isComplete()) {
+                settle({ kind: "broken", reason: "closed without an answer" });
+            }
+        });
+        request.on("response", onResponse);
+        request.end(options.body);
+
+        function onResponse(response: IncomingMessage): void {
+            options.onHead?.();
+            const answeredId = response.headers[options.headers.requestId];
+            if (options.requestId !== undefined && answeredId !== options.requestId) {
+                settle({ kind: "broken", reason: "answer of another request" });
+                return;
+            }
+            isComplete = () => response.complete;
+            const chunks: Buffer[] = [];
+            let size = 0;
+            response.on("data", (chunk: Buffer) => {
+                chunks.push(chunk);
+                size += chunk.length;
+                if (size > largestAnswer) {
+                    settle({ kind: "broken", reason: "answer too large" });
+                }
+            });
+            response.on("error", error => settle({ kind: "broken", reason: error.message }));
+            response.on("aborted", () => settle({ kind: "broken", reason: "answer cut off" }));
+            response.on("end", () => onEnd(response, chunks));
+        }
+
+        function onEnd(response: IncomingMessage, chunks: Buffer[]): void {
+            if (!response.complete) {
+                settle({ kind: "broken", reason: "answer cut off" });
+                return;
+            }
+            const isSent = request.writableFinished && socket.writableLength === 0;
+            const reusable = isSent && request.shouldKeepAlive && !socket.destroyed;
+            settle({
+                kind: "answer",
+                answer: {
+                    status: response.statusCode ?? 0,
+                    rawHeaders: response.rawHeaders,
+                    headers: response.headers,
+                    body: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks),
+                    reusable,
+                },
+            });
+        }
+
+        function settle(outcome: ExchangeOutcome): void {
+            if (settled) {
+                return;
+            }
+            settled = true;
+            signal.removeEventListener("abort", onAbort);
+            if (outcome.kind !== "answer" || !outcome.answer.reusable) {
+                socket.on("error", () => undefined);
+                request?.on("error", () => undefined);
+                socket.destroy();
+            }
+            resolve(outcome);
+        }
+    });
+}
+
+const millisecondsOfSecond = 1000;
+const keepAliveTimeout = /timeout=(\d+)/;
+
+/** Reads how long a server keeps an idle connection, if it says so. */
+export function readKeepAlive(headers: NodeJS.Dict<string | string[]>): Milliseconds | undefined {
+    const match = keepAliveTimeout.exec(String(headers["keep-alive"] ?? ""));
+    return match === null ? undefined : (Number(match[1]) * millisecondsOfSecond) as Milliseconds;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,293 @@
+/**
+ * Composes one box: shared state, members, decisions and servers.
+ */
+
+import { boxId, type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/core";
+import { every, type Log, sleep } from "@chalkdale/runtime";
+import {
+    createColdAdmission,
+    createMembership,
+    createRecentKeys,
+    createRepeatBudget,
+    createServerCatalog,
+    createServerChoice,
+    createServerStanding,
+    createWorkEstimate,
+    failureTimeout,
+    type MemberRecord,
+    type Membership,
+    type RepeatBudget,
+} from "@chalkdale/steering";
+import { setMaxListeners } from "node:events";
+import { createServer, type Server } from "node:http";
+import { createAttempt } from "./attempt.js";
+import type { CallerProtocol } from "./caller-protocol.js";
+import { createDirectoryListener, createReadinessListener } from "./callers-directory.js";
+import { gossipInterval, readPeerSnapshot, startPeerLink } from "./peer-link.js";
+import { createPlannedStop } from "./planned-stop.js";
+import { createProber } from "./prober.js";
+import { startReplicator } from "./replicator.js";
+import { createRequestHandler } from "./request-handler.js";
+import { createRoundTrips } from "./round-trips.js";
+import { createServerConnections } from "./server-connections.js";
+import type { GatewaySettings, ListenAddress } from "./settings.js";
+import { createSharedState, recordDelay } from "./shared-state.js";
+import type { StateStore } from "./state-store.js";
+
+export interface GatewayOptions {
+    readonly settings: GatewaySettings;
+    readonly protocol: CallerProtocol;
+    readonly store: StateStore;
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly log: Log;
+    /** A later start of the same box has a greater incarnation. */
+    readonly incarnation: MemberRecord["incarnation"];
+}
+
+/** A running box. */
+export interface Gateway {
+    /** Stops as planned; resolves when the process may end. */
+    readonly stop: () => Promise<void>;
+    readonly isReady: () => boolean;
+}
+
+const housekeepingInterval = 250;
+const announceRetry = 1000;
+/** Boxes that the failure timeout is made for. */
+const expectedBoxes = 16;
+const rememberFailedBoxes = milliseconds(120_000);
+/** Part of a server's connections that all boxes together use. */
+const usedPartOfConnections = 0.8;
+const leastConnections = 2;
+const assumedMostConnections = 100;
+const largestHeader = 64 * 1024;
+const keepAliveMargin = milliseconds(1000);
+
+/** Starts a box. */
+export function startGateway(options: GatewayOptions): Gateway {
+    const { clock, log, protocol, random, settings, store } = options;
+    const lifetime = new AbortController();
+    const { signal } = lifetime;
+    setMaxListeners(0, signal);
+    const membership = createMembership({
+        self: ownRecord(options),
+        failAfter: failureTimeout(gossipInterval, expectedBoxes),
+        forgetAfter: rememberFailedBoxes,
+    });
+    const boxesAlive = () => membership.alive(clock()).map(member => member.box);
+    const recentKeys = createRecentKeys();
+    const work = createWorkEstimate();
+    const roundTrips = createRoundTrips(settings.region, settings.zone);
+    const catalog = createServerCatalog((record, at) =>
+        createServerStanding(record, at, {
+            coldMargin: recordDelay,
+            cold: createColdAdmission({
+                self: settings.box,
+                server: record.id,
+                boxes: boxesAlive,
+                rate: () => state.service(record.service)?.coldRate ?? 0,
+            }),
+        })
+    );
+    const state = createSharedState({
+        clock,
+        log,
+        catalog,
+        regionOfZone: settings.regionOfZone,
+        onConfiguration: configuration => applyCallerLimits(configuration.limits.idleTimeout),
+    });
+    const connections = createServerConnections({
+        clock,
+        localAddress: settings.callers.host,
+        onConnected: (server, duration) => {
+            const zone = catalog.get(server)?.standing.record().zone;
+            if (zone !== undefined) {
+                roundTrips.onConnected(zone, duration);
+            }
+        },
+    });
+    const budgets = new Map<ServiceId, RepeatBudget>();
+    let inFlight = 0;
+
+    const choose = createServerChoice({
+        region: settings.region,
+        zone: settings.zone,
+        catalog,
+        recentKeys,
+        work,
+        roundTrip: roundTrips.estimate,
+        admitsZone: state.admitsZone,
+    });
+    const attempt = createAttempt({
+        clock,
+        protocol,
+        connections,
+        mostConnections,
+        onCold: (server, duration) => catalog.get(server)?.standing.onCold(clock(), duration),
+    });
+    const plannedStop = createPlannedStop({
+        clock,
+        log,
+        grace: settings.bounds.stopGrace,
+        inFlight: () => inFlight,
+        onLeaving: () => {
+            updateOwnState();
+            peerLink.tellAll();
+        },
+        onClosing: () => callers.closeIdleConnections(),
+    });
+    const onRequest = createRequestHandler({
+        clock,
+        random,
+        log,
+        protocol,
+        state,
+        choose,
+        attempt,
+        budgetOf,
+        recentKeys,
+        work,
+        roundTrip: server => {
+            const { region, zone } = server.standing.record();
+            return roundTrips.estimate(region, zone);
+        },
+        isClosing: () => plannedStop.phase() === "closing",
+        isLeaving: () => plannedStop.phase() !== "running",
+    });
+    const isReady = () => state.isComplete() && plannedStop.phase() === "running";
+
+    const callers = createServer({ maxHeaderSize: largestHeader, requestTimeout: 0, noDelay: true });
+    callers.on("request", (request, response) => {
+        inFlight += 1;
+        response.once("close", () => {
+            inFlight -= 1;
+        });
+        onRequest(request, response);
+    });
+    listen(callers, settings.callers);
+    const readiness = listen(createServer(createReadinessListener(protocol, isReady)), settings.readiness);
+    const directory = listen(
+        createServer(createDirectoryListener({
+            protocol,
+            lifetime: settings.bounds.lookupLifetime,
+            inService: () => membership.inService(clock()),
+        })),
+        settings.directory,
+    );
+
+    const replicator = startReplicator({
+        clock,
+        random,
+        log,
+        state,
+        store,
+        readSnapshot: readPeerSnapshot,
+        signal,
+    });
+    const peerLink = startPeerLink({
+        clock,
+        random,
+        log,
+        listen: settings.peers,
+        membership,
+        digest: replicator.digest,
+        onDigest: replicator.onDigest,
+        snapshot: kind => state.replica(kind).snapshot(),
+        signal,
+    });
+    const probeDue = createProber({
+        clock,
+        log,
+        protocol,
+        catalog,
+        localAddress: settings.callers.host,
+        healthPathOf: server => state.service(server.standing.record().service)?.healthPath,
+        signal,
+    });
+    void every(housekeepingInterval, signal).observe(() => {
+        updateOwnState();
+        connections.sweep();
+        catalog.sweep(clock()).forEach(server => recentKeys.forget(server));
+        probeDue();
+    });
+    settings.seeds.forEach(peerLink.greet);
+    void joinMembers(membership);
+
+    return {
+        isReady,
+        async stop() {
+            await plannedStop.begin();
+            lifetime.abort();
+            [callers, readiness, directory].forEach(server => server.close());
+        },
+    };
+
+    /** Records this box in the store, then greets those that are recorded: of two that start at once, one sees the other. */
+    async function joinMembers(members: Membership): Promise<void> {
+        while (!signal.aborted) {
+            try {
+                await store.announce(members.alive(clock())[0], signal);
+                const boxes = await store.listBoxes(signal);
+                boxes.filter(record => record.box !== settings.box)
+                    .forEach(record => peerLink.greet(record.peerAddress));
+                return;
+            }
+            catch (error) {
+                log.debug("members.joinFailed", { reason: String(error) });
+                await sleep(announceRetry, signal);
+            }
+        }
+    }
+
+    function updateOwnState(): void {
+        membership.setOwnState({ ready: isReady(), leaving: plannedStop.phase() !== "running" });
+    }
+
+    function budgetOf(service: ServiceId): RepeatBudget {
+        let budget = budgets.get(service);
+        if (budget === undefined) {
+            budget = createRepeatBudget({
+                ratio: settings.bounds.repeatRatio,
+                window: settings.bounds.repeatWindow,
+                allowance: settings.bounds.repeatAllowance,
+                boxCount: () => boxesAlive().length,
+            });
+            budgets.set(service, budget);
+        }
+        return budget;
+    }
+
+    function mostConnections(service: ServiceId): number {
+        const most = state.service(service)?.maxConnections ?? assumedMostConnections;
+        return Math.max(leastConnections, Math.floor(most * usedPartOfConnections / boxesAlive().length));
+    }
+
+    function applyCallerLimits(idleTimeout: Milliseconds): void {
+        callers.keepAliveTimeout = idleTimeout + keepAliveMargin;
+    }
+
+    function listen(server: Server, address: ListenAddress): Server {
+        server.on("error", error => {
+            log.error("listen.failed", { port: address.port, reason: error.message });
+            process.exitCode = 1;
+        });
+        server.listen(address.port, address.host);
+        return server;
+    }
+}
+
+function ownRecord(options: GatewayOptions): MemberRecord {
+    const { incarnation, settings } = options;
+    return {
+        box: boxId(settings.box),
+        incarnation,
+        heartbeat: 0,
+        leaving: false,
+        ready: false,
+        region: settings.region,
+        zone: settings.zone,
+        peerAddress: `${settings.peers.host}:${settings.peers.port}`,
+        callerAddress: `${settings.callers.host}:${settings.callers.port}`,
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/peer-link.ts
@@ -0,0 +1,232 @@
+/**
+ * Messages between boxes: small datagrams with heartbeats and what the sender
+ * knows, and snapshots over HTTP for a box that knows less.
+ */
+
+import { type Clock, incarnationId, milliseconds } from "@chalkdale/core";
+import { every, type Log } from "@chalkdale/runtime";
+import type { MemberRecord, Membership, Snapshot } from "@chalkdale/steering";
+import { createSocket } from "node:dgram";
+import { createServer, get, type IncomingMessage, type ServerResponse } from "node:http";
+import type { StateDigest } from "./replicator.js";
+import type { ListenAddress } from "./settings.js";
+import { type SharedKind, sharedKinds } from "./state-store.js";
+
+/** Time between two rounds of gossip. */
+export const gossipInterval = milliseconds(300);
+/** Members told in one datagram at most. */
+const mostBeats = 24;
+/** Largest datagram and snapshot that are read, in bytes. */
+const largestDatagram = 8192;
+const largestSnapshot = 16 * 1024 * 1024;
+const snapshotTimeout = 1500;
+
+/** Heartbeat of one member: box, incarnation, heartbeat, ready, leaving. */
+type Beat = readonly [box: string, incarnation: string, heartbeat: number, ready: 0 | 1, leaving: 0 | 1];
+
+interface GossipMessage {
+    readonly from: MemberRecord;
+    readonly beats: readonly Beat[];
+    readonly digest: StateDigest;
+}
+
+export interface PeerLinkOptions {
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly log: Log;
+    readonly listen: ListenAddress;
+    readonly membership: Membership;
+    readonly digest: () => StateDigest;
+    readonly onDigest: (peerAddress: string, digest: StateDigest) => void;
+    readonly snapshot: (kind: SharedKind) => Snapshot<unknown> | undefined;
+    readonly signal: AbortSignal;
+}
+
+/** The link of one box to the others. */
+export interface PeerLink {
+    /** Tells the box at an address about this one. */
+    readonly greet: (peerAddress: string) => void;
+    /** Tells all known boxes at once, for instance that this one is leaving. */
+    readonly tellAll: () => void;
+}
+
+/** Listens and gossips until the signal aborts. */
+export function startPeerLink(options: PeerLinkOptions): PeerLink {
+    const { clock, log, membership, signal } = options;
+    const socket = createSocket("udp4");
+    socket.on("error", error => log.warn("peer.socketFailed", { reason: error.message }));
+    socket.on("message", data => onDatagram(data));
+    socket.bind(options.listen.port, options.listen.host);
+
+    const server = createServer(answerPeer);
+    server.listen(options.listen.port, options.listen.host);
+    signal.addEventListener("abort", () => {
+        socket.close();
+        server.close();
+    }, { once: true });
+    void every(gossipInterval, signal).observe(gossip);
+
+    return { greet, tellAll };
+
+    function gossip(): void {
+        const own = membership.beat(clock());
+        const others = membership.reachable(clock());
+        const near = others.filter(member => member.region === own.region);
+        const far = others.filter(member => member.region !== own.region);
+        for (const group of [near, far]) {
+            const chosen = group[Math.floor(options.random() * group.length)];
+            if (chosen !== undefined) {
+                greet(chosen.peerAddress);
+            }
+        }
+    }
+
+    function tellAll(): void {
+        membership.beat(clock());
+        membership.reachable(clock()).forEach(member => greet(member.peerAddress));
+    }
+
+    function greet(peerAddress: string): void {
+        const [from, ...others] = membership.freshest(mostBeats, clock());
+        const beats = others.map(beatOf);
+        const message: GossipMessage = { from, beats, digest: options.digest() };
+        const { host, port } = splitAddress(peerAddress);
+        socket.send(JSON.stringify(message), port, host, () => undefined);
+    }
+
+    function onDatagram(data: Buffer): void {
+        const message = readMessage(data);
+        if (message === undefined) {
+            log.debug("peer.unreadable", { bytes: data.length });
+            return;
+        }
+        const added = membership.merge([message.from], clock());
+        const unknown = mergeBeats(message.beats);
+        if (unknown) {
+            void readMembers(message.from.peerAddress);
+        }
+        for (const member of added) {
+            log.info("peer.joined", { box: member.box, zone: member.zone, incarnation: member.incarnation });
+            greet(member.peerAddress);
+        }
+        options.onDigest(message.from.peerAddress, message.digest);
+    }
+
+    /** Merges heartbeats of members that are known in full; true if some are not. */
+    function mergeBeats(beats: readonly Beat[]): boolean {
+        const known = new Map(membership.reachable(clock()).map(member => [member.box as string, member]));
+        const own = membership.freshest(1, clock())[0].box;
+        let unknown = false;
+        const records: MemberRecord[] = [];
+        for (const [box, incarnation, heartbeat, ready, leaving] of beats) {
+            const member = known.get(box);
+            if (member !== undefined) {
+                const state = { ready: ready === 1, leaving: leaving === 1 };
+                records.push({ ...member, incarnation: incarnationId(incarnation), heartbeat, ...state });
+            }
+            else if (box !== own) {
+                unknown = true;
+            }
+        }
+        membership.merge(records, clock());
+        return unknown;
+    }
+
+    async function readMembers(peerAddress: string): Promise<void> {
+        try {
+            const body = await fetchBounded(`http://${peerAddress}/members`, signal);
+            membership.merge(JSON.parse(body) as MemberRecord[], clock());
+        }
+        catch (error) {
+            log.debug("peer.membersFailed", { peer: peerAddress, reason: String(error) });
+        }
+    }
+
+    function answerPeer(request: IncomingMessage, response: ServerResponse): void {
+        const url = request.url ?? "/";
+        if (url === "/members") {
+            endWithJson(response, membership.alive(clock()));
+            return;
+        }
+        const kind = sharedKinds.find(candidate => url === `/state/${candidate}`);
+        const snapshot = kind === undefined ? undefined : options.snapshot(kind);
+        if (snapshot === undefined) {
+            response.writeHead(404).end();
+            return;
+        }
+        endWithJson(response, snapshot);
+    }
+}
+
+function beatOf(member: MemberRecord): Beat {
+    return [member.box, member.incarnation, member.heartbeat, member.ready ? 1 : 0, member.leaving ? 1 : 0];
+}
+
+function endWithJson(response: ServerResponse, body: unknown): void {
+    response.writeHead(200, { "content-type": "application/json", connection: "close" }).end(JSON.stringify(body));
+}
+
+/** Reads a datagram; undefined if it is none of this protocol. */
+function readMessage(data: Buffer): GossipMessage | undefined {
+    if (data.length > largestDatagram) {
+        return undefined;
+    }
+    try {
+        const message = JSON.parse(data.toString("utf8")) as GossipMessage;
+        return isMember(message.from) && Array.isArray(message.beats) && isDigest(message.digest) ? message : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function isMember(record: MemberRecord | undefined): record is MemberRecord {
+    return typeof record?.box === "string" && typeof record.incarnation === "string"
+        && Number.isFinite(record.heartbeat) && typeof record.peerAddress === "string"
+        && typeof record.callerAddress === "string";
+}
+
+function isDigest(digest: StateDigest | undefined): digest is StateDigest {
+    return digest !== undefined && sharedKinds.every(kind => Number.isFinite(digest[kind]));
+}
+
+/** Splits `host:port`. */
+export function splitAddress(address: string): ListenAddress {
+    const colon = address.lastIndexOf(":");
+    return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+/** Reads a snapshot of a kind from another box. */
+export async function readPeerSnapshot(peer: string, kind: SharedKind, signal: AbortSignal): Promise<Snapshot<never>> {
+    const snapshot = JSON.parse(await fetchBounded(`http://${peer}/state/${kind}`, signal)) as Snapshot<never>;
+    if (!Number.isFinite(snapshot.revision) || !Array.isArray(snapshot.items)) {
+        throw new Error("not a snapshot");
+    }
+    return snapshot;
+}
+
+function fetchBounded(url: string, signal: AbortSignal): Promise<string> {
+    return new Promise((resolve, reject) => {
+        const request = get(url, { agent: false, signal, timeout: snapshotTimeout }, response => {
+            const chunks: Buffer[] = [];
+            let size = 0;
+            response.on("data", (chunk: Buffer) => {
+                size += chunk.length;
+                chunks.push(chunk);
+                if (size > largestSnapshot) {
+                    request.destroy(new Error("answer too large"));
+                }
+            });
+            response.on("error", reject);
+            response.on("end", () => {
+                if (response.statusCode !== 200) {
+                    reject(new Error(`status ${response.statusCode}`));
+                    return;
+                }
+                resolve(Buffer.concat(chunks).toString("utf8"));
+            });
+        });
+        request.on("timeout", () => request.destroy(new Error("no answer")));
+        request.on("error", reject);
+    });
+}
--- /dev/null
+++ b/packages/gateway/src/round-trips.ts
@@ -0,0 +1,37 @@
+/**
+ * Time to each zone and back, learned from how long connections take to open.
+ */
+
+import { type Milliseconds, milliseconds, type RegionId, type ZoneId } from "@chalkdale/core";
+
+/** Times there and back by zone. */
+export interface RoundTrips {
+    readonly estimate: (region: RegionId, zone: ZoneId) => Milliseconds;
+    readonly onConnected: (zone: ZoneId, duration: Milliseconds) => void;
+}
+
+/** First guesses in milliseconds. */
+const sameZone = 1;
+const sameRegion = 3;
+const otherRegion = 40;
+const smoothing = 0.2;
+
+/** Creates estimates for a box in a place. */
+export function createRoundTrips(ownRegion: RegionId, ownZone: ZoneId): RoundTrips {
+    const learned = new Map<ZoneId, number>();
+
+    return {
+        estimate: (region, zone) => milliseconds(learned.get(zone) ?? firstGuess(region, zone)),
+        onConnected(zone, duration) {
+            const known = learned.get(zone);
+            learned.set(zone, known === undefined ? duration : known + (duration - known) * smoothing);
+        },
+    };
+
+    function firstGuess(region: RegionId, zone: ZoneId): number {
+        if (zone === ownZone) {
+            return sameZone;
+        }
+        return region === ownRegion ? sameRegion : otherRegion;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/settings.ts
@@ -0,0 +1,41 @@
+/**
+ * What one box is told at its start: its place, its addresses and the bounds
+ * that its decisions keep.
+ */
+
+import type { BoxId, Milliseconds, RegionId, ZoneId } from "@chalkdale/core";
+
+/** An address to listen on. */
+export interface ListenAddress {
+    readonly host: string;
+    readonly port: number;
+}
+
+/** Figures that decisions keep within. */
+export interface GatewayBounds {
+    /** Repeats allowed for each request of a service. */
+    readonly repeatRatio: number;
+    readonly repeatWindow: Milliseconds;
+    /** Repeats allowed besides, for all boxes together, in one window. */
+    readonly repeatAllowance: number;
+    /** Time between the signal to stop and the kill. */
+    readonly stopGrace: Milliseconds;
+    /** How long callers may keep an answer of the directory. */
+    readonly lookupLifetime: Milliseconds;
+}
+
+/** Settings of one box. */
+export interface GatewaySettings {
+    readonly box: BoxId;
+    readonly region: RegionId;
+    readonly zone: ZoneId;
+    readonly regionOfZone: ReadonlyMap<ZoneId, RegionId>;
+    readonly callers: ListenAddress;
+    readonly readiness: ListenAddress;
+    readonly directory: ListenAddress;
+    /** Other boxes reach this one here, over TCP and UDP. */
+    readonly peers: ListenAddress;
+    /** Peer addresses of some boxes, which may be out of date. */
+    readonly seeds: readonly string[];
+    readonly bounds: GatewayBounds;
+}
--- /dev/null
+++ b/packages/gateway/src/shared-state.ts
@@ -0,0 +1,132 @@
+/**
+ * This box's copies of the shared state and what follows from them: the route
+ * table, the catalog of servers, and which zones admit requests.
+ */
+
+import { type Clock, milliseconds, type RegionId, type ServiceId, type ZoneId } from "@chalkdale/core";
+import type { Log } from "@chalkdale/runtime";
+import {
+    closeZones,
+    type Configuration,
+    createReplica,
+    createRouteTable,
+    createWeightedRotation,
+    openPlaces,
+    type PlaceSettings,
+    type Replica,
+    resolvePlace,
+    type Route,
+    type RouteTable,
+    type ServerCatalog,
+    type ServerRecord,
+    type Service,
+    type WeightedRotation,
+} from "@chalkdale/steering";
+import type { SharedItems, SharedKind } from "./state-store.js";
+
+/** The copies and their use. */
+export interface SharedState {
+    readonly replica: <Kind extends SharedKind>(kind: Kind) => Replica<SharedItems[Kind]>;
+    readonly configuration: () => Configuration | undefined;
+    readonly routes: () => RouteTable | undefined;
+    readonly service: (id: ServiceId) => Service | undefined;
+    /** Picks the destination of a request on a route. */
+    readonly destinationOf: (route: Route) => ServiceId;
+    readonly admitsZone: (zone: ZoneId) => boolean;
+    /** True once requests can be decided. */
+    readonly isComplete: () => boolean;
+}
+
+export interface SharedStateOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly catalog: ServerCatalog;
+    readonly regionOfZone: ReadonlyMap<ZoneId, RegionId>;
+    /** Told of each configuration that comes into force. */
+    readonly onConfiguration: (configuration: Configuration) => void;
+}
+
+/** Creates empty copies. */
+export function createSharedState(options: SharedStateOptions): SharedState {
+    const { clock, log } = options;
+    let configuration: Configuration | undefined;
+    let routes: RouteTable | undefined;
+    let services = new Map<ServiceId, Service>();
+    let rotations = new Map<string, WeightedRotation>();
+    let places: PlaceSettings = openPlaces;
+
+    const replicas: { readonly [Kind in SharedKind]: Replica<SharedItems[Kind]>; } = {
+        configuration: createReplica<Configuration>(() => "main", applyConfiguration),
+        servers: createReplica<ServerRecord>(record => record.id, applyServers),
+        closedZones: createReplica<ZoneId>(zone => zone, applyClosedZones),
+    };
+
+    return {
+        replica: kind => replicas[kind],
+        configuration: () => configuration,
+        routes: () => routes,
+        service: id => services.get(id),
+        destinationOf,
+        admitsZone: zone => resolvePlace(places, regionOf(zone), zone).admitsRequests,
+        isComplete: () =>
+            configuration !== undefined
+            && replicas.servers.revision() !== undefined
+            && replicas.closedZones.revision() !== undefined,
+    };
+
+    function applyConfiguration(items: readonly Configuration[]): void {
+        const [next] = items;
+        if (next === undefined || (configuration !== undefined && next.version <= configuration.version)) {
+            return;
+        }
+        log.info("configuration.inForce", {
+            version: next.version,
+            previous: configuration?.version,
+            routes: next.routes.length,
+            at: Math.round(clock()),
+        });
+        configuration = next;
+        routes = createRouteTable(next);
+        services = new Map(next.services.map(service => [service.id, service]));
+        rotations = new Map();
+        options.onConfiguration(next);
+    }
+
+    function applyServers(records: readonly ServerRecord[]): void {
+        const change = options.catalog.applyList(records, clock());
+        const changed = change.added.length + change.removed.length + change.startedDraining.length;
+        if (changed > 0) {
+            log.info("servers.changed", {
+                listed: records.length,
+                added: change.added.map(record => record.id).slice(0, 8).join(","),
+                removed: change.removed.slice(0, 8).join(","),
+                draining: change.startedDraining.slice(0, 8).join(","),
+                revision: replicas.servers.revision(),
+            });
+        }
+    }
+
+    function applyClosedZones(zones: readonly ZoneId[]): void {
+        places = closeZones(openPlaces, zones);
+        log.info("places.changed", { closed: zones.join(",") || "none" });
+    }
+
+    function destinationOf(route: Route): ServiceId {
+        if (route.destinations.length === 1) {
+            return route.destinations[0].service;
+        }
+        let rotation = rotations.get(route.name);
+        if (rotation === undefined) {
+            rotation = createWeightedRotation(route.destinations);
+            rotations.set(route.name, rotation);
+        }
+        return rotation();
+    }
+
+    function regionOf(zone: ZoneId): RegionId {
+        return options.regionOfZone.get(zone) ?? ("" as RegionId);
+    }
+}
+
+/** Time for a record to get from its writer to a box, at most in ordinary times. */
+export const recordDelay = milliseconds(1000);
--- /dev/null
+++ b/packages/gateway/src/state-store.ts
@@ -0,0 +1,49 @@
+/**
+ * The store that keeps what must last, as the gateway sees it.
+ */
+
+import type { ZoneId } from "@chalkdale/core";
+import type { Configuration, ItemChange, MemberRecord, ServerRecord, Snapshot } from "@chalkdale/steering";
+
+/** Kinds of state that every box copies, and what an item of each is. */
+export interface SharedItems {
+    readonly configuration: Configuration;
+    readonly servers: ServerRecord;
+    /** Zones that are to get no requests. */
+    readonly closedZones: ZoneId;
+}
+
+/** A kind of shared state. */
+export type SharedKind = keyof SharedItems;
+
+/** All kinds. */
+export const sharedKinds: readonly SharedKind[] = ["configuration", "servers", "closedZones"];
+
+/** What a watch brought. */
+export type WatchOutcome<Item> =
+    | { readonly kind: "changes"; readonly changes: readonly ItemChange<Item>[]; readonly revision: number; }
+    | { readonly kind: "historyLost"; };
+
+/** Reads and watches of the store. Every call rejects with a `StoreError` when it fails. */
+export interface StateStore {
+    readonly list: <Kind extends SharedKind>(kind: Kind, signal: AbortSignal) => Promise<Snapshot<SharedItems[Kind]>>;
+    /** Resolves as soon as there is a change after `since`, or when nothing changed for a while. */
+    readonly watch: <Kind extends SharedKind>(
+        kind: Kind,
+        since: number,
+        signal: AbortSignal,
+    ) => Promise<WatchOutcome<SharedItems[Kind]>>;
+    /** Records this box, in place of its record of an earlier life. */
+    readonly announce: (record: MemberRecord, signal: AbortSignal) => Promise<void>;
+    readonly listBoxes: (signal: AbortSignal) => Promise<readonly MemberRecord[]>;
+}
+
+/** Why a call of the store failed. */
+export type StoreFailure = "unreachable" | "silent" | "refused" | "unreadable";
+
+/** A failed call of the store. */
+export class StoreError extends Error {
+    constructor(readonly failure: StoreFailure, detail: string) {
+        super(`store ${failure}: ${detail}`);
+    }
+}
--- /dev/null
+++ b/packages/steering/src/cold-admission.ts
@@ -0,0 +1,65 @@
+/**
+ * Bounds what a cold server gets from all boxes together, without messages.
+ *
+ * A few boxes, the best by rendezvous hashing for that server, may send to it;
+ * each has an equal part of the rate and saves up at most one request. So in
+ * any second all boxes together send at most the rate plus one a box.
+ */
+
+import { type BoxId, hashText, type Milliseconds, type ServerId } from "@chalkdale/core";
+import { rendezvousScore } from "./rendezvous.js";
+
+/** Boxes that may send to one cold server. */
+const mostSenders = 4;
+/** Part of the rate that is used. */
+const usedShareOfRate = 0.9;
+const second = 1000;
+
+/** Admission of one box to one cold server. */
+export interface ColdAdmission {
+    /** True if a request may be sent now; it doesn't count as sent. */
+    readonly allows: (at: Milliseconds) => boolean;
+    readonly onSent: (at: Milliseconds) => void;
+}
+
+export interface ColdAdmissionOptions {
+    readonly self: BoxId;
+    readonly server: ServerId;
+    /** Boxes that run, this one included. */
+    readonly boxes: () => readonly BoxId[];
+    /** Requests a second that the server bears from all boxes. */
+    readonly rate: () => number;
+}
+
+/** Creates the admission; nothing is saved up at first. */
+export function createColdAdmission(options: ColdAdmissionOptions): ColdAdmission {
+    const serverHash = hashText(options.server);
+    let nextAt: number | undefined;
+
+    return {
+        allows(at) {
+            const interval = sendInterval();
+            if (interval === undefined) {
+                return false;
+            }
+            nextAt ??= at;
+            return at >= nextAt;
+        },
+        onSent(at) {
+            nextAt = Math.max(nextAt ?? at, at) + (sendInterval() ?? second);
+        },
+    };
+
+    /** Milliseconds between two requests of this box, or undefined if it may send none. */
+    function sendInterval(): number | undefined {
+        const boxes = options.boxes();
+        const rate = options.rate();
+        if (rate <= 0) {
+            return undefined;
+        }
+        const own = rendezvousScore(serverHash, hashText(options.self), 1);
+        const better = boxes.filter(box => rendezvousScore(serverHash, hashText(box), 1) > own).length;
+        const senders = Math.min(mostSenders, Math.max(1, boxes.length));
+        return better < senders ? second * senders / (rate * usedShareOfRate) : undefined;
+    }
+}
--- /dev/null
+++ b/packages/steering/src/configuration.ts
@@ -0,0 +1,74 @@
+/**
+ * The configuration in force: routes, services and limits, as one immutable value.
+ *
+ * Versions only go up. A process never replaces a configuration by one with a
+ * lower version.
+ */
+
+import type { Milliseconds, RegionId, ServiceId } from "@chalkdale/core";
+
+/** Whether a request may run more than once. Downloads are repeatable and have large answers. */
+export type RouteKind = "safe" | "unsafe" | "download";
+
+/** One destination of a route and its part of the requests. */
+export interface WeightedService {
+    readonly service: ServiceId;
+    /** Relative to the other destinations of the route; 0 gets nothing. */
+    readonly weight: number;
+}
+
+/** Where requests of one host and path prefix go, and within which limits. */
+export interface Route {
+    readonly name: string;
+    readonly host: string;
+    /** Begins and ends with a slash. */
+    readonly pathPrefix: string;
+    readonly kind: RouteKind;
+    /** One destination, or several between which requests are divided. */
+    readonly destinations: readonly WeightedService[];
+    /** Time within which an answer is worth its full credit. */
+    readonly goal: Milliseconds;
+    /** Longest time that a request is held. */
+    readonly timeout: Milliseconds;
+    /** Most servers that one request may be sent to. */
+    readonly maxAttempts: number;
+    /** 0 is the most urgent. */
+    readonly priority: number;
+    /** Servers do repeated work on the same object faster. */
+    readonly sticky: boolean;
+    /** The only regions that may serve the route; empty when all may. */
+    readonly homeRegions: readonly RegionId[];
+}
+
+/** What all servers of one service have in common. */
+export interface Service {
+    readonly id: ServiceId;
+    readonly healthPath: string;
+    /** Connections that one server accepts from all callers together. */
+    readonly maxConnections: number;
+    /** Time for which a newly started server is cold. */
+    readonly warmup: Milliseconds;
+    /** Requests a second that a cold server bears from all callers together. */
+    readonly coldRate: number;
+}
+
+/** Bounds on what a caller may send. Sizes in bytes. */
+export interface CallerLimits {
+    readonly maxHeaderBytes: number;
+    readonly maxBodyBytes: number;
+    readonly headerTimeout: Milliseconds;
+    readonly idleTimeout: Milliseconds;
+}
+
+/** A whole configuration. */
+export interface Configuration {
+    readonly version: number;
+    readonly routes: readonly Route[];
+    readonly services: readonly Service[];
+    readonly limits: CallerLimits;
+}
+
+/** True for routes whose requests may run more than once. */
+export function isRepeatable(route: Route): boolean {
+    return route.kind !== "unsafe";
+}
--- /dev/null
+++ b/packages/steering/src/membership.ts
@@ -0,0 +1,130 @@
+/**
+ * Which boxes run, by gossip of heartbeat counters (van Renesse, Minsky and
+ * Hayden, "A gossip-style failure detection service", 1998).
+ *
+ * Each box counts up its own heartbeat and passes on the highest counters that
+ * it knows. A box whose counter stood still for too long counts as failed. No
+ * clocks are compared.
+ */
+
+import {
+    type BoxId,
+    type IncarnationId,
+    type Milliseconds,
+    milliseconds,
+    type RegionId,
+    type ZoneId,
+} from "@chalkdale/core";
+
+/** What boxes say about one box. */
+export interface MemberRecord {
+    readonly box: BoxId;
+    /** A later start of the box has a greater incarnation. */
+    readonly incarnation: IncarnationId;
+    readonly heartbeat: number;
+    readonly leaving: boolean;
+    /** False until the box can serve callers. */
+    readonly ready: boolean;
+    readonly region: RegionId;
+    readonly zone: ZoneId;
+    /** Where other boxes reach it. */
+    readonly peerAddress: string;
+    /** Where callers reach it. */
+    readonly callerAddress: string;
+}
+
+/** Members and how fresh each is. */
+export interface Membership {
+    /** Counts up the own heartbeat and returns the own record. */
+    readonly beat: (at: Milliseconds) => MemberRecord;
+    readonly setOwnState: (state: { readonly ready: boolean; readonly leaving: boolean; }) => void;
+    /** Takes what another box told. Returns boxes that were not known before. */
+    readonly merge: (records: readonly MemberRecord[], at: Milliseconds) => readonly MemberRecord[];
+    /** Boxes that run, this one included. */
+    readonly alive: (at: Milliseconds) => readonly MemberRecord[];
+    /** Boxes to which callers may be sent: alive, ready and not leaving. */
+    readonly inService: (at: Milliseconds) => readonly MemberRecord[];
+    /** Boxes heard of within the memory, to which gossip may go; this one excluded. */
+    readonly reachable: (at: Milliseconds) => readonly MemberRecord[];
+    /** The most recently changed records, for a message of bounded size. */
+    readonly freshest: (count: number, at: Milliseconds) => readonly MemberRecord[];
+}
+
+export interface MembershipOptions {
+    readonly self: MemberRecord;
+    /** A box whose heartbeat stood still this long counts as failed. */
+    readonly failAfter: Milliseconds;
+    /** A failed box is asked again for this long, in case it was cut off. */
+    readonly forgetAfter: Milliseconds;
+}
+
+interface Entry {
+    record: MemberRecord;
+    changedAt: Milliseconds;
+}
+
+/** Creates a membership that knows this box only. */
+export function createMembership(options: MembershipOptions): Membership {
+    const others = new Map<BoxId, Entry>();
+    let own = options.self;
+
+    return {
+        beat() {
+            own = { ...own, heartbeat: own.heartbeat + 1 };
+            return own;
+        },
+        setOwnState(state) {
+            own = { ...own, ...state };
+        },
+        merge(records, at) {
+            return records.filter(record => mergeOne(record, at));
+        },
+        alive: at => [own, ...recordsOf(entry => isAlive(entry, at))],
+        inService(at) {
+            const records = [own, ...recordsOf(entry => isAlive(entry, at))];
+            return records.filter(record => record.ready && !record.leaving);
+        },
+        reachable: at => recordsOf(entry => at - entry.changedAt < options.forgetAfter),
+        freshest(count, at) {
+            const entries = [...others.values()].filter(entry => isAlive(entry, at));
+            entries.sort((a, b) => b.changedAt - a.changedAt);
+            return [own, ...entries.slice(0, count - 1).map(entry => entry.record)];
+        },
+    };
+
+    function mergeOne(record: MemberRecord, at: Milliseconds): boolean {
+        if (record.box === own.box) {
+            return false;
+        }
+        const known = others.get(record.box);
+        if (known === undefined) {
+            others.set(record.box, { record, changedAt: at });
+            return true;
+        }
+        if (isNewer(record, known.record)) {
+            others.set(record.box, { record, changedAt: at });
+        }
+        return false;
+    }
+
+    function isAlive(entry: Entry, at: Milliseconds): boolean {
+        return at - entry.changedAt < options.failAfter;
+    }
+
+    function recordsOf(accept: (entry: Entry) => boolean): MemberRecord[] {
+        return [...others.values()].filter(accept).map(entry => entry.record);
+    }
+}
+
+function isNewer(record: MemberRecord, known: MemberRecord): boolean {
+    if (record.incarnation !== known.incarnation) {
+        return record.incarnation > known.incarnation;
+    }
+    return record.heartbeat > known.heartbeat;
+}
+
+/** Time after which a box counts as failed, for heartbeats this far apart in a deployment of this size. */
+export function failureTimeout(interval: Milliseconds, boxes: number): Milliseconds {
+    const rounds = 5 + 2 * Math.ceil(Math.log2(Math.max(2, boxes)));
+    return milliseconds(interval * rounds);
+}
--- /dev/null
+++ b/packages/steering/src/recent-keys.ts
@@ -0,0 +1,45 @@
+/**
+ * The affinity keys that a server worked on recently, as far as this box knows.
+ */
+
+import type { Milliseconds, ServerId } from "@chalkdale/core";
+
+/** Remembers keys by server. */
+export interface RecentKeys {
+    readonly add: (server: ServerId, keyHash: number, at: Milliseconds) => void;
+    readonly has: (server: ServerId, keyHash: number, at: Milliseconds) => boolean;
+    readonly forget: (server: ServerId) => void;
+}
+
+/** Keys remembered for each server; the oldest goes first. */
+const mostKeys = 64;
+/** After this long a key is taken as forgotten by the server. */
+const keyLifetime = 10_000;
+
+/** Creates an empty memory. */
+export function createRecentKeys(): RecentKeys {
+    const byServer = new Map<ServerId, Map<number, Milliseconds>>();
+
+    return {
+        add(server, keyHash, at) {
+            let keys = byServer.get(server);
+            if (keys === undefined) {
+                keys = new Map();
+                byServer.set(server, keys);
+            }
+            keys.delete(keyHash);
+            keys.set(keyHash, at);
+            if (keys.size > mostKeys) {
+                const [oldest] = keys.keys();
+                keys.delete(oldest);
+            }
+        },
+        has(server, keyHash, at) {
+            const seenAt = byServer.get(server)?.get(keyHash);
+            return seenAt !== undefined && at - seenAt < keyLifetime;
+        },
+        forget: server => {
+            byServer.delete(server);
+        },
+    };
+}
--- /dev/null
+++ b/packages/steering/src/rendezvous.ts
@@ -0,0 +1,36 @@
+/**
+ * Weighted rendezvous hashing: every box ranks the same servers in the same
+ * order for a key, and few keys move when the list changes.
+ *
+ * Scores are `-weight / ln(u)` with a hash `u` in (0, 1), so that each server is
+ * first for a share of the keys in proportion to its weight (Schindelhauer and
+ * Schomaker, weighted distributed hash tables).
+ */
+
+import { hashText } from "@chalkdale/core";
+
+/** Something that keys are spread over. */
+export interface RendezvousCandidate {
+    /** Hash of the candidate's id; see {@link hashText}. */
+    readonly idHash: number;
+}
+
+const twoToThe32 = 4294967296;
+
+/** Returns the score of a candidate for a key; the highest wins. */
+export function rendezvousScore(keyHash: number, idHash: number, weight: number): number {
+    const mixed = mixHashes(keyHash, idHash);
+    return -weight / Math.log((mixed + 0.5) / twoToThe32);
+}
+
+/** Returns the hash of a key within a service, so that services spread their keys independently. */
+export function hashKey(service: string, key: string): number {
+    return hashText(`${service}\u0000${key}`);
+}
+
+function mixHashes(first: number, second: number): number {
+    let hash = Math.imul(first ^ 0x9e3779b9, 0x85ebca6b) ^ second;
+    hash = Math.imul(hash ^ (hash >>> 16), 0x7feb352d);
+    hash = Math.imul(hash ^ (hash >>> 15), 0x846ca68b);
+    return (hash ^ (hash >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/steering/src/replica.ts
@@ -0,0 +1,82 @@
+/**
+ * A box's copy of one kind of shared state, with the revision up to which it is
+ * known to be complete.
+ *
+ * Copies come from the store or from another box. A copy only moves to higher
+ * revisions, so an old one never replaces a newer one, whoever sent it.
+ */
+
+/** A complete copy as of a revision. */
+export interface Snapshot<Item> {
+    /** Complete up to this revision of the store. */
+    readonly revision: number;
+    readonly items: readonly Item[];
+}
+
+/** One change of an item. */
+export type ItemChange<Item> =
+    | { readonly kind: "put"; readonly name: string; readonly item: Item; }
+    | { readonly kind: "gone"; readonly name: string; };
+
+/** A copy that is kept up to date. */
+export interface Replica<Item> {
+    /** Revision up to which the copy is complete; undefined before the first snapshot. */
+    readonly revision: () => number | undefined;
+    /** Revision of the last change that the copy holds. */
+    readonly changedRevision: () => number;
+    /** Replaces the copy; false if it is not newer. */
+    readonly applySnapshot: (snapshot: Snapshot<Item>) => boolean;
+    /** Applies changes that follow `since`; false if they don't follow the copy. */
+    readonly applyChanges: (since: number, changes: readonly ItemChange<Item>[], revision: number) => boolean;
+    readonly snapshot: () => Snapshot<Item> | undefined;
+}
+
+/** Creates an empty copy. */
+export function createReplica<Item>(
+    nameOf: (item: Item) => string,
+    onChange: (items: readonly Item[]) => void,
+): Replica<Item> {
+    let items = new Map<string, Item>();
+    let revision: number | undefined;
+    let changedRevision = 0;
+
+    return {
+        revision: () => revision,
+        changedRevision: () => changedRevision,
+        applySnapshot(snapshot) {
+            if (revision !== undefined && snapshot.revision <= revision) {
+                return false;
+            }
+            items = new Map(snapshot.items.map(item => [nameOf(item), item]));
+            revision = snapshot.revision;
+            changedRevision = snapshot.revision;
+            onChange([...items.values()]);
+            return true;
+        },
+        applyChanges(since, changes, next) {
+            if (revision !== since || next < since) {
+                return false;
+            }
+            revision = next;
+            if (changes.length === 0) {
+                return true;
+            }
+            changes.forEach(applyChange);
+            changedRevision = next;
+            onChange([...items.values()]);
+            return true;
+        },
+        snapshot: () => revision === undefined ? undefined : { revision, items: [...items.values()] },
+    };
+
+    function applyChange(change: ItemChange<Item>): void {
+        switch (change.kind) {
+            case "put":
+                items.set(change.name, change.item);
+                return;
+            case "gone":
+                items.delete(change.name);
+                return;
+        }
+    }
+}
--- /dev/null
+++ b/packages/steering/src/server-record.ts
@@ -0,0 +1,22 @@
+/**
+ * What discovery says about one backend server.
+ */
+
+import type { Milliseconds, RegionId, ServerId, ServiceId, ZoneId } from "@chalkdale/core";
+
+/** One backend server as it was recorded. An id stands for one life of a server. */
+export interface ServerRecord {
+    readonly id: ServerId;
+    readonly service: ServiceId;
+    /** Host and port, for instance `192.0.2.7:8080`. */
+    readonly address: string;
+    readonly zone: ZoneId;
+    readonly region: RegionId;
+    /** Requests that the server works on at once. */
+    readonly slots: number;
+    readonly draining: boolean;
+    /** How much longer the server was cold when it wrote the record. */
+    readonly coldFor: Milliseconds;
+    /** Revision of the record in the store. */
+    readonly revision: number;
+}
--- /dev/null
+++ b/packages/steering/src/server-standing.ts
@@ -0,0 +1,214 @@
+/**
+ * What a box believes about one backend server: its load, its speed, whether
+ * it may take work. All of it comes from answers and from discovery; times are
+ * passed in.
+ */
+
+import { type Milliseconds, milliseconds } from "@chalkdale/core";
+import type { ColdAdmission } from "./cold-admission.js";
+import type { ServerRecord } from "./server-record.js";
+
+/** Load that a server told in an answer. */
+export interface LoadReport {
+    readonly running: number;
+    readonly waiting: number;
+    readonly slots: number;
+}
+
+/** Why a server may not take a request now. */
+export type Unfitness = "draining" | "replaced" | "unlisted" | "ejected" | "cold";
+
+/** State of one server as this box sees it. */
+export interface ServerStanding {
+    readonly record: () => ServerRecord;
+    /** Takes a newer record of the same server. */
+    readonly applyRecord: (record: ServerRecord, at: Milliseconds) => void;
+    /** Discovery no longer lists the server. */
+    readonly onUnlisted: (at: Milliseconds) => void;
+    readonly onSent: (at: Milliseconds) => void;
+    /** A request ended in any way; `report` if the answer told the load. */
+    readonly onEnded: (at: Milliseconds, report?: LoadReport) => void;
+    /** An answer took `ratio` times as long as expected. */
+    readonly onAnswerTime: (at: Milliseconds, ratio: number) => void;
+    /** The server did not accept a connection, or broke off. */
+    readonly onFailure: (at: Milliseconds, severity: FailureSeverity) => void;
+    /** The server refused a request unrun since it is full. */
+    readonly onFull: (at: Milliseconds) => void;
+    /** The server works: an answer or a good health check. */
+    readonly onHealthy: (at: Milliseconds) => void;
+    /** Another server has the address. */
+    readonly onReplaced: () => void;
+    /** The server tells that it stays cold for so long. */
+    readonly onCold: (at: Milliseconds, duration: Milliseconds) => void;
+    readonly unfitness: (at: Milliseconds) => Unfitness | undefined;
+    readonly isCold: (at: Milliseconds) => boolean;
+    /** Requests at the server, running and waiting, as far as this box can tell. */
+    readonly load: (at: Milliseconds) => number;
+    /** 1 for a server of ordinary speed, more for a slow one. */
+    readonly slowness: (at: Milliseconds) => number;
+    readonly inFlight: () => number;
+    readonly lastAnswerAt: () => Milliseconds | undefined;
+    /** When a health check is due, or undefined if none is wanted. */
+    readonly probeDueAt: () => Milliseconds | undefined;
+    readonly onProbed: (at: Milliseconds, healthy: boolean) => void;
+}
+
+/** `unreachable`: no connection; `brokeOff`: a connection ended or spoiled an answer. */
+export type FailureSeverity = "unreachable" | "brokeOff";
+
+/** A load report counts in full for this long, then fades. */
+const reportLifetime = 1000;
+/** Time for which a refusal as full keeps other requests away, in milliseconds. */
+const fullPause = 60;
+const firstEjection = 1000;
+const longestEjection = 8000;
+/** Failures in a row after which a server is left out. */
+const failuresBeforeEjection = 3;
+const slownessSmoothing = 0.25;
+/** Time after which half of a server's measured slowness is forgotten. */
+const slownessHalfLife = 5000;
+const leastRatio = 0.25;
+const greatestRatio = 20;
+
+export interface ServerStandingOptions {
+    readonly cold: ColdAdmission;
+    /** Added to the time that a record says a server stays cold, for the record's way here. */
+    readonly coldMargin: Milliseconds;
+}
+
+/** Creates the standing of a newly listed server. */
+export function createServerStanding(
+    first: ServerRecord,
+    at: Milliseconds,
+    options: ServerStandingOptions,
+): ServerStanding {
+    let record = first;
+    let unlisted = false;
+    let replaced = false;
+    let coldUntil = coldEnd(first, at);
+    let inFlight = 0;
+    let report: (LoadReport & { readonly at: Milliseconds; readonly inFlight: number; }) | undefined;
+    let fullUntil = 0;
+    let slow = 1;
+    let slowAt: number = at;
+    let failures = 0;
+    let ejection = firstEjection;
+    let ejected = false;
+    let probeAt: number | undefined;
+    let lastAnswerAt: Milliseconds | undefined;
+
+    const standing: ServerStanding = {
+        record: () => record,
+        applyRecord(next, now) {
+            if (next.coldFor > 0 && (next.coldFor !== record.coldFor || unlisted)) {
+                coldUntil = Math.max(coldUntil, coldEnd(next, now));
+            }
+            record = next;
+            unlisted = false;
+        },
+        onUnlisted() {
+            unlisted = true;
+        },
+        onSent(now) {
+            inFlight += 1;
+            if (standing.isCold(now)) {
+                options.cold.onSent(now);
+            }
+        },
+        onEnded(now, told) {
+            inFlight -= 1;
+            if (told !== undefined) {
+                report = { ...told, at: now, inFlight };
+            }
+        },
+        onAnswerTime(now, ratio) {
+            const bounded = Math.min(greatestRatio, Math.max(leastRatio, ratio));
+            slow = standing.slowness(now) * (1 - slownessSmoothing) + bounded * slownessSmoothing;
+            slowAt = now;
+        },
+        onFailure(now, severity) {
+            failures += 1;
+            if (severity === "unreachable" || failures >= failuresBeforeEjection) {
+                eject(now);
+            }
+        },
+        onFull(now) {
+            fullUntil = now + fullPause;
+        },
+        onHealthy(now) {
+            failures = 0;
+            ejected = false;
+            probeAt = undefined;
+            ejection = firstEjection;
+            lastAnswerAt = now;
+        },
+        onReplaced() {
+            replaced = true;
+        },
+        onCold(now, duration) {
+            coldUntil = Math.max(coldUntil, now + duration);
+        },
+        unfitness(now) {
+            if (replaced) {
+                return "replaced";
+            }
+            if (record.draining) {
+                return "draining";
+            }
+            if (unlisted) {
+                return "unlisted";
+            }
+            if (ejected) {
+                return "ejected";
+            }
+            return standing.isCold(now) && !options.cold.allows(now) ? "cold" : undefined;
+        },
+        isCold: now => now < coldUntil,
+        load: estimateLoad,
+        slowness(now) {
+            return 1 + (slow - 1) * 0.5 ** ((now - slowAt) / slownessHalfLife);
+        },
+        inFlight: () => inFlight,
+        lastAnswerAt: () => lastAnswerAt,
+        probeDueAt: () => replaced || unlisted ? undefined : probeAt as Milliseconds | undefined,
+        onProbed(now, healthy) {
+            if (healthy) {
+                standing.onHealthy(now);
+                return;
+            }
+            eject(now);
+        },
+    };
+    return standing;
+
+    function coldEnd(told: ServerRecord, now: Milliseconds): number {
+        return told.coldFor > 0 ? now + told.coldFor + options.coldMargin : 0;
+    }
+
+    function eject(now: Milliseconds): void {
+        if (ejected && probeAt !== undefined && now < probeAt) {
+            return;
+        }
+        ejected = true;
+        probeAt = now + ejection;
+        ejection = Math.min(longestEjection, ejection * 2);
+    }
+
+    function estimateLoad(now: Milliseconds): number {
+        if (now < fullUntil) {
+            return Math.max(inFlight, record.slots * 3);
+        }
+        if (report === undefined) {
+            return inFlight;
+        }
+        const age = now - report.at;
+        const weight = age < reportLifetime ? 1 : Math.max(0, 2 - age / reportLifetime);
+        const others = Math.max(0, report.running + report.waiting - report.inFlight) * weight;
+        return others + inFlight;
+    }
+}
+
+/** Returns the time left until a moment, never negative. */
+export function timeUntil(moment: Milliseconds, at: Milliseconds): Milliseconds {
+    return milliseconds(Math.max(0, moment - at));
+}
--- /dev/null
+++ b/packages/steering/src/sliding-count.ts
@@ -0,0 +1,50 @@
+/**
+ * Counts events of the last so many milliseconds in a ring of small intervals.
+ */
+
+import type { Milliseconds } from "@chalkdale/core";
+
+/** A count over a sliding window. Times never go back. */
+export interface SlidingCount {
+    readonly add: (at: Milliseconds, count?: number) => void;
+    /** Events within the window that ends at the given time; the oldest interval counts whole. */
+    readonly total: (at: Milliseconds) => number;
+}
+
+const intervals = 20;
+
+/** Creates an empty count. */
+export function createSlidingCount(window: Milliseconds): SlidingCount {
+    const length = window / intervals;
+    const counts = new Array<number>(intervals + 1).fill(0);
+    let current = 0;
+    let sum = 0;
+
+    return {
+        add(at, count = 1) {
+            advance(at);
+            counts[current % counts.length] += count;
+            sum += count;
+        },
+        total(at) {
+            advance(at);
+            return sum;
+        },
+    };
+
+    function advance(at: Milliseconds): void {
+        const target = Math.floor(at / length);
+        if (target - current > counts.length) {
+            counts.fill(0);
+            sum = 0;
+            current = target;
+            return;
+        }
+        while (current < target) {
+            current += 1;
+            const index = current % counts.length;
+            sum -= counts[index];
+            counts[index] = 0;
+        }
+    }
+}
--- /dev/null
+++ b/packages/steering/src/weighted-rotation.ts
@@ -0,0 +1,30 @@
+/**
+ * Divides requests between destinations in proportion to their weights.
+ *
+ * Smooth weighted rotation: over any run of requests each destination gets its
+ * share to within one request, and the order is spread out.
+ */
+
+import type { ServiceId } from "@chalkdale/core";
+import type { WeightedService } from "./configuration.js";
+
+/** Picks the next destination. */
+export type WeightedRotation = () => ServiceId;
+
+/** Creates a rotation. Destinations with weight 0 are never picked unless all have weight 0. */
+export function createWeightedRotation(destinations: readonly WeightedService[]): WeightedRotation {
+    const total = destinations.reduce((sum, destination) => sum + destination.weight, 0);
+    const credit = destinations.map(() => 0);
+
+    return () => {
+        let best = 0;
+        destinations.forEach((destination, index) => {
+            credit[index] += destination.weight;
+            if (credit[index] > credit[best]) {
+                best = index;
+            }
+        });
+        credit[best] -= total;
+        return destinations[best].service;
+    };
+}
