--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -68,6 +68,8 @@
             settle({ kind: "broken", reason: String(error) });
             return;
         }
+        // Without an agent Node takes every connection as the last of its kind, whatever the headers say.
+        request.shouldKeepAlive = true;
         request.on("error", error => settle({ kind: "broken", reason: error.message }));
         let isComplete = () => false;
         request.on("close", () => {
