--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -18,6 +18,8 @@
     readonly rawHeaders: readonly string[];
     readonly headers: NodeJS.Dict<string | string[]>;
     readonly body: Buffer;
+    /** True if its length was told, so that a whole answer can be told from a shorter one. */
+    readonly framed: boolean;
     /** True if the connection may carry another request. */
     readonly reusable: boolean;
 }
@@ -103,7 +105,7 @@
         }
 
         function onEnd(response: IncomingMessage, chunks: Buffer[]): void {
-            if (!response.complete) {
+            if (!response.complete || !isFramed(response) && socket.errored) {
                 settle({ kind: "broken", reason: "answer cut off" });
                 return;
             }
@@ -116,6 +118,7 @@
                     rawHeaders: response.rawHeaders,
                     headers: response.headers,
                     body: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks),
+                    framed: isFramed(response),
                     reusable,
                 },
             });
@@ -137,6 +140,13 @@
     });
 }
 
+function isFramed(response: IncomingMessage): boolean {
+    return response.headers["content-length"] !== undefined || response.headers["transfer-encoding"] !== undefined
+        || statusesWithoutBody.has(response.statusCode ?? 0);
+}
+
+const statusesWithoutBody = new Set([204, 304]);
+
 const millisecondsOfSecond = 1000;
 const keepAliveTimeout = /timeout=(\d+)/;
 
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -331,8 +331,11 @@
         }
         response.sendDate = false;
         const back = passOnHeaders(answer.rawHeaders, new Set());
-        back.push("Content-Length", String(answer.body.length));
-        if (options.isLeaving()) {
+        response.useChunkedEncodingByDefault = false;
+        if (answer.framed) {
+            back.push("Content-Length", String(answer.body.length));
+        }
+        if (options.isLeaving() || !answer.framed) {
             response.shouldKeepAlive = false;
             back.push("Connection", "close");
         }
--- /dev/null
+++ b/packages/gateway/test/exchange.test.ts
@@ -0,0 +1,137 @@
+import { expect } from "chai";
+import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+import { Duplex } from "node:stream";
+import { exchange, type ExchangeOutcome } from "../src/exchange.js";
+
+/** Plays one scripted answer for each request that comes over a connection. */
+async function withServer(
+    answer: (socket: Socket, request: string) => void,
+    use: (ask: (requestId?: string) => Promise<ExchangeOutcome>) => Promise<void>,
+): Promise<void> {
+    const server: Server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.on("data", data => answer(socket, data.toString()));
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    const socket = connect(port, "127.0.0.1");
+    await new Promise(resolve => socket.once("connect", resolve));
+    const ask = (requestId = "r-1") =>
+        exchange({
+            socket,
+            method: "GET",
+            path: "/a/",
+            rawHeaders: ["Host", "example", "Request-Id", requestId, "Connection", "keep-alive"],
+            body: Buffer.alloc(0),
+            requestId,
+            headers: { requestId: "request-id" },
+            signal: new AbortController().signal,
+        });
+    try {
+        await use(ask);
+    }
+    finally {
+        socket.destroy();
+        server.close();
+    }
+}
+
+const head = (lines: string[] = [], id = "r-1") => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n${lines.join("")}\r\n`;
+const framed = (body: string, id = "r-1") => head([`Content-Length: ${body.length}\r\n`], id) + body;
+
+describe("exchange with a backend server", () => {
+    describe("an answer with a length", () => {
+        it("is taken whole, and the connection carries the next request", async () => {
+            await withServer((socket, request) => {
+                socket.write(framed("whole", request.includes("r-2") ? "r-2" : "r-1"));
+            }, async ask => {
+                const first = await ask("r-1");
+                const second = await ask("r-2");
+                expect([first, second].map(outcome => outcome.kind === "answer" && outcome.answer.body.toString()))
+                    .to.deep.equal(["whole", "whole"]);
+            });
+        });
+
+        it("is broken when it ends early", async () => {
+            await withServer(socket => {
+                socket.end(head(["Content-Length: 10\r\n"]) + "shor");
+            }, async ask => {
+                expect((await ask()).kind).to.equal("broken");
+            });
+        });
+    });
+
+    describe("an answer without a length", () => {
+        it("is whole when the server ends its connection", async () => {
+            await withServer(socket => socket.end(head() + "whole"), async ask => {
+                const outcome = await ask();
+                expect(outcome.kind === "answer" && outcome.answer.body.toString()).to.equal("whole");
+                expect(outcome.kind === "answer" && outcome.answer.reusable).to.equal(false);
+            });
+        });
+
+        it("is broken when the connection is reset on the way", async () => {
+            await withServer(socket => {
+                socket.write(head() + "part", () => setTimeout(() => socket.resetAndDestroy(), 20));
+            }, async ask => {
+                expect((await ask()).kind).to.equal("broken");
+            });
+        });
+    });
+
+    describe("an answer without a length whose end and reset are read in one turn", () => {
+        it("is broken", async () => {
+            const socket = new Duplex({
+                read: () => undefined,
+                write(_chunk, _encoding, done) {
+                    done();
+                    setImmediate(() => {
+                        socket.push(head() + "part");
+                        process.nextTick(() => socket.destroy(new Error("read ECONNRESET")));
+                    });
+                },
+            });
+            const outcome = await exchange({
+                socket: socket as Socket,
+                method: "GET",
+                path: "/a/",
+                rawHeaders: ["Host", "example", "Request-Id", "r-1"],
+                body: Buffer.alloc(0),
+                requestId: "r-1",
+                headers: { requestId: "request-id" },
+                signal: new AbortController().signal,
+            });
+            expect(outcome.kind).to.equal("broken");
+        });
+    });
+
+    describe("what does not belong to the request", () => {
+        it("breaks it when the answer is another request's", async () => {
+            await withServer(socket => socket.write(framed("other", "r-0")), async ask => {
+                expect(await ask()).to.deep.equal({ kind: "broken", reason: "answer of another request" });
+            });
+        });
+
+        it("breaks it when the bytes are no answer", async () => {
+            await withServer(socket => socket.write("nonsense\r\n\r\n"), async ask => {
+                expect((await ask()).kind).to.equal("broken");
+            });
+        });
+
+        it("does not reach the next request when a second answer follows the first", async () => {
+            await withServer((socket, request) => {
+                const id = request.includes("r-2") ? "r-2" : "r-1";
+                socket.write(framed("first", id) + framed("extra", id));
+            }, async ask => {
+                const first = await ask("r-1");
+                expect(first.kind === "answer" && first.answer.body.toString()).to.equal("first");
+            });
+        });
+    });
+
+    it("is broken when the connection closes without an answer", async () => {
+        await withServer(socket => socket.end(), async ask => {
+            expect((await ask()).kind).to.equal("broken");
+        });
+    });
+});
--- /dev/null
+++ b/packages/steering/test/replica.test.ts
@@ -0,0 +1,103 @@
+import { boxId, incarnationId, milliseconds, regionId, zoneId } from "@chalkdale/core";
+import { expect } from "chai";
+import { chooseBoxes, createMembership, createReplica, type MemberRecord } from "../src/index.js";
+
+describe("replica", () => {
+    function create() {
+        const seen: string[][] = [];
+        const replica = createReplica<{ name: string; }>(
+            item => item.name,
+            items => seen.push(items.map(item => item.name)),
+        );
+        return { replica, seen };
+    }
+
+    it("never goes back to an older snapshot, whoever sent it", () => {
+        const { replica, seen } = create();
+        expect(replica.applySnapshot({ revision: 5, items: [{ name: "new" }] })).to.equal(true);
+        expect(replica.applySnapshot({ revision: 4, items: [{ name: "old" }] })).to.equal(false);
+        expect(seen).to.deep.equal([["new"]]);
+    });
+
+    it("refuses changes that do not follow its revision", () => {
+        const { replica } = create();
+        replica.applySnapshot({ revision: 5, items: [] });
+        expect(replica.applyChanges(4, [{ kind: "put", name: "a", item: { name: "a" } }], 6)).to.equal(false);
+        expect(replica.revision()).to.equal(5);
+    });
+
+    it("tells the revision of the last change apart from the one it is complete to", () => {
+        const { replica } = create();
+        replica.applySnapshot({ revision: 5, items: [{ name: "a" }] });
+        replica.applyChanges(5, [], 9);
+        expect(replica.revision()).to.equal(9);
+        expect(replica.changedRevision()).to.equal(5);
+        replica.applyChanges(9, [{ kind: "gone", name: "a" }], 12);
+        expect(replica.snapshot()).to.deep.equal({ revision: 12, items: [] });
+        expect(replica.changedRevision()).to.equal(12);
+    });
+});
+
+function createMember(box: string, changes: Partial<MemberRecord> = {}): MemberRecord {
+    return {
+        box: boxId(box),
+        incarnation: incarnationId("1"),
+        heartbeat: 1,
+        leaving: false,
+        ready: true,
+        region: regionId("north"),
+        zone: zoneId("north-a"),
+        peerAddress: `${box}:1`,
+        callerAddress: `${box}:2`,
+        ...changes,
+    };
+}
+
+describe("membership", () => {
+    const create = () =>
+        createMembership({
+            self: createMember("self"),
+            failAfter: milliseconds(4000),
+            forgetAfter: milliseconds(60_000),
+        });
+    const namesOf = (records: readonly MemberRecord[]) => records.map(record => record.box as string);
+
+    it("takes a box whose heartbeat stands still as failed, and keeps greeting it", () => {
+        const members = create();
+        members.merge([createMember("a")], milliseconds(0));
+        members.merge([createMember("a")], milliseconds(3000));
+        expect(namesOf(members.alive(milliseconds(3900)))).to.deep.equal(["self", "a"]);
+        expect(namesOf(members.alive(milliseconds(4100)))).to.deep.equal(["self"]);
+        expect(namesOf(members.reachable(milliseconds(4100)))).to.deep.equal(["a"]);
+    });
+
+    it("takes a new life of a box at once, and nothing of the old one after it", () => {
+        const members = create();
+        members.merge([createMember("a", { heartbeat: 90 })], milliseconds(0));
+        members.merge([createMember("a", { incarnation: incarnationId("2"), heartbeat: 1 })], milliseconds(10));
+        members.merge([createMember("a", { heartbeat: 95, leaving: true })], milliseconds(20));
+        expect(namesOf(members.inService(milliseconds(30)))).to.deep.equal(["self", "a"]);
+    });
+
+    it("keeps boxes that are leaving or not ready out of service", () => {
+        const members = create();
+        members.merge([createMember("a", { leaving: true }), createMember("b", { ready: false })], milliseconds(0));
+        expect(namesOf(members.inService(milliseconds(10)))).to.deep.equal(["self"]);
+        expect(namesOf(members.alive(milliseconds(10)))).to.deep.equal(["self", "a", "b"]);
+    });
+
+    it("is not told about itself by others", () => {
+        const members = create();
+        members.merge([createMember("self", { leaving: true, heartbeat: 99 })], milliseconds(0));
+        expect(namesOf(members.inService(milliseconds(10)))).to.deep.equal(["self"]);
+    });
+});
+
+describe("directory", () => {
+    it("names the boxes of the caller's region, and others only if it has none", () => {
+        const north = createMember("n");
+        const south = createMember("s", { region: regionId("south") });
+        expect(chooseBoxes([north, south], { region: regionId("south"), zone: undefined })).to.deep.equal(["s:2"]);
+        expect(chooseBoxes([north], { region: regionId("south"), zone: undefined })).to.deep.equal(["n:2"]);
+    });
+});
--- /dev/null
+++ b/packages/steering/test/server-choice.test.ts
@@ -0,0 +1,186 @@
+import { hashText, milliseconds, regionId, serverId, serviceId, zoneId } from "@chalkdale/core";
+import { boxId } from "@chalkdale/core";
+import { expect } from "chai";
+import {
+    type ChoiceRequest,
+    createColdAdmission,
+    createRecentKeys,
+    createServerCatalog,
+    createServerChoice,
+    createServerStanding,
+    createWorkEstimate,
+    hashKey,
+    type Route,
+    type ServerRecord,
+} from "../src/index.js";
+
+const service = serviceId("profiles");
+const at = milliseconds(1000);
+
+function createRoute(changes: Partial<Route> = {}): Route {
+    return {
+        name: "lookup",
+        host: "example",
+        pathPrefix: "/a/",
+        kind: "safe",
+        destinations: [{ service, weight: 1 }],
+        goal: milliseconds(400),
+        timeout: milliseconds(1500),
+        maxAttempts: 2,
+        priority: 2,
+        sticky: true,
+        homeRegions: [],
+        ...changes,
+    };
+}
+
+function createRecord(name: string, changes: Partial<ServerRecord> = {}): ServerRecord {
+    return {
+        id: serverId(name),
+        service,
+        address: `192.0.2.${name.length}:80`,
+        zone: zoneId("north-a"),
+        region: regionId("north"),
+        slots: 4,
+        draining: false,
+        coldFor: milliseconds(0),
+        revision: 1,
+        ...changes,
+    };
+}
+
+function createSetup(records: readonly ServerRecord[], closedZones: readonly string[] = []) {
+    const catalog = createServerCatalog((record, now) =>
+        createServerStanding(record, now, {
+            coldMargin: milliseconds(0),
+            cold: createColdAdmission({
+                self: boxId("box-1"),
+                server: record.id,
+                boxes: () => [boxId("box-1")],
+                rate: () => 10,
+            }),
+        })
+    );
+    catalog.applyList(records, at);
+    const recentKeys = createRecentKeys();
+    const choose = createServerChoice({
+        region: regionId("north"),
+        zone: zoneId("north-a"),
+        catalog,
+        recentKeys,
+        work: createWorkEstimate(),
+        roundTrip: region => milliseconds(region === "north" ? 1 : 70),
+        admitsZone: zone => !closedZones.includes(zone),
+    });
+    const request = (changes: Partial<ChoiceRequest> = {}): ChoiceRequest => ({
+        route: createRoute(),
+        service,
+        keyHash: hashKey(service, "key-1"),
+        tried: new Set(),
+        timeLeft: milliseconds(1500),
+        at,
+        ...changes,
+    });
+    const chosen = (changes: Partial<ChoiceRequest> = {}) => {
+        const choice = choose(request(changes));
+        return choice.kind === "chosen" ? choice.server.id : choice.kind;
+    };
+    return { catalog, choose, chosen, recentKeys, request };
+}
+
+const fourServers = ["s-1", "s-2", "s-3", "s-4"].map(name => createRecord(name));
+
+describe("server choice", () => {
+    describe("affinity", () => {
+        it("sends a key to the same server again and again", () => {
+            const { chosen } = createSetup(fourServers);
+            const first = chosen();
+            expect(Array.from({ length: 20 }, () => chosen())).to.deep.equal(Array(20).fill(first));
+        });
+
+        it("moves few keys when a server goes, and none between those that stay", () => {
+            const before = createSetup(fourServers);
+            const after = createSetup(fourServers.slice(1));
+            for (let key = 0; key < 200; key++) {
+                const keyHash = hashText(`key-${key}`);
+                const was = before.chosen({ keyHash });
+                if (was !== serverId("s-1")) {
+                    expect(after.chosen({ keyHash })).to.equal(was);
+                }
+            }
+        });
+
+        it("spreads keys by slots", () => {
+            const { chosen } = createSetup([createRecord("s-1", { slots: 9 }), createRecord("s-2", { slots: 3 })]);
+            let first = 0;
+            for (let key = 0; key < 1000; key++) {
+                first += chosen({ keyHash: hashText(`key-${key}`) }) === serverId("s-1") ? 1 : 0;
+            }
+            expect(first).to.be.within(690, 810);
+        });
+
+        it("leaves a server whose wait costs more than cold work elsewhere", () => {
+            const { catalog, chosen } = createSetup(fourServers);
+            const first = chosen();
+            const { standing } = catalog.get(serverId(String(first)))!;
+            Array.from({ length: 24 }, () => standing.onSent(at));
+            expect(chosen()).not.to.equal(first);
+        });
+
+        it("leaves a slow server, and comes back when its slowness is forgotten", () => {
+            const { catalog, chosen } = createSetup(fourServers);
+            const first = chosen();
+            const { standing } = catalog.get(serverId(String(first)))!;
+            Array.from({ length: 8 }, () => standing.onAnswerTime(at, 10));
+            expect(chosen()).not.to.equal(first);
+            expect(chosen({ at: milliseconds(at + 60_000) })).to.equal(first);
+        });
+    });
+
+    describe("who may serve", () => {
+        it("leaves out draining, unlisted, replaced and tried servers", () => {
+            const records = [createRecord("s-1", { draining: true }), ...fourServers.slice(1)];
+            const { catalog, chosen } = createSetup(records);
+            catalog.get(serverId("s-2"))!.standing.onReplaced();
+            catalog.applyList(records.filter(record => record.id !== serverId("s-3")), at);
+            for (let key = 0; key < 50; key++) {
+                expect(chosen({ keyHash: hashText(`key-${key}`) })).to.equal(serverId("s-4"));
+            }
+            expect(chosen({ tried: new Set([serverId("s-4")]) })).to.equal("noServer");
+        });
+
+        it("leaves out closed zones and regions that are no home of the route", () => {
+            const records = [
+                createRecord("s-1"),
+                createRecord("s-2", { zone: zoneId("north-b") }),
+                createRecord("s-3", { zone: zoneId("south-a"), region: regionId("south") }),
+            ];
+            const { chosen } = createSetup(records, ["north-a"]);
+            const route = createRoute({ homeRegions: [regionId("north")] });
+            for (let key = 0; key < 50; key++) {
+                expect(chosen({ route, keyHash: hashText(`key-${key}`) })).to.equal(serverId("s-2"));
+            }
+        });
+
+        it("refuses when the answer can't come in time", () => {
+            const { choose, request } = createSetup(fourServers);
+            expect(choose(request({ timeLeft: milliseconds(5) })).kind).to.equal("tooLate");
+        });
+    });
+
+    describe("cold servers", () => {
+        it("get no more than their rate", () => {
+            const { catalog, choose, request } = createSetup([createRecord("s-1", { coldFor: milliseconds(3000) })]);
+            let sent = 0;
+            for (let time = 0; time < 1000; time += 5) {
+                const now = milliseconds(at + time);
+                const choice = choose(request({ at: now, timeLeft: milliseconds(5000) }));
+                if (choice.kind === "chosen") {
+                    catalog.get(choice.server.id)!.standing.onSent(now);
+                    sent += 1;
+                }
+            }
+            expect(sent).to.be.within(8, 11);
+        });
+    });
+});
