Add stand-ins for the users' platform and tests of a box over real sockets

Stand-ins: the store with pages, stale reads, watches, conditions, finalizers, bounded history and faults by caller; servers with slots, queue, warm keys and nine misbehaviours; clients that look up first. The tests found three faults, mended here: a route whose time limit is below the first guess of its work was refused as too late (now only measured work counts); a box named itself in the directory up to 250 ms after it was ready; a second stop of a box failed on a closed socket.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,7 +47,7 @@
 
 /** A running box. */
 export interface Gateway {
-    /** Stops as planned; resolves when the process may end. */
+    /** Stops as planned; resolves when the process may end. Later calls join the first. */
     readonly stop: () => Promise<void>;
     readonly isReady: () => boolean;
 }
@@ -109,6 +109,7 @@
     });
     const budgets = new Map<ServiceId, RepeatBudget>();
     let inFlight = 0;
+    let stopped: Promise<void> | undefined;
 
     const choose = createServerChoice({
         region: settings.region,
@@ -171,7 +172,10 @@
         createServer(createDirectoryListener({
             protocol,
             lifetime: settings.bounds.lookupLifetime,
-            inService: () => membership.inService(clock()),
+            inService: () => {
+                updateOwnState();
+                return membership.inService(clock());
+            },
         })),
         settings.directory,
     );
@@ -216,13 +220,15 @@
 
     return {
         isReady,
-        async stop() {
-            await plannedStop.begin();
-            lifetime.abort();
-            [callers, readiness, directory].forEach(server => server.close());
-        },
+        stop: () => stopped ??= stopAsPlanned(),
     };
 
+    async function stopAsPlanned(): Promise<void> {
+        await plannedStop.begin();
+        lifetime.abort();
+        [callers, readiness, directory].forEach(server => server.close());
+    }
+
     /** Records this box in the store, then greets those that are recorded: of two that start at once, one sees the other. */
     async function joinMembers(members: Membership): Promise<void> {
         while (!signal.aborted) {
--- a/packages/steering/src/server-choice.ts
+++ b/packages/steering/src/server-choice.ts
@@ -45,6 +45,8 @@
         readonly warm: boolean;
         /** Expected time until the answer. */
         readonly expected: Milliseconds;
+        /** The answer is not expected before this time. */
+        readonly least: Milliseconds;
         /** Expected time at the server, without the way and the wait. */
         readonly expectedWork: Milliseconds;
     }
@@ -86,7 +88,7 @@
             return chooseLastResort(candidates, request) ?? { kind: cold ? "allCold" : "noServer" };
         }
         const best = bestOf(rank(fit, request), request);
-        return best.expected > request.timeLeft ? { kind: "tooLate", expected: best.expected } : best;
+        return best.least > request.timeLeft ? { kind: "tooLate", expected: best.expected } : best;
     };
 
     function mayServe(server: CatalogServer, request: ChoiceRequest): boolean {
@@ -144,7 +146,8 @@
         const work = (warm ? warmWork : unseenWork) * slowness;
         const excess = Math.max(0, server.standing.load(at) + 1 - slots);
         const wait = excess / slots * warmWork * slowness;
-        const expected = options.roundTrip(region, zone) + wait + work;
+        const way = options.roundTrip(region, zone);
+        const expected = way + wait + work;
         return {
             kind: "chosen" as const,
             server,
@@ -152,6 +155,7 @@
             warm,
             cost: expected + placePenalty(region, zone, route),
             expected: milliseconds(expected),
+            least: milliseconds(way + wait + options.work.least(route)),
             expectedWork: milliseconds(warm ? warmWork : coldWork),
         };
     }
--- a/packages/steering/src/work-estimate.ts
+++ b/packages/steering/src/work-estimate.ts
@@ -9,6 +9,8 @@
 /** Times at the server, without the way there and back. */
 export interface WorkEstimate {
     readonly expected: (route: Route, warm: boolean) => Milliseconds;
+    /** Less than this no answer is expected to take; 0 as long as nothing was measured. */
+    readonly least: (route: Route) => Milliseconds;
     readonly onMeasured: (route: Route, warm: boolean, duration: Milliseconds) => void;
 }
 
@@ -17,9 +19,13 @@
 const firstWarmPart = 0.35;
 const firstColdPart = 1.2;
 
+/** The least time expected, as a part of the time of warm work. */
+const leastPartOfWarm = 0.5;
+
 interface Learned {
     warm: number;
     cold: number;
+    isMeasured: boolean;
 }
 
 /** Creates an estimate that knows nothing yet. */
@@ -28,8 +34,10 @@
 
     return {
         expected: (route, warm) => milliseconds(warm ? of(route).warm : of(route).cold),
+        least: route => milliseconds(of(route).isMeasured ? of(route).warm * leastPartOfWarm : 0),
         onMeasured(route, warm, duration) {
             const estimate = of(route);
+            estimate.isMeasured = true;
             const key = warm ? "warm" : "cold";
             estimate[key] += (duration - estimate[key]) * smoothing;
         },
@@ -41,6 +49,7 @@
             estimate = {
                 warm: route.goal * firstWarmPart,
                 cold: route.goal * (route.sticky ? firstColdPart : firstWarmPart),
+                isMeasured: false,
             };
             learned.set(route.name, estimate);
         }
--- /dev/null
+++ b/packages/testing/src/users-platform/deployment.ts
@@ -0,0 +1,233 @@
+/**
+ * A small deployment on loopback: the stand-in store, stand-in servers, and
+ * boxes in this process, each with an address of its own.
+ */
+
+import { incarnationId, type Milliseconds, milliseconds } from "@chalkdale/core";
+import { type Gateway, startGateway } from "@chalkdale/gateway";
+import { createLog, type Log, silentLog } from "@chalkdale/runtime";
+import { createObjectReader, createStoreClient, platformProtocol, readSettings } from "@chalkdale/users-platform";
+import { type Backend, type BackendOptions, startBackend } from "./backend.js";
+import { type MetadataStoreServer, serveMetadataStore } from "./metadata-store-server.js";
+import { createMetadataStore, type MetadataStore } from "./metadata-store.js";
+
+/** A rule of the configuration, in the platform's own words. */
+export interface RuleOptions {
+    readonly name: string;
+    readonly path: string;
+    readonly kind: "safe" | "unsafe" | "download";
+    readonly service?: string;
+    readonly split?: readonly { readonly service: string; readonly weight: number; }[];
+    readonly timeout?: string;
+    readonly maxAttempts?: number;
+    readonly sticky?: boolean;
+    readonly homeRegions?: readonly string[];
+}
+
+/** A box of the deployment. */
+export interface TestBox {
+    readonly name: string;
+    readonly gateway: Gateway;
+    readonly callers: string;
+    readonly directory: string;
+    readonly readiness: string;
+    readonly peers: string;
+    /** Lines that the box has logged. */
+    readonly logged: readonly string[];
+}
+
+/** The deployment. */
+export interface Deployment {
+    readonly store: MetadataStore;
+    readonly storeServer: MetadataStoreServer;
+    readonly addServer: (options: BackendOptions & ServerPlace) => Promise<Backend>;
+    /** Writes the record of a server again, with changes. */
+    readonly recordServer: (backend: Backend, place: ServerPlace) => void;
+    readonly configure: (version: number, rules: readonly RuleOptions[]) => void;
+    readonly startBox: (options?: BoxOptions) => TestBox;
+    readonly close: () => Promise<void>;
+}
+
+/** Where a server is recorded, and how. */
+export interface ServerPlace {
+    readonly service?: string;
+    readonly zone?: string;
+    readonly state?: "ready" | "draining";
+    readonly coldLeft?: string;
+}
+
+/** How a box is started. */
+export interface BoxOptions {
+    readonly zone?: string;
+    readonly seeds?: readonly string[];
+    /** Loopback address of the box, so that the store can tell boxes apart. */
+    readonly host?: string;
+}
+
+/** Host that all rules of the tests are for. */
+export const testHost = "app.example";
+
+const zones: Readonly<Record<string, string>> = { "north-a": "north", "north-b": "north", "south-a": "south" };
+const services = ["profiles", "packs"];
+let nextPort = 21_000 + (process.pid % 400) * 100;
+
+/** Starts the store; servers, boxes and configurations follow by calls. */
+export async function startDeployment(): Promise<Deployment> {
+    const clock = () => milliseconds(performance.now());
+    const store = createMetadataStore({ clock });
+    const storeServer = await serveMetadataStore(store);
+    const backends: Backend[] = [];
+    const boxes: TestBox[] = [];
+
+    return {
+        store,
+        storeServer,
+        async addServer(options) {
+            const backend = await startBackend(options);
+            backends.push(backend);
+            recordServer(backend, options);
+            return backend;
+        },
+        recordServer,
+        configure(version, rules) {
+            store.put("config", "main", createConfiguration(version, rules));
+        },
+        startBox(options = {}) {
+            const box = createBox(`box-${boxes.length + 1}`, options);
+            boxes.push(box);
+            return box;
+        },
+        async close() {
+            await Promise.all(boxes.map(box => box.gateway.stop()));
+            backends.forEach(backend => backend.close());
+            storeServer.close();
+        },
+    };
+
+    function recordServer(backend: Backend, place: ServerPlace): void {
+        store.put("servers", backend.id, {
+            service: place.service ?? "profiles",
+            address: backend.address(),
+            zone: place.zone ?? "north-a",
+            version: "v1",
+            slots: 4,
+            state: place.state ?? "ready",
+            cold_left: place.coldLeft ?? "0ms",
+            call_seq: 1,
+        });
+    }
+
+    function createBox(name: string, options: BoxOptions): TestBox {
+        const { host = "127.0.0.1", seeds = [], zone = "north-a" } = options;
+        const [callers, directory, readiness, peers] = [0, 1, 2, 3].map(() => `${host}:${nextPort++}`);
+        const settings = readSettings(settingsText({ name, zone, callers, directory, readiness, peers, seeds }));
+        if (settings.err) {
+            throw new Error(settings.val.join("; "));
+        }
+        const logged: string[] = [];
+        const log: Log = process.env.CHALKDALE_TEST_LOG === "1"
+            ? createLog()
+            : createLog({ write: line => logged.push(line) });
+        const { gateway: gatewaySettings, storeAddress } = settings.val;
+        const gateway = startGateway({
+            settings: gatewaySettings,
+            protocol: platformProtocol,
+            store: createStoreClient({
+                address: storeAddress,
+                localAddress: host,
+                reader: createObjectReader(gatewaySettings.regionOfZone),
+                log: silentLog,
+                random: Math.random,
+            }),
+            clock,
+            random: Math.random,
+            log,
+            incarnation: incarnationId(`${Date.now().toString(36)}-${nextPort}`),
+        });
+        return { name, gateway, callers, directory, readiness, peers, logged };
+    }
+
+    function settingsText(box: {
+        readonly name: string;
+        readonly zone: string;
+        readonly callers: string;
+        readonly directory: string;
+        readonly readiness: string;
+        readonly peers: string;
+        readonly seeds: readonly string[];
+    }): string {
+        return [
+            `node_name=${box.name}`,
+            `region=${zones[box.zone]}`,
+            `zone=${box.zone}`,
+            ...Object.entries(zones).map(([zone, region]) => `zones.${zone}=${region}`),
+            `listen.front=${box.callers}`,
+            `listen.ready=${box.readiness}`,
+            `listen.directory=${box.directory}`,
+            `listen.control=${box.peers}`,
+            `seeds=${box.seeds.join(",")}`,
+            "bounds=budget_ratio=0.2,budget_window=10s,budget_slack=58,grace=500ms,ttl_max=5s",
+            `platform.address=${storeServer.address()}`,
+            "a.field.of.later=ignored",
+        ].join("\n");
+    }
+}
+
+function createConfiguration(version: number, rules: readonly RuleOptions[]): unknown {
+    return {
+        version: version.toString(16).padStart(8, "0"),
+        limits: {
+            max_header_bytes: 16384,
+            max_body_bytes: 1_000_000,
+            header_timeout: "3000ms",
+            idle_timeout: "15000ms",
+        },
+        listeners: [{ host: testHost, rules: rules.map(createRule) }],
+        clusters: services.map(name => ({
+            name,
+            health_path: "/health",
+            max_conns: 330,
+            protocol: "h1",
+            tls: false,
+            warmup: "3s",
+            cold_per_s: 14,
+        })),
+    };
+}
+
+function createRule(rule: RuleOptions): unknown {
+    const destination = rule.split === undefined ? { service: rule.service ?? "profiles" } : { split: rule.split };
+    return {
+        name: rule.name,
+        kind: rule.kind,
+        goal: "400ms",
+        priority: 1,
+        sticky: rule.sticky ?? true,
+        match: { path_prefix: rule.path },
+        action: {
+            ...destination,
+            timeout: rule.timeout ?? "1500ms",
+            max_attempts: rule.maxAttempts ?? 2,
+            home_regions: rule.homeRegions ?? [],
+        },
+    };
+}
+
+/** Resolves once a condition holds. Rejects when it does not for long. */
+export async function eventually(condition: () => boolean | Promise<boolean>, what: string): Promise<void> {
+    const end = performance.now() + longestWait;
+    while (!await condition()) {
+        if (performance.now() > end) {
+            throw new Error(`did not come about: ${what}`);
+        }
+        await pause(milliseconds(pollInterval));
+    }
+}
+
+const longestWait = 20_000;
+const pollInterval = 15;
+
+/** Waits for so long. */
+export function pause(duration: Milliseconds): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, duration));
+}
--- /dev/null
+++ b/packages/testing/src/users-platform/metadata-store-server.ts
@@ -0,0 +1,176 @@
+/**
+ * Serves the stand-in for the platform's store over HTTP, with faults by caller.
+ */
+
+import { milliseconds } from "@chalkdale/core";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { MetadataStore, ObjectWrite, StoreAnswer } from "./metadata-store.js";
+
+/** What happens to a call instead of its answer. */
+export type StoreFault =
+    | { readonly kind: "none"; }
+    /** Refused with a status; nothing was done. */
+    | { readonly kind: "refused"; readonly status: number; }
+    /** Never answered; nothing was done. */
+    | { readonly kind: "silent"; }
+    | { readonly kind: "reset"; }
+    /** Done, and the answer is lost. */
+    | { readonly kind: "answerLost"; };
+
+/** A call, for the choice of its fault. */
+export interface StoreCall {
+    readonly method: string;
+    readonly kind: string;
+    /** Address of the caller, without its port. */
+    readonly caller: string;
+    readonly isWatch: boolean;
+}
+
+/** A served store. */
+export interface MetadataStoreServer {
+    readonly address: () => string;
+    /** Calls so far, by method. */
+    readonly calls: () => Readonly<Record<string, number>>;
+    setFault: (fault: (call: StoreCall) => StoreFault) => void;
+    readonly close: () => void;
+}
+
+const stepInterval = 20;
+const objectPath = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+))?(\/status)?$/;
+
+/** Listens on a loopback address. */
+export async function serveMetadataStore(store: MetadataStore, host = "127.0.0.1"): Promise<MetadataStoreServer> {
+    let faultOf: (call: StoreCall) => StoreFault = () => ({ kind: "none" });
+    const calls: Record<string, number> = {};
+    const server: Server = createServer((request, response) => void onRequest(request, response));
+    await new Promise<void>(resolve => server.listen(0, host, resolve));
+    const timer = setInterval(() => store.step(), stepInterval);
+
+    return {
+        address: () => `${host}:${(server.address() as AddressInfo).port}`,
+        calls: () => calls,
+        setFault: fault => {
+            faultOf = fault;
+        },
+        close() {
+            clearInterval(timer);
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+
+    async function onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const url = new URL(request.url ?? "/", "http://store");
+        const match = objectPath.exec(url.pathname);
+        const body = await readJson(request);
+        const method = request.method ?? "GET";
+        calls[method] = (calls[method] ?? 0) + 1;
+        if (match === null) {
+            answer(response, { status: 404 });
+            return;
+        }
+        const [, kind, name, status] = match;
+        const isWatch = url.searchParams.has("watch");
+        const fault = faultOf({ method, kind, caller: request.socket.remoteAddress ?? "", isWatch });
+        if (applyFault(fault, request, response)) {
+            return;
+        }
+        if (isWatch) {
+            const since = Number(url.searchParams.get("watch"));
+            const wait = milliseconds(Number(url.searchParams.get("wait_ms") ?? 0));
+            const cancel = store.watch(kind, since, wait, found => answer(response, found));
+            response.on("close", cancel);
+            return;
+        }
+        const done = perform(method, kind, name, status !== undefined, url, body);
+        if (fault.kind === "answerLost") {
+            request.socket.destroy();
+            return;
+        }
+        answer(response, done);
+    }
+
+    function perform(
+        method: string,
+        kind: string,
+        name: string | undefined,
+        isStatus: boolean,
+        url: URL,
+        body: unknown,
+    ): StoreAnswer {
+        const revision = url.searchParams.get("revision");
+        switch (method) {
+            case "GET": {
+                const after = url.searchParams.get("after") ?? undefined;
+                return name === undefined
+                    ? store.list(kind, { after, stale: url.searchParams.get("stale") === "1" })
+                    : store.get(kind, decodeURIComponent(name));
+            }
+            case "POST":
+                return store.create(kind, readWrite(body, undefined));
+            case "PUT": {
+                const write = readWrite(body, name);
+                return isStatus ? store.replaceStatus(kind, write) : store.replace(kind, write);
+            }
+            case "DELETE":
+                return store.remove(
+                    kind,
+                    decodeURIComponent(name ?? ""),
+                    revision === null ? undefined : Number(revision),
+                );
+            default:
+                return { status: 405 };
+        }
+    }
+}
+
+function applyFault(fault: StoreFault, request: IncomingMessage, response: ServerResponse): boolean {
+    switch (fault.kind) {
+        case "none":
+        case "answerLost":
+            return false;
+        case "refused":
+            answer(response, { status: fault.status });
+            return true;
+        case "silent":
+            return true;
+        case "reset":
+            request.socket.resetAndDestroy();
+            return true;
+    }
+}
+
+interface WrittenObject {
+    readonly metadata?: { readonly name?: string; readonly revision?: number; readonly finalizers?: string[]; };
+    readonly spec?: unknown;
+    readonly status?: unknown;
+}
+
+function readWrite(body: unknown, name: string | undefined): ObjectWrite {
+    const { metadata = {}, spec, status } = body as WrittenObject;
+    return {
+        name: name === undefined ? metadata.name ?? "" : decodeURIComponent(name),
+        spec,
+        status,
+        finalizers: metadata.finalizers,
+        revision: metadata.revision,
+    };
+}
+
+async function readJson(request: IncomingMessage): Promise<unknown> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) {
+        chunks.push(chunk as Buffer);
+    }
+    const text = Buffer.concat(chunks).toString("utf8");
+    return text === "" ? undefined : JSON.parse(text);
+}
+
+function answer(response: ServerResponse, found: StoreAnswer): void {
+    if (response.destroyed) {
+        return;
+    }
+    response.writeHead(found.status, { "content-type": "application/json" });
+    response.end(found.body === undefined ? "" : JSON.stringify(found.body));
+}
--- /dev/null
+++ b/packages/testing/test/box-requests.test.ts
@@ -0,0 +1,310 @@
+/**
+ * One box on the users' platform, over real sockets: what callers get and what
+ * servers see.
+ */
+
+import { milliseconds } from "@chalkdale/core";
+import { expect } from "chai";
+import type { Backend, BackendBehaviour } from "../src/users-platform/backend.js";
+import { type ClientRequest, lookUp, sendRequest } from "../src/users-platform/client.js";
+import {
+    type Deployment,
+    eventually,
+    pause,
+    type RuleOptions,
+    startDeployment,
+    type TestBox,
+    testHost,
+} from "../src/users-platform/deployment.js";
+
+const rules: readonly RuleOptions[] = [
+    { name: "lookup", path: "/lookup/", kind: "safe" },
+    { name: "save", path: "/save/", kind: "unsafe" },
+    { name: "pack", path: "/pack/", kind: "download", service: "packs" },
+    { name: "brief", path: "/brief/", kind: "safe", timeout: "150ms" },
+];
+
+describe("a box on the users' platform", () => {
+    let deployment: Deployment;
+    let box: TestBox;
+    let first: Backend;
+    let second: Backend;
+    let requestCount = 0;
+
+    beforeEach(async () => {
+        deployment = await startDeployment();
+        first = await deployment.addServer({ id: "i-1" });
+        second = await deployment.addServer({ id: "i-2", zone: "south-a" });
+        await deployment.addServer({ id: "i-3", service: "packs" });
+        deployment.configure(2, rules);
+        box = deployment.startBox();
+        await eventually(() => box.gateway.isReady(), "the box is ready");
+    });
+
+    afterEach(() => deployment.close());
+
+    const ask = (path: string, options: Partial<ClientRequest> = {}) => {
+        requestCount += 1;
+        const requestId = `r-${requestCount}`;
+        return sendRequest({ address: box.callers, host: testHost, path, requestId, affinityKey: "k-1", ...options });
+    };
+    const misbehave = (behaviour: BackendBehaviour, times = Infinity) => {
+        let left = times;
+        for (const backend of [first, second]) {
+            backend.setBehaviour(() => {
+                left -= 1;
+                return left >= 0 ? behaviour : { kind: "serve" };
+            });
+        }
+    };
+    const runs = () => [...first.runs, ...second.runs];
+
+    describe("a request of each kind", () => {
+        it("reaches a server unchanged, and its answer comes back unchanged", async () => {
+            const answer = await ask("/save/a?b=c", { method: "POST", body: "a climb", requestId: "x-1" });
+            const [run] = runs();
+            expect(answer.status).to.equal(200);
+            expect(answer.headers["server-stamp"]).to.equal("stamp.x-1");
+            expect([run.method, run.url, run.body, run.requestId]).to.deep.equal([
+                "POST",
+                "/save/a?b=c",
+                "a climb",
+                "x-1",
+            ]);
+            expect(run.headers["expect-instance"]).to.be.oneOf(["i-1", "i-2"]);
+        });
+
+        it("passes on a body in chunks", async () => {
+            const answer = await ask("/save/", { method: "POST", body: "in chunks", chunked: true });
+            expect(answer.status).to.equal(200);
+            expect(runs()[0].body).to.equal("in chunks");
+        });
+
+        it("hands on what is left of the deadline", async () => {
+            await ask("/lookup/", { deadlineMs: 900 });
+            await ask("/lookup/", { deadlineMs: 9000 });
+            const [short, long] = runs().map(run => Number(run.headers["deadline-ms"]));
+            expect(short).to.be.within(1, 900);
+            expect(long).to.be.within(901, 1500);
+        });
+
+        it("goes to the service of its route", async () => {
+            expect((await ask("/pack/")).body).to.match(/^answer of i-3 /);
+        });
+
+        it("gets 404 without a route", async () => {
+            expect((await ask("/nowhere/")).status).to.equal(404);
+        });
+    });
+
+    describe("requests on one object", () => {
+        it("come to one server, which knows it from the second on", async () => {
+            for (let count = 0; count < 6; count++) {
+                await ask("/lookup/", { affinityKey: "same" });
+            }
+            expect(new Set(runs().map(run => run.headers["expect-instance"])).size).to.equal(1);
+            expect(runs().map(run => run.warm)).to.deep.equal([false, true, true, true, true, true]);
+        });
+
+        it("use one connection one after the other", async () => {
+            for (let count = 0; count < 6; count++) {
+                await ask("/lookup/");
+            }
+            expect(first.connections() + second.connections()).to.equal(1);
+        });
+    });
+
+    describe("a server that refuses unrun", () => {
+        it("makes the box try another, for every kind of request", async () => {
+            misbehave({ kind: "shed" }, 1);
+            expect((await ask("/save/", { method: "POST", body: "b" })).status).to.equal(200);
+            expect(runs()).to.have.length(1);
+        });
+
+        it("ends in a refusal with a time to come back when all refuse", async () => {
+            misbehave({ kind: "shed" });
+            const answer = await ask("/save/", { method: "POST", body: "b" });
+            expect(answer.status).to.equal(503);
+            expect(Number(answer.headers["retry-after"])).to.be.greaterThan(0);
+            expect(answer.headers["server-stamp"]).to.equal(undefined);
+            expect(runs()).to.have.length(0);
+        });
+
+        it("does not run a request meant for the server that had its address", async () => {
+            const address = first.address();
+            first.close();
+            const other = await deployment.addServer({
+                id: "i-9",
+                service: "packs",
+                port: Number(address.split(":")[1]),
+            });
+            for (let key = 0; key < 12; key++) {
+                expect((await ask("/lookup/", { affinityKey: `k-${key}` })).status).to.equal(200);
+            }
+            expect(other.runs.filter(run => run.url.startsWith("/lookup/"))).to.have.length(0);
+        });
+    });
+
+    describe("an answer that is lost", () => {
+        const losses: readonly BackendBehaviour[] = [
+            { kind: "loseAnswer", by: "close" },
+            { kind: "loseAnswer", by: "reset" },
+            { kind: "breakOff", by: "close" },
+            { kind: "breakOff", by: "reset" },
+            { kind: "garbage" },
+        ];
+        for (const loss of losses) {
+            const name = "by" in loss ? `${loss.kind} by ${loss.by}` : loss.kind;
+            it(`is asked again of another server if it may be repeated (${name})`, async () => {
+                misbehave(loss, 1);
+                const answer = await ask("/lookup/");
+                expect(answer.status).to.equal(200);
+                expect(answer.body).to.match(/^answer of/);
+            });
+
+            it(`is never asked again, nor promised unrun, if it may not (${name})`, async () => {
+                misbehave(loss, 1);
+                const answer = await ask("/save/", { method: "POST", body: "b" });
+                expect(answer.status).to.equal(502);
+                expect(runs()).to.have.length(1);
+            });
+        }
+
+        it("stays within the route's attempts", async () => {
+            misbehave({ kind: "loseAnswer", by: "reset" });
+            expect((await ask("/lookup/")).status).to.equal(502);
+            expect(runs()).to.have.length(2);
+        });
+    });
+
+    describe("an answer that is not what it seems", () => {
+        it("without a length goes back without a length", async () => {
+            misbehave({ kind: "unframed" });
+            const answer = await ask("/lookup/");
+            expect(answer.status).to.equal(200);
+            expect(answer.headers["content-length"]).to.equal(undefined);
+            expect(answer.headers["transfer-encoding"]).to.equal(undefined);
+            expect(answer.headers.connection).to.equal("close");
+        });
+
+        for (const afterMs of [0, 30]) {
+            it(`a second answer after ${afterMs} ms reaches nobody`, async () => {
+                misbehave({ kind: "extra", afterMs });
+                for (let count = 0; count < 5; count++) {
+                    const requestId = `extra-${afterMs}-${count}`;
+                    const answer = await ask("/lookup/", { requestId });
+                    expect(answer.body).to.match(new RegExp(`${requestId}$`));
+                    await pause(milliseconds(afterMs / 2));
+                }
+            });
+        }
+
+        it("a failure of the server's own keeps its status and stamp", async () => {
+            misbehave({ kind: "fail", status: 500 });
+            const answer = await ask("/save/", { method: "POST", body: "b", requestId: "f-1" });
+            expect(answer.status).to.equal(500);
+            expect(answer.headers["server-stamp"]).to.equal("stamp.f-1");
+        });
+    });
+
+    describe("time", () => {
+        it("ends a request at its route's limit with a final answer", async () => {
+            first.setWork(5000);
+            second.setWork(5000);
+            expect((await ask("/brief/")).status).to.equal(504);
+        });
+
+        it("ends the work at the server when the client leaves", async () => {
+            first.setWork(3000);
+            second.setWork(3000);
+            await ask("/lookup/", { leaveAfterMs: 120 });
+            await eventually(() => first.abandoned() + second.abandoned() === 1, "the server's connection is closed");
+        });
+    });
+
+    describe("servers that leave", () => {
+        it("get nothing once they are draining, nor once their record is gone", async () => {
+            deployment.recordServer(first, { state: "draining" });
+            await eventually(() => box.logged.some(line => line.includes("draining=i-1")), "the box knows");
+            deployment.store.delete("servers", "i-2");
+            await eventually(() => box.logged.some(line => line.includes("removed=i-2")), "the box knows");
+            expect((await ask("/lookup/")).status).to.equal(503);
+            expect(runs()).to.have.length(0);
+        });
+
+        it("get nothing while their zone is evacuated, and again when it is taken back", async () => {
+            deployment.store.put("evacuations", "north-a", {});
+            deployment.store.put("evacuations", "south-a", {});
+            await eventually(() => box.logged.some(line => line.includes("closed=north-a,south-a")), "the box knows");
+            expect((await ask("/lookup/")).status).to.equal(503);
+            deployment.store.delete("evacuations", "south-a");
+            await eventually(async () => (await ask("/lookup/")).status === 200, "the zone serves again");
+            expect(first.runs).to.have.length(0);
+        });
+
+        it("outside the homes of a route get nothing", async () => {
+            deployment.configure(3, [{ ...rules[0], homeRegions: ["south"] }]);
+            await eventually(() => box.logged.some(line => line.includes("version=3")), "the version is in force");
+            for (let key = 0; key < 12; key++) {
+                await ask("/lookup/", { affinityKey: `k-${key}` });
+            }
+            expect(first.runs).to.have.length(0);
+            expect(second.runs).to.have.length(12);
+        });
+    });
+
+    describe("the configuration", () => {
+        it("is divided between the parts of a split by weight", async () => {
+            const split = [{ service: "profiles", weight: 75 }, { service: "packs", weight: 25 }];
+            deployment.configure(3, [{ ...rules[0], split }]);
+            await eventually(() => box.logged.some(line => line.includes("version=3")), "the version is in force");
+            for (let count = 0; count < 20; count++) {
+                await ask("/lookup/");
+            }
+            expect(runs()).to.have.length(15);
+        });
+
+        it("that is older, or can't be understood, leaves the last one in force", async () => {
+            deployment.configure(9, [{ ...rules[0], path: "/new/" }]);
+            await eventually(() => box.logged.some(line => line.includes("version=9")), "the version is in force");
+            deployment.store.put("config", "main", { version: "0000000a", listeners: "nonsense" });
+            deployment.configure(3, rules);
+            deployment.store.put("evacuations", "north-b", {});
+            await eventually(() => box.logged.some(line => line.includes("closed=north-b")), "the box has read on");
+            expect((await ask("/new/")).status).to.equal(200);
+            expect((await ask("/lookup/")).status).to.equal(404);
+        });
+    });
+
+    describe("callers who ask where to go", () => {
+        it("are told the box, and for how long", async () => {
+            const found = await lookUp(box.directory, { name: testHost, region: "north", zone: "north-a" });
+            expect(found).to.deep.equal({ status: 200, addresses: [box.callers], ttl: "2000ms" });
+            expect(
+                (await sendRequest({
+                    address: box.readiness,
+                    host: "ready",
+                    path: "/v1/readiness",
+                    requestId: "ready",
+                })).status,
+            ).to.equal(200);
+        });
+    });
+
+    describe("a planned stop", () => {
+        it("cuts no request in flight, and is not named or ready meanwhile", async () => {
+            first.setWork(200);
+            second.setWork(200);
+            const inFlight = ask("/lookup/");
+            await eventually(() => runs().length === 1, "the request runs");
+            const stopped = box.gateway.stop();
+            const found = await lookUp(box.directory, { name: testHost, region: "north", zone: "north-a" });
+            expect(found.addresses).to.deep.equal([]);
+            const late = await ask("/lookup/");
+            expect(late.status).to.equal(200);
+            expect(late.headers.connection).to.equal("close");
+            expect((await inFlight).status).to.equal(200);
+            await stopped;
+        });
+    });
+});
--- /dev/null
+++ b/packages/testing/test/box-state.test.ts
@@ -0,0 +1,187 @@
+/**
+ * Several boxes on the users' platform while its store misbehaves.
+ */
+
+import { milliseconds } from "@chalkdale/core";
+import { expect } from "chai";
+import { lookUp, sendRequest } from "../src/users-platform/client.js";
+import {
+    type Deployment,
+    eventually,
+    type RuleOptions,
+    startDeployment,
+    type TestBox,
+    testHost,
+} from "../src/users-platform/deployment.js";
+import { createMetadataStore, type MetadataStore, type StoreAnswer } from "../src/users-platform/metadata-store.js";
+
+const rules: readonly RuleOptions[] = [{ name: "lookup", path: "/lookup/", kind: "safe" }];
+const place = { name: testHost, region: "north", zone: "north-a" };
+
+describe("boxes on the users' platform", () => {
+    let deployment: Deployment;
+
+    beforeEach(async () => {
+        deployment = await startDeployment();
+        await deployment.addServer({ id: "i-1" });
+        deployment.configure(2, rules);
+    });
+
+    afterEach(() => deployment.close());
+
+    const ask = (box: TestBox, path: string) =>
+        sendRequest({ address: box.callers, host: testHost, path, requestId: `s-${path}` });
+    const ready = (box: TestBox) => eventually(() => box.gateway.isReady(), `${box.name} is ready`);
+
+    it("find each other through the store, and name each other to callers", async () => {
+        const boxes = [deployment.startBox(), deployment.startBox({ zone: "north-b" }), deployment.startBox()];
+        await Promise.all(boxes.map(ready));
+        for (const box of boxes) {
+            await eventually(async () => (await lookUp(box.directory, place)).addresses.length === 3, "all are named");
+        }
+    });
+
+    it("no longer name a box that leaves", async () => {
+        const [stays, leaves] = [deployment.startBox(), deployment.startBox()];
+        await Promise.all([ready(stays), ready(leaves)]);
+        await eventually(async () => (await lookUp(stays.directory, place)).addresses.length === 2, "both are named");
+        const stopped = leaves.gateway.stop();
+        await eventually(async () => (await lookUp(stays.directory, place)).addresses.length === 1, "one is named");
+        await stopped;
+    });
+
+    it("answer 503 and are not ready as long as they know no configuration", async () => {
+        deployment.storeServer.setFault(() => ({ kind: "refused", status: 503 }));
+        const box = deployment.startBox();
+        await eventually(async () => (await ask(box, "/lookup/")).status === 503, "it listens");
+        expect(box.gateway.isReady()).to.equal(false);
+        expect((await lookUp(box.directory, place)).status).to.equal(503);
+        deployment.storeServer.setFault(() => ({ kind: "none" }));
+        await ready(box);
+        expect((await ask(box, "/lookup/")).status).to.equal(200);
+    });
+
+    it("learn a new configuration from another box when the store turns them away", async () => {
+        const served = deployment.startBox();
+        const refused = deployment.startBox({ host: "127.0.0.2", seeds: [served.peers] });
+        await Promise.all([ready(served), ready(refused)]);
+        await eventually(async () => (await lookUp(served.directory, place)).addresses.length === 2, "they met");
+        deployment.storeServer.setFault(call =>
+            call.caller === "127.0.0.2" ? { kind: "refused", status: 503 } : { kind: "none" }
+        );
+        // Watches that were waiting before are refused at their next call only.
+        deployment.store.put("evacuations", "south-a", {});
+        deployment.store.put("config", "other", {});
+        await eventually(() => refused.logged.some(line => line.includes("event=store.lost")), "it is turned away");
+        deployment.configure(3, [{ ...rules[0], path: "/next/" }]);
+        for (const box of [served, refused]) {
+            await eventually(async () => (await ask(box, "/next/")).status === 200, `${box.name} has the version`);
+        }
+    });
+
+    it("start from another box's copies while the store is down", async () => {
+        const old = deployment.startBox();
+        await ready(old);
+        deployment.storeServer.setFault(() => ({ kind: "silent" }));
+        const fresh = deployment.startBox({ seeds: [old.peers] });
+        await ready(fresh);
+        expect((await ask(fresh, "/lookup/")).status).to.equal(200);
+    });
+
+    it("go on with what they know while the store is down, and catch up after it", async () => {
+        const box = deployment.startBox();
+        await ready(box);
+        deployment.storeServer.setFault(() => ({ kind: "reset" }));
+        deployment.store.cutWatches();
+        expect((await ask(box, "/lookup/")).status).to.equal(200);
+        deployment.configure(3, [{ ...rules[0], path: "/next/" }]);
+        deployment.store.compact();
+        deployment.storeServer.setFault(() => ({ kind: "none" }));
+        await eventually(async () => (await ask(box, "/next/")).status === 200, "the version is in force");
+    });
+
+    it("record themselves once, even if the answer is lost", async () => {
+        let lost = 0;
+        deployment.storeServer.setFault(call => {
+            if (call.method === "POST" && lost === 0) {
+                lost += 1;
+                return { kind: "answerLost" };
+            }
+            return { kind: "none" };
+        });
+        const box = deployment.startBox();
+        await ready(box);
+        await eventually(() => (deployment.storeServer.calls().PUT ?? 0) >= 1, "the record is written again");
+        expect(itemsOf(deployment.store.list("chalkdale-boxes"))).to.deep.equal([box.name]);
+    });
+});
+
+function itemsOf(answer: StoreAnswer): string[] {
+    const { items } = answer.body as { items: { metadata: { name: string; }; }[]; };
+    return items.map(item => item.metadata.name);
+}
+
+describe("the stand-in for the platform's store", () => {
+    let time = 0;
+    let store: MetadataStore;
+
+    beforeEach(() => {
+        time = 0;
+        store = createMetadataStore({ clock: () => milliseconds(time), pageSize: 2, lag: milliseconds(500) });
+    });
+
+    it("lists by page", () => {
+        ["c", "a", "b"].forEach(name => store.put("things", name, {}));
+        const first = store.list("things");
+        expect(itemsOf(first)).to.deep.equal(["a", "b"]);
+        expect((first.body as { more: boolean; }).more).to.equal(true);
+        expect(itemsOf(store.list("things", { after: "b" }))).to.deep.equal(["c"]);
+    });
+
+    it("writes under a condition, and gives the object on a conflict", () => {
+        expect(store.create("things", { name: "a", spec: 1 }).status).to.equal(201);
+        expect(store.create("things", { name: "a", spec: 2 }).status).to.equal(409);
+        const conflict = store.replace("things", { name: "a", spec: 2, revision: 99 });
+        expect([conflict.status, (conflict.body as { spec: number; }).spec]).to.deep.equal([409, 1]);
+        expect(store.replace("things", { name: "a", spec: 2, revision: 1 }).status).to.equal(200);
+    });
+
+    it("raises no revision for a write that changes nothing", () => {
+        store.create("things", { name: "a", spec: 1 });
+        store.replace("things", { name: "a", spec: 1 });
+        expect(store.revision()).to.equal(1);
+    });
+
+    it("keeps an object with finalizers as deleting until they are gone", () => {
+        store.create("things", { name: "a", spec: 1, finalizers: ["me"] });
+        store.remove("things", "a");
+        expect((store.get("things", "a").body as { metadata: { deleting: boolean; }; }).metadata.deleting).to.equal(
+            true,
+        );
+        store.replace("things", { name: "a", spec: 1, finalizers: [] });
+        expect(store.get("things", "a").status).to.equal(404);
+    });
+
+    it("answers a watch at the next change, at the end of its wait, or with 410", () => {
+        const answers: StoreAnswer[] = [];
+        store.watch("things", 0, milliseconds(100), answer => answers.push(answer));
+        store.put("things", "a", {});
+        expect((answers[0].body as { events: unknown[]; at: number; }).events).to.have.length(1);
+        store.watch("things", 1, milliseconds(100), answer => answers.push(answer));
+        time = 100;
+        store.step();
+        expect((answers[1].body as { events: unknown[]; }).events).to.have.length(0);
+        store.compact();
+        store.watch("things", 0, milliseconds(100), answer => answers.push(answer));
+        expect(answers[2].status).to.equal(410);
+    });
+
+    it("gives stale reads as old as its lag", () => {
+        store.put("things", "a", {});
+        time = 1000;
+        store.put("things", "b", {});
+        expect(itemsOf(store.list("things", { stale: true }))).to.deep.equal(["a"]);
+        time = 1600;
+        expect(itemsOf(store.list("things", { stale: true }))).to.deep.equal(["a", "b"]);
+    });
+});
