End only those connections of callers whose answers have left; learn cold work from cold work

Node's closeIdleConnections takes a connection as idle once its answer is written, also while it is still leaving. Now a connection is idle once its response is closed, and the process stays a tenth of the grace after its last answer.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -35,11 +35,12 @@
     readonly requestId: string | undefined;
     /** Time until the request must be answered. */
     readonly timeLeft: () => Milliseconds;
-    readonly expectedWork: Milliseconds;
     readonly roundTrip: Milliseconds;
     readonly signal: AbortSignal;
     /** Told once the request is about to be sent. */
     readonly onSend: () => void;
+    /** Told how long the server took for a success, without the way there and back. */
+    readonly onServed: (duration: Milliseconds) => void;
 }
 
 export interface AttemptOptions {
@@ -163,8 +164,7 @@
         }
         standing.onHealthy(now);
         if (answer.status >= 200 && answer.status < 300) {
-            const work = now - sentAt - request.roundTrip;
-            standing.onAnswerTime(now, work / Math.max(1, request.expectedWork));
+            request.onServed(milliseconds(Math.max(0, now - sentAt - request.roundTrip)));
         }
         return { kind: "answered", answer };
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import { setMaxListeners } from "node:events";
 import { createServer, type Server } from "node:http";
 import { createAttempt } from "./attempt.js";
+import { trackCallerConnections } from "./caller-connections.js";
 import type { CallerProtocol } from "./caller-protocol.js";
 import { createDirectoryListener, createReadinessListener } from "./callers-directory.js";
 import { gossipInterval, readPeerSnapshot, startPeerLink } from "./peer-link.js";
@@ -108,7 +109,6 @@
         },
     });
     const budgets = new Map<ServiceId, RepeatBudget>();
-    let inFlight = 0;
     let stopped: Promise<void> | undefined;
 
     const choose = createServerChoice({
@@ -131,12 +131,12 @@
         clock,
         log,
         grace: settings.bounds.stopGrace,
-        inFlight: () => inFlight,
+        inFlight: () => callerConnections.inFlight(),
         onLeaving: () => {
             updateOwnState();
             peerLink.tellAll();
         },
-        onClosing: () => callers.closeIdleConnections(),
+        onClosing: () => callerConnections.endIdle(),
     });
     const onRequest = createRequestHandler({
         clock,
@@ -159,13 +159,8 @@
     const isReady = () => state.isComplete() && plannedStop.phase() === "running";
 
     const callers = createServer({ maxHeaderSize: largestHeader, requestTimeout: 0, noDelay: true });
-    callers.on("request", (request, response) => {
-        inFlight += 1;
-        response.once("close", () => {
-            inFlight -= 1;
-        });
-        onRequest(request, response);
-    });
+    const callerConnections = trackCallerConnections(callers);
+    callers.on("request", onRequest);
     listen(callers, settings.callers);
     const readiness = listen(createServer(createReadinessListener(protocol, isReady)), settings.readiness);
     const directory = listen(
--- a/packages/gateway/src/planned-stop.ts
+++ b/packages/gateway/src/planned-stop.ts
@@ -32,6 +32,8 @@
 /** Parts of the grace after which new work is refused, and after which the process ends whatever runs. */
 const takeWorkPart = 0.4;
 const endPart = 0.95;
+/** Part of the grace for which the process stays after its last answer, so that callers can read it. */
+const lingerPart = 0.1;
 const checkInterval = 50;
 
 /** Creates the stop; nothing happens until it begins. */
@@ -53,6 +55,7 @@
             while (options.inFlight() > 0 && clock() - startedAt < grace * endPart) {
                 await sleep(checkInterval, never);
             }
+            await sleep(Math.min(grace * lingerPart, Math.max(0, grace * endPart - (clock() - startedAt))), never);
             log.info("stop.ended", { inFlight: options.inFlight(), after: Math.round(clock() - startedAt) });
         },
     };
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -234,7 +234,6 @@
         active.tried.add(server.id);
         const roundTrip = options.roundTrip(server);
         const sentCount = active.sent;
-        const sentAt = clock();
         const outcome = await options.attempt({
             route: active.route,
             service: active.service,
@@ -245,23 +244,25 @@
             body,
             requestId: active.requestId,
             timeLeft: () => milliseconds(active.endsAt - clock()),
-            expectedWork: choice.expectedWork,
             roundTrip,
             signal,
             onSend: () => {
                 active.sent += 1;
             },
+            onServed: duration => learn(active, choice, duration),
         });
         if (active.sent === sentCount) {
             active.unsent += 1;
         }
-        if (outcome.kind === "answered" && outcome.answer.status < 300) {
-            options.work.onMeasured(active.route, choice.warm, milliseconds(clock() - sentAt - roundTrip));
-            options.recentKeys.add(server.id, active.keyHash, clock());
-        }
         return outcome;
     }
 
+    function learn(active: ActiveRequest, choice: Choice & { readonly kind: "chosen"; }, duration: Milliseconds): void {
+        const { id, standing } = choice.server;
+        standing.onAnswerTime(clock(), options.work.onMeasured(active.route, choice.warm, duration));
+        options.recentKeys.add(id, active.keyHash, clock());
+    }
+
     /** True if the answer ends the request; a failure of a request that can be repeated may not. */
     function isFinal(active: ActiveRequest, answer: ServerAnswer): boolean {
         return answer.status < 500 && isProven(answer) || !isRepeatable(active.route);
--- /dev/null
+++ b/packages/gateway/test/caller-connections.test.ts
@@ -0,0 +1,46 @@
+import { expect } from "chai";
+import { createServer, get, type IncomingMessage, type Server } from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { type CallerConnections, trackCallerConnections } from "../src/caller-connections.js";
+
+const answerSize = 24 * 1024 * 1024;
+
+describe("connections of callers", () => {
+    let server: Server;
+    let connections: CallerConnections;
+    let port: number;
+
+    beforeEach(async () => {
+        server = createServer((_request, response) => {
+            response.writeHead(200, { "Content-Length": answerSize }).end(Buffer.alloc(answerSize));
+        });
+        connections = trackCallerConnections(server);
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        port = (server.address() as AddressInfo).port;
+    });
+
+    afterEach(() => {
+        server.closeAllConnections();
+        server.close();
+    });
+
+    it("that still carry an answer are not ended with the idle ones", async () => {
+        const response = await new Promise<IncomingMessage>(resolve => get({ host: "127.0.0.1", port }, resolve));
+        connections.endIdle();
+        let size = 0;
+        for await (const chunk of response) {
+            size += (chunk as Buffer).length;
+        }
+        expect(size).to.equal(answerSize);
+    });
+
+    it("that rest are ended", async () => {
+        const socket = connect(port, "127.0.0.1");
+        await new Promise(resolve => server.once("connection", resolve));
+        const ended = new Promise(resolve => socket.once("end", resolve));
+        socket.resume();
+        connections.endIdle();
+        await ended;
+        expect(connections.inFlight()).to.equal(0);
+    });
+});
--- a/packages/platform/src/http-platform.ts
+++ b/packages/platform/src/http-platform.ts
@@ -1,8 +1,8 @@
 /**
  * The object API by JSON over HTTP.
  *
- * `GET /v1/objects/KEY`, `GET /v1/objects?prefix=P`, `POST /v1/objects/KEY`
- * to create, `PUT /v1/objects/KEY` with `If-Match: VERSION`, and
+ * `GET /v1/entries/KEY`, `GET /v1/entries?prefix=P`, `POST /v1/entries/KEY`
+ * to create, `PUT /v1/entries/KEY` with `If-Match: VERSION`, and
  * `GET /v1/watch?prefix=P&from=VERSION&wait=MILLISECONDS`.
  */
 
@@ -35,7 +35,7 @@
     return {
         get: (key, options) => call<StoredObject>({ method: "GET", path: pathOf(key), ...options }),
         list: (prefix, options) =>
-            call<WatchBatch>({ method: "GET", path: `/v1/objects?prefix=${encodeURIComponent(prefix)}`, ...options }),
+            call<WatchBatch>({ method: "GET", path: `/v1/entries?prefix=${encodeURIComponent(prefix)}`, ...options }),
         create: (key, body, options) => call<StoredObject>({ method: "POST", path: pathOf(key), body, ...options }),
         update: (key, version, body, options) =>
             call<StoredObject>({
@@ -78,7 +78,7 @@
 }
 
 function pathOf(key: string): string {
-    return `/v1/objects/${key.split("/").map(encodeURIComponent).join("/")}`;
+    return `/v1/entries/${key.split("/").map(encodeURIComponent).join("/")}`;
 }
 
 function outcomeOf<Value>(status: number, text: string, method: Call["method"]): PlatformOutcome<Value> {
--- a/packages/steering/src/server-choice.ts
+++ b/packages/steering/src/server-choice.ts
@@ -47,8 +47,6 @@
         readonly expected: Milliseconds;
         /** The answer is not expected before this time. */
         readonly least: Milliseconds;
-        /** Expected time at the server, without the way and the wait. */
-        readonly expectedWork: Milliseconds;
     }
     | { readonly kind: "noServer"; }
     | { readonly kind: "allCold"; }
@@ -156,7 +154,6 @@
             cost: expected + placePenalty(region, zone, route),
             expected: milliseconds(expected),
             least: milliseconds(way + wait + options.work.least(route)),
-            expectedWork: milliseconds(warm ? warmWork : coldWork),
         };
     }
 
--- a/packages/steering/src/work-estimate.ts
+++ b/packages/steering/src/work-estimate.ts
@@ -11,7 +11,13 @@
     readonly expected: (route: Route, warm: boolean) => Milliseconds;
     /** Less than this no answer is expected to take; 0 as long as nothing was measured. */
     readonly least: (route: Route) => Milliseconds;
-    readonly onMeasured: (route: Route, warm: boolean, duration: Milliseconds) => void;
+    /**
+     * Learns from an answer. A key that this box did not know at the server may have been known to it all the same,
+     * from other boxes' requests: the time itself tells which.
+     *
+     * @returns how many times as long as expected the answer took.
+     */
+    readonly onMeasured: (route: Route, known: boolean, duration: Milliseconds) => number;
 }
 
 const smoothing = 0.1;
@@ -35,11 +41,17 @@
     return {
         expected: (route, warm) => milliseconds(warm ? of(route).warm : of(route).cold),
         least: route => milliseconds(of(route).isMeasured ? of(route).warm * leastPartOfWarm : 0),
-        onMeasured(route, warm, duration) {
+        onMeasured(route, known, duration) {
             const estimate = of(route);
-            estimate.isMeasured = true;
-            const key = warm ? "warm" : "cold";
-            estimate[key] += (duration - estimate[key]) * smoothing;
+            const middle = (estimate.warm + estimate.cold) / 2;
+            const isQuick = !route.sticky || duration < middle;
+            const key = isQuick ? "warm" : "cold";
+            // A known key that took long was forgotten, or the server is slow: neither tells about cold work.
+            if (isQuick || !known) {
+                estimate.isMeasured = true;
+                estimate[key] += (duration - estimate[key]) * smoothing;
+            }
+            return duration / Math.max(1, known ? estimate.warm : estimate[key]);
         },
     };
 
--- /dev/null
+++ b/packages/testing/src/emulator/emulated-box.ts
@@ -0,0 +1,212 @@
+/**
+ * A box in the emulator: the product's own decisions with the emulator's
+ * servers and links instead of sockets.
+ */
+
+import {
+    type BoxId,
+    type Milliseconds,
+    milliseconds,
+    type RandomSource,
+    type RegionId,
+    type ServerId,
+    type ServiceId,
+    type ZoneId,
+} from "@chalkdale/core";
+import {
+    type Choice,
+    type ChoiceRequest,
+    createColdAdmission,
+    createRecentKeys,
+    createRepeatBudget,
+    createServerCatalog,
+    createServerStanding,
+    createWorkEstimate,
+    hashKey,
+    type RepeatBudget,
+    type Route,
+    type ServerRecord,
+} from "@chalkdale/steering";
+import type { EmulatedServer, ServerEnding } from "./emulated-server.js";
+import type { EventQueue } from "./event-queue.js";
+import { createPolicy, type PolicyName } from "./policies.js";
+
+/** How a request ended for its caller. */
+export type RequestEnding = "answered" | "refused" | "timedOut";
+
+/** A request as a caller sends it. */
+export interface EmulatedRequest {
+    readonly route: Route;
+    readonly service: ServiceId;
+    readonly key: string;
+    /** Work at a server that does not know the key. */
+    readonly work: number;
+    readonly deadline: Milliseconds;
+}
+
+/** A box. */
+export interface EmulatedBox {
+    readonly id: BoxId;
+    readonly region: RegionId;
+    readonly applyServers: (records: readonly ServerRecord[]) => void;
+    readonly closeZones: (zones: ReadonlySet<ZoneId>) => void;
+    readonly serve: (request: EmulatedRequest, done: (ending: RequestEnding) => void) => void;
+}
+
+export interface EmulatedBoxOptions {
+    readonly id: BoxId;
+    readonly region: RegionId;
+    readonly zone: ZoneId;
+    readonly boxes: readonly BoxId[];
+    readonly policy: PolicyName;
+    readonly random: RandomSource;
+    readonly events: EventQueue;
+    readonly server: (id: ServerId) => EmulatedServer;
+    readonly roundTrip: (zone: ZoneId) => number;
+    readonly coldRate: number;
+    /** Told of each arrival at a server, with its number for the request. */
+    readonly onArrival: (server: ServerId, count: number) => void;
+    /** Told of each decision, for sessions that are kept as golden files. */
+    readonly onDecision: (line: string) => void;
+}
+
+/** Creates a box that knows no servers yet. */
+export function createEmulatedBox(options: EmulatedBoxOptions): EmulatedBox {
+    const { events } = options;
+    const catalog = createServerCatalog((record, at) =>
+        createServerStanding(record, at, {
+            coldMargin: milliseconds(1000),
+            cold: createColdAdmission({
+                self: options.id,
+                server: record.id,
+                boxes: () => options.boxes,
+                rate: () => options.coldRate,
+            }),
+        })
+    );
+    const recentKeys = createRecentKeys();
+    const work = createWorkEstimate();
+    const budgets = new Map<ServiceId, RepeatBudget>();
+    let closed: ReadonlySet<ZoneId> = new Set();
+    const choose = createPolicy(options.policy, {
+        region: options.region,
+        zone: options.zone,
+        catalog,
+        recentKeys,
+        work,
+        roundTrip: (_region, zone) => milliseconds(options.roundTrip(zone)),
+        admitsZone: zone => !closed.has(zone),
+    }, options.random);
+
+    return {
+        id: options.id,
+        region: options.region,
+        applyServers: records => {
+            catalog.applyList(records, events.now());
+        },
+        closeZones: zones => {
+            closed = zones;
+        },
+        serve(request, done) {
+            budgetOf(request.service).onRequest(events.now());
+            attempt(request, new Set(), events.now() + request.deadline, done);
+        },
+    };
+
+    function attempt(
+        request: EmulatedRequest,
+        tried: Set<ServerId>,
+        endsAt: number,
+        done: (ending: RequestEnding) => void,
+    ): void {
+        const choice = choose(choiceRequest(request, tried, endsAt));
+        if (choice.kind !== "chosen") {
+            options.onDecision(`${options.id} ${request.route.name} ${request.key} refused ${choice.kind}`);
+            done("refused");
+            return;
+        }
+        const { server } = choice;
+        options.onDecision(`${options.id} ${request.route.name} ${request.key} to ${server.id} rank ${choice.rank}`);
+        tried.add(server.id);
+        const sentAt = events.now();
+        const way = options.roundTrip(server.standing.record().zone);
+        server.standing.onSent(sentAt);
+        options.onArrival(server.id, tried.size);
+        events.after(
+            way / 2,
+            () =>
+                options.server(server.id).receive(
+                    request.key,
+                    request.work,
+                    ending =>
+                        events.after(way / 2, () => onEnding(request, choice, ending, sentAt, tried, endsAt, done)),
+                ),
+        );
+    }
+
+    function choiceRequest(request: EmulatedRequest, tried: ReadonlySet<ServerId>, endsAt: number): ChoiceRequest {
+        const at = events.now();
+        return {
+            route: request.route,
+            service: request.service,
+            keyHash: hashKey(request.service, `${request.route.name} ${request.key}`),
+            tried,
+            timeLeft: milliseconds(endsAt - at),
+            at,
+        };
+    }
+
+    function onEnding(
+        request: EmulatedRequest,
+        choice: Choice & { readonly kind: "chosen"; },
+        ending: ServerEnding,
+        sentAt: Milliseconds,
+        tried: Set<ServerId>,
+        endsAt: number,
+        done: (ending: RequestEnding) => void,
+    ): void {
+        const { standing } = choice.server;
+        const now = events.now();
+        standing.onEnded(now, ending.load);
+        if (now > endsAt) {
+            done("timedOut");
+            return;
+        }
+        if (ending.kind === "answered") {
+            learn(request, choice, now, sentAt);
+            done("answered");
+            return;
+        }
+        standing.onFull(now);
+        const mayRepeat = tried.size < request.route.maxAttempts && budgetOf(request.service).tryTake(now);
+        if (!mayRepeat) {
+            options.onDecision(`${options.id} ${request.route.name} ${request.key} refused full`);
+            done("refused");
+            return;
+        }
+        attempt(request, tried, endsAt, done);
+    }
+
+    function learn(
+        request: EmulatedRequest,
+        choice: Choice & { readonly kind: "chosen"; },
+        now: Milliseconds,
+        sentAt: Milliseconds,
+    ): void {
+        const { server } = choice;
+        const duration = now - sentAt - options.roundTrip(server.standing.record().zone);
+        server.standing.onHealthy(now);
+        server.standing.onAnswerTime(now, work.onMeasured(request.route, choice.warm, milliseconds(duration)));
+        recentKeys.add(server.id, hashKey(request.service, `${request.route.name} ${request.key}`), now);
+    }
+
+    function budgetOf(service: ServiceId): RepeatBudget {
+        let budget = budgets.get(service);
+        if (budget === undefined) {
+            const boxCount = () => options.boxes.length;
+            budget = createRepeatBudget({ ratio: 0.2, window: milliseconds(10_000), allowance: 58, boxCount });
+            budgets.set(service, budget);
+        }
+        return budget;
+    }
+}
--- /dev/null
+++ b/packages/testing/src/emulator/emulated-server.ts
@@ -0,0 +1,96 @@
+/**
+ * A backend server in the emulator: slots, a queue, warm keys, speed.
+ */
+
+import type { ServerId } from "@chalkdale/core";
+import type { LoadReport, ServerRecord } from "@chalkdale/steering";
+import type { EventQueue } from "./event-queue.js";
+
+/** How a request at a server ended. */
+export type ServerEnding =
+    | { readonly kind: "answered"; readonly load: LoadReport; readonly warm: boolean; }
+    | { readonly kind: "notRun"; readonly load: LoadReport; };
+
+/** A server. */
+export interface EmulatedServer {
+    readonly id: ServerId;
+    readonly record: () => ServerRecord;
+    readonly setRecord: (record: ServerRecord) => void;
+    /** Works times as long as others. */
+    readonly setSlowness: (factor: number) => void;
+    /** Takes a request; `done` is told when it ends. `work` is the time with a key that is not known. */
+    readonly receive: (key: string, work: number, done: (ending: ServerEnding) => void) => void;
+    readonly arrivals: () => number;
+    readonly warmRuns: () => number;
+}
+
+export interface EmulatedServerOptions {
+    readonly record: ServerRecord;
+    readonly queueLength: number;
+    readonly rememberedKeys: number;
+    /** Part of the work that a known key saves. */
+    readonly warmGain: number;
+    readonly events: EventQueue;
+}
+
+/** Creates an idle server that knows no key. */
+export function createEmulatedServer(options: EmulatedServerOptions): EmulatedServer {
+    const { events } = options;
+    const keys = new Set<string>();
+    const waiting: (() => void)[] = [];
+    let { record } = options;
+    let slowness = 1;
+    let running = 0;
+    let arrivals = 0;
+    let warmRuns = 0;
+
+    return {
+        id: record.id,
+        record: () => record,
+        setRecord: next => {
+            record = next;
+        },
+        setSlowness: factor => {
+            slowness = factor;
+        },
+        receive(key, work, done) {
+            arrivals += 1;
+            if (running < record.slots) {
+                run(key, work, done);
+            }
+            else if (waiting.length < options.queueLength) {
+                waiting.push(() => run(key, work, done));
+            }
+            else {
+                done({ kind: "notRun", load: loadReport() });
+            }
+        },
+        arrivals: () => arrivals,
+        warmRuns: () => warmRuns,
+    };
+
+    function run(key: string, work: number, done: (ending: ServerEnding) => void): void {
+        running += 1;
+        const warm = remember(key);
+        warmRuns += warm ? 1 : 0;
+        events.after(work * slowness * (warm ? 1 - options.warmGain : 1), () => {
+            running -= 1;
+            waiting.shift()?.();
+            done({ kind: "answered", load: loadReport(), warm });
+        });
+    }
+
+    function remember(key: string): boolean {
+        const known = keys.delete(key);
+        keys.add(key);
+        if (keys.size > options.rememberedKeys) {
+            const [oldest] = keys;
+            keys.delete(oldest);
+        }
+        return known;
+    }
+
+    function loadReport(): LoadReport {
+        return { running, waiting: waiting.length, slots: record.slots };
+    }
+}
--- /dev/null
+++ b/packages/testing/src/emulator/main.ts
@@ -0,0 +1,109 @@
+/**
+ * `npm run experiment`: plays many days in the emulator and compares policies.
+ *
+ * Prints a table and writes a plot of worth by load.
+ */
+
+import { milliseconds } from "@chalkdale/core";
+import meow from "meow";
+import { writeFileSync } from "node:fs";
+import { type DayResult, type EmulatedDeployment, type EmulatedTrouble, playDay } from "./day.js";
+import { kodeyard, pedala } from "./deployments.js";
+import { plotLines } from "./plot.js";
+import { type PolicyName, policyNames } from "./policies.js";
+
+const cli = meow(
+    `
+  Compares ways to choose a server over many emulated days.
+
+  Usage
+    $ npm run experiment -- [--site pedala|kodeyard] [--seeds 10] [--loads 0.6,1,1.3] [--trouble none|slow|closed|lost|burst]
+
+  Options
+    --site     the deployment (pedala)
+    --seeds    days for each policy and load (10)
+    --loads    loads as parts of the sheet's rates (0.6,1,1.3)
+    --trouble  what goes wrong from the tenth second on (none)
+    --plot     file for a plot in SVG
+`,
+    {
+        importMeta: import.meta,
+        flags: {
+            site: { type: "string", default: "pedala" },
+            seeds: { type: "number", default: 10 },
+            loads: { type: "string", default: "0.6,1,1.3" },
+            trouble: { type: "string", default: "none" },
+            plot: { type: "string" },
+        },
+    },
+);
+
+const sites: Readonly<Record<string, EmulatedDeployment>> = { pedala, kodeyard };
+
+function troublesOf(name: string, deployment: EmulatedDeployment): EmulatedTrouble[] {
+    const [zone] = Object.keys(deployment.zones);
+    switch (name) {
+        case "none":
+            return [];
+        case "slow":
+            return [{ kind: "slowServers", at: 10_000, lasts: 8000, share: 0.16, factor: 5 }];
+        case "closed":
+            return [{ kind: "closedZone", at: 10_000, lasts: 8000, zone }];
+        case "lost":
+            return [{ kind: "lostServers", at: 10_000, share: 0.14 }];
+        case "burst":
+            return [{ kind: "burst", at: 10_000, lasts: 5000, factor: 1.7 }];
+        default:
+            throw new Error(`unknown trouble ${name}; see --help`);
+    }
+}
+
+function mean(values: readonly number[]): number {
+    return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+function main(): void {
+    const deployment = sites[cli.flags.site];
+    if (deployment === undefined) {
+        process.stderr.write(`unknown site ${cli.flags.site}; one of ${Object.keys(sites).join(", ")}\n`);
+        process.exitCode = 2;
+        return;
+    }
+    const loads = cli.flags.loads.split(",").map(Number);
+    const troubles = troublesOf(cli.flags.trouble, deployment);
+    const worthByPolicy = new Map<PolicyName, number[]>();
+    process.stdout.write("policy          load  worth  worst zone   warm  refused  repeats\n");
+    for (const policy of policyNames) {
+        for (const load of loads) {
+            const days = Array.from(
+                { length: cli.flags.seeds },
+                (_, seed) => playDay({ deployment, policy, seed: seed + 1, length: dayLength, load, troubles }),
+            );
+            const worth = mean(days.map(day => day.worth));
+            worthByPolicy.set(policy, [...worthByPolicy.get(policy) ?? [], worth]);
+            printRow(policy, load, worth, days);
+        }
+    }
+    if (cli.flags.plot !== undefined) {
+        const series = [...worthByPolicy].map(([name, values]) => ({ name, values }));
+        writeFileSync(cli.flags.plot, plotLines({ title: `worth by load, ${deployment.name}`, steps: loads, series }));
+        process.stdout.write(`plot: ${cli.flags.plot}\n`);
+    }
+}
+
+function printRow(policy: PolicyName, load: number, worth: number, days: readonly DayResult[]): void {
+    const columns = [
+        policy.padEnd(14),
+        load.toFixed(2).padStart(5),
+        worth.toFixed(3).padStart(6),
+        mean(days.map(day => day.worstZone)).toFixed(3).padStart(11),
+        mean(days.map(day => day.warmShare)).toFixed(3).padStart(6),
+        mean(days.map(day => day.refused / day.asked)).toFixed(3).padStart(8),
+        mean(days.map(day => day.repeats)).toFixed(0).padStart(8),
+    ];
+    process.stdout.write(`${columns.join(" ")}\n`);
+}
+
+const dayLength = milliseconds(32_000);
+
+main();
--- a/packages/testing/src/standins/platform-server.ts
+++ b/packages/testing/src/standins/platform-server.ts
@@ -83,7 +83,7 @@
     if (prefix !== null) {
         return platform.list(prefix, options);
     }
-    const key = decodeURIComponent(url.pathname.slice("/v1/objects/".length));
+    const key = decodeURIComponent(url.pathname.slice("/v1/entries/".length));
     switch (request.method) {
         case "GET":
             return platform.get(key, options);
--- a/packages/testing/src/users-platform/metadata-store.ts
+++ b/packages/testing/src/users-platform/metadata-store.ts
@@ -196,8 +196,8 @@
     }
 
     function store(kind: string, write: ObjectWrite, known: StoredObject | undefined): StoreAnswer {
-        const spec = write.spec ?? null;
-        const status = write.status ?? known?.status ?? null;
+        const { spec } = write;
+        const status = write.status ?? known?.status;
         const finalizers = write.finalizers ?? known?.metadata.finalizers ?? [];
         if (JSON.stringify(spec).length > (options.valueBytes ?? defaultValueBytes)) {
             return { status: 413 };
