--- a/packages/steering/src/server-choice.ts
+++ b/packages/steering/src/server-choice.ts
@@ -70,6 +70,8 @@
 const regionWeight = 4;
 const largeAnswerRegionWeight = 60;
 const largeAnswerZoneWeight = 4000;
+/** What it costs later requests that a key leaves its first server, as milliseconds of expected time. */
+const movePenalty = 100;
 /** What bytes between zones and regions cost large answers, as milliseconds of expected time. */
 const largeAnswerZonePenalty = 100;
 const largeAnswerRegionPenalty = 600;
@@ -151,7 +153,7 @@
             server,
             rank: index,
             warm,
-            cost: expected + placePenalty(region, zone, route),
+            cost: expected + placePenalty(region, zone, route) + (index > 0 && route.sticky ? movePenalty : 0),
             expected: milliseconds(expected),
             least: milliseconds(way + wait + options.work.least(route)),
         };
