Watch the store again only a moment after a change

Now a pause of 200 to 500 ms follows a change; the bounds for configuration and draining are 2 s and more.

--- a/packages/gateway/src/replicator.ts
+++ b/packages/gateway/src/replicator.ts
@@ -40,6 +40,11 @@
 const longestBackoff = 1200;
 /** Time that the own watch has to bring a change that another box knows already, in milliseconds. */
 const watchHeadStart = 300;
+/**
+ * Pause after a change before the next watch, in milliseconds: changes often come in series, and each watch is a
+ * priced call. It counts towards the time in which a change must be in force.
+ */
+const pauseAfterChange: Readonly<Record<SharedKind, number>> = { configuration: 200, servers: 500, closedZones: 200 };
 
 /** Starts the loops; they end when the signal aborts. */
 export function startReplicator(options: ReplicatorOptions): Replicator {
@@ -115,6 +120,9 @@
                 return false;
             }
             replica.applyChanges(since, outcome.changes, outcome.revision);
+            if (outcome.changes.length > 0) {
+                await sleep(pauseAfterChange[kind], signal);
+            }
             return true;
         }
         catch (error) {
