--- a/packages/testing/src/users-platform/deployment.ts
+++ b/packages/testing/src/users-platform/deployment.ts
@@ -69,7 +69,8 @@
 
 const zones: Readonly<Record<string, string>> = { "north-a": "north", "north-b": "north", "south-a": "south" };
 const services = ["profiles", "packs"];
-let nextPort = 21_000 + (process.pid % 400) * 100;
+/** Below the range from which the kernel takes ports for outgoing connections. */
+let nextPort = 20_000 + (process.pid % 100) * 100;
 
 /** Starts the store; servers, boxes and configurations follow by calls. */
 export async function startDeployment(): Promise<Deployment> {
