--- a/packages/testing/src/users-platform/backend.ts
+++ b/packages/testing/src/users-platform/backend.ts
@@ -50,6 +50,10 @@
     setBehaviour: (behaviour: (request: IncomingMessage) => BackendBehaviour) => void;
     /** Work on a key that is not known, in milliseconds; a known one takes less. */
     setWork: (milliseconds: number) => void;
+    /** Tells in its health answers that it stays cold for so long. */
+    setColdFor: (milliseconds: number) => void;
+    /** Says in its answers that it is leaving. */
+    setLeaving: (leaving: boolean) => void;
     readonly close: () => void;
 }
 
@@ -62,11 +66,14 @@
     readonly host?: string;
     /** Port of an earlier server whose address this one takes over. */
     readonly port?: number;
+    /** Idle connections are closed after so many milliseconds, and answers say so in whole seconds if there are any. */
+    readonly idleMs?: number;
 }
 
 const defaultSlots = 4;
 const defaultQueue = 8;
 const defaultRememberedKeys = 50;
+const defaultIdle = 10_000;
 const warmPart = 0.3;
 
 /** Starts a server on loopback. */
@@ -78,12 +85,15 @@
     const host = options.host ?? "127.0.0.1";
     let behaviourOf: (request: IncomingMessage) => BackendBehaviour = () => ({ kind: "serve" });
     let work = 0;
+    let coldFor = 0;
+    let leaving = false;
     let running = 0;
     let arrivals = 0;
     let connections = 0;
     let abandoned = 0;
 
     const server: Server = createServer((request, response) => void onRequest(request, response));
+    server.keepAliveTimeout = options.idleMs ?? defaultIdle;
     server.on("connection", () => {
         connections += 1;
     });
@@ -102,6 +112,12 @@
         setWork: duration => {
             work = duration;
         },
+        setColdFor: duration => {
+            coldFor = duration;
+        },
+        setLeaving: value => {
+            leaving = value;
+        },
         close() {
             server.close();
             server.closeAllConnections();
@@ -110,7 +126,8 @@
 
     async function onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         if (request.url === "/health") {
-            response.writeHead(200, { "Instance-Id": options.id }).end();
+            const headers = { "Instance-Id": options.id, "Cold-Ms": String(coldFor) };
+            response.writeHead(leaving ? 503 : 200, headers).end();
             return;
         }
         arrivals += 1;
@@ -190,6 +207,7 @@
             "Request-Id": requestId,
             "Server-Stamp": `stamp.${requestId}`,
             "Server-Load": `${running},${waiting.length},${slots}`,
+            ...(leaving ? { "Connection": "close" } : {}),
         };
         const head = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
         const framed = `HTTP/1.1 200 OK\r\n${head}Content-Length: ${text.length}\r\n\r\n`;
--- a/packages/testing/src/users-platform/client.ts
+++ b/packages/testing/src/users-platform/client.ts
@@ -88,3 +88,82 @@
     const body = answer.status === 200 ? JSON.parse(answer.body) as { addresses: string[]; ttl: string; } : undefined;
     return { status: answer.status, addresses: body?.addresses ?? [], ttl: body?.ttl ?? "" };
 }
+
+/** What a client asks, without where and by which id. */
+export type ClientCall = Omit<ClientRequest, "address" | "requestId" | "agent">;
+
+/** A client that looks up first, chooses at random, and retries. */
+export interface Client {
+    readonly call: (call: ClientCall, options: { readonly repeatable: boolean; }) => Promise<ClientAnswer>;
+    /** Attempts so far, retries included. */
+    readonly attempts: () => number;
+    readonly close: () => void;
+}
+
+export interface ClientOptions {
+    readonly directories: readonly string[];
+    readonly region: string;
+    readonly zone: string;
+    /** Keep connections for many requests, or open a new one for each. */
+    readonly pooled: boolean;
+    readonly random: () => number;
+    readonly retries?: number;
+    /** Prefix of the ids of its attempts. */
+    readonly name: string;
+}
+
+const promises = new Set([408, 421, 429, 503]);
+const longestRetryAfter = 500;
+
+/** Creates a client. Every attempt has an id of its own. */
+export function createClient(options: ClientOptions): Client {
+    const agent = new Agent({ keepAlive: options.pooled });
+    const failed = new Set<string>();
+    let attempts = 0;
+
+    return {
+        async call(call, { repeatable }) {
+            for (let left = options.retries ?? 1;; left--) {
+                const address = await chooseBox(call.host);
+                const answer = address === undefined ? unanswered : await attempt(address, call);
+                const mayRetry = repeatable ? answer.status === 0 || answer.status >= 500 : promises.has(answer.status);
+                if (left <= 0 || !mayRetry && !promises.has(answer.status)) {
+                    return answer;
+                }
+                await waitAsTold(answer);
+            }
+        },
+        attempts: () => attempts,
+        close: () => agent.destroy(),
+    };
+
+    async function attempt(address: string, call: ClientCall): Promise<ClientAnswer> {
+        attempts += 1;
+        const requestId = `${options.name}-${attempts}`;
+        const answer = await sendRequest({ ...call, address, requestId, agent: options.pooled ? agent : undefined });
+        if (answer.status === 0) {
+            failed.add(address);
+        }
+        return answer;
+    }
+
+    /** Asks the directories in turn; boxes that failed are avoided as long as there are others. */
+    async function chooseBox(name: string): Promise<string | undefined> {
+        for (const directory of options.directories) {
+            const { addresses } = await lookUp(directory, { name, region: options.region, zone: options.zone });
+            const sound = addresses.filter(address => !failed.has(address));
+            const usable = sound.length > 0 ? sound : addresses;
+            if (usable.length > 0) {
+                return usable[Math.floor(options.random() * usable.length)];
+            }
+        }
+        return undefined;
+    }
+}
+
+const unanswered: ClientAnswer = { status: 0, headers: {}, body: "" };
+
+async function waitAsTold(answer: ClientAnswer): Promise<void> {
+    const told = Number(answer.headers["retry-after"] ?? 0) * 1000;
+    await new Promise(resolve => setTimeout(resolve, Math.min(longestRetryAfter, told)));
+}
--- a/packages/testing/src/users-platform/deployment.ts
+++ b/packages/testing/src/users-platform/deployment.ts
@@ -5,7 +5,7 @@
 
 import { incarnationId, type Milliseconds, milliseconds } from "@chalkdale/core";
 import { type Gateway, startGateway } from "@chalkdale/gateway";
-import { createLog, type Log, silentLog } from "@chalkdale/runtime";
+import { createLog, type Log } from "@chalkdale/runtime";
 import { createObjectReader, createStoreClient, platformProtocol, readSettings } from "@chalkdale/users-platform";
 import { type Backend, type BackendOptions, startBackend } from "./backend.js";
 import { type MetadataStoreServer, serveMetadataStore } from "./metadata-store-server.js";
@@ -137,7 +137,7 @@
                 address: storeAddress,
                 localAddress: host,
                 reader: createObjectReader(gatewaySettings.regionOfZone),
-                log: silentLog,
+                log,
                 random: Math.random,
             }),
             clock,
--- a/packages/testing/src/users-platform/metadata-store-server.ts
+++ b/packages/testing/src/users-platform/metadata-store-server.ts
@@ -16,7 +16,9 @@
     | { readonly kind: "silent"; }
     | { readonly kind: "reset"; }
     /** Done, and the answer is lost. */
-    | { readonly kind: "answerLost"; };
+    | { readonly kind: "answerLost"; }
+    /** Not answered, and done only later. */
+    | { readonly kind: "late"; readonly afterMs: number; };
 
 /** A call, for the choice of its fault. */
 export interface StoreCall {
@@ -83,7 +85,13 @@
             response.on("close", cancel);
             return;
         }
-        const done = perform(method, kind, name, status !== undefined, url, body);
+        const act = () => perform(method, kind, name, status !== undefined, url, body);
+        if (fault.kind === "late") {
+            setTimeout(act, fault.afterMs);
+            request.socket.destroy();
+            return;
+        }
+        const done = act();
         if (fault.kind === "answerLost") {
             request.socket.destroy();
             return;
@@ -129,6 +137,7 @@
     switch (fault.kind) {
         case "none":
         case "answerLost":
+        case "late":
             return false;
         case "refused":
             answer(response, { status: fault.status });
--- a/packages/testing/test/box-requests.test.ts
+++ b/packages/testing/test/box-requests.test.ts
@@ -3,10 +3,10 @@
  * servers see.
  */
 
-import { milliseconds } from "@chalkdale/core";
+import { createSeededRandom, milliseconds } from "@chalkdale/core";
 import { expect } from "chai";
 import type { Backend, BackendBehaviour } from "../src/users-platform/backend.js";
-import { type ClientRequest, lookUp, sendRequest } from "../src/users-platform/client.js";
+import { type ClientRequest, createClient, lookUp, sendRequest } from "../src/users-platform/client.js";
 import {
     type Deployment,
     eventually,
@@ -271,6 +271,10 @@
             deployment.configure(3, rules);
             deployment.store.put("evacuations", "north-b", {});
             await eventually(() => box.logged.some(line => line.includes("closed=north-b")), "the box has read on");
+            await eventually(
+                () => box.logged.some(line => line.includes("event=object.unreadable kind=configuration")),
+                "the box tells",
+            );
             expect((await ask("/new/")).status).to.equal(200);
             expect((await ask("/lookup/")).status).to.equal(404);
         });
@@ -291,6 +295,47 @@
         });
     });
 
+    describe("connections that servers close", () => {
+        it("because they rested are not used for the next request", async () => {
+            const brief = await deployment.addServer({ id: "i-8", service: "packs", idleMs: 1000 });
+            deployment.store.delete("servers", "i-3");
+            await eventually(() => box.logged.some(line => line.includes("removed=i-3")), "the box knows");
+            await ask("/pack/");
+            await pause(milliseconds(1300));
+            expect((await ask("/pack/")).status).to.equal(200);
+            expect(brief.connections()).to.equal(2);
+        });
+
+        it("since they are leaving are not kept", async () => {
+            first.setLeaving(true);
+            second.setLeaving(true);
+            await ask("/lookup/");
+            await ask("/lookup/");
+            expect(first.connections() + second.connections()).to.equal(2);
+        });
+    });
+
+    describe("clients that look up first", () => {
+        for (const pooled of [true, false]) {
+            it(`are served over ${pooled ? "kept" : "new"} connections, and retry what was refused`, async () => {
+                const client = createClient({
+                    directories: [box.directory],
+                    region: "north",
+                    zone: "north-a",
+                    pooled,
+                    random: createSeededRandom(1),
+                    name: "c",
+                });
+                misbehave({ kind: "shed" }, 2);
+                const call = { host: testHost, path: "/save/", method: "POST", body: "b", affinityKey: "k" };
+                expect((await client.call(call, { repeatable: false })).status).to.equal(200);
+                expect(client.attempts()).to.equal(2);
+                expect(runs()).to.have.length(1);
+                client.close();
+            });
+        }
+    });
+
     describe("a planned stop", () => {
         it("cuts no request in flight, and is not named or ready meanwhile", async () => {
             first.setWork(200);
--- a/packages/testing/test/box-state.test.ts
+++ b/packages/testing/test/box-state.test.ts
@@ -100,6 +100,21 @@
         await eventually(async () => (await ask(box, "/next/")).status === 200, "the version is in force");
     });
 
+    it("record themselves once, even if a write is done after they gave it up", async () => {
+        let lost = 0;
+        deployment.storeServer.setFault(call => {
+            if (call.method === "POST" && lost === 0) {
+                lost += 1;
+                return { kind: "late", afterMs: 100 };
+            }
+            return { kind: "none" };
+        });
+        const box = deployment.startBox();
+        await ready(box);
+        await eventually(() => (deployment.storeServer.calls().POST ?? 0) >= 2, "the record is written again");
+        await eventually(() => itemsOf(deployment.store.list("chalkdale-boxes")).length === 1, "it is there once");
+    });
+
     it("record themselves once, even if the answer is lost", async () => {
         let lost = 0;
         deployment.storeServer.setFault(call => {
