Add a fault soak of real processes behind harmful links, with its checks

Boxes as processes under SIGKILL, SIGTERM, SIGSTOP; links delayed, silent, one-way, reset; store refused, silent, reset, late, with lost answers and forgotten history; servers that misbehave and are released; evacuations; configurations. Checks: whole answers, at most once, refused unrun, route, drain, evacuation, recovery.

--- /dev/null
+++ b/packages/testing/src/soak/checks.ts
@@ -0,0 +1,153 @@
+/**
+ * What the soak checks, from what callers and servers see.
+ */
+
+import type { BackendRun } from "../users-platform/backend.js";
+import type { ClientAnswer } from "../users-platform/client.js";
+
+/** A promise that was not kept. */
+export interface Breach {
+    readonly promise:
+        | "whole answers"
+        | "at most once"
+        | "refused unrun"
+        | "route"
+        | "drain"
+        | "evacuation"
+        | "recovery";
+    readonly at: number;
+    readonly detail: string;
+}
+
+/** One attempt of a caller. */
+export interface ObservedAttempt {
+    readonly requestId: string;
+    readonly repeatable: boolean;
+    readonly at: number;
+    readonly box: string;
+    readonly answer: ClientAnswer;
+}
+
+/** A run at a server, with when it began. */
+export interface ObservedRun extends BackendRun {
+    readonly at: number;
+    readonly server: string;
+    readonly service: string;
+    readonly zone: string;
+}
+
+/** A time in which something must not get requests, or a configuration was in force. */
+export interface Interval {
+    readonly from: number;
+    readonly to: number;
+}
+
+/** All that a run of the soak saw. Times are milliseconds since its start. */
+export interface Observations {
+    readonly attempts: readonly ObservedAttempt[];
+    readonly runs: readonly ObservedRun[];
+    /** By server: when it must not get requests. */
+    readonly drained: ReadonlyMap<string, Interval>;
+    /** By zone: when it must not get requests. */
+    readonly evacuated: ReadonlyMap<string, readonly Interval[]>;
+    /** Services that a path may go to, by time. */
+    readonly destinations: readonly (Interval & { readonly path: string; readonly service: string; })[];
+    /** From here on all faults are over, and enough time has passed to recover. */
+    readonly recoveredFrom: number;
+}
+
+/** Part of the requests that must be served once all faults are over. */
+const servedAfterRecovery = 0.9;
+
+/** Returns all breaches. */
+export function findBreaches(seen: Observations): Breach[] {
+    return [
+        ...wholeAnswers(seen),
+        ...atMostOnce(seen),
+        ...refusedUnrun(seen),
+        ...routed(seen),
+        ...drained(seen),
+        ...recovered(seen),
+    ];
+}
+
+function wholeAnswers({ attempts }: Observations): Breach[] {
+    const wrong = attempts.filter(({ answer, requestId }) => {
+        const isOwn = answer.body.endsWith(` to ${requestId}`)
+            && answer.headers["server-stamp"] === `stamp.${requestId}`;
+        return answer.status === 200 && !isOwn;
+    });
+    return wrong.map(({ answer, at, box, requestId }) => ({
+        promise: "whole answers",
+        at,
+        detail: `${requestId} at ${box} got ${JSON.stringify(answer.body.slice(0, 80))}`,
+    }));
+}
+
+function atMostOnce({ runs, attempts }: Observations): Breach[] {
+    const repeatable = new Map(attempts.map(attempt => [attempt.requestId, attempt.repeatable]));
+    const first = new Map<string, ObservedRun>();
+    const breaches: Breach[] = [];
+    for (const run of runs) {
+        const earlier = first.get(run.requestId);
+        if (earlier !== undefined && repeatable.get(run.requestId) === false) {
+            const detail = `${run.requestId} ran on ${earlier.server} at ${earlier.at} and on ${run.server}`;
+            breaches.push({ promise: "at most once", at: run.at, detail });
+        }
+        first.set(run.requestId, run);
+    }
+    return breaches;
+}
+
+function refusedUnrun({ attempts, runs }: Observations): Breach[] {
+    const ran = new Map(runs.map(run => [run.requestId, run]));
+    const refused = attempts.filter(attempt =>
+        !attempt.repeatable && [408, 421, 429, 503].includes(attempt.answer.status)
+    );
+    return refused.filter(attempt => ran.has(attempt.requestId)).map(({ answer, at, box, requestId }) => ({
+        promise: "refused unrun",
+        at,
+        detail: `${requestId} got ${answer.status} from ${box} and ran on ${ran.get(requestId)!.server}`,
+    }));
+}
+
+function routed({ destinations, runs }: Observations): Breach[] {
+    const wrong = runs.filter(run => {
+        const known = destinations.filter(entry => run.url.startsWith(entry.path));
+        return !known.some(entry => entry.service === run.service && run.at >= entry.from && run.at <= entry.to);
+    });
+    return wrong.map(run => ({
+        promise: "route",
+        at: run.at,
+        detail: `${run.requestId} for ${run.url} ran on ${run.server} of ${run.service}`,
+    }));
+}
+
+function drained({ drained, evacuated, runs }: Observations): Breach[] {
+    const isIn = (interval: Interval, at: number) => at >= interval.from && at <= interval.to;
+    return runs.flatMap((run): Breach[] => {
+        const gone = drained.get(run.server);
+        if (gone !== undefined && isIn(gone, run.at)) {
+            return [{
+                promise: "drain",
+                at: run.at,
+                detail: `${run.requestId} on ${run.server}, leaving from ${gone.from}`,
+            }];
+        }
+        const closed = evacuated.get(run.zone)?.find(interval => isIn(interval, run.at));
+        if (closed === undefined) {
+            return [];
+        }
+        const detail = `${run.requestId} on ${run.server} in ${run.zone}, closed from ${closed.from}`;
+        return [{ promise: "evacuation", at: run.at, detail }];
+    });
+}
+
+function recovered({ attempts, recoveredFrom }: Observations): Breach[] {
+    const late = attempts.filter(attempt => attempt.at >= recoveredFrom);
+    const served = late.filter(attempt => attempt.answer.status === 200).length;
+    if (late.length > 0 && served >= late.length * servedAfterRecovery) {
+        return [];
+    }
+    return [{ promise: "recovery", at: recoveredFrom, detail: `${served} of ${late.length} attempts served` }];
+}
--- /dev/null
+++ b/packages/testing/src/soak/main.ts
@@ -0,0 +1,58 @@
+/**
+ * `npm run soak`: the fault soak over a range of seeds.
+ */
+
+import meow from "meow";
+import { runSoak } from "./soak.js";
+
+const cli = meow(
+    `
+  Runs boxes as real processes under faults drawn from seeds, and checks what callers and servers see.
+
+  Usage
+    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5]
+
+  Exit codes
+    0 no breach, 1 a breach or a run that failed, 2 wrong command line
+`,
+    {
+        importMeta: import.meta,
+        flags: {
+            seeds: { type: "string", default: "1-3" },
+            seconds: { type: "number", default: 12 },
+            boxes: { type: "number", default: 5 },
+            quiet: { type: "boolean", default: false },
+        },
+    },
+);
+
+async function main(): Promise<void> {
+    const [first, last = first] = cli.flags.seeds.split("-").map(Number);
+    if (!Number.isInteger(first) || !Number.isInteger(last) || last < first) {
+        process.stderr.write(`--seeds ${cli.flags.seeds} is no seed or range of seeds, such as 4 or 1-50\n`);
+        process.exitCode = 2;
+        return;
+    }
+    let failed = 0;
+    for (let seed = first; seed <= last; seed++) {
+        const result = await runSoak({
+            seed,
+            length: cli.flags.seconds * 1000,
+            boxes: cli.flags.boxes,
+            onEvent: line => {
+                if (!cli.flags.quiet || line.includes("breach=")) {
+                    process.stdout.write(`${line}\n`);
+                }
+            },
+        });
+        const { attempts, breaches, faults, folder, served } = result;
+        failed += breaches.length > 0 ? 1 : 0;
+        process.stdout.write(
+            `seed=${seed} attempts=${attempts} served=${served} faults=${faults} breaches=${breaches.length} logs=${folder}\n`,
+        );
+    }
+    process.stdout.write(`${last - first + 1 - failed} seeds without a breach, ${failed} with one\n`);
+    process.exitCode = failed > 0 ? 1 : 0;
+}
+
+await main();
--- /dev/null
+++ b/packages/testing/test/soak.test.ts
@@ -0,0 +1,69 @@
+/**
+ * A short run of the fault soak, and its checks.
+ */
+
+import { expect } from "chai";
+import { findBreaches, type Observations, type ObservedRun } from "../src/soak/checks.js";
+import { runSoak } from "../src/soak/soak.js";
+
+/** Seeds that ever failed stay here, each with its cause. */
+const seeds: readonly number[] = [1];
+const length = 6000;
+
+describe("the fault soak", () => {
+    for (const seed of seeds) {
+        it(`finds no breach with seed ${seed}`, async () => {
+            const lines: string[] = [];
+            const result = await runSoak({ seed, length, boxes: 4, callers: 4, onEvent: line => lines.push(line) });
+            expect(result.breaches, lines.join("\n")).to.deep.equal([]);
+            expect(result.served).to.be.greaterThan(100);
+        }).timeout(120_000);
+    }
+});
+
+describe("the soak's checks", () => {
+    const run = (changes: Partial<ObservedRun> = {}): ObservedRun => ({
+        requestId: "r-1",
+        method: "POST",
+        url: "/save/",
+        body: "",
+        headers: {},
+        warm: false,
+        at: 100,
+        server: "i-1",
+        service: "profiles",
+        zone: "north-a",
+        ...changes,
+    });
+    const attempt = (status: number, body = "answer of i-1 to r-1") => ({
+        requestId: "r-1",
+        repeatable: false,
+        at: 90,
+        box: "box",
+        answer: { status, body, headers: { "server-stamp": "stamp.r-1" } },
+    });
+    const seen = (changes: Partial<Observations>): Observations => ({
+        attempts: [attempt(200)],
+        runs: [run()],
+        drained: new Map(),
+        evacuated: new Map(),
+        destinations: [{ path: "/save/", service: "profiles", from: 0, to: Infinity }],
+        recoveredFrom: 0,
+        ...changes,
+    });
+    const found = (changes: Partial<Observations>) => findBreaches(seen(changes)).map(breach => breach.promise);
+
+    it("find nothing where all is kept", () => {
+        expect(found({})).to.deep.equal([]);
+    });
+
+    it("find each broken promise", () => {
+        expect(found({ attempts: [attempt(200, "answer of i-1 to r-9")] })).to.deep.equal(["whole answers"]);
+        expect(found({ runs: [run(), run({ server: "i-2" })] })).to.deep.equal(["at most once"]);
+        expect(found({ attempts: [attempt(503)], recoveredFrom: 0 })).to.include("refused unrun");
+        expect(found({ runs: [run({ service: "packs" })] })).to.deep.equal(["route"]);
+        expect(found({ drained: new Map([["i-1", { from: 50, to: Infinity }]]) })).to.deep.equal(["drain"]);
+        expect(found({ evacuated: new Map([["north-a", [{ from: 50, to: 150 }]]]) })).to.deep.equal(["evacuation"]);
+        expect(found({ attempts: [] })).to.deep.equal(["recovery"]);
+    });
+});
