--- a/packages/gateway/src/callers-directory.ts
+++ b/packages/gateway/src/callers-directory.ts
@@ -1,6 +1,6 @@
 /**
  * The listeners that callers and the deployment ask: which boxes to use, and
- * whether this one is ready.
+ * whether this one is ready, and its own figures.
  */
 
 import type { Milliseconds } from "@chalkdale/core";
@@ -13,6 +13,8 @@
     /** How long callers may keep an answer. */
     readonly lifetime: Milliseconds;
     readonly inService: () => readonly MemberRecord[];
+    /** Told of each look-up. */
+    readonly onLookup: () => void;
 }
 
 /** Returns the listener of the directory. */
@@ -24,6 +26,7 @@
             end(response, 404);
             return;
         }
+        options.onLookup();
         const place = options.protocol.readCallerPlace(new URLSearchParams(query));
         const addresses = chooseBoxes(options.inService(), place);
         if (addresses.length === 0) {
@@ -48,6 +51,17 @@
     };
 }
 
+/** Returns the listener that tells the box's own figures. */
+export function createMetricsListener(path: string, text: () => string) {
+    return (request: IncomingMessage, response: ServerResponse): void => {
+        if (request.url !== path) {
+            end(response, 404);
+            return;
+        }
+        response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4" }).end(text());
+    };
+}
+
 function end(response: ServerResponse, status: number): void {
     response.sendDate = false;
     response.writeHead(status, { "Content-Length": 0 }).end();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
  */
 
 import { boxId, type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/core";
-import { every, type Log, sleep } from "@chalkdale/runtime";
+import { createBudgetedLog, every, type Log, sleep } from "@chalkdale/runtime";
 import {
     createColdAdmission,
     createMembership,
@@ -23,7 +23,8 @@
 import { createAttempt } from "./attempt.js";
 import { trackCallerConnections } from "./caller-connections.js";
 import type { CallerProtocol } from "./caller-protocol.js";
-import { createDirectoryListener, createReadinessListener } from "./callers-directory.js";
+import { createDirectoryListener, createMetricsListener, createReadinessListener } from "./callers-directory.js";
+import { createGatewayMetrics } from "./metrics.js";
 import { gossipInterval, readPeerSnapshot, startPeerLink } from "./peer-link.js";
 import { createPlannedStop } from "./planned-stop.js";
 import { createProber } from "./prober.js";
@@ -53,6 +54,12 @@
     readonly isReady: () => boolean;
 }
 
+/** Where the figures are told. */
+const metricsPath = "/metrics";
+const second = 1000;
+/** Lines a second for each event; what matters most when something fails gets more. */
+const linesPerSecond = 10;
+const linesOfEvent = { "request.served": 3, "request.refused": 30, "attempt.failed": 20 };
 const housekeepingInterval = 250;
 const announceRetry = 1000;
 /** Boxes that the failure timeout is made for. */
@@ -67,7 +74,9 @@
 
 /** Starts a box. */
 export function startGateway(options: GatewayOptions): Gateway {
-    const { clock, log, protocol, random, settings, store } = options;
+    const { clock, protocol, random, settings, store } = options;
+    const log = createBudgetedLog(options.log, { linesPerSecond: linesPerSecond, byEvent: linesOfEvent });
+    const metrics = createGatewayMetrics();
     const lifetime = new AbortController();
     const { signal } = lifetime;
     setMaxListeners(0, signal);
@@ -142,6 +151,7 @@
         clock,
         random,
         log,
+        metrics,
         protocol,
         state,
         choose,
@@ -163,10 +173,12 @@
     callers.on("request", onRequest);
     listen(callers, settings.callers);
     const readiness = listen(createServer(createReadinessListener(protocol, isReady)), settings.readiness);
+    const others = [readiness];
     const directory = listen(
         createServer(createDirectoryListener({
             protocol,
             lifetime: settings.bounds.lookupLifetime,
+            onLookup: metrics.onLookup,
             inService: () => {
                 updateOwnState();
                 return membership.inService(clock());
@@ -210,6 +222,11 @@
         catalog.sweep(clock()).forEach(server => recentKeys.forget(server));
         probeDue();
     });
+    void every(second, signal).observe(() => log.report());
+    if (settings.metrics !== undefined) {
+        const metricsText = () => metrics.text(readGauges());
+        others.push(listen(createServer(createMetricsListener(metricsPath, metricsText)), settings.metrics));
+    }
     settings.seeds.forEach(peerLink.greet);
     void joinMembers(membership);
 
@@ -221,7 +238,7 @@
     async function stopAsPlanned(): Promise<void> {
         await plannedStop.begin();
         lifetime.abort();
-        [callers, readiness, directory].forEach(server => server.close());
+        [callers, directory, ...others].forEach(server => server.close());
     }
 
     /** Records this box in the store, then greets those that are recorded: of two that start at once, one sees the other. */
@@ -241,6 +258,19 @@
         }
     }
 
+    function readGauges(): Record<string, number | undefined> {
+        return {
+            configuration_version: state.configuration()?.version,
+            servers_revision: state.replica("servers").revision(),
+            store_lost_milliseconds: replicator.storeLostFor(),
+            boxes_alive: boxesAlive().length,
+            callers_connections: callerConnections.count(),
+            callers_in_flight: callerConnections.inFlight(),
+            servers_connections: connections.count(),
+            memory_bytes: process.memoryUsage.rss(),
+        };
+    }
+
     function updateOwnState(): void {
         membership.setOwnState({ ready: isReady(), leaving: plannedStop.phase() !== "running" });
     }
--- a/packages/gateway/src/replicator.ts
+++ b/packages/gateway/src/replicator.ts
@@ -32,6 +32,8 @@
 /** The part that learns from other boxes. */
 export interface Replicator {
     readonly digest: () => StateDigest;
+    /** Milliseconds since the store last failed to answer; 0 while it answers. */
+    readonly storeLostFor: () => number;
     /** Another box told what it knows. */
     readonly onDigest: (peerAddress: string, digest: StateDigest) => void;
 }
@@ -63,6 +65,7 @@
             servers: state.replica("servers").changedRevision(),
             closedZones: state.replica("closedZones").changedRevision(),
         }),
+        storeLostFor: () => storeLostAt === undefined ? 0 : Math.round(clock() - storeLostAt),
         onDigest(peerAddress, digest) {
             for (const kind of sharedKinds) {
                 if (isBehind(kind, digest) && !behind.has(kind)) {
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -22,6 +22,7 @@
 import type { CallerProtocol } from "./caller-protocol.js";
 import type { ServerAnswer } from "./exchange.js";
 import { passOnHeaders } from "./headers.js";
+import type { GatewayMetrics } from "./metrics.js";
 import { type RefusalKind, refusals } from "./refusals.js";
 import { readBody } from "./request-body.js";
 import type { SharedState } from "./shared-state.js";
@@ -30,6 +31,7 @@
     readonly clock: Clock;
     readonly random: () => number;
     readonly log: Log;
+    readonly metrics: GatewayMetrics;
     readonly protocol: CallerProtocol;
     readonly state: SharedState;
     readonly choose: (request: ChoiceRequest) => Choice;
@@ -74,7 +76,7 @@
 
 /** Returns the listener for requests of callers. */
 export function createRequestHandler(options: RequestHandlerOptions) {
-    const { clock, log, protocol, state } = options;
+    const { clock, log, metrics, protocol, state } = options;
     const { headers } = protocol;
     const replacedHeaders = new Set([headers.deadline, headers.expectedServer]);
 
@@ -254,11 +256,13 @@
         if (active.sent === sentCount) {
             active.unsent += 1;
         }
+        metrics.onAttempt(outcome.kind);
         return outcome;
     }
 
     function learn(active: ActiveRequest, choice: Choice & { readonly kind: "chosen"; }, duration: Milliseconds): void {
         const { id, standing } = choice.server;
+        metrics.onServed(duration);
         standing.onAnswerTime(clock(), options.work.onMeasured(active.route, choice.warm, duration));
         options.recentKeys.add(id, active.keyHash, clock());
     }
@@ -311,6 +315,7 @@
     function finish(active: ActiveRequest, response: ServerResponse, ending: Ending): void {
         switch (ending.kind) {
             case "answer":
+                logServed(active, ending.answer);
                 passBack(active, response, ending.answer);
                 return;
             case "refusal":
@@ -318,7 +323,13 @@
                 refuse(response, ending.refusal);
                 return;
             case "callerLeft":
-                log.debug("request.callerLeft", { request: active.requestId, sent: active.sent });
+                metrics.onEnding(active.route.name, "callerLeft", clock() - active.startedAt);
+                log.info("request.callerLeft", {
+                    request: active.requestId,
+                    route: active.route.name,
+                    sent: active.sent,
+                    after: Math.round(clock() - active.startedAt),
+                });
                 return;
         }
     }
@@ -372,7 +383,21 @@
         });
     }
 
+    function logServed(active: ActiveRequest, answer: ServerAnswer): void {
+        const latency = clock() - active.startedAt;
+        metrics.onEnding(active.route.name, String(answer.status), latency);
+        log.info("request.served", {
+            request: active.requestId,
+            route: active.route.name,
+            status: answer.status,
+            tried: [...active.tried].join(","),
+            after: Math.round(latency),
+            version: state.configuration()?.version,
+        });
+    }
+
     function logRefusal(active: ActiveRequest, refusal: RefusalKind): void {
+        metrics.onEnding(active.route.name, refusal, clock() - active.startedAt);
         log.info("request.refused", {
             request: active.requestId,
             route: active.route.name,
@@ -380,7 +405,9 @@
             sent: active.sent,
             tried: [...active.tried].join(",") || undefined,
             after: Math.round(clock() - active.startedAt),
+            timeLeft: Math.round(active.endsAt - clock()),
             version: state.configuration()?.version,
+            servers: state.replica("servers").revision(),
         });
     }
 }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -35,6 +35,8 @@
     readonly directory: ListenAddress;
     /** Other boxes reach this one here, over TCP and UDP. */
     readonly peers: ListenAddress;
+    /** Where the box tells its own figures, if it does. */
+    readonly metrics?: ListenAddress;
     /** Peer addresses of some boxes, which may be out of date. */
     readonly seeds: readonly string[];
     readonly bounds: GatewayBounds;
--- a/packages/testing/src/soak/box-process.ts
+++ b/packages/testing/src/soak/box-process.ts
@@ -18,6 +18,8 @@
     readonly store: string;
     readonly seeds: readonly string[];
     readonly folder: string;
+    /** False: nobody reads what the box writes. */
+    readonly readLog?: boolean;
 }
 
 /** A box that can be started again. */
@@ -53,8 +55,10 @@
                 env: { ...process.env, CHALKDALE_SETTINGS: file },
                 stdio: ["ignore", "pipe", "pipe"],
             });
-            child.stdout!.pipe(log, { end: false });
-            child.stderr!.pipe(log, { end: false });
+            if (place.readLog !== false) {
+                child.stdout!.pipe(log, { end: false });
+                child.stderr!.pipe(log, { end: false });
+            }
         },
         signal: name => {
             child?.kill(name);
--- a/packages/testing/test/box-program.test.ts
+++ b/packages/testing/test/box-program.test.ts
@@ -8,6 +8,9 @@
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { workspace } from "../src/launch/process.js";
+import { createBoxProcess } from "../src/soak/box-process.js";
+import { sendRequest } from "../src/users-platform/client.js";
+import { eventually, startDeployment, testHost } from "../src/users-platform/deployment.js";
 
 const program = resolve(workspace, "platform/dist/src/main.js");
 
@@ -44,6 +47,36 @@
         expect(output).to.include("event=settings.unreadable");
     });
 
+    it("serves on while nobody reads its log", async () => {
+        const deployment = await startDeployment();
+        await deployment.addServer({ id: "i-1" });
+        deployment.configure(2, [{ name: "lookup", path: "/lookup/", kind: "safe" }]);
+        const box = createBoxProcess({
+            name: "box-0",
+            host: "127.0.3.1",
+            firstPort: 20_000 + process.pid % 1000 * 10,
+            zone: "north-a",
+            region: "north",
+            zones: { "north-a": "north" },
+            store: deployment.storeServer.address(),
+            seeds: [],
+            folder,
+            readLog: false,
+        });
+        box.start();
+        const ask = (path: string) => sendRequest({ address: box.callers, host: testHost, path, requestId: "p-1" });
+        await eventually(async () => (await ask("/lookup/")).status === 200, "it serves");
+        // Each line names the path, so that the lines of one second fill the pipe.
+        const longPath = `/nowhere/${"x".repeat(60_000)}`;
+        for (let count = 0; count < 20; count++) {
+            expect((await ask(longPath)).status).to.equal(404);
+        }
+        expect((await ask("/lookup/")).status).to.equal(200);
+        box.signal("SIGKILL");
+        await box.ended();
+        await deployment.close();
+    });
+
     it("ends with status 3 and a line for each fault when the settings are wrong", async () => {
         const file = join(folder, "boot.conf");
         writeFileSync(file, "node_name=a\nzone=z\n");
