Send a stalled request that may be repeated elsewhere once its server takes no connection

A request that takes three times its expected time (400 ms at least) makes the box open a test connection; a server that takes it is only slow. Ruled out: health checks (they wait for a slot, so a full server would look dead). Connections now come up within 250 ms and twice the way, instead of 600 ms.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -3,12 +3,13 @@
  * the server's standing learns from how it ended.
  */
 
-import { type Clock, type Milliseconds, milliseconds, type ServerId, type ServiceId } from "@chalkdale/core";
+import { type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/core";
 import { type CatalogServer, isRepeatable, type Route } from "@chalkdale/steering";
 import type { Socket } from "node:net";
 import type { CallerProtocol } from "./caller-protocol.js";
 import { exchange, readKeepAlive, type ServerAnswer } from "./exchange.js";
 import type { ServerConnections } from "./server-connections.js";
+import type { StallCheck } from "./stall-check.js";
 
 /** How an attempt ended. */
 export type AttemptOutcome =
@@ -36,6 +37,8 @@
     /** Time until the request must be answered. */
     readonly timeLeft: () => Milliseconds;
     readonly roundTrip: Milliseconds;
+    /** Expected time until the answer. */
+    readonly expected: Milliseconds;
     readonly signal: AbortSignal;
     /** Told once the request is about to be sent. */
     readonly onSend: () => void;
@@ -49,13 +52,16 @@
     readonly connections: ServerConnections;
     /** Connections to one server that this box may hold. */
     readonly mostConnections: (service: ServiceId) => number;
-    readonly onCold: (server: ServerId, duration: Milliseconds) => void;
+    readonly stallCheck: StallCheck;
 }
 
 const statusMisdirected = 421;
-/** A connection must come up within this, and a part of the time left. */
-const longestConnect = 600;
+/** A connection must come up within this and twice the way there and back, and within a part of the time left. */
+const connectBase = 250;
 const connectPartOfTimeLeft = 0.4;
+/** A request counts as stalled after this many times the expected time, and not before the least. */
+const stalledAfter = 3;
+const leastStall = 400;
 /** Kept connections carry requests that may not be repeated only if they rested no longer. */
 const longestRestUnsafe = milliseconds(2000);
 const longestRest = milliseconds(4000);
@@ -68,7 +74,10 @@
 
     return async function attempt(request) {
         const { standing } = request.server;
-        const connectTimeout = Math.min(longestConnect, request.timeLeft() * connectPartOfTimeLeft);
+        const connectTimeout = Math.min(
+            connectTimeoutFor(request.roundTrip),
+            request.timeLeft() * connectPartOfTimeLeft,
+        );
         const connected = await connections.acquire({
             server: request.server.id,
             address: standing.record().address,
@@ -103,6 +112,7 @@
         const sentAt = clock();
         request.onSend();
         standing.onSent(sentAt);
+        const stall = watchForStall(request);
         const outcome = await exchange({
             socket,
             method: request.method,
@@ -111,8 +121,14 @@
             body: request.body,
             requestId: request.requestId,
             headers: protocol.headers,
-            signal: request.signal,
+            signal: AbortSignal.any([request.signal, stall.signal]),
+            onHead: stall.end,
         });
+        stall.end();
+        if (outcome.kind === "cancelled" && !request.signal.aborted) {
+            standing.onEnded(clock());
+            return { kind: "broken", reason: "server silent" };
+        }
         if (outcome.kind !== "answer") {
             standing.onEnded(clock());
             if (outcome.kind === "broken") {
@@ -123,6 +139,29 @@
         return judgeAnswer(request, socket, outcome.answer, sentAt);
     }
 
+    /** Aborts a request that may be repeated once its server turns out to be silent. */
+    function watchForStall(request: AttemptRequest): { readonly signal: AbortSignal; readonly end: () => void; } {
+        const controller = new AbortController();
+        if (!isRepeatable(request.route)) {
+            return { signal: controller.signal, end: () => undefined };
+        }
+        let isOver = false;
+        const timer = setTimeout(() => {
+            void options.stallCheck(request.server).then(accepts => {
+                if (!accepts && !isOver) {
+                    controller.abort();
+                }
+            });
+        }, Math.max(leastStall, request.expected * stalledAfter));
+        return {
+            signal: controller.signal,
+            end() {
+                isOver = true;
+                clearTimeout(timer);
+            },
+        };
+    }
+
     function headersFor(request: AttemptRequest): string[] {
         const headers = [
             ...request.rawHeaders,
@@ -170,4 +209,9 @@
     }
 }
 
+/** Returns how long a connection may take to come up over a way of this length. */
+export function connectTimeoutFor(roundTrip: Milliseconds): Milliseconds {
+    return milliseconds(connectBase + 2 * roundTrip);
+}
+
 const methodsWithoutBody = new Set(["GET", "HEAD", "DELETE", "OPTIONS"]);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import { boxId, type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/core";
 import { createBudgetedLog, every, type Log, sleep } from "@chalkdale/runtime";
 import {
+    type CatalogServer,
     createColdAdmission,
     createMembership,
     createRecentKeys,
@@ -20,7 +21,7 @@
 } from "@chalkdale/steering";
 import { setMaxListeners } from "node:events";
 import { createServer, type Server } from "node:http";
-import { createAttempt } from "./attempt.js";
+import { connectTimeoutFor, createAttempt } from "./attempt.js";
 import { trackCallerConnections } from "./caller-connections.js";
 import type { CallerProtocol } from "./caller-protocol.js";
 import { createDirectoryListener, createMetricsListener, createReadinessListener } from "./callers-directory.js";
@@ -34,6 +35,7 @@
 import { createServerConnections } from "./server-connections.js";
 import type { GatewaySettings, ListenAddress } from "./settings.js";
 import { createSharedState, recordDelay } from "./shared-state.js";
+import { createStallCheck } from "./stall-check.js";
 import type { StateStore } from "./state-store.js";
 
 export interface GatewayOptions {
@@ -134,7 +136,16 @@
         protocol,
         connections,
         mostConnections,
-        onCold: (server, duration) => catalog.get(server)?.standing.onCold(clock(), duration),
+        stallCheck: createStallCheck({
+            clock,
+            log,
+            localAddress: settings.callers.host,
+            connectTimeout: server => connectTimeoutFor(roundTripTo(server)),
+            onSilent: server => {
+                server.standing.onFailure(clock(), "unreachable");
+                connections.closeIdle(server.id);
+            },
+        }),
     });
     const plannedStop = createPlannedStop({
         clock,
@@ -159,10 +170,7 @@
         budgetOf,
         recentKeys,
         work,
-        roundTrip: server => {
-            const { region, zone } = server.standing.record();
-            return roundTrips.estimate(region, zone);
-        },
+        roundTrip: roundTripTo,
         isClosing: () => plannedStop.phase() === "closing",
         isLeaving: () => plannedStop.phase() !== "running",
     });
@@ -289,6 +297,11 @@
         return budget;
     }
 
+    function roundTripTo(server: CatalogServer): Milliseconds {
+        const { region, zone } = server.standing.record();
+        return roundTrips.estimate(region, zone);
+    }
+
     function mostConnections(service: ServiceId): number {
         const most = state.service(service)?.maxConnections ?? assumedMostConnections;
         return Math.max(leastConnections, Math.floor(most * usedPartOfConnections / boxesAlive().length));
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -247,6 +247,7 @@
             requestId: active.requestId,
             timeLeft: () => milliseconds(active.endsAt - clock()),
             roundTrip,
+            expected: choice.expected,
             signal,
             onSend: () => {
                 active.sent += 1;
--- /dev/null
+++ b/packages/gateway/src/stall-check.ts
@@ -0,0 +1,73 @@
+/**
+ * Finds servers that have gone silent while requests wait for their answers.
+ *
+ * A request that takes far longer than expected makes the box open a test
+ * connection. A server that accepts it is only slow; one that does not is left
+ * out, and requests that may be repeated go elsewhere.
+ */
+
+import type { Clock, Milliseconds } from "@chalkdale/core";
+import type { Log } from "@chalkdale/runtime";
+import type { CatalogServer } from "@chalkdale/steering";
+import { connect } from "node:net";
+import { splitAddress } from "./peer-link.js";
+
+/** Answers whether a server still accepts connections. */
+export type StallCheck = (server: CatalogServer) => Promise<boolean>;
+
+export interface StallCheckOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly localAddress: string;
+    /** Time in which a connection must come up. */
+    readonly connectTimeout: (server: CatalogServer) => Milliseconds;
+    readonly onSilent: (server: CatalogServer) => void;
+}
+
+/** A result is used again for this long, in milliseconds. */
+const resultLifetime = 500;
+
+interface Check {
+    readonly result: Promise<boolean>;
+    readonly startedAt: Milliseconds;
+}
+
+/** Creates the check. Checks of one server at one time are one. */
+export function createStallCheck(options: StallCheckOptions): StallCheck {
+    const { clock, log } = options;
+    const checks = new Map<string, Check>();
+
+    return server => {
+        const known = checks.get(server.id);
+        if (known !== undefined && clock() - known.startedAt < resultLifetime) {
+            return known.result;
+        }
+        const result = check(server);
+        checks.set(server.id, { result, startedAt: clock() });
+        return result;
+    };
+
+    async function check(server: CatalogServer): Promise<boolean> {
+        const accepts = await acceptsConnection(server);
+        log.info("server.stalled", { server: server.id, accepts });
+        if (!accepts) {
+            options.onSilent(server);
+        }
+        return accepts;
+    }
+
+    function acceptsConnection(server: CatalogServer): Promise<boolean> {
+        const { host, port } = splitAddress(server.standing.record().address);
+        return new Promise(resolve => {
+            const socket = connect({ host, port, localAddress: options.localAddress });
+            const settle = (accepts: boolean) => {
+                clearTimeout(timer);
+                socket.destroy();
+                resolve(accepts);
+            };
+            const timer = setTimeout(() => settle(false), options.connectTimeout(server));
+            socket.on("error", () => settle(false));
+            socket.on("connect", () => settle(true));
+        });
+    }
+}
--- a/packages/steering/src/server-standing.ts
+++ b/packages/steering/src/server-standing.ts
@@ -60,7 +60,7 @@
 const reportLifetime = 1000;
 /** Time for which a refusal as full keeps other requests away, in milliseconds. */
 const fullPause = 60;
-const firstEjection = 1000;
+const firstEjection = 500;
 const longestEjection = 8000;
 /** Failures in a row after which a server is left out. */
 const failuresBeforeEjection = 3;
--- a/packages/testing/src/users-platform/backend.ts
+++ b/packages/testing/src/users-platform/backend.ts
@@ -4,7 +4,7 @@
  */
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
 
 /** What the server does with a request. */
 export type BackendBehaviour =
@@ -54,6 +54,8 @@
     setColdFor: (milliseconds: number) => void;
     /** Says in its answers that it is leaving. */
     setLeaving: (leaving: boolean) => void;
+    /** Refuses new connections; those that are open stay. */
+    readonly stopAccepting: () => void;
     readonly close: () => void;
 }
 
@@ -118,6 +120,10 @@
         setLeaving: value => {
             leaving = value;
         },
+        stopAccepting() {
+            // The HTTP server's own `close` would end idle connections too.
+            NetServer.prototype.close.call(server);
+        },
         close() {
             server.close();
             server.closeAllConnections();
--- a/packages/testing/test/box-requests.test.ts
+++ b/packages/testing/test/box-requests.test.ts
@@ -177,6 +177,34 @@
         });
     });
 
+    describe("a server that goes silent while it works", () => {
+        /** Both servers fall silent at their next request; the one that has it also takes no connection any more. */
+        const silence = () => {
+            for (const backend of [first, second]) {
+                backend.setBehaviour(() => {
+                    backend.stopAccepting();
+                    for (const other of [first, second]) {
+                        other.setBehaviour(() => ({ kind: "serve" }));
+                    }
+                    return { kind: "loseAnswer", by: "silence" };
+                });
+            }
+        };
+
+        it("loses a request that may be repeated to another, long before its deadline", async () => {
+            silence();
+            const answer = await ask("/lookup/", { deadlineMs: 60_000 });
+            expect(answer.status).to.equal(200);
+            expect(runs()).to.have.length(2);
+        });
+
+        it("keeps one that may not, until its time is over", async () => {
+            silence();
+            expect((await ask("/save/", { method: "POST", body: "b" })).status).to.equal(504);
+            expect(runs()).to.have.length(1);
+        });
+    });
+
     describe("an answer that is not what it seems", () => {
         it("without a length goes back without a length", async () => {
             misbehave({ kind: "unframed" });
