--- a/packages/testing/test/emulator.test.ts
+++ b/packages/testing/test/emulator.test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import { playDay } from "../src/emulator/day.js";
 import { kodeyard, pedala } from "../src/emulator/deployments.js";
+import type { PolicyName } from "../src/emulator/policies.js";
 import { compareWithGolden } from "../src/golden/golden-file.js";
 
 const day = { deployment: pedala, policy: "affinity", seed: 7, length: milliseconds(8000), load: 1 } as const;
@@ -18,6 +19,25 @@
         expect(playDay({ ...day, seed: 8 })).not.to.deep.equal(playDay(day));
     });
 
+    describe("the region in which the requests of one region run", () => {
+        const mostMoved = 0.15;
+        const burst = [{ kind: "burst", at: 14_000, lasts: 4000, factor: 1.5 }] as const;
+        const movedBy = (policy: PolicyName) => {
+            const lines: string[] = [];
+            const length = milliseconds(32_000);
+            playDay({ ...day, policy, seed: 3, length, troubles: burst, onDecision: line => lines.push(line) });
+            return mostMovedBetweenWindows(lines, pedala.zones);
+        };
+
+        it("changes for few of them while load rises and falls", () => {
+            expect(movedBy("affinity")).to.be.lessThan(mostMoved);
+        });
+
+        it("would change for more if servers were chosen by load alone", () => {
+            expect(movedBy("candidate-set")).to.be.greaterThan(mostMoved);
+        });
+    });
+
     describe("affinity with bounded load", () => {
         for (const deployment of [pedala, kodeyard]) {
             it(`earns more than power of two choices and the candidate set (${deployment.name})`, () => {
@@ -46,3 +66,38 @@
         });
     });
 });
+
+const decision = /^(\S+) box-(\S+)-\d+ \S+ \S+ to [a-z]+-[a-z]+-(\S+)-\d+ /;
+const windowLength = 2000;
+
+/** Returns the greatest part of one region's requests that ran in another region than in the window before. */
+function mostMovedBetweenWindows(lines: readonly string[], zones: Readonly<Record<string, string>>): number {
+    const counts = new Map<string, Map<string, number>>();
+    for (const line of lines) {
+        const match = decision.exec(line);
+        if (match !== null) {
+            const key = `${Math.floor(Number(match[1]) / windowLength)} ${zones[match[2]]}`;
+            const byRegion = counts.get(key) ?? new Map<string, number>();
+            byRegion.set(zones[match[3]], (byRegion.get(zones[match[3]]) ?? 0) + 1);
+            counts.set(key, byRegion);
+        }
+    }
+    let most = 0;
+    for (const [key, now] of counts) {
+        const [window, region] = key.split(" ");
+        const before = counts.get(`${Number(window) - 1} ${region}`);
+        if (before !== undefined) {
+            most = Math.max(most, movedPart(before, now));
+        }
+    }
+    return most;
+}
+
+function movedPart(before: ReadonlyMap<string, number>, now: ReadonlyMap<string, number>): number {
+    const total = (counts: ReadonlyMap<string, number>) => [...counts.values()].reduce((sum, count) => sum + count, 0);
+    const regions = new Set([...before.keys(), ...now.keys()]);
+    const changes = [...regions].map(region =>
+        Math.abs((now.get(region) ?? 0) / total(now) - (before.get(region) ?? 0) / total(before))
+    );
+    return changes.reduce((sum, change) => sum + change, 0) / 2;
+}
