Follow the store by one relay a region, and name callers the boxes that can carry them

And callers were sent to 62 boxes with 0.27 cores and 7 Mbit/s as often as to 18 with 1.35 cores and 140 Mbit/s.

Change: in a region of six boxes or more the strongest one follows the store and passes changes on by datagram; each copy has an age, and a box whose copy grows older than about half the bound on changes follows the store itself, next ranks first. The directory names a region's strong boxes while they use less than half of what they have; allowances, connections and cold servers' senders are shared among these.

A test is replaced: replicas took no changes that begin before their own revision; they take them now, since a second source tells the same changes again (the last change of an item counts), and refuse what would leave a gap or go back.

Ruled out: stale reads (a tenth of the price, but seconds old); fewer, longer watches on all boxes (they return at each change).

--- /dev/null
+++ b/packages/gateway/src/cached.ts
@@ -0,0 +1,17 @@
+/**
+ * A value that is computed anew only when it has grown old.
+ */
+
+import type { Clock, Milliseconds } from "@chalkdale/core";
+
+/** Returns a function that gives the value, computed at most `lifetime` ago. */
+export function createCached<Value>(clock: Clock, lifetime: Milliseconds, compute: () => Value): () => Value {
+    let cached: { readonly value: Value; readonly at: Milliseconds; } | undefined;
+
+    return () => {
+        if (cached === undefined || clock() - cached.at >= lifetime) {
+            cached = { value: compute(), at: clock() };
+        }
+        return cached.value;
+    };
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,9 @@
 import { boxId, type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/core";
 import { createBudgetedLog, every, type Log, sleep } from "@chalkdale/runtime";
 import {
+    allCarriers,
     type CatalogServer,
+    coldSenders,
     createColdAdmission,
     createMembership,
     createRecentKeys,
@@ -13,6 +15,7 @@
     createServerCatalog,
     createServerChoice,
     createServerStanding,
+    createStoreWatchDuty,
     createWorkEstimate,
     failureTimeout,
     type MemberRecord,
@@ -22,10 +25,12 @@
 import { setMaxListeners } from "node:events";
 import { createServer, type Server } from "node:http";
 import { connectTimeoutFor, createAttempt } from "./attempt.js";
+import { createCached } from "./cached.js";
 import { trackCallerConnections } from "./caller-connections.js";
 import type { CallerProtocol } from "./caller-protocol.js";
 import { createDirectoryListener, createMetricsListener, createReadinessListener } from "./callers-directory.js";
 import { createGatewayMetrics } from "./metrics.js";
+import { createOwnLoad } from "./own-load.js";
 import { gossipInterval, readPeerSnapshot, startPeerLink } from "./peer-link.js";
 import { createPlannedStop } from "./planned-stop.js";
 import { createProber } from "./prober.js";
@@ -64,6 +69,7 @@
 const linesOfEvent = { "request.served": 3, "request.refused": 30, "attempt.failed": 20 };
 const housekeepingInterval = 250;
 const announceRetry = 1000;
+const carriersLifetime = milliseconds(250);
 /** Boxes that the failure timeout is made for. */
 const expectedBoxes = 16;
 const rememberFailedBoxes = milliseconds(120_000);
@@ -87,7 +93,13 @@
         failAfter: failureTimeout(gossipInterval, expectedBoxes),
         forgetAfter: rememberFailedBoxes,
     });
-    const boxesAlive = () => membership.alive(clock()).map(member => member.box);
+    const carriers = createCached(clock, carriersLifetime, () => {
+        const named = allCarriers(membership.inService(clock()));
+        return named.length > 0 ? named : membership.alive(clock());
+    });
+    /** Boxes that share what is bounded for all together; a box that callers are not sent to has no part in it. */
+    const sharingBoxes = () => carriers().some(record => record.box === settings.box) ? carriers().length : Infinity;
+    const ownLoad = createOwnLoad(settings.capacity);
     const recentKeys = createRecentKeys();
     const work = createWorkEstimate();
     const roundTrips = createRoundTrips(settings.region, settings.zone);
@@ -97,7 +109,7 @@
             cold: createColdAdmission({
                 self: settings.box,
                 server: record.id,
-                boxes: boxesAlive,
+                boxes: () => coldSenders(carriers(), record.region),
                 rate: () => state.service(record.service)?.coldRate ?? 0,
             }),
         })
@@ -199,9 +211,17 @@
         clock,
         random,
         log,
+        region: settings.region,
         state,
         store,
+        duty: createStoreWatchDuty({
+            self: settings.box,
+            region: settings.region,
+            alive: () => membership.alive(clock()),
+            changeBound: settings.bounds.changeInForce,
+        }),
         readSnapshot: readPeerSnapshot,
+        publish: update => peerLink.publish(update),
         signal,
     });
     const peerLink = startPeerLink({
@@ -212,6 +232,8 @@
         membership,
         digest: replicator.digest,
         onDigest: replicator.onDigest,
+        onUpdate: replicator.onUpdate,
+        isFollowing: replicator.isFollowing,
         snapshot: kind => state.replica(kind).snapshot(),
         signal,
     });
@@ -230,7 +252,10 @@
         catalog.sweep(clock()).forEach(server => recentKeys.forget(server));
         probeDue();
     });
-    void every(second, signal).observe(() => log.report());
+    void every(second, signal).observe(() => {
+        ownLoad.measure();
+        log.report();
+    });
     if (settings.metrics !== undefined) {
         const metricsText = () => metrics.text(readGauges());
         others.push(listen(createServer(createMetricsListener(metricsPath, metricsText)), settings.metrics));
@@ -271,7 +296,9 @@
             configuration_version: state.configuration()?.version,
             servers_revision: state.replica("servers").revision(),
             store_lost_milliseconds: replicator.storeLostFor(),
-            boxes_alive: boxesAlive().length,
+            boxes_alive: membership.alive(clock()).length,
+            boxes_carrying: carriers().length,
+            own_load_cores: ownLoad.cores(),
             callers_connections: callerConnections.count(),
             callers_in_flight: callerConnections.inFlight(),
             servers_connections: connections.count(),
@@ -280,7 +307,11 @@
     }
 
     function updateOwnState(): void {
-        membership.setOwnState({ ready: isReady(), leaving: plannedStop.phase() !== "running" });
+        membership.setOwnState({
+            ready: isReady(),
+            leaving: plannedStop.phase() !== "running",
+            load: ownLoad.cores(),
+        });
     }
 
     function budgetOf(service: ServiceId): RepeatBudget {
@@ -290,7 +321,7 @@
                 ratio: settings.bounds.repeatRatio,
                 window: settings.bounds.repeatWindow,
                 allowance: settings.bounds.repeatAllowance,
-                boxCount: () => boxesAlive().length,
+                boxCount: sharingBoxes,
             });
             budgets.set(service, budget);
         }
@@ -304,7 +335,7 @@
 
     function mostConnections(service: ServiceId): number {
         const most = state.service(service)?.maxConnections ?? assumedMostConnections;
-        return Math.max(leastConnections, Math.floor(most * usedPartOfConnections / boxesAlive().length));
+        return Math.max(leastConnections, Math.floor(most * usedPartOfConnections / sharingBoxes()));
     }
 
     function applyCallerLimits(idleTimeout: Milliseconds): void {
@@ -333,5 +364,7 @@
         zone: settings.zone,
         peerAddress: `${settings.peers.host}:${settings.peers.port}`,
         callerAddress: `${settings.callers.host}:${settings.callers.port}`,
+        capacity: settings.capacity,
+        load: 0,
     };
 }
--- /dev/null
+++ b/packages/gateway/src/own-load.ts
@@ -0,0 +1,32 @@
+/**
+ * How much of the processor this box uses, from how long its event loop is busy.
+ */
+
+import { performance } from "node:perf_hooks";
+
+/** Load of this box. */
+export interface OwnLoad {
+    /** Takes in the time since the last measurement. */
+    readonly measure: () => void;
+    /** Smoothed load as a number of processor cores. */
+    readonly cores: () => number;
+}
+
+const smoothing = 0.2;
+const hundredths = 100;
+
+/** Creates the measurement for a box of the given capacity in cores; the load is 0 at first. */
+export function createOwnLoad(capacity: number): OwnLoad {
+    let before = performance.eventLoopUtilization();
+    let cores = 0;
+
+    return {
+        measure() {
+            const now = performance.eventLoopUtilization();
+            const { utilization } = performance.eventLoopUtilization(now, before);
+            before = now;
+            cores += (utilization * capacity - cores) * smoothing;
+        },
+        cores: () => Math.round(cores * hundredths) / hundredths,
+    };
+}
--- a/packages/gateway/src/peer-link.ts
+++ b/packages/gateway/src/peer-link.ts
@@ -1,6 +1,7 @@
 /**
- * Messages between boxes: small datagrams with heartbeats and what the sender
- * knows, and snapshots over HTTP for a box that knows less.
+ * Messages between boxes: small datagrams with heartbeats, what the sender
+ * knows, and changes that a relay passes on; and snapshots over HTTP for a box
+ * that knows less.
  */
 
 import { type Clock, incarnationId, milliseconds } from "@chalkdale/core";
@@ -8,8 +9,9 @@
 import type { MemberRecord, Membership, Snapshot } from "@chalkdale/steering";
 import { createSocket } from "node:dgram";
 import { createServer, get, type IncomingMessage, type ServerResponse } from "node:http";
-import type { StateDigest } from "./replicator.js";
+import type { StatePeer } from "./replicator.js";
 import type { ListenAddress } from "./settings.js";
+import { isStateDigest, isStateUpdate, type StateDigest, type StateUpdate } from "./state-messages.js";
 import { type SharedKind, sharedKinds } from "./state-store.js";
 
 /** Time between two rounds of gossip. */
@@ -21,13 +23,14 @@
 const largestSnapshot = 16 * 1024 * 1024;
 const snapshotTimeout = 1500;
 
-/** Heartbeat of one member: box, incarnation, heartbeat, ready, leaving. */
-type Beat = readonly [box: string, incarnation: string, heartbeat: number, ready: 0 | 1, leaving: 0 | 1];
+/** Heartbeat of one member: box, incarnation, heartbeat, ready, leaving, load. */
+type Beat = readonly [box: string, incarnation: string, heartbeat: number, ready: 0 | 1, leaving: 0 | 1, load: number];
 
-interface GossipMessage {
+interface PeerMessage {
     readonly from: MemberRecord;
     readonly beats: readonly Beat[];
     readonly digest: StateDigest;
+    readonly update?: StateUpdate;
 }
 
 export interface PeerLinkOptions {
@@ -37,7 +40,10 @@
     readonly listen: ListenAddress;
     readonly membership: Membership;
     readonly digest: () => StateDigest;
-    readonly onDigest: (peerAddress: string, digest: StateDigest) => void;
+    readonly onDigest: (peer: StatePeer, digest: StateDigest) => void;
+    readonly onUpdate: (update: StateUpdate) => void;
+    /** True while the boxes of the region depend on what this one tells of its copies. */
+    readonly isFollowing: () => boolean;
     readonly snapshot: (kind: SharedKind) => Snapshot<unknown> | undefined;
     readonly signal: AbortSignal;
 }
@@ -48,6 +54,8 @@
     readonly greet: (peerAddress: string) => void;
     /** Tells all known boxes at once, for instance that this one is leaving. */
     readonly tellAll: () => void;
+    /** Passes changes on to the boxes of the region; too large ones they read themselves. */
+    readonly publish: (update: StateUpdate) => void;
 }
 
 /** Listens and gossips until the signal aborts. */
@@ -66,7 +74,11 @@
     }, { once: true });
     void every(gossipInterval, signal).observe(gossip);
 
-    return { greet, tellAll };
+    return {
+        greet,
+        tellAll,
+        publish: update => tellRegion(createMessage([], update)),
+    };
 
     function gossip(): void {
         const own = membership.beat(clock());
@@ -79,6 +91,20 @@
                 greet(chosen.peerAddress);
             }
         }
+        if (options.isFollowing()) {
+            tellRegion(createMessage([]));
+        }
+    }
+
+    function tellRegion(message: PeerMessage): void {
+        const data = JSON.stringify(message);
+        if (data.length > largestDatagram) {
+            return;
+        }
+        const { box, region } = message.from;
+        membership.alive(clock())
+            .filter(member => member.region === region && member.box !== box)
+            .forEach(member => send(data, member.peerAddress));
     }
 
     function tellAll(): void {
@@ -87,11 +113,18 @@
     }
 
     function greet(peerAddress: string): void {
-        const [from, ...others] = membership.freshest(mostBeats, clock());
-        const beats = others.map(beatOf);
-        const message: GossipMessage = { from, beats, digest: options.digest() };
+        const [, ...others] = membership.freshest(mostBeats, clock());
+        send(JSON.stringify(createMessage(others.map(beatOf))), peerAddress);
+    }
+
+    function createMessage(beats: readonly Beat[], update?: StateUpdate): PeerMessage {
+        const [from] = membership.freshest(1, clock());
+        return { from, beats, digest: options.digest(), update };
+    }
+
+    function send(data: string, peerAddress: string): void {
         const { host, port } = splitAddress(peerAddress);
-        socket.send(JSON.stringify(message), port, host, () => undefined);
+        socket.send(data, port, host, () => undefined);
     }
 
     function onDatagram(data: Buffer): void {
@@ -109,7 +142,10 @@
             log.info("peer.joined", { box: member.box, zone: member.zone, incarnation: member.incarnation });
             greet(member.peerAddress);
         }
-        options.onDigest(message.from.peerAddress, message.digest);
+        if (message.update !== undefined) {
+            options.onUpdate(message.update);
+        }
+        options.onDigest(message.from, message.digest);
     }
 
     /** Merges heartbeats of members that are known in full; true if some are not. */
@@ -118,10 +154,10 @@
         const own = membership.freshest(1, clock())[0].box;
         let unknown = false;
         const records: MemberRecord[] = [];
-        for (const [box, incarnation, heartbeat, ready, leaving] of beats) {
+        for (const [box, incarnation, heartbeat, ready, leaving, load] of beats) {
             const member = known.get(box);
             if (member !== undefined) {
-                const state = { ready: ready === 1, leaving: leaving === 1 };
+                const state = { ready: ready === 1, leaving: leaving === 1, load };
                 records.push({ ...member, incarnation: incarnationId(incarnation), heartbeat, ...state });
             }
             else if (box !== own) {
@@ -159,7 +195,8 @@
 }
 
 function beatOf(member: MemberRecord): Beat {
-    return [member.box, member.incarnation, member.heartbeat, member.ready ? 1 : 0, member.leaving ? 1 : 0];
+    const { box, heartbeat, incarnation, leaving, load, ready } = member;
+    return [box, incarnation, heartbeat, ready ? 1 : 0, leaving ? 1 : 0, load];
 }
 
 function endWithJson(response: ServerResponse, body: unknown): void {
@@ -167,13 +204,15 @@
 }
 
 /** Reads a datagram; undefined if it is none of this protocol. */
-function readMessage(data: Buffer): GossipMessage | undefined {
+function readMessage(data: Buffer): PeerMessage | undefined {
     if (data.length > largestDatagram) {
         return undefined;
     }
     try {
-        const message = JSON.parse(data.toString("utf8")) as GossipMessage;
-        return isMember(message.from) && Array.isArray(message.beats) && isDigest(message.digest) ? message : undefined;
+        const message = JSON.parse(data.toString("utf8")) as PeerMessage;
+        const isWhole = isMember(message.from) && Array.isArray(message.beats) && message.beats.every(isBeat)
+            && isStateDigest(message.digest) && (message.update === undefined || isStateUpdate(message.update));
+        return isWhole ? message : undefined;
     }
     catch {
         return undefined;
@@ -182,12 +221,13 @@
 
 function isMember(record: MemberRecord | undefined): record is MemberRecord {
     return typeof record?.box === "string" && typeof record.incarnation === "string"
-        && Number.isFinite(record.heartbeat) && typeof record.peerAddress === "string"
-        && typeof record.callerAddress === "string";
+        && typeof record.peerAddress === "string" && typeof record.callerAddress === "string"
+        && [record.heartbeat, record.capacity, record.load].every(Number.isFinite);
 }
 
-function isDigest(digest: StateDigest | undefined): digest is StateDigest {
-    return digest !== undefined && sharedKinds.every(kind => Number.isFinite(digest[kind]));
+function isBeat(beat: unknown): boolean {
+    return Array.isArray(beat) && typeof beat[0] === "string" && typeof beat[1] === "string"
+        && beat.slice(2).every(Number.isFinite);
 }
 
 /** Splits `host:port`. */
--- a/packages/gateway/src/replicator.ts
+++ b/packages/gateway/src/replicator.ts
@@ -1,17 +1,15 @@
 /**
- * Keeps the copies of shared state up to date: watches the store, and takes
- * snapshots from other boxes when they know more.
+ * Keeps the copies of shared state up to date: from the store while that is
+ * this box's duty, and from what other boxes tell.
  */
 
-import type { Clock, Milliseconds } from "@chalkdale/core";
+import type { Clock, Milliseconds, RegionId } from "@chalkdale/core";
 import { type Log, sleep } from "@chalkdale/runtime";
-import type { Snapshot } from "@chalkdale/steering";
+import type { ItemChange, Snapshot, StoreWatchDuty } from "@chalkdale/steering";
 import type { SharedState } from "./shared-state.js";
+import type { CopyState, StateDigest, StateUpdate } from "./state-messages.js";
 import { type SharedItems, type SharedKind, sharedKinds, type StateStore, StoreError } from "./state-store.js";
 
-/** Revisions of the last change that a box knows, by kind. */
-export type StateDigest = Readonly<Record<SharedKind, number>>;
-
 /** Reads a snapshot from another box. Rejects when the box doesn't answer. */
 export type SnapshotReader = <Kind extends SharedKind>(
     peerAddress: string,
@@ -19,40 +17,77 @@
     signal: AbortSignal,
 ) => Promise<Snapshot<SharedItems[Kind]>>;
 
+/** The box that told something. */
+export interface StatePeer {
+    readonly peerAddress: string;
+    readonly region: RegionId;
+}
+
 export interface ReplicatorOptions {
     readonly clock: Clock;
     readonly random: () => number;
     readonly log: Log;
+    readonly region: RegionId;
     readonly state: SharedState;
     readonly store: StateStore;
+    readonly duty: StoreWatchDuty;
     readonly readSnapshot: SnapshotReader;
+    /** Passes changes on to the boxes of the region. */
+    readonly publish: (update: StateUpdate) => void;
     readonly signal: AbortSignal;
 }
 
-/** The part that learns from other boxes. */
+/** The part that other boxes talk to. */
 export interface Replicator {
     readonly digest: () => StateDigest;
     /** Milliseconds since the store last failed to answer; 0 while it answers. */
     readonly storeLostFor: () => number;
+    /** True while this box follows the store, so that others depend on what it tells. */
+    readonly isFollowing: () => boolean;
     /** Another box told what it knows. */
-    readonly onDigest: (peerAddress: string, digest: StateDigest) => void;
+    readonly onDigest: (peer: StatePeer, digest: StateDigest) => void;
+    /** Another box passed changes on. */
+    readonly onUpdate: (update: StateUpdate) => void;
 }
 
 const firstBackoff = 150;
+/** Longest pause between calls that fail: of a box that always follows the store, and of one that stands in. */
 const longestBackoff = 1200;
-/** Time that the own watch has to bring a change that another box knows already, in milliseconds. */
-const watchHeadStart = 300;
+const longestStandInBackoff = 2500;
+/**
+ * Time in milliseconds that changes have to come by the ordinary way, before a snapshot is read from a box that knows
+ * them already: from the relay of the region, from the own watch, and from the store while it is lost.
+ */
+const relayHeadStart = 100;
+const watchHeadStart = 1000;
+const lostStoreHeadStart = 300;
+/** Age that stands for a copy that was never confirmed, in milliseconds. */
+const unconfirmedAge = 1e9;
 /**
  * Pause after a change before the next watch, in milliseconds: changes often come in series, and each watch is a
  * priced call. It counts towards the time in which a change must be in force.
  */
 const pauseAfterChange: Readonly<Record<SharedKind, number>> = { configuration: 200, servers: 500, closedZones: 200 };
 
+/** What is known of one kind beside the copy itself. */
+interface CopyStatus {
+    /** When the store last confirmed that the copy is complete. */
+    confirmedAt: number;
+    /** When it first showed that another box knows more. */
+    behindSince: number | undefined;
+    isReading: boolean;
+    /** The watch that is waiting now. */
+    watch: AbortController | undefined;
+}
+
 /** Starts the loops; they end when the signal aborts. */
 export function startReplicator(options: ReplicatorOptions): Replicator {
-    const { clock, log, signal, state, store } = options;
-    const watches = new Map<SharedKind, AbortController>();
-    const behind = new Set<SharedKind>();
+    const { clock, duty, log, signal, state, store } = options;
+    const statuses: Readonly<Record<SharedKind, CopyStatus>> = {
+        configuration: createCopyStatus(),
+        servers: createCopyStatus(),
+        closedZones: createCopyStatus(),
+    };
     let storeLostAt: Milliseconds | undefined;
 
     for (const kind of sharedKinds) {
@@ -61,38 +96,80 @@
 
     return {
         digest: () => ({
-            configuration: state.replica("configuration").changedRevision(),
-            servers: state.replica("servers").changedRevision(),
-            closedZones: state.replica("closedZones").changedRevision(),
+            configuration: copyState("configuration"),
+            servers: copyState("servers"),
+            closedZones: copyState("closedZones"),
         }),
         storeLostFor: () => storeLostAt === undefined ? 0 : Math.round(clock() - storeLostAt),
-        onDigest(peerAddress, digest) {
+        isFollowing: () => duty.isAlwaysDue() || sharedKinds.some(kind => statuses[kind].watch !== undefined),
+        onDigest(peer, digest) {
             for (const kind of sharedKinds) {
-                if (isBehind(kind, digest) && !behind.has(kind)) {
-                    behind.add(kind);
-                    void catchUp(kind, peerAddress, digest).finally(() => behind.delete(kind));
-                }
+                compareWith(kind, peer, digest[kind]);
             }
         },
+        onUpdate(update) {
+            applyUpdate(update.kind, update);
+        },
     };
 
-    function isBehind(kind: SharedKind, digest: StateDigest): boolean {
-        return digest[kind] > (state.replica(kind).revision() ?? -1);
+    function copyState(kind: SharedKind): CopyState {
+        const replica = state.replica(kind);
+        return {
+            changed: replica.changedRevision(),
+            complete: replica.revision() ?? -1,
+            age: Math.round(Math.min(unconfirmedAge, clock() - statuses[kind].confirmedAt)),
+        };
+    }
+
+    /** Takes what another box knows of a kind: a younger confirmation of the same, or the news that there is more. */
+    function compareWith(kind: SharedKind, peer: StatePeer, told: CopyState): void {
+        const status = statuses[kind];
+        const replica = state.replica(kind);
+        const revision = replica.revision();
+        if (revision !== undefined && revision >= told.changed) {
+            status.behindSince = undefined;
+            replica.applyChanges(revision, [], Math.max(revision, told.complete));
+            status.confirmedAt = Math.max(status.confirmedAt, clock() - told.age);
+            return;
+        }
+        if (told.complete < 0) {
+            return;
+        }
+        status.behindSince ??= clock();
+        if (!status.isReading && clock() - status.behindSince >= headStart(kind, peer)) {
+            status.isReading = true;
+            void readFromPeer(kind, peer.peerAddress).finally(() => {
+                status.isReading = false;
+            });
+        }
+    }
+
+    function headStart(kind: SharedKind, peer: StatePeer): number {
+        if (state.replica(kind).revision() === undefined) {
+            return 0;
+        }
+        if (storeLostAt !== undefined) {
+            return lostStoreHeadStart;
+        }
+        return duty.isRelayed() && peer.region === options.region ? relayHeadStart : watchHeadStart;
+    }
+
+    function applyUpdate<Kind extends SharedKind>(kind: Kind, update: StateUpdate): void {
+        const changes = update.changes as readonly ItemChange<SharedItems[Kind]>[];
+        state.replica(kind).applyChanges(update.since, changes, update.complete);
     }
 
-    async function followStore<Kind extends SharedKind>(kind: Kind): Promise<void> {
+    async function followStore(kind: SharedKind): Promise<void> {
         let backoff = firstBackoff;
-        let isListNeeded = true;
+        let isListNeeded = state.replica(kind).revision() === undefined;
         while (!signal.aborted) {
+            const notDueFor = duty.dueAge() - (clock() - statuses[kind].confirmedAt);
+            if (!duty.isAlwaysDue() && notDueFor > 0) {
+                await sleep(notDueFor, signal);
+                continue;
+            }
             try {
-                if (isListNeeded) {
-                    const snapshot = await store.list(kind, signal);
-                    state.replica(kind).applySnapshot(snapshot);
-                    isListNeeded = false;
-                }
-                else {
-                    isListNeeded = !await watchOnce(kind);
-                }
+                isListNeeded = isListNeeded ? await readList(kind) : !await watchOnce(kind);
                 onStoreAnswered();
                 backoff = firstBackoff;
             }
@@ -102,28 +179,41 @@
                 }
                 onStoreFailed(kind, error);
                 await sleep(backoff * (0.7 + 0.6 * options.random()), signal);
-                backoff = Math.min(longestBackoff, backoff * 2);
+                backoff = Math.min(duty.isAlwaysDue() ? longestBackoff : longestStandInBackoff, backoff * 2);
             }
         }
     }
 
+    /** Reads the whole list; false, as no other is needed after it. */
+    async function readList(kind: SharedKind): Promise<boolean> {
+        const askedAt = clock();
+        state.replica(kind).applySnapshot(await store.list(kind, signal));
+        statuses[kind].confirmedAt = askedAt;
+        return false;
+    }
+
     /** Waits for one batch of changes; false if the copy must be read anew. */
     async function watchOnce<Kind extends SharedKind>(kind: Kind): Promise<boolean> {
         const replica = state.replica(kind);
+        const status = statuses[kind];
         const since = replica.revision();
         if (since === undefined) {
             return false;
         }
         const controller = new AbortController();
-        watches.set(kind, controller);
+        status.watch = controller;
         try {
-            const outcome = await store.watch(kind, since, AbortSignal.any([signal, controller.signal]));
+            const watchSignal = AbortSignal.any([signal, controller.signal]);
+            const outcome = await store.watch(kind, since, watchSignal, duty.watchWait());
             if (outcome.kind === "historyLost") {
                 log.info("store.historyLost", { kind, since });
                 return false;
             }
+            const changedBefore = replica.changedRevision();
             replica.applyChanges(since, outcome.changes, outcome.revision);
+            status.confirmedAt = clock();
             if (outcome.changes.length > 0) {
+                publish({ kind, since: changedBefore, complete: outcome.revision, changes: outcome.changes });
                 await sleep(pauseAfterChange[kind], signal);
             }
             return true;
@@ -135,20 +225,22 @@
             throw error;
         }
         finally {
-            watches.delete(kind);
+            status.watch = undefined;
         }
     }
 
-    async function catchUp<Kind extends SharedKind>(kind: Kind, peer: string, digest: StateDigest): Promise<void> {
-        await sleep(state.replica(kind).revision() === undefined ? 0 : watchHeadStart, signal);
-        if (signal.aborted || !isBehind(kind, digest)) {
-            return;
+    function publish<Kind extends SharedKind>(update: StateUpdate<Kind>): void {
+        if (duty.isRelayed()) {
+            options.publish(update as StateUpdate);
         }
+    }
+
+    async function readFromPeer<Kind extends SharedKind>(kind: Kind, peer: string): Promise<void> {
         try {
             const snapshot = await options.readSnapshot(peer, kind, signal);
             if (state.replica(kind).applySnapshot(snapshot)) {
                 log.info("state.fromPeer", { kind, peer, revision: snapshot.revision });
-                watches.get(kind)?.abort();
+                statuses[kind].watch?.abort();
             }
         }
         catch (error) {
@@ -171,3 +263,7 @@
         }
     }
 }
+
+function createCopyStatus(): CopyStatus {
+    return { confirmedAt: -unconfirmedAge, behindSince: undefined, isReading: false, watch: undefined };
+}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -22,6 +22,8 @@
     readonly stopGrace: Milliseconds;
     /** How long callers may keep an answer of the directory. */
     readonly lookupLifetime: Milliseconds;
+    /** Time in which a change of the shared state must be in force on every box. */
+    readonly changeInForce: Milliseconds;
 }
 
 /** Settings of one box. */
@@ -33,6 +35,8 @@
     readonly callers: ListenAddress;
     readonly readiness: ListenAddress;
     readonly directory: ListenAddress;
+    /** What the box can carry, as a number of processor cores. */
+    readonly capacity: number;
     /** Other boxes reach this one here, over TCP and UDP. */
     readonly peers: ListenAddress;
     /** Where the box tells its own figures, if it does. */
--- a/packages/gateway/src/shared-state.ts
+++ b/packages/gateway/src/shared-state.ts
@@ -54,6 +54,8 @@
     let services = new Map<ServiceId, Service>();
     let rotations = new Map<string, WeightedRotation>();
     let places: PlaceSettings = openPlaces;
+    /** The values in force by zone, as far as they were asked for since the places changed. */
+    let admission = new Map<ZoneId, boolean>();
 
     const replicas: { readonly [Kind in SharedKind]: Replica<SharedItems[Kind]>; } = {
         configuration: createReplica<Configuration>(() => "main", applyConfiguration),
@@ -67,7 +69,7 @@
         routes: () => routes,
         service: id => services.get(id),
         destinationOf,
-        admitsZone: zone => resolvePlace(places, regionOf(zone), zone).admitsRequests,
+        admitsZone,
         isComplete: () =>
             configuration !== undefined
             && replicas.servers.revision() !== undefined
@@ -108,9 +110,19 @@
 
     function applyClosedZones(zones: readonly ZoneId[]): void {
         places = closeZones(openPlaces, zones);
+        admission = new Map();
         log.info("places.changed", { closed: zones.join(",") || "none" });
     }
 
+    function admitsZone(zone: ZoneId): boolean {
+        let admits = admission.get(zone);
+        if (admits === undefined) {
+            admits = resolvePlace(places, regionOf(zone), zone).admitsRequests;
+            admission.set(zone, admits);
+        }
+        return admits;
+    }
+
     function destinationOf(route: Route): ServiceId {
         if (route.destinations.length === 1) {
             return route.destinations[0].service;
--- /dev/null
+++ b/packages/gateway/src/state-messages.ts
@@ -0,0 +1,56 @@
+/**
+ * What boxes tell each other about their copies of shared state.
+ */
+
+import type { ItemChange } from "@chalkdale/steering";
+import { type SharedItems, type SharedKind, sharedKinds } from "./state-store.js";
+
+/** How far one copy reaches. */
+export interface CopyState {
+    /** Revision of the last change that it holds. */
+    readonly changed: number;
+    /** It is complete up to this revision. */
+    readonly complete: number;
+    /** Milliseconds since the store confirmed that. */
+    readonly age: number;
+}
+
+/** The copies of one box, by kind. */
+export type StateDigest = Readonly<Record<SharedKind, CopyState>>;
+
+/** Changes of one kind, as a relay passes them on. */
+export interface StateUpdate<Kind extends SharedKind = SharedKind> {
+    readonly kind: Kind;
+    /** The changes are all those after this revision and up to `complete`. */
+    readonly since: number;
+    readonly complete: number;
+    readonly changes: readonly ItemChange<SharedItems[Kind]>[];
+}
+
+/** True for a digest as boxes send it. */
+export function isStateDigest(value: unknown): value is StateDigest {
+    const digest = value as Partial<StateDigest> | undefined;
+    return typeof digest === "object" && digest !== null && sharedKinds.every(kind => isCopyState(digest[kind]));
+}
+
+/** True for an update as boxes send it. */
+export function isStateUpdate(value: unknown): value is StateUpdate {
+    const update = value as Partial<StateUpdate> | undefined;
+    return typeof update === "object" && update !== null
+        && sharedKinds.some(kind => kind === update.kind)
+        && Number.isFinite(update.since) && Number.isFinite(update.complete)
+        && Array.isArray(update.changes) && update.changes.every(isItemChange);
+}
+
+function isCopyState(state: CopyState | undefined): boolean {
+    return typeof state === "object" && state !== null
+        && [state.changed, state.complete, state.age].every(Number.isFinite);
+}
+
+function isItemChange(value: unknown): boolean {
+    const change = value as Partial<ItemChange<unknown>> & { readonly item?: unknown; } | undefined;
+    if (typeof change !== "object" || change === null || typeof change.name !== "string") {
+        return false;
+    }
+    return change.kind === "gone" || change.kind === "put" && change.item !== undefined;
+}
--- a/packages/gateway/src/state-store.ts
+++ b/packages/gateway/src/state-store.ts
@@ -2,7 +2,7 @@
  * The store that keeps what must last, as the gateway sees it.
  */
 
-import type { ZoneId } from "@chalkdale/core";
+import type { Milliseconds, ZoneId } from "@chalkdale/core";
 import type { Configuration, ItemChange, MemberRecord, ServerRecord, Snapshot } from "@chalkdale/steering";
 
 /** Kinds of state that every box copies, and what an item of each is. */
@@ -27,11 +27,12 @@
 /** Reads and watches of the store. Every call rejects with a `StoreError` when it fails. */
 export interface StateStore {
     readonly list: <Kind extends SharedKind>(kind: Kind, signal: AbortSignal) => Promise<Snapshot<SharedItems[Kind]>>;
-    /** Resolves as soon as there is a change after `since`, or when nothing changed for a while. */
+    /** Resolves as soon as there is a change after `since`, or when nothing changed for `wait` or the store's own time. */
     readonly watch: <Kind extends SharedKind>(
         kind: Kind,
         since: number,
         signal: AbortSignal,
+        wait?: Milliseconds,
     ) => Promise<WatchOutcome<SharedItems[Kind]>>;
     /** Records this box, in place of its record of an earlier life. */
     readonly announce: (record: MemberRecord, signal: AbortSignal) => Promise<void>;
--- a/packages/steering/src/directory.ts
+++ b/packages/steering/src/directory.ts
@@ -1,9 +1,10 @@
 /**
- * Chooses the boxes that a caller is told to use: those of its region, all
- * that are in service; of the other regions if its own has none.
+ * Chooses the boxes that a caller is told to use: the carriers of its region,
+ * or those of the other regions if its own has none.
  */
 
 import type { RegionId, ZoneId } from "@chalkdale/core";
+import { allCarriers, carriersOfRegion } from "./carriers.js";
 import type { MemberRecord } from "./membership.js";
 
 /** Where a caller is. */
@@ -17,7 +18,7 @@
 
 /** Returns the addresses for a caller. */
 export function chooseBoxes(inService: readonly MemberRecord[], place: CallerPlace): string[] {
-    const ofRegion = inService.filter(record => record.region === place.region);
-    const chosen = ofRegion.length > 0 ? ofRegion : inService;
+    const ofRegion = place.region === undefined ? [] : carriersOfRegion(inService, place.region);
+    const chosen = ofRegion.length > 0 ? ofRegion : allCarriers(inService);
     return chosen.slice(0, mostAddresses).map(record => record.callerAddress);
 }
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -2,6 +2,7 @@
  * Public names of the pure steering decisions: no I/O, time passed in.
  */
 
+export * from "./carriers.js";
 export * from "./cold-admission.js";
 export * from "./configuration.js";
 export * from "./directory.js";
@@ -17,5 +18,6 @@
 export * from "./server-standing.js";
 export * from "./settings-places.js";
 export * from "./sliding-count.js";
+export * from "./store-watch-duty.js";
 export * from "./weighted-rotation.js";
 export * from "./work-estimate.js";
--- a/packages/steering/src/membership.ts
+++ b/packages/steering/src/membership.ts
@@ -31,13 +31,24 @@
     readonly peerAddress: string;
     /** Where callers reach it. */
     readonly callerAddress: string;
+    /** What it can carry, as a number of processor cores. */
+    readonly capacity: number;
+    /** What it carries now, in the same unit. */
+    readonly load: number;
+}
+
+/** What changes about a box while it runs. */
+export interface MemberState {
+    readonly ready: boolean;
+    readonly leaving: boolean;
+    readonly load: number;
 }
 
 /** Members and how fresh each is. */
 export interface Membership {
     /** Counts up the own heartbeat and returns the own record. */
     readonly beat: (at: Milliseconds) => MemberRecord;
-    readonly setOwnState: (state: { readonly ready: boolean; readonly leaving: boolean; }) => void;
+    readonly setOwnState: (state: MemberState) => void;
     /** Takes what another box told. Returns boxes that were not known before. */
     readonly merge: (records: readonly MemberRecord[], at: Milliseconds) => readonly MemberRecord[];
     /** Boxes that run, this one included. */
--- a/packages/steering/src/replica.ts
+++ b/packages/steering/src/replica.ts
@@ -26,7 +26,10 @@
     readonly changedRevision: () => number;
     /** Replaces the copy; false if it is not newer. */
     readonly applySnapshot: (snapshot: Snapshot<Item>) => boolean;
-    /** Applies changes that follow `since`; false if they don't follow the copy. */
+    /**
+     * Applies all changes after `since` up to `revision`, in order; false if the copy does not reach up to `since`, or
+     * is newer than the changes. Those that it holds already may be among them: the last change of an item counts.
+     */
     readonly applyChanges: (since: number, changes: readonly ItemChange<Item>[], revision: number) => boolean;
     readonly snapshot: () => Snapshot<Item> | undefined;
 }
@@ -54,7 +57,7 @@
             return true;
         },
         applyChanges(since, changes, next) {
-            if (revision !== since || next < since) {
+            if (revision === undefined || revision < since || next < revision) {
                 return false;
             }
             revision = next;
--- a/packages/steering/src/server-choice.ts
+++ b/packages/steering/src/server-choice.ts
@@ -108,14 +108,17 @@
 
     function rank(servers: readonly CatalogServer[], request: ChoiceRequest): CatalogServer[] {
         const large = request.route.kind === "download";
-        return servers
-            .map(server => ({
-                server,
-                score: rendezvousScore(request.keyHash, server.idHash, weightOf(server, large)),
-            }))
-            .sort((a, b) => b.score - a.score)
-            .slice(0, comparedServers)
-            .map(entry => entry.server);
+        const best: { readonly server: CatalogServer; readonly score: number; }[] = [];
+        for (const server of servers) {
+            const score = rendezvousScore(request.keyHash, server.idHash, weightOf(server, large));
+            if (best.length === comparedServers && score <= best[comparedServers - 1].score) {
+                continue;
+            }
+            const position = best.findIndex(entry => entry.score < score);
+            best.splice(position < 0 ? best.length : position, 0, { server, score });
+            best.length = Math.min(best.length, comparedServers);
+        }
+        return best.map(entry => entry.server);
     }
 
     function weightOf(server: CatalogServer, large: boolean): number {
--- /dev/null
+++ b/packages/steering/src/store-watch-duty.ts
@@ -0,0 +1,76 @@
+/**
+ * Which boxes follow the store by calls of their own, and which learn of
+ * changes from another box.
+ *
+ * Every call of the store is paid for and its rate is bounded, so in a large
+ * region one box, the relay, follows the store and tells the others. Each copy
+ * has an age: the time since the store confirmed, to this box or through
+ * another, that the copy was complete. A box whose copy grows too old follows
+ * the store itself, those that rank next after the relay first. So a lost,
+ * frozen or cut off relay costs some time and a few calls, and no box depends on
+ * another for longer than the bound on changes allows.
+ */
+
+import { type BoxId, hashText, type Milliseconds, milliseconds, type RegionId } from "@chalkdale/core";
+import type { MemberRecord } from "./membership.js";
+
+/** Regions with fewer boxes have no relay: each box follows the store. */
+const leastRelayedBoxes = 6;
+/** Parts of the bound on changes: length of a relay's watch, age at which a box follows the store itself. */
+const watchPart = 0.3;
+const patiencePart = 0.55;
+/** Added to that age for each rank after the relay, up to the highest rank that waits. */
+const rankPart = 0.06;
+const highestRank = 3;
+
+/** The part of one box in following the store. */
+export interface StoreWatchDuty {
+    /** True if the region has a relay, this box or another. */
+    readonly isRelayed: () => boolean;
+    /** True if this box is the relay of its region, or the region has none. */
+    readonly isAlwaysDue: () => boolean;
+    /** Age of a copy from which this box follows the store itself; 0 for a box that always does. */
+    readonly dueAge: () => Milliseconds;
+    /** How long a watch may wait without a change, or undefined if nobody depends on this box. */
+    readonly watchWait: () => Milliseconds | undefined;
+}
+
+export interface StoreWatchDutyOptions {
+    readonly self: BoxId;
+    readonly region: RegionId;
+    /** Boxes that run, this one included; read at each use. */
+    readonly alive: () => readonly MemberRecord[];
+    /** Time in which a change must be in force. */
+    readonly changeBound: Milliseconds;
+}
+
+/** Creates the duty of one box. */
+export function createStoreWatchDuty(options: StoreWatchDutyOptions): StoreWatchDuty {
+    const { changeBound } = options;
+
+    return {
+        isRelayed: () => peersOfRegion().length >= leastRelayedBoxes,
+        isAlwaysDue: () => dueAge() === 0,
+        dueAge,
+        watchWait: () =>
+            peersOfRegion().length >= leastRelayedBoxes ? milliseconds(changeBound * watchPart) : undefined,
+    };
+
+    function dueAge(): Milliseconds {
+        const ranked = peersOfRegion().sort(byPreference);
+        const rank = ranked.findIndex(record => record.box === options.self);
+        if (ranked.length < leastRelayedBoxes || rank <= 0) {
+            return milliseconds(0);
+        }
+        return milliseconds(changeBound * (patiencePart + rankPart * Math.min(rank, highestRank)));
+    }
+
+    function peersOfRegion(): MemberRecord[] {
+        return options.alive().filter(record => record.region === options.region && !record.leaving);
+    }
+}
+
+/** The strongest box is the relay; among equals the order is the same everywhere. */
+function byPreference(a: MemberRecord, b: MemberRecord): number {
+    return b.capacity - a.capacity || hashText(b.box) - hashText(a.box);
+}
--- /dev/null
+++ b/packages/steering/test/member.ts
@@ -0,0 +1,20 @@
+import { boxId, incarnationId, regionId, zoneId } from "@chalkdale/core";
+import type { MemberRecord } from "../src/index.js";
+
+/** Returns the record of a box in the north, with changes. */
+export function createMember(box: string, changes: Partial<MemberRecord> = {}): MemberRecord {
+    return {
+        box: boxId(box),
+        incarnation: incarnationId("1"),
+        heartbeat: 1,
+        leaving: false,
+        ready: true,
+        region: regionId("north"),
+        zone: zoneId("north-a"),
+        peerAddress: `${box}:1`,
+        callerAddress: `${box}:2`,
+        capacity: 1,
+        load: 0,
+        ...changes,
+    };
+}
--- a/packages/testing/test/box-state.test.ts
+++ b/packages/testing/test/box-state.test.ts
@@ -8,6 +8,7 @@
 import {
     type Deployment,
     eventually,
+    pause,
     type RuleOptions,
     startDeployment,
     type TestBox,
@@ -79,6 +80,58 @@
         }
     });
 
+    describe("in a region with many boxes", () => {
+        const hosts = ["127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5", "127.0.0.6", "127.0.0.7"];
+        let boxes: TestBox[];
+        let watchers: Set<string>;
+
+        beforeEach(async () => {
+            watchers = new Set();
+            deployment.storeServer.setFault(call => {
+                watchers.add(call.caller);
+                return { kind: "none" };
+            });
+            boxes = hosts.map(host => deployment.startBox({ host }));
+            await Promise.all(boxes.map(ready));
+            for (const box of boxes) {
+                await eventually(async () => (await lookUp(box.directory, place)).addresses.length === 6, "all met");
+            }
+        });
+
+        /** Resolves with the only box that calls the store. */
+        async function findRelay(): Promise<string> {
+            await eventually(async () => {
+                watchers.clear();
+                await pause(milliseconds(2500));
+                return watchers.size === 1;
+            }, "one box follows the store");
+            return [...watchers][0];
+        }
+
+        async function expectInForce(version: number): Promise<void> {
+            const path = `/version-${version}/`;
+            deployment.configure(version, [{ ...rules[0], path }]);
+            for (const box of boxes) {
+                await eventually(async () => (await ask(box, path)).status === 200, `${box.name} has ${path}`);
+            }
+        }
+
+        it("leave the store to one of them, and learn of changes from it", async () => {
+            const relay = await findRelay();
+            deployment.storeServer.setFault(call =>
+                call.caller === relay ? { kind: "none" } : { kind: "refused", status: 503 }
+            );
+            await expectInForce(3);
+        });
+
+        it("follow the store themselves when that box no longer can", async () => {
+            const relay = await findRelay();
+            deployment.storeServer.setFault(call => call.caller === relay ? { kind: "silent" } : { kind: "none" });
+            deployment.store.cutWatches();
+            await expectInForce(3);
+        });
+    });
+
     it("start from another box's copies while the store is down", async () => {
         const old = deployment.startBox();
         await ready(old);
