--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -29,8 +29,12 @@
     readonly retryAfter: number | undefined;
 }
 
+/** Another box, or another server, can serve at once. */
 const soon = 0.15;
+/** Something has to start or to come back first. */
 const later = 0.5;
+/** Servers are full: most callers come back once only, so not before work in progress has ended. */
+const afterOverload = 0.7;
 
 /** The answer for each kind. 503 promises that the request has not run and never will. */
 export const refusals: Readonly<Record<RefusalKind, Refusal>> = {
@@ -40,10 +44,10 @@
     badRequest: { status: 400, retryAfter: undefined },
     bodyTooLarge: { status: 413, retryAfter: undefined },
     noServer: { status: 503, retryAfter: later },
-    serversCold: { status: 503, retryAfter: soon },
-    tooLate: { status: 503, retryAfter: soon },
-    serversFull: { status: 503, retryAfter: soon },
-    budgetSpent: { status: 503, retryAfter: soon },
+    serversCold: { status: 503, retryAfter: afterOverload },
+    tooLate: { status: 503, retryAfter: afterOverload },
+    serversFull: { status: 503, retryAfter: afterOverload },
+    budgetSpent: { status: 503, retryAfter: afterOverload },
     unreachable: { status: 503, retryAfter: soon },
     timedOutUnsent: { status: 503, retryAfter: soon },
     timedOut: { status: 504, retryAfter: undefined },
