--- /dev/null
+++ b/packages/gateway/src/common-limits.ts
@@ -0,0 +1,99 @@
+/**
+ * This box's part of what is bounded for all boxes together: repeats,
+ * connections to servers, and requests to cold servers.
+ *
+ * The parts are equal among the carriers, the boxes that callers are sent to.
+ * Any other box has no part, since only callers with an old answer of the
+ * directory reach it.
+ */
+
+import { type BoxId, type Clock, milliseconds, type RegionId, type ServiceId } from "@chalkdale/core";
+import type { Log } from "@chalkdale/runtime";
+import {
+    allCarriers,
+    coldSenders,
+    createRepeatBudget,
+    type MemberRecord,
+    type Membership,
+    type RepeatBudget,
+} from "@chalkdale/steering";
+import { createCached } from "./cached.js";
+import type { GatewaySettings } from "./settings.js";
+
+export interface CommonLimitsOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly settings: GatewaySettings;
+    readonly membership: Membership;
+    /** Connections that one server of a service accepts from all boxes; undefined if that is not known. */
+    readonly connectionsOf: (service: ServiceId) => number | undefined;
+}
+
+/** The parts of one box. */
+export interface CommonLimits {
+    readonly carrierCount: () => number;
+    /** Boxes that may send to a cold server of a region. */
+    readonly coldSenders: (region: RegionId) => readonly BoxId[];
+    readonly budgetOf: (service: ServiceId) => RepeatBudget;
+    /** Connections to one server that this box may hold. */
+    readonly mostConnections: (service: ServiceId) => number;
+}
+
+const carriersLifetime = milliseconds(250);
+/** Part of a server's connections that all boxes together use. */
+const usedPartOfConnections = 0.8;
+const leastConnections = 2;
+const assumedMostConnections = 100;
+
+/** Creates the limits of one box. */
+export function createCommonLimits(options: CommonLimitsOptions): CommonLimits {
+    const { clock, log, membership, settings } = options;
+    const budgets = new Map<ServiceId, RepeatBudget>();
+    const carriers = createCached(clock, carriersLifetime, findCarriers);
+    let knownCount = 0;
+
+    return {
+        carrierCount: () => carriers().length,
+        coldSenders: region => coldSenders(carriers(), region),
+        budgetOf,
+        mostConnections(service) {
+            const most = options.connectionsOf(service) ?? assumedMostConnections;
+            return Math.max(leastConnections, Math.floor(most * usedPartOfConnections / sharingBoxes()));
+        },
+    };
+
+    /** The boxes that callers are sent to; before any is in service, those that run. */
+    function findCarriers(): readonly MemberRecord[] {
+        const alive = membership.alive(clock());
+        const named = allCarriers(membership.inService(clock()));
+        if (named.length !== knownCount) {
+            knownCount = named.length;
+            log.info("carriers.changed", { carriers: named.length, alive: alive.length, load: sumOfLoads(alive) });
+        }
+        return named.length > 0 ? named : alive;
+    }
+
+    /** Boxes with an equal part; without end for a box that has none. */
+    function sharingBoxes(): number {
+        const isCarrier = carriers().some(record => record.box === settings.box);
+        return isCarrier ? carriers().length : Infinity;
+    }
+
+    function budgetOf(service: ServiceId): RepeatBudget {
+        let budget = budgets.get(service);
+        if (budget === undefined) {
+            budget = createRepeatBudget({
+                ratio: settings.bounds.repeatRatio,
+                window: settings.bounds.repeatWindow,
+                allowance: settings.bounds.repeatAllowance,
+                boxCount: sharingBoxes,
+            });
+            budgets.set(service, budget);
+        }
+        return budget;
+    }
+}
+
+function sumOfLoads(members: readonly MemberRecord[]): string {
+    return members.reduce((sum, member) => sum + member.load, 0).toFixed(2);
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,16 +2,13 @@
  * Composes one box: shared state, members, decisions and servers.
  */
 
-import { boxId, type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/core";
+import { boxId, type Clock, type Milliseconds, milliseconds } from "@chalkdale/core";
 import { createBudgetedLog, every, type Log, sleep } from "@chalkdale/runtime";
 import {
-    allCarriers,
     type CatalogServer,
-    coldSenders,
     createColdAdmission,
     createMembership,
     createRecentKeys,
-    createRepeatBudget,
     createServerCatalog,
     createServerChoice,
     createServerStanding,
@@ -20,15 +17,14 @@
     failureTimeout,
     type MemberRecord,
     type Membership,
-    type RepeatBudget,
 } from "@chalkdale/steering";
 import { setMaxListeners } from "node:events";
 import { createServer, type Server } from "node:http";
 import { connectTimeoutFor, createAttempt } from "./attempt.js";
-import { createCached } from "./cached.js";
 import { trackCallerConnections } from "./caller-connections.js";
 import type { CallerProtocol } from "./caller-protocol.js";
 import { createDirectoryListener, createMetricsListener, createReadinessListener } from "./callers-directory.js";
+import { createCommonLimits } from "./common-limits.js";
 import { createGatewayMetrics } from "./metrics.js";
 import { createOwnLoad } from "./own-load.js";
 import { gossipInterval, readPeerSnapshot, startPeerLink } from "./peer-link.js";
@@ -69,14 +65,9 @@
 const linesOfEvent = { "request.served": 3, "request.refused": 30, "attempt.failed": 20 };
 const housekeepingInterval = 250;
 const announceRetry = 1000;
-const carriersLifetime = milliseconds(250);
 /** Boxes that the failure timeout is made for. */
 const expectedBoxes = 16;
 const rememberFailedBoxes = milliseconds(120_000);
-/** Part of a server's connections that all boxes together use. */
-const usedPartOfConnections = 0.8;
-const leastConnections = 2;
-const assumedMostConnections = 100;
 const largestHeader = 64 * 1024;
 const keepAliveMargin = milliseconds(1000);
 
@@ -93,12 +84,13 @@
         failAfter: failureTimeout(gossipInterval, expectedBoxes),
         forgetAfter: rememberFailedBoxes,
     });
-    const carriers = createCached(clock, carriersLifetime, () => {
-        const named = allCarriers(membership.inService(clock()));
-        return named.length > 0 ? named : membership.alive(clock());
+    const limits = createCommonLimits({
+        clock,
+        log,
+        settings,
+        membership,
+        connectionsOf: service => state.service(service)?.maxConnections,
     });
-    /** Boxes that share what is bounded for all together; a box that callers are not sent to has no part in it. */
-    const sharingBoxes = () => carriers().some(record => record.box === settings.box) ? carriers().length : Infinity;
     const ownLoad = createOwnLoad(settings.capacity);
     const recentKeys = createRecentKeys();
     const work = createWorkEstimate();
@@ -109,7 +101,7 @@
             cold: createColdAdmission({
                 self: settings.box,
                 server: record.id,
-                boxes: () => coldSenders(carriers(), record.region),
+                boxes: () => limits.coldSenders(record.region),
                 rate: () => state.service(record.service)?.coldRate ?? 0,
             }),
         })
@@ -131,7 +123,6 @@
             }
         },
     });
-    const budgets = new Map<ServiceId, RepeatBudget>();
     let stopped: Promise<void> | undefined;
 
     const choose = createServerChoice({
@@ -147,7 +138,7 @@
         clock,
         protocol,
         connections,
-        mostConnections,
+        mostConnections: limits.mostConnections,
         stallCheck: createStallCheck({
             clock,
             log,
@@ -179,7 +170,7 @@
         state,
         choose,
         attempt,
-        budgetOf,
+        budgetOf: limits.budgetOf,
         recentKeys,
         work,
         roundTrip: roundTripTo,
@@ -297,7 +288,7 @@
             servers_revision: state.replica("servers").revision(),
             store_lost_milliseconds: replicator.storeLostFor(),
             boxes_alive: membership.alive(clock()).length,
-            boxes_carrying: carriers().length,
+            boxes_carrying: limits.carrierCount(),
             own_load_cores: ownLoad.cores(),
             callers_connections: callerConnections.count(),
             callers_in_flight: callerConnections.inFlight(),
@@ -314,30 +305,11 @@
         });
     }
 
-    function budgetOf(service: ServiceId): RepeatBudget {
-        let budget = budgets.get(service);
-        if (budget === undefined) {
-            budget = createRepeatBudget({
-                ratio: settings.bounds.repeatRatio,
-                window: settings.bounds.repeatWindow,
-                allowance: settings.bounds.repeatAllowance,
-                boxCount: sharingBoxes,
-            });
-            budgets.set(service, budget);
-        }
-        return budget;
-    }
-
     function roundTripTo(server: CatalogServer): Milliseconds {
         const { region, zone } = server.standing.record();
         return roundTrips.estimate(region, zone);
     }
 
-    function mostConnections(service: ServiceId): number {
-        const most = state.service(service)?.maxConnections ?? assumedMostConnections;
-        return Math.max(leastConnections, Math.floor(most * usedPartOfConnections / sharingBoxes()));
-    }
-
     function applyCallerLimits(idleTimeout: Milliseconds): void {
         callers.keepAliveTimeout = idleTimeout + keepAliveMargin;
     }
