--- a/packages/gateway/src/replicator.ts
+++ b/packages/gateway/src/replicator.ts
@@ -56,11 +56,12 @@
 const longestStandInBackoff = 2500;
 /**
  * Time in milliseconds that changes have to come by the ordinary way, before a snapshot is read from a box that knows
- * them already: from the relay of the region, from the own watch, and from the store while it is lost.
+ * them already: by the own watch; from the relay that tells of them; and from the relay, while only other regions know
+ * of them, since a relay pauses after each change.
  */
+const watchHeadStart = 300;
 const relayHeadStart = 100;
-const watchHeadStart = 1000;
-const lostStoreHeadStart = 300;
+const otherRegionHeadStart = 1000;
 /** Age that stands for a copy that was never confirmed, in milliseconds. */
 const unconfirmedAge = 1e9;
 /**
@@ -73,9 +74,8 @@
 interface CopyStatus {
     /** When the store last confirmed that the copy is complete. */
     confirmedAt: number;
-    /** When it first showed that another box knows more. */
-    behindSince: number | undefined;
-    isReading: boolean;
+    /** When a snapshot will be read from a box that knows more. */
+    readAt: number | undefined;
     /** The watch that is waiting now. */
     watch: AbortController | undefined;
 }
@@ -127,31 +127,38 @@
         const replica = state.replica(kind);
         const revision = replica.revision();
         if (revision !== undefined && revision >= told.changed) {
-            status.behindSince = undefined;
             replica.applyChanges(revision, [], Math.max(revision, told.complete));
             status.confirmedAt = Math.max(status.confirmedAt, clock() - told.age);
             return;
         }
-        if (told.complete < 0) {
+        const readAt = clock() + headStart(kind, peer);
+        if (told.complete >= 0 && readAt < (status.readAt ?? Infinity)) {
+            status.readAt = readAt;
+            void readLater(kind, peer, told, readAt);
+        }
+    }
+
+    /** Reads a snapshot from another box at the given time, unless the changes come before it or another read does. */
+    async function readLater(kind: SharedKind, peer: StatePeer, told: CopyState, readAt: number): Promise<void> {
+        const status = statuses[kind];
+        await sleep(readAt - clock(), signal);
+        if (signal.aborted || status.readAt !== readAt) {
             return;
         }
-        status.behindSince ??= clock();
-        if (!status.isReading && clock() - status.behindSince >= headStart(kind, peer)) {
-            status.isReading = true;
-            void readFromPeer(kind, peer.peerAddress).finally(() => {
-                status.isReading = false;
-            });
+        if ((state.replica(kind).revision() ?? -1) < told.changed) {
+            await readFromPeer(kind, peer.peerAddress);
         }
+        status.readAt = undefined;
     }
 
     function headStart(kind: SharedKind, peer: StatePeer): number {
         if (state.replica(kind).revision() === undefined) {
             return 0;
         }
-        if (storeLostAt !== undefined) {
-            return lostStoreHeadStart;
+        if (duty.isAlwaysDue() || storeLostAt !== undefined) {
+            return watchHeadStart;
         }
-        return duty.isRelayed() && peer.region === options.region ? relayHeadStart : watchHeadStart;
+        return peer.region === options.region ? relayHeadStart : otherRegionHeadStart;
     }
 
     function applyUpdate<Kind extends SharedKind>(kind: Kind, update: StateUpdate): void {
@@ -265,5 +272,5 @@
 }
 
 function createCopyStatus(): CopyStatus {
-    return { confirmedAt: -unconfirmedAge, behindSince: undefined, isReading: false, watch: undefined };
+    return { confirmedAt: -unconfirmedAge, readAt: undefined, watch: undefined };
 }
--- /dev/null
+++ b/packages/gateway/test/replicator.test.ts
@@ -0,0 +1,130 @@
+import { milliseconds, regionId, type ZoneId, zoneId } from "@chalkdale/core";
+import { createLog } from "@chalkdale/runtime";
+import { createReplica, type StoreWatchDuty } from "@chalkdale/steering";
+import { expect } from "chai";
+import { type Replicator, startReplicator } from "../src/replicator.js";
+import type { SharedState } from "../src/shared-state.js";
+import type { CopyState, StateDigest, StateUpdate } from "../src/state-messages.js";
+import type { SharedKind, StateStore } from "../src/state-store.js";
+
+const never = new Promise<never>(() => undefined);
+const peer = { peerAddress: "192.0.2.9:1", region: regionId("north") };
+const relayed: StoreWatchDuty = {
+    isRelayed: () => true,
+    isAlwaysDue: () => false,
+    dueAge: () => milliseconds(60_000),
+    watchWait: () => milliseconds(900),
+};
+const unrelayed: StoreWatchDuty = {
+    isRelayed: () => false,
+    isAlwaysDue: () => true,
+    dueAge: () => milliseconds(0),
+    watchWait: () => undefined,
+};
+
+describe("replicator", () => {
+    let lifetime: AbortController;
+    let read: SharedKind[];
+    let published: StateUpdate[];
+
+    beforeEach(() => {
+        lifetime = new AbortController();
+        read = [];
+        published = [];
+    });
+
+    afterEach(() => lifetime.abort());
+
+    /** Starts a replicator whose copies are as of revision 5; its watches bring nothing unless told otherwise. */
+    async function start(duty: StoreWatchDuty, watch: StateStore["watch"] = () => never) {
+        const zones: ZoneId[][] = [];
+        const replicas = {
+            configuration: createReplica<never>(() => "main", () => undefined),
+            servers: createReplica<never>(() => "s", () => undefined),
+            closedZones: createReplica<ZoneId>(zone => zone, items => zones.push([...items])),
+        };
+        const replicator = startReplicator({
+            clock: () => milliseconds(performance.now()),
+            random: () => 0.5,
+            log: createLog({ write: () => undefined }),
+            region: regionId("north"),
+            state: { replica: (kind: SharedKind) => replicas[kind] } as unknown as SharedState,
+            store: {
+                list: () => Promise.resolve({ revision: 5, items: [] }),
+                watch,
+                announce: () => never,
+                listBoxes: () => never,
+            },
+            duty,
+            readSnapshot(_address, kind) {
+                read.push(kind);
+                return Promise.resolve({ revision: 9, items: [] });
+            },
+            publish: update => published.push(update),
+            signal: lifetime.signal,
+        });
+        await until(() => Object.values(replicas).every(replica => (replica.revision() ?? 0) >= 5));
+        return { replicator, replicas, zones };
+    }
+
+    const digestOf = (state: CopyState): StateDigest => ({
+        configuration: { changed: 5, complete: 5, age: 0 },
+        servers: { changed: 5, complete: 5, age: 0 },
+        closedZones: state,
+    });
+
+    for (
+        const [name, duty] of [["the own watch is silent", unrelayed], [
+            "a relay's datagram was lost",
+            relayed,
+        ]] as const
+    ) {
+        it(`reads a snapshot after one message that tells of more, when ${name}`, async () => {
+            const { replicator, replicas } = await start(duty);
+            replicator.onDigest(peer, digestOf({ changed: 7, complete: 8, age: 0 }));
+            await until(() => replicas.closedZones.revision() === 9);
+            expect(read).to.deep.equal(["closedZones"]);
+        });
+    }
+
+    it("takes what a relay passes on, and reads no snapshot then", async () => {
+        const { replicator, zones } = await start(relayed);
+        const change = { kind: "put", name: "north-a", item: zoneId("north-a") } as const;
+        replicator.onUpdate({ kind: "closedZones", since: 5, complete: 7, changes: [change] });
+        replicator.onDigest(peer, digestOf({ changed: 7, complete: 8, age: 0 }));
+        expect(zones.at(-1)).to.deep.equal(["north-a"]);
+        expect(replicator.digest().closedZones).to.include({ changed: 7, complete: 8 });
+        expect(read).to.deep.equal([]);
+    });
+
+    it("takes no age from a box that knows more, and the youngest from boxes that know the same", async () => {
+        const { replicator } = await start(relayed);
+        const ageOf = (of: Replicator) => of.digest().closedZones.age;
+        const before = ageOf(replicator);
+        replicator.onDigest(peer, digestOf({ changed: 7, complete: 7, age: -10_000 }));
+        expect(ageOf(replicator)).to.be.at.least(before);
+        replicator.onDigest(peer, digestOf({ changed: 5, complete: 5, age: -10_000 }));
+        expect(ageOf(replicator)).to.be.lessThan(-5000);
+    });
+
+    it("passes on what its own watch brings, as following the last change before it", async () => {
+        let told = false;
+        const change = { kind: "put", name: "north-a", item: zoneId("north-a") } as const;
+        const watch = (kind: SharedKind) => {
+            if (kind !== "closedZones" || told) {
+                return never;
+            }
+            told = true;
+            return Promise.resolve({ kind: "changes", changes: [change], revision: 12 });
+        };
+        await start({ ...relayed, isAlwaysDue: () => true }, watch as unknown as StateStore["watch"]);
+        await until(() => published.length > 0);
+        expect(published).to.deep.equal([{ kind: "closedZones", since: 5, complete: 12, changes: [change] }]);
+    });
+});
+
+async function until(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+}
--- a/packages/steering/src/cold-admission.ts
+++ b/packages/steering/src/cold-admission.ts
@@ -25,7 +25,7 @@
 export interface ColdAdmissionOptions {
     readonly self: BoxId;
     readonly server: ServerId;
-    /** Boxes that run, this one included. */
+    /** Boxes among which the senders are chosen; one that is not among them sends nothing. */
     readonly boxes: () => readonly BoxId[];
     /** Requests a second that the server bears from all boxes. */
     readonly rate: () => number;
@@ -54,7 +54,7 @@
     function sendInterval(): number | undefined {
         const boxes = options.boxes();
         const rate = options.rate();
-        if (rate <= 0) {
+        if (rate <= 0 || !boxes.includes(options.self)) {
             return undefined;
         }
         const own = rendezvousScore(serverHash, hashText(options.self), 1);
--- a/packages/steering/test/budgets.test.ts
+++ b/packages/steering/test/budgets.test.ts
@@ -53,6 +53,15 @@
             expect(inSecond).to.be.within(8, 14 + 5);
         }
     });
+
+    it("lets no box send that is not among the senders to choose from", () => {
+        const senders = ["a", "b", "c"].map(name => boxId(name));
+        const others = Array.from({ length: 20 }, (_, index) => boxId(`box-${index}`));
+        const admissions = others.map(self =>
+            createColdAdmission({ self, server: serverId("s-1"), boxes: () => senders, rate: () => 14 })
+        );
+        expect(admissions.filter(admission => admission.allows(milliseconds(0)))).to.deep.equal([]);
+    });
 });
 
 describe("sliding count", () => {
--- a/packages/testing/src/promises/rule-mechanisms.ts
+++ b/packages/testing/src/promises/rule-mechanisms.ts
@@ -106,7 +106,7 @@
         promise: "CONFIG",
         name: "what other boxes know",
         file: gateway("replicator"),
-        find: "if (!status.isReading && clock() - status.behindSince >= headStart(kind, peer)) {",
+        find: "if (told.complete >= 0 && readAt < (status.readAt ?? Infinity)) {",
         replace: "if (false) {",
         specs: [boxTest("state")],
     },
