--- a/packages/testing/src/promises/rule-mechanisms.ts
+++ b/packages/testing/src/promises/rule-mechanisms.ts
@@ -29,6 +29,22 @@
         replace: "if (true) {",
         specs: [boxTest("requests")],
     },
+    {
+        promise: "UNASKED",
+        name: "the path as the caller sent it",
+        file: gateway("attempt"),
+        find: "path: request.path,",
+        replace: "path: \"/other/\",",
+        specs: [boxTest("requests")],
+    },
+    {
+        promise: "DENIED",
+        name: "503 as long as no configuration is known",
+        file: gateway("request-handler"),
+        find: "refuseCaller(response, \"notReady\");",
+        replace: "refuseCaller(response, \"noRoute\");",
+        specs: [boxTest("state")],
+    },
     {
         promise: "TWICE",
         name: "the end of a request that may not be repeated once it broke",
