Add chalkdale boxes and burn on running boxes

Both commands ask one box for the members and every box for its figures, so nothing of the box program changes. Samples of burn stay in a file of the operator's, as boxes keep nothing; new lives of a box count from zero. No page with a plot yet. The two command-line tests share one runner.

--- /dev/null
+++ b/packages/cli/src/box-figures.ts
@@ -0,0 +1,76 @@
+/**
+ * Reads the members that a running box knows, and the figures of each box.
+ */
+
+import { exitCodes, parseEndpoint, urlOf } from "@chalkdale/runtime";
+import type { MemberRecord } from "@chalkdale/steering";
+import { request } from "undici";
+import { CommandError } from "./context.js";
+
+/** One figure of a box: `chalkdale_requests_total{route="a",outcome="200"} 7`. */
+export interface Figure {
+    readonly name: string;
+    readonly labels: Readonly<Record<string, string>>;
+    readonly value: number;
+}
+
+const requestTimeout = 3000;
+const prefix = "chalkdale_";
+const figureLine = /^(\w+)(?:\{(.*)\})? (\S+)$/;
+const labelPattern = /(\w+)="([^"]*)"/g;
+
+/** Returns the members that the box at a peer address knows. Throws a `CommandError` if it doesn't answer. */
+export async function readMembers(peer: string): Promise<readonly MemberRecord[]> {
+    const address = parseEndpoint(peer);
+    if (address === undefined) {
+        throw new CommandError(`${peer} is no IP:PORT`, exitCodes.usage);
+    }
+    try {
+        const { body, statusCode } = await request(urlOf(address, "/members"), bounded());
+        const members = await body.json();
+        if (statusCode === 200 && Array.isArray(members)) {
+            return members as MemberRecord[];
+        }
+    }
+    catch {
+        // Told below, as for an answer that is none.
+    }
+    throw new CommandError(`no box answers at ${peer}; name the peer address of a running box`, exitCodes.unavailable);
+}
+
+/** Returns the figures of one box, or undefined if it doesn't tell them. */
+export async function readFigures(member: MemberRecord, port: number): Promise<readonly Figure[] | undefined> {
+    const host = member.callerAddress.slice(0, member.callerAddress.lastIndexOf(":"));
+    try {
+        const { body, statusCode } = await request(`http://${host}:${port}/metrics`, bounded());
+        const text = await body.text();
+        return statusCode === 200 ? parseFigures(text) : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Parses the Prometheus text format as boxes write it; lines that are none are left out. */
+export function parseFigures(text: string): Figure[] {
+    return text.split("\n").flatMap(line => {
+        const match = figureLine.exec(line);
+        const value = Number(match?.[3]);
+        if (match === null || !match[1].startsWith(prefix) || !Number.isFinite(value)) {
+            return [];
+        }
+        const labels = Object.fromEntries(
+            [...(match[2] ?? "").matchAll(labelPattern)].map(([, key, text]) => [key, text]),
+        );
+        return [{ name: match[1].slice(prefix.length), labels, value }];
+    });
+}
+
+/** Returns the value of a figure without labels, or undefined. */
+export function valueOf(figures: readonly Figure[], name: string): number | undefined {
+    return figures.find(figure => figure.name === name && Object.keys(figure.labels).length === 0)?.value;
+}
+
+function bounded() {
+    return { signal: AbortSignal.timeout(requestTimeout) };
+}
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -4,6 +4,7 @@
 
 import { drain, explain, status } from "./box-status.js";
 import type { Command } from "./context.js";
+import { boxes, burn } from "./deployment.js";
 import { settingsCheck, settingsShow } from "./settings-file.js";
 import { settingsApply, settingsDiff, settingsEdit, settingsHistory } from "./settings-platform.js";
 
@@ -18,4 +19,6 @@
     status,
     explain,
     drain,
+    boxes,
+    burn,
 ];
--- a/packages/cli/src/context.ts
+++ b/packages/cli/src/context.ts
@@ -16,6 +16,10 @@
     readonly service?: string;
     readonly html?: string;
     readonly undo: boolean;
+    readonly peer?: string;
+    readonly metricsPort: number;
+    readonly samples?: string;
+    readonly objective: number;
 }
 
 /** The surroundings of a command. */
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -18,6 +18,10 @@
     --at PATH          node of the tree, such as /services/profil-api/ro-nord
     --platform IP:PORT the platform's object API
     --box IP:PORT      operators' address of an entry program
+    --peer IP:PORT     address for other boxes of a running box program
+    --metrics-port N   port of the boxes' figures (9464)
+    --samples FILE     where samples of figures are kept between runs
+    --objective PART   part of the requests that must be served (0.999)
     --json             output for programs
     --dry-run          show what would be done, and do nothing
     --author NAME      who makes the edit (default: the user's name)
@@ -43,6 +47,10 @@
             service: { type: "string" },
             html: { type: "string" },
             undo: { type: "boolean", default: false },
+            peer: { type: "string" },
+            metricsPort: { type: "number", default: 9464 },
+            samples: { type: "string" },
+            objective: { type: "number", default: 0.999 },
         },
     },
 );
--- a/packages/testing/src/users-platform/deployment.ts
+++ b/packages/testing/src/users-platform/deployment.ts
@@ -62,6 +62,8 @@
     readonly seeds?: readonly string[];
     /** Loopback address of the box, so that the store can tell boxes apart. */
     readonly host?: string;
+    /** Port of the box's figures on its host; none are told without it. */
+    readonly metricsPort?: number;
 }
 
 /** Host that all rules of the tests are for. */
@@ -119,7 +121,7 @@
     }
 
     function createBox(name: string, options: BoxOptions): TestBox {
-        const { host = "127.0.0.1", seeds = [], zone = "north-a" } = options;
+        const { host = "127.0.0.1", metricsPort, seeds = [], zone = "north-a" } = options;
         const [callers, directory, readiness, peers] = [0, 1, 2, 3].map(() => `${host}:${nextPort++}`);
         const settings = readSettings(settingsText({ name, zone, callers, directory, readiness, peers, seeds }));
         if (settings.err) {
@@ -131,7 +133,10 @@
             : createLog({ write: line => logged.push(line) });
         const { gateway: gatewaySettings, storeAddress } = settings.val;
         const gateway = startGateway({
-            settings: gatewaySettings,
+            settings: {
+                ...gatewaySettings,
+                metrics: metricsPort === undefined ? undefined : { host, port: metricsPort },
+            },
             protocol: platformProtocol,
             store: createStoreClient({
                 address: storeAddress,
--- /dev/null
+++ b/packages/testing/test/command-line-deployment.test.ts
@@ -0,0 +1,98 @@
+/**
+ * The commands on a whole deployment, as an operator uses them: the built
+ * program against running boxes.
+ */
+
+import { expect } from "chai";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { runCommandLine } from "../src/launch/command-line.js";
+import { sendRequest } from "../src/users-platform/client.js";
+import {
+    type Deployment,
+    eventually,
+    startDeployment,
+    type TestBox,
+    testHost,
+} from "../src/users-platform/deployment.js";
+
+const metricsPort = 29_464;
+
+interface ListedBox {
+    readonly member: { readonly box: string; };
+    readonly carries: boolean;
+    readonly figures?: readonly unknown[];
+}
+
+describe("the command line on running boxes", () => {
+    let deployment: Deployment;
+    let boxes: TestBox[];
+    let folder: string;
+    let at: string[];
+
+    before(async () => {
+        deployment = await startDeployment();
+        await deployment.addServer({ id: "i-1" });
+        deployment.configure(2, [{ name: "lookup", path: "/lookup/", kind: "safe" }]);
+        boxes = ["127.0.0.2", "127.0.0.3"].map(host => deployment.startBox({ host, metricsPort }));
+        await eventually(() => boxes.every(box => box.gateway.isReady()), "the boxes are ready");
+        at = ["--peer", boxes[0].peers, "--metrics-port", String(metricsPort)];
+        folder = await mkdtemp(join(tmpdir(), "chalkdale-"));
+    });
+
+    after(async () => {
+        await deployment.close();
+        await rm(folder, { recursive: true, force: true });
+    });
+
+    it("lists all boxes with what they have in force", async () => {
+        let listed: ListedBox[] = [];
+        await eventually(async () => {
+            const { code, output } = await runCommandLine("boxes", ...at, "--json");
+            listed = code === 0 ? JSON.parse(output) as ListedBox[] : [];
+            return listed.length === 2;
+        }, "both are listed");
+        expect(listed.map(({ carries, member }) => [member.box, carries])).to.deep.equal([["box-1", true], [
+            "box-2",
+            true,
+        ]]);
+        const table = await runCommandLine("boxes", ...at);
+        expect(table.output).to.match(/box-2 +north-a +in service +yes .* 2 +\d+ +answers/);
+    });
+
+    it("ends with 4 when a box does not tell its figures, and says which", async () => {
+        const run = await runCommandLine("boxes", "--peer", boxes[0].peers, "--metrics-port", "1");
+        expect(run.code).to.equal(4);
+        expect(run.output).to.match(/box-1 .*unreachable/);
+    });
+
+    it("ends with 4 when there is no box, and says what to name", async () => {
+        const run = await runCommandLine("boxes", "--peer", "127.0.0.1:1");
+        expect(run.code).to.equal(4);
+        expect(run.errors).to.include("name the peer address of a running box");
+    });
+
+    it("tells the burn of each route from two samples on", async () => {
+        const samples = join(folder, "samples.jsonl");
+        const burn = () => runCommandLine("burn", ...at, "--samples", samples, "--json");
+        expect((await burn()).code).to.equal(0);
+        for (let count = 0; count < 4; count++) {
+            await sendRequest({ address: boxes[0].callers, host: testHost, path: "/lookup/", requestId: `b-${count}` });
+        }
+        const [route] = JSON.parse((await burn()).output) as { route: string; requests: number; failures: number; }[];
+        expect(route).to.include({ route: "lookup", requests: 4, failures: 0 });
+    });
+
+    it("refuses a wrong command line with 2 and spoiled samples with their line", async () => {
+        expect((await runCommandLine("burn", ...at)).code).to.equal(2);
+        expect((await runCommandLine("burn", ...at, "--samples", "x", "--objective", "2")).code).to.equal(2);
+        const spoiled = join(folder, "spoiled.jsonl");
+        await writeFile(spoiled, "{}x\n");
+        const run = await runCommandLine("burn", ...at, "--samples", spoiled);
+        expect([run.code, run.errors]).to.deep.equal([
+            1,
+            `chalkdale: ${spoiled}:1 is no sample; move the file away to begin anew\n`,
+        ]);
+    });
+});
--- a/packages/testing/test/command-line.test.ts
+++ b/packages/testing/test/command-line.test.ts
@@ -4,36 +4,15 @@
  */
 
 import { expect } from "chai";
-import { spawn } from "node:child_process";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
+import { runCommandLine as chalkdale } from "../src/launch/command-line.js";
 import { workspace } from "../src/launch/process.js";
 import { type PlatformServer, servePlatform } from "../src/standins/platform-server.js";
 
 const port = 29_500;
 
-interface Run {
-    readonly code: number | undefined;
-    readonly output: string;
-    readonly errors: string;
-}
-
-async function chalkdale(...args: readonly string[]): Promise<Run> {
-    const program = resolve(workspace, "packages/cli/bin/chalkdale.js");
-    const child = spawn(process.execPath, [program, ...args], { stdio: ["ignore", "pipe", "pipe"] });
-    let output = "";
-    let errors = "";
-    child.stdout.on("data", chunk => {
-        output += String(chunk);
-    });
-    child.stderr.on("data", chunk => {
-        errors += String(chunk);
-    });
-    const code = await new Promise<number | undefined>(done => child.once("close", ended => done(ended ?? undefined)));
-    return { code, output, errors };
-}
-
 describe("the command line", () => {
     let owner: AbortController;
     let platform: PlatformServer;
