--- a/packages/cli/src/burn-rate.ts
+++ b/packages/cli/src/burn-rate.ts
@@ -103,15 +103,17 @@
 function countWithin(route: string, samples: readonly BurnSample[], length: number) {
     const end = samples.at(-1)?.at ?? 0;
     const total = { good: 0, bad: 0 };
-    for (let index = 1; index < samples.length; index++) {
-        const [before, after] = [samples[index - 1], samples[index]];
-        if (before.at < end - length) {
-            continue;
-        }
-        for (const [box, counters] of Object.entries(after.boxes)) {
-            const known = before.boxes[box];
-            // A new life of a box counts from zero.
-            const since = known?.incarnation === counters.incarnation ? known : undefined;
+    const known = new Map<string, BoxCounters>();
+    for (const [index, sample] of samples.entries()) {
+        const isWithin = index > 0 && samples[index - 1].at >= end - length;
+        for (const [box, counters] of Object.entries(sample.boxes)) {
+            const last = known.get(box);
+            known.set(box, counters);
+            if (!isWithin) {
+                continue;
+            }
+            // A new life of a box counts from zero; a box that missed samples, from its last one.
+            const since = last?.incarnation === counters.incarnation ? last : undefined;
             total.good += (counters.good[route] ?? 0) - (since?.good[route] ?? 0);
             total.bad += (counters.bad[route] ?? 0) - (since?.bad[route] ?? 0);
         }
--- a/packages/cli/test/burn-rate.test.ts
+++ b/packages/cli/test/burn-rate.test.ts
@@ -33,6 +33,11 @@
         expect([requests, failures]).to.deep.equal([22, 2]);
     });
 
+    it("goes on from a box's last sample when it did not answer in between", () => {
+        const { requests } = burnOf(sample(0, 500, 0), { at: minute, boxes: {} }, sample(2, 520, 0));
+        expect(requests).to.equal(20);
+    });
+
     it("wakes someone when an hour and the last minutes burn fast, and asks for a look when days burn slowly", () => {
         expect(burnOf(sample(0, 0, 0), sample(3, 900, 100)).alert).to.equal("page");
         expect(burnOf(sample(0, 0, 0), sample(200, 9970, 30), sample(202, 10_970, 30)).alert).to.equal("ticket");
