--- /dev/null
+++ b/packages/gateway/test/state-messages.test.ts
@@ -0,0 +1,46 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { isStateDigest, isStateUpdate } from "../src/state-messages.js";
+
+const copy = { changed: 1, complete: 2, age: 3 };
+const digest = { configuration: copy, servers: copy, closedZones: copy };
+const update = {
+    kind: "servers",
+    since: 1,
+    complete: 3,
+    changes: [{ kind: "put", name: "s-1", item: {} }, { kind: "gone", name: "s-2" }],
+};
+
+/** Returns the value as another box would get it. */
+const sent = (value: unknown): unknown => JSON.parse(JSON.stringify(value));
+
+describe("messages about copies", () => {
+    it("are taken as boxes send them", () => {
+        expect(isStateDigest(sent(digest))).to.equal(true);
+        expect(isStateUpdate(sent(update))).to.equal(true);
+    });
+
+    it("are refused with a part missing or of another kind", () => {
+        expect(isStateDigest({ ...digest, servers: undefined })).to.equal(false);
+        expect(isStateDigest({ ...digest, servers: { ...copy, age: "1" } })).to.equal(false);
+        expect(isStateUpdate({ ...update, kind: "boxes" })).to.equal(false);
+        expect(isStateUpdate({ ...update, since: undefined })).to.equal(false);
+        expect(isStateUpdate({ ...update, changes: [{ kind: "put", name: "s-1" }] })).to.equal(false);
+        expect(isStateUpdate({ ...update, changes: [{ kind: "gone" }] })).to.equal(false);
+        expect(isStateUpdate({ ...update, changes: {} })).to.equal(false);
+    });
+
+    it("never throw, whatever they hold", () => {
+        fc.assert(fc.property(fc.jsonValue(), value => {
+            expect(isStateDigest(value)).to.equal(false);
+            expect(isStateUpdate(value)).to.equal(false);
+        }));
+    });
+
+    it("never throw when one part is replaced", () => {
+        fc.assert(fc.property(fc.constantFrom(...Object.keys(update)), fc.jsonValue(), (part, value) => {
+            isStateUpdate({ ...update, [part]: value });
+            isStateDigest({ ...digest, [part]: value });
+        }));
+    });
+});
