--- /dev/null
+++ b/packages/testing/src/soak/soak-world.ts
@@ -0,0 +1,223 @@
+/**
+ * What one run of the soak consists of: the store, servers and boxes, and the
+ * links between them, with what the run has told them so far.
+ */
+
+import { milliseconds, type RandomSource } from "@chalkdale/core";
+import { mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { type Backend, startBackend } from "../users-platform/backend.js";
+import { type MetadataStoreServer, serveMetadataStore } from "../users-platform/metadata-store-server.js";
+import { createMetadataStore, type MetadataStore } from "../users-platform/metadata-store.js";
+import { type BoxProcess, createBoxProcess } from "./box-process.js";
+import type { Interval, ObservedRun } from "./checks.js";
+import { type Proxy, startProxy } from "./proxy.js";
+
+/** Zones and their regions. */
+export const zones: Readonly<Record<string, string>> = { "north-a": "north", "north-b": "north", "south-a": "south" };
+export const zoneNames = Object.keys(zones);
+/** Routes and the services that they begin with. */
+export const servicesByPath: Readonly<Record<string, string>> = {
+    "/lookup/": "profiles",
+    "/save/": "profiles",
+    "/pack/": "packs",
+};
+export const host = "app.example";
+/** A change must be in force after this long once the store answers again; the boxes' own bounds are 2 to 3 s. */
+export const inForceWithin = 7000;
+const serversPerService = 4;
+const serverWork = 40;
+
+/** One server behind its link. */
+export interface SoakServer {
+    readonly backend: Backend;
+    readonly proxy: Proxy;
+    readonly service: string;
+    readonly zone: string;
+    gone: boolean;
+}
+
+/** When which service may run the requests of a path. */
+export type Destination = Interval & { readonly path: string; readonly service: string; };
+
+/** The parts of a run. */
+export interface SoakWorld {
+    readonly random: RandomSource;
+    /** Milliseconds since the run began. */
+    readonly now: () => number;
+    readonly say: (text: string) => void;
+    /** Where the logs of the boxes lie. */
+    readonly folder: string;
+    readonly store: MetadataStore;
+    readonly storeServer: MetadataStoreServer;
+    readonly storeLinks: readonly Proxy[];
+    readonly servers: readonly SoakServer[];
+    readonly boxes: readonly BoxProcess[];
+    readonly runs: readonly ObservedRun[];
+    readonly destinations: readonly Destination[];
+    readonly addServer: (service: string, zone: string) => Promise<void>;
+    readonly record: (server: SoakServer, state: string) => void;
+    /** Writes the next version; the lookups' service changes with every other one. */
+    readonly configure: () => void;
+    readonly stopAll: () => Promise<void>;
+}
+
+export interface SoakWorldOptions {
+    readonly seed: number;
+    readonly random: RandomSource;
+    readonly boxes: number;
+    readonly onEvent: ((line: string) => void) | undefined;
+}
+
+/** Starts everything; boxes may still be starting when it resolves. */
+export async function createSoakWorld(options: SoakWorldOptions): Promise<SoakWorld> {
+    const { random } = options;
+    const startedAt = performance.now();
+    const now = () => performance.now() - startedAt;
+    const say = (text: string) => options.onEvent?.(`seed=${options.seed} at=${Math.round(now())} ${text}`);
+    const store = createMetadataStore({ clock: () => milliseconds(now()) });
+    const storeServer = await serveMetadataStore(store);
+    const folder = mkdtempSync(join(tmpdir(), `chalkdale-soak-${options.seed}-`));
+    const servers: SoakServer[] = [];
+    const runs: ObservedRun[] = [];
+    const destinations: Destination[] = [];
+    const storeLinks: Proxy[] = [];
+    let version = 1;
+
+    await startServers();
+    configure();
+    const boxes = await startBoxes();
+    return {
+        random,
+        now,
+        say,
+        folder,
+        store,
+        storeServer,
+        storeLinks,
+        servers,
+        boxes,
+        runs,
+        destinations,
+        addServer,
+        record,
+        configure,
+        stopAll,
+    };
+
+    async function startServers(): Promise<void> {
+        for (const service of ["profiles", "packs"]) {
+            for (let index = 0; index < serversPerService; index++) {
+                await addServer(service, zoneNames[index % zoneNames.length]);
+            }
+        }
+    }
+
+    async function addServer(service: string, zone: string): Promise<void> {
+        const backend = await startBackend({ id: `i-${service}-${servers.length}` });
+        backend.setWork(serverWork);
+        const proxy = await startProxy(backend.address());
+        const server = { backend, proxy, service, zone, gone: false };
+        servers.push(server);
+        observeRuns(server);
+        record(server, "ready");
+    }
+
+    /** Notes each run when it begins. */
+    function observeRuns(server: SoakServer): void {
+        const list = server.backend.runs as ObservedRun[];
+        const push = list.push.bind(list);
+        list.push = (...begun) => {
+            for (const run of begun) {
+                runs.push({ ...run, at: now(), server: server.backend.id, service: server.service, zone: server.zone });
+            }
+            return push(...begun);
+        };
+    }
+
+    function record(server: SoakServer, state: string): void {
+        store.put("servers", server.backend.id, {
+            service: server.service,
+            address: server.proxy.address(),
+            zone: server.zone,
+            version: "v1",
+            slots: 4,
+            state,
+            cold_left: "0ms",
+            call_seq: 1,
+        });
+    }
+
+    function configure(): void {
+        version += 1 + Math.floor(random() * 5);
+        const lookups = version % 2 === 0 ? "profiles" : "packs";
+        const rules = Object.entries(servicesByPath).map(([path, service]) => ({
+            name: path,
+            kind: path === "/save/" ? "unsafe" : path === "/pack/" ? "download" : "safe",
+            goal: "400ms",
+            priority: 1,
+            sticky: true,
+            match: { path_prefix: path },
+            action: {
+                service: path === "/lookup/" ? lookups : service,
+                timeout: "1500ms",
+                max_attempts: 2,
+                home_regions: [],
+            },
+        }));
+        for (const rule of rules) {
+            const old = destinations.findIndex(entry => entry.path === rule.name && entry.to === Infinity);
+            if (old >= 0 && destinations[old].service !== rule.action.service) {
+                destinations[old] = { ...destinations[old], to: now() + inForceWithin };
+            }
+            if (old < 0 || destinations[old].to !== Infinity) {
+                destinations.push({ path: rule.name, service: rule.action.service, from: now(), to: Infinity });
+            }
+        }
+        store.put("config", "main", {
+            version: version.toString(16).padStart(8, "0"),
+            limits: { max_header_bytes: 16384, max_body_bytes: 1_000_000, header_timeout: "3s", idle_timeout: "15s" },
+            listeners: [{ host, rules }],
+            clusters: ["profiles", "packs"].map(name => ({
+                name,
+                health_path: "/health",
+                max_conns: 330,
+                warmup: "3s",
+                cold_per_s: 14,
+            })),
+        });
+    }
+
+    async function startBoxes(): Promise<BoxProcess[]> {
+        const created: BoxProcess[] = [];
+        const firstPort = 20_000 + (process.pid % 50) * 200;
+        for (let index = 0; index < options.boxes; index++) {
+            const link = await startProxy(storeServer.address());
+            storeLinks.push(link);
+            const box = createBoxProcess({
+                name: `box-${index}`,
+                host: `127.0.2.${index + 1}`,
+                firstPort,
+                zone: zoneNames[index % zoneNames.length],
+                region: zones[zoneNames[index % zoneNames.length]],
+                zones,
+                store: link.address(),
+                seeds: [`127.0.2.1:${firstPort + 3}`, `127.0.2.2:${firstPort + 3}`],
+                folder,
+            });
+            box.start();
+            created.push(box);
+        }
+        return created;
+    }
+
+    async function stopAll(): Promise<void> {
+        boxes.forEach(box => box.signal("SIGCONT"));
+        boxes.forEach(box => box.signal("SIGTERM"));
+        await Promise.all(boxes.map(box => box.ended()));
+        [...storeLinks, ...servers.map(server => server.proxy)].forEach(link => link.close());
+        servers.forEach(server => server.backend.close());
+        storeServer.close();
+    }
+}
