--- a/packages/testing/src/session/session.ts
+++ b/packages/testing/src/session/session.ts
@@ -8,35 +8,35 @@
 
 import { createAgent } from "@chalkdale/agent";
 import {
-    type ActiveRequest,
     boxId,
     type ChoicePolicy,
     createManualClock,
     createRouter,
     createSeededRandom,
     createTicketBook,
-    errorAnswers,
     type IncarnationId,
     incarnationId,
     type ManualClock,
     pathsOfKind,
-    type RanState,
     regionId,
-    type RequestError,
     type Router,
     serviceId,
     type SettingsDocument,
     zoneId,
 } from "@chalkdale/core";
 import { createStateClient } from "@chalkdale/entry";
-import { objectKeys, type Platform, type PlatformOutcome } from "@chalkdale/platform";
+import { objectKeys } from "@chalkdale/platform";
 import { formatFields, type Log, type LogFields, silentLog } from "@chalkdale/runtime";
 import { createObjectStore, type ObjectStore } from "../standins/object-store.js";
 import { createFakeNetwork, type FakeNetwork } from "./fake-network.js";
 import { createFakeServers, type FakeServers } from "./fake-servers.js";
 import { nameOf, placeBoxes, placeServers, type SessionBox, type SessionFleet } from "./placement.js";
+import { createSessionPlatform } from "./session-platform.js";
+import { createSessionRequests, type SessionRequest, type SessionResult } from "./session-requests.js";
 
 export type { SessionBox, SessionFleet } from "./placement.js";
+export { platformName } from "./session-platform.js";
+export type { SessionRequest, SessionResult } from "./session-requests.js";
 
 export interface SessionOptions {
     readonly document: SettingsDocument;
@@ -49,30 +49,6 @@
     readonly loggedBox?: string;
 }
 
-/** A request of a session. */
-export interface SessionRequest {
-    readonly box: string;
-    readonly service: string;
-    readonly caller: string;
-    readonly method?: string;
-    readonly ticket?: string;
-    /** Name under which the backend server notes that it ran. */
-    readonly operation?: string;
-    readonly deadline?: number;
-}
-
-/** How a request of a session ended. */
-export interface SessionResult {
-    readonly request: SessionRequest;
-    readonly startedAt: number;
-    endedAt: number;
-    kind: "running" | "answered" | RequestError["kind"];
-    ran: RanState;
-    zone: string;
-    server: string;
-    retryAfter: number | undefined;
-}
-
 /** A running session. */
 export interface Session {
     readonly clock: ManualClock;
@@ -107,9 +83,6 @@
     readonly end: () => Promise<void>;
 }
 
-/** Name of the platform for {@link FakeNetwork.reaches}. */
-export const platformName = "platform";
-
 const replacedPortStep = 500;
 
 /** Length of a step in milliseconds. */
@@ -124,13 +97,12 @@
     const store = createObjectStore({ clock: clock.now });
     const network = createFakeNetwork();
     const lines: string[] = [];
-    const results: SessionResult[] = [];
     const zonePaths = pathsOfKind(options.document, "zone");
     const members = placeServers(options.fleets, zonePaths);
     const servers = createFakeServers(clock.now, [...members.values()].flat(), options.workTime ?? 10);
     const boxes = placeBoxes(options.document, zonePaths);
-    const platformDelay = { milliseconds: 0 };
-    const delayed: { readonly until: number; readonly go: () => void; }[] = [];
+    const platform = createSessionPlatform({ now: clock.now, store, network });
+    const requests = createSessionRequests({ now: clock.now, servers, box });
     let incarnations = 0;
     let document = options.document;
 
@@ -142,13 +114,13 @@
         clock,
         store,
         network,
-        platformDelay,
+        platformDelay: platform.delay,
         servers,
         boxes,
         box,
         advance,
-        send,
-        results,
+        send: requests.send,
+        results: requests.results,
         lookUp: (id, service, caller, ticket = false) =>
             box(id).router!.lookUp({ service: serviceId(service), callerAddress: caller, wantsTicket: ticket }),
         editSettings(change) {
@@ -226,7 +198,7 @@
             self: { box: boxId(id), zone: zoneId(target.zone), region: target.region, peer: target.peer },
             incarnation: nextIncarnation(),
             seeds: boxes.filter(other => other.id !== id).slice(0, 3).map(other => other.peer),
-            platform: platformOf(target),
+            platform: platform.seenBy(target),
             network: network.of(() => target.key),
             probe: async server => servers.probe(server),
             clock: clock.now,
@@ -250,28 +222,6 @@
     }
 
     /** The platform as one box sees it: gone while the network says that it does not reach it. */
-    function platformOf(target: SessionBox): Platform {
-        const cut = { kind: "unavailable", reason: "cut off" } as const;
-        const lost = { kind: "unknown", reason: "cut off" } as const;
-        const call = async <Value>(run: (platform: Platform) => Promise<PlatformOutcome<Value>>) => {
-            if (platformDelay.milliseconds > 0) {
-                await new Promise<void>(go => delayed.push({ until: clock.now() + platformDelay.milliseconds, go }));
-            }
-            if (!network.reaches(target.key, platformName)) {
-                return cut;
-            }
-            const outcome = await run(store.platform);
-            return network.reaches(target.key, platformName) ? outcome : lost;
-        };
-        return {
-            get: (...args) => call(platform => platform.get(...args)),
-            list: (...args) => call(platform => platform.list(...args)),
-            create: (...args) => call(platform => platform.create(...args)),
-            update: (...args) => call(platform => platform.update(...args)),
-            watch: (...args) => call(platform => platform.watch(...args)),
-        };
-    }
-
     function startBox(id: string): void {
         startAgent(id);
         startEntry(id);
@@ -343,9 +293,7 @@
     }
 
     function stepPrograms(): void {
-        store.step();
-        delayed.filter(({ until }) => clock.now() >= until).forEach(({ go }) => go());
-        delayed.splice(0, delayed.length, ...delayed.filter(({ until }) => clock.now() < until));
+        platform.step();
         for (const { agent, client, paused } of boxes) {
             if (paused) {
                 continue;
@@ -354,90 +302,6 @@
             client?.step();
         }
     }
-
-    function send(request: SessionRequest): SessionResult {
-        const result: SessionResult = {
-            request,
-            startedAt: clock.now(),
-            endedAt: clock.now(),
-            kind: "running",
-            ran: "unknown",
-            zone: "",
-            server: "",
-            retryAfter: undefined,
-        };
-        results.push(result);
-        const target = box(request.box);
-        if (target.router === undefined || target.paused) {
-            result.kind = "serverUnreachable";
-            result.ran = "not-run";
-            return result;
-        }
-        const begun = target.router.begin({
-            service: serviceId(request.service),
-            callerAddress: request.caller,
-            method: request.method ?? "GET",
-            remaining: request.deadline,
-            ticket: request.ticket,
-        });
-        if (begun.err) {
-            refuse(result, begun.val);
-            return result;
-        }
-        attempt(result, begun.val, undefined);
-        return result;
-    }
-
-    /** As the forwarding does: another server where the first did not run it. */
-    function attempt(result: SessionResult, active: ActiveRequest, failure: RequestError | undefined): void {
-        const assigned = active.assign();
-        if (assigned.err) {
-            const error = failure ?? assigned.val;
-            refuse(result, error);
-            active.end(errorAnswers[error.kind].ran === "not-run" ? { kind: "refused" } : { kind: "unknown" });
-            return;
-        }
-        result.zone = active.zone.id;
-        result.server = assigned.val.id;
-        servers.run(assigned.val.id, result.request.operation, outcome => {
-            active.settle(outcome);
-            switch (outcome.kind) {
-                case "answered":
-                    result.kind = "answered";
-                    result.ran = "ran";
-                    result.endedAt = clock.now();
-                    active.end({ kind: "answered", status: outcome.serverError ? 500 : 200 });
-                    return;
-                case "shed":
-                case "unreachable":
-                    return retryOrRefuse(result, active, {
-                        kind: outcome.kind === "shed" ? "serverShed" : "serverUnreachable",
-                    });
-                case "brokeOff":
-                case "abandoned":
-                    refuse(result, { kind: "serverBrokeOff" });
-                    active.end({ kind: "unknown" });
-                    return;
-            }
-        });
-    }
-
-    function retryOrRefuse(result: SessionResult, active: ActiveRequest, error: RequestError): void {
-        if (active.mayRetry()) {
-            attempt(result, active, error);
-            return;
-        }
-        refuse(result, error);
-        active.end({ kind: "refused" });
-    }
-
-    function refuse(result: SessionResult, error: RequestError): void {
-        const answer = errorAnswers[error.kind];
-        result.kind = error.kind;
-        result.ran = answer.ran;
-        result.endedAt = clock.now();
-        result.retryAfter = error.retryAfter ?? answer.retryAfter;
-    }
 }
 
 /** Lets everything that is due on the event loop run. */
