--- a/packages/testing/test/box-state.test.ts
+++ b/packages/testing/test/box-state.test.ts
@@ -80,6 +80,20 @@
         }
     });
 
+    it("start together while the store turns calls away beyond its rate", async () => {
+        let calls = 0;
+        deployment.storeServer.setFault(() => {
+            calls += 1;
+            return calls % 2 === 0 ? { kind: "none" } : { kind: "refused", status: 429 };
+        });
+        const boxes = ["127.0.0.2", "127.0.0.3", "127.0.0.4"].map(host => deployment.startBox({ host }));
+        await Promise.all(boxes.map(ready));
+        for (const box of boxes) {
+            expect((await ask(box, "/lookup/")).status).to.equal(200);
+            await eventually(async () => (await lookUp(box.directory, place)).addresses.length === 3, "all met");
+        }
+    });
+
     describe("in a region with many boxes", () => {
         const hosts = ["127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5", "127.0.0.6", "127.0.0.7"];
         let boxes: TestBox[];
