Try each call of the join by itself; take from other boxes only what can be used

The fault was real: after its record a box lists the others, and when that was refused it wrote the record again, so both calls had to succeed in a row. With every second call refused in turn it never joined.

Items are now checked for what the box reads of them; a handler that still throws costs the message only. Tests: state-messages, box-state (take nothing from a message).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -267,12 +267,19 @@
 
     /** Records this box in the store, then greets those that are recorded: of two that start at once, one sees the other. */
     async function joinMembers(members: Membership): Promise<void> {
+        await untilDone(() => store.announce(members.alive(clock())[0], signal));
+        await untilDone(async () => {
+            const recorded = await store.listBoxes(signal);
+            recorded.filter(record => record.box !== settings.box)
+                .forEach(record => peerLink.greet(record.peerAddress));
+        });
+    }
+
+    /** Makes a call of the store again until it succeeds or the box ends. */
+    async function untilDone(call: () => Promise<void>): Promise<void> {
         while (!signal.aborted) {
             try {
-                await store.announce(members.alive(clock())[0], signal);
-                const boxes = await store.listBoxes(signal);
-                boxes.filter(record => record.box !== settings.box)
-                    .forEach(record => peerLink.greet(record.peerAddress));
+                await call();
                 return;
             }
             catch (error) {
--- a/packages/gateway/src/peer-link.ts
+++ b/packages/gateway/src/peer-link.ts
@@ -11,7 +11,7 @@
 import { createServer, get, type IncomingMessage, type ServerResponse } from "node:http";
 import type { StatePeer } from "./replicator.js";
 import type { ListenAddress } from "./settings.js";
-import { isStateDigest, isStateUpdate, type StateDigest, type StateUpdate } from "./state-messages.js";
+import { isSharedItem, isStateDigest, isStateUpdate, type StateDigest, type StateUpdate } from "./state-messages.js";
 import { type SharedKind, sharedKinds } from "./state-store.js";
 
 /** Time between two rounds of gossip. */
@@ -63,7 +63,14 @@
     const { clock, log, membership, signal } = options;
     const socket = createSocket("udp4");
     socket.on("error", error => log.warn("peer.socketFailed", { reason: error.message }));
-    socket.on("message", data => onDatagram(data));
+    socket.on("message", data => {
+        try {
+            onDatagram(data);
+        }
+        catch (error) {
+            log.warn("peer.faultyMessage", { bytes: data.length, reason: String(error) });
+        }
+    });
     socket.bind(options.listen.port, options.listen.host);
 
     const server = createServer(answerPeer);
@@ -239,7 +246,8 @@
 /** Reads a snapshot of a kind from another box. */
 export async function readPeerSnapshot(peer: string, kind: SharedKind, signal: AbortSignal): Promise<Snapshot<never>> {
     const snapshot = JSON.parse(await fetchBounded(`http://${peer}/state/${kind}`, signal)) as Snapshot<never>;
-    if (!Number.isFinite(snapshot.revision) || !Array.isArray(snapshot.items)) {
+    const { items, revision } = snapshot;
+    if (!Number.isFinite(revision) || !Array.isArray(items) || !items.every(item => isSharedItem(kind, item))) {
         throw new Error("not a snapshot");
     }
     return snapshot;
--- a/packages/gateway/src/state-messages.ts
+++ b/packages/gateway/src/state-messages.ts
@@ -2,7 +2,7 @@
  * What boxes tell each other about their copies of shared state.
  */
 
-import type { ItemChange } from "@chalkdale/steering";
+import type { ItemChange, ServerRecord } from "@chalkdale/steering";
 import { type SharedItems, type SharedKind, sharedKinds } from "./state-store.js";
 
 /** How far one copy reaches. */
@@ -39,7 +39,41 @@
     return typeof update === "object" && update !== null
         && sharedKinds.some(kind => kind === update.kind)
         && Number.isFinite(update.since) && Number.isFinite(update.complete)
-        && Array.isArray(update.changes) && update.changes.every(isItemChange);
+        && Array.isArray(update.changes) && update.changes.every(change => isItemChange(update.kind!, change));
+}
+
+/** True for an item of a kind as boxes send it: what the box reads of it is there and of its type. */
+export function isSharedItem(kind: SharedKind, item: unknown): boolean {
+    switch (kind) {
+        case "configuration":
+            return hasTypes(item, { version: "number", routes: "object", services: "object", limits: "object" });
+        case "servers":
+            return hasTypes(item, serverTypes);
+        case "closedZones":
+            return typeof item === "string";
+    }
+}
+
+type TypeName = "string" | "number" | "boolean" | "object";
+
+const serverTypes: Readonly<Record<keyof ServerRecord, TypeName>> = {
+    id: "string",
+    service: "string",
+    address: "string",
+    zone: "string",
+    region: "string",
+    slots: "number",
+    draining: "boolean",
+    coldFor: "number",
+    revision: "number",
+};
+
+function hasTypes(value: unknown, types: Readonly<Record<string, TypeName>>): boolean {
+    if (typeof value !== "object" || value === null) {
+        return false;
+    }
+    const fields = value as Readonly<Record<string, unknown>>;
+    return Object.entries(types).every(([name, type]) => typeof fields[name] === type && fields[name] !== null);
 }
 
 function isCopyState(state: CopyState | undefined): boolean {
@@ -47,10 +81,10 @@
         && [state.changed, state.complete, state.age].every(Number.isFinite);
 }
 
-function isItemChange(value: unknown): boolean {
+function isItemChange(kind: SharedKind, value: unknown): boolean {
     const change = value as Partial<ItemChange<unknown>> & { readonly item?: unknown; } | undefined;
     if (typeof change !== "object" || change === null || typeof change.name !== "string") {
         return false;
     }
-    return change.kind === "gone" || change.kind === "put" && change.item !== undefined;
+    return change.kind === "gone" || change.kind === "put" && isSharedItem(kind, change.item);
 }
--- a/packages/gateway/test/state-messages.test.ts
+++ b/packages/gateway/test/state-messages.test.ts
@@ -4,11 +4,22 @@
 
 const copy = { changed: 1, complete: 2, age: 3 };
 const digest = { configuration: copy, servers: copy, closedZones: copy };
+const server = {
+    id: "s-1",
+    service: "profiles",
+    address: "192.0.2.7:80",
+    zone: "north-a",
+    region: "north",
+    slots: 4,
+    draining: false,
+    coldFor: 0,
+    revision: 7,
+};
 const update = {
     kind: "servers",
     since: 1,
     complete: 3,
-    changes: [{ kind: "put", name: "s-1", item: {} }, { kind: "gone", name: "s-2" }],
+    changes: [{ kind: "put", name: "s-1", item: server }, { kind: "gone", name: "s-2" }],
 };
 
 /** Returns the value as another box would get it. */
@@ -30,6 +41,19 @@
         expect(isStateUpdate({ ...update, changes: {} })).to.equal(false);
     });
 
+    it("are refused with an item that the box could not use", () => {
+        const withItem = (kind: string, item: unknown) => ({
+            ...update,
+            kind,
+            changes: [{ kind: "put", name: "x", item }],
+        });
+        expect(isStateUpdate(withItem("servers", {}))).to.equal(false);
+        expect(isStateUpdate(withItem("servers", { ...server, id: undefined }))).to.equal(false);
+        expect(isStateUpdate(withItem("closedZones", 7))).to.equal(false);
+        expect(isStateUpdate(withItem("configuration", { version: 3 }))).to.equal(false);
+        expect(isStateUpdate(withItem("closedZones", "north-a"))).to.equal(true);
+    });
+
     it("never throw, whatever they hold", () => {
         fc.assert(fc.property(fc.jsonValue(), value => {
             expect(isStateDigest(value)).to.equal(false);
--- a/packages/testing/test/box-state.test.ts
+++ b/packages/testing/test/box-state.test.ts
@@ -4,6 +4,7 @@
 
 import { milliseconds } from "@chalkdale/core";
 import { expect } from "chai";
+import { createSocket } from "node:dgram";
 import { lookUp, sendRequest } from "../src/users-platform/client.js";
 import {
     type Deployment,
@@ -80,11 +81,33 @@
         }
     });
 
+    it("take nothing from a message that they can't use, and go on", async () => {
+        const box = deployment.startBox();
+        await ready(box);
+        const copy = { changed: 0, complete: 0, age: 0 };
+        const from = { ...memberOf("stranger"), peerAddress: "127.0.0.1:1", callerAddress: "127.0.0.1:2" };
+        const digest = { configuration: copy, servers: copy, closedZones: copy };
+        const changes = [{ kind: "put", name: "x", item: {} }];
+        const socket = createSocket("udp4");
+        const [host, port] = box.peers.split(":");
+        const send = (data: string) => new Promise(resolve => socket.send(data, Number(port), host, resolve));
+        await send(
+            JSON.stringify({ from, beats: [], digest, update: { kind: "servers", since: 0, complete: 1e9, changes } }),
+        );
+        await send("[]");
+        await send("{\"from\":7");
+        socket.close();
+        deployment.configure(3, [{ ...rules[0], path: "/next/" }]);
+        await eventually(async () => (await ask(box, "/next/")).status === 200, "the version is in force");
+        await deployment.addServer({ id: "i-2" });
+        await eventually(() => box.logged.some(line => line.includes("added=i-2")), "the server is known");
+    });
+
     it("start together while the store turns calls away beyond its rate", async () => {
         let calls = 0;
         deployment.storeServer.setFault(() => {
             calls += 1;
-            return calls % 2 === 0 ? { kind: "none" } : { kind: "refused", status: 429 };
+            return calls % 4 === 0 ? { kind: "none" } : { kind: "refused", status: 429 };
         });
         const boxes = ["127.0.0.2", "127.0.0.3", "127.0.0.4"].map(host => deployment.startBox({ host }));
         await Promise.all(boxes.map(ready));
@@ -198,6 +221,20 @@
     });
 });
 
+function memberOf(box: string) {
+    return {
+        box,
+        incarnation: "1",
+        heartbeat: 1,
+        leaving: false,
+        ready: true,
+        region: "north",
+        zone: "north-a",
+        capacity: 1,
+        load: 0,
+    };
+}
+
 function itemsOf(answer: StoreAnswer): string[] {
     const { items } = answer.body as { items: { metadata: { name: string; }; }[]; };
     return items.map(item => item.metadata.name);
