--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -4,7 +4,7 @@
  * Owns what is counted for the request; one handler and its attempts use it.
  */
 
-import { hashKey, type RefusalKind, requestLimit, type Route } from "@chalkdale/decisions";
+import { type ChosenServer, hashKey, type RefusalKind, requestLimit, type Route } from "@chalkdale/decisions";
 import { type BackendServerId, hashText, type Milliseconds, type ServiceId } from "@chalkdale/kernel";
 import type { IncomingMessage } from "node:http";
 import type { HeaderNames } from "../callers/caller-protocol.js";
@@ -30,6 +30,8 @@
     sent: number;
     /** Attempts that reached none. */
     notSent: number;
+    /** What the latest choice of a server went by, for the log. */
+    latestChoice: ChosenServer | undefined;
 }
 
 /** The end of a request: a server's answer, or the box's own. */
@@ -66,6 +68,7 @@
         tried: new Set(),
         sent: 0,
         notSent: 0,
+        latestChoice: undefined,
     };
 }
 
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -11,6 +11,7 @@
     type BackendServer,
     type Choice,
     type ChoiceRequest,
+    type ChosenServer,
     decideRetry,
     isIdempotent,
     type RecentKeys,
@@ -47,8 +48,6 @@
 /** Runs the attempts of one request. Never rejects. */
 export type AttemptLoop = (active: ActiveRequest, body: Buffer, signal: AbortSignal) => Promise<Ending>;
 
-type ChosenServer = Choice & { readonly kind: "chosen"; };
-
 /** Creates the loop. */
 export function createAttemptLoop(options: AttemptLoopOptions & AttemptLoopContext): AttemptLoop {
     const { clock, metrics, requestLog } = options;
@@ -119,6 +118,7 @@
         const { server } = choice;
         const sentBefore = active.sent;
         active.tried.add(server.id);
+        active.latestChoice = choice;
         const outcome = await options.attempt({
             route: active.route,
             service: active.service,
--- a/packages/box/src/requests/request-log.ts
+++ b/packages/box/src/requests/request-log.ts
@@ -3,9 +3,9 @@
  * how it ended. Every refusal leaves a line with the request's id, within the budget of lines.
  */
 
-import type { RefusalKind } from "@chalkdale/decisions";
+import type { ChosenServer, RefusalKind } from "@chalkdale/decisions";
 import type { BackendServerId, Clock } from "@chalkdale/kernel";
-import type { Log } from "@chalkdale/runtime";
+import type { Log, LogFields } from "@chalkdale/runtime";
 import type { BoxMetrics } from "../metrics.js";
 import type { ServerAnswer } from "../servers/exchange.js";
 import type { SharedState } from "../state/shared-state.js";
@@ -58,6 +58,7 @@
                 route: active.route.name,
                 status: answer.status,
                 tried: [...active.tried].join(","),
+                ...choiceFields(active.latestChoice),
                 after: Math.round(ageOf(active)),
                 version: state.configuration()?.version,
             });
@@ -100,3 +101,18 @@
         return clock() - active.startedAt;
     }
 }
+
+/** What the choice of the last server went by: its rank for the key, times in milliseconds, and the server that came second. */
+function choiceFields(choice: ChosenServer | undefined): LogFields {
+    if (choice === undefined) {
+        return {};
+    }
+    const { expected, rank, runnerUp, warm } = choice;
+    return {
+        rank,
+        warm,
+        expected: Math.round(expected),
+        runnerUp: runnerUp?.server,
+        runnerUpExpected: runnerUp && Math.round(runnerUp.expected),
+    };
+}
--- /dev/null
+++ b/packages/decisions/src/choose/compared-servers.ts
@@ -0,0 +1,74 @@
+/**
+ * Which servers are compared for a request: the first two of its key's ranking
+ * by weighted rendezvous hashing, near servers with a greater weight. So a key
+ * stays with its servers from all boxes of a region alike, and few keys move
+ * when the list changes.
+ *
+ * Owns nothing; relies on servers that may take the request.
+ */
+
+import type { AvailabilityZoneId, RegionId } from "@chalkdale/kernel";
+import type { BackendServer } from "../servers/server-catalog.js";
+import type { RouteKind } from "../shared-state/configuration.js";
+import { rendezvousScore } from "./rendezvous.js";
+
+/** Where the box is that chooses. */
+export interface BoxPlace {
+    readonly region: RegionId;
+    readonly zone: AvailabilityZoneId;
+}
+
+/** What a ranking goes by, besides the servers. */
+export interface RankedRequest {
+    readonly keyHash: number;
+    readonly kind: RouteKind;
+}
+
+/**
+ * Servers of the ranking that are compared by expected time. A third one makes all three forget keys under overload, since
+ * servers remember few: worth 0.624 with three, 0.682 with two on the emulator's hard day (docs/MEASUREMENTS.md), 0.455 and
+ * 0.516 on kodeyard-ng scale-1 (de0d7e9b, 87cfbcda).
+ */
+const comparedCount = 2;
+/**
+ * Weight of a slot in the box's own region against one in another. 1, 2 and 8 were tried in the emulator and were no better
+ * (commits dd5bcf7, b70bbfd).
+ */
+const regionWeight = 4;
+/**
+ * Weight of a slot for downloads, in the box's region and in its availability zone: 90 KB between regions cost more than an answer
+ * is worth (0.86 to 1.08 of 1), between zones 0.39 to 0.50. Not measured against other weights.
+ */
+const downloadRegionWeight = 60;
+/** Weight of a slot in the box's own availability zone for downloads. Not measured against other weights. */
+const downloadZoneWeight = 4000;
+
+/** Returns the first servers of the key's ranking. */
+export function comparedServers(
+    servers: readonly BackendServer[],
+    request: RankedRequest,
+    place: BoxPlace,
+): readonly BackendServer[] {
+    const best: { readonly server: BackendServer; readonly score: number; }[] = [];
+    for (const server of servers) {
+        const score = rendezvousScore(request.keyHash, server.idHash, weightOf(server, request.kind, place));
+        if (best.length === comparedCount && score <= best[comparedCount - 1].score) {
+            continue;
+        }
+        const position = best.findIndex(entry => entry.score < score);
+        best.splice(position < 0 ? best.length : position, 0, { server, score });
+        best.length = Math.min(best.length, comparedCount);
+    }
+    return best.map(entry => entry.server);
+}
+
+function weightOf(server: BackendServer, kind: RouteKind, place: BoxPlace): number {
+    const { region, slots, zone } = server.state.record();
+    if (region !== place.region) {
+        return slots;
+    }
+    if (kind !== "download") {
+        return slots * regionWeight;
+    }
+    return slots * (zone === place.zone ? downloadZoneWeight : downloadRegionWeight);
+}
--- a/packages/decisions/src/choose/server-choice.ts
+++ b/packages/decisions/src/choose/server-choice.ts
@@ -6,11 +6,9 @@
  *    these regions.
  * 2. Of these, servers that may take a request now; outliers are left out while
  *    enough others remain.
- * 3. The first two by weighted rendezvous hashing of the request's key, near
- *    servers with a greater weight. So a key stays with its server from all
- *    boxes alike, and few keys move when the list changes.
- * 4. Of the two, the one with the least expected time: way there and back,
- *    wait, and work, which is less at a server that knows the key.
+ * 3. The first two of the ranking of the request's key (`compared-servers`).
+ * 4. Of the two, the one with the least expected time: way there and back, wait,
+ *    and work, which is less at a server that knows the key.
  *
  * Owns no state; relies on what `servers/` believes of each server and on the
  * learned times of work and way.
@@ -26,8 +24,8 @@
 } from "@chalkdale/kernel";
 import type { BackendServer, ServerCatalog } from "../servers/server-catalog.js";
 import type { Route } from "../shared-state/configuration.js";
+import { comparedServers } from "./compared-servers.js";
 import type { RecentKeys } from "./recent-keys.js";
-import { rendezvousScore } from "./rendezvous.js";
 import type { WorkEstimate } from "./work-estimate.js";
 
 /** What is asked of the choice. */
@@ -43,20 +41,25 @@
     readonly at: Milliseconds;
 }
 
+/** The chosen server, and what the choice went by. */
+export interface ChosenServer {
+    readonly kind: "chosen";
+    readonly server: BackendServer;
+    /** Place in the ranking of the key, from 0. */
+    readonly rank: number;
+    /** The server is taken to know the key. */
+    readonly warm: boolean;
+    /** Expected time until the answer. */
+    readonly expected: Milliseconds;
+    /** The answer is not expected before this time. */
+    readonly least: Milliseconds;
+    /** The server that came second, if others were compared. */
+    readonly runnerUp?: { readonly server: BackendServerId; readonly expected: Milliseconds; };
+}
+
 /** A chosen server, or why there is none. */
 export type Choice =
-    | {
-        readonly kind: "chosen";
-        readonly server: BackendServer;
-        /** Place in the ranking of the key, from 0. */
-        readonly rank: number;
-        /** The server is taken to know the key. */
-        readonly warm: boolean;
-        /** Expected time until the answer. */
-        readonly expected: Milliseconds;
-        /** The answer is not expected before this time. */
-        readonly least: Milliseconds;
-    }
+    | ChosenServer
     /** No server may take the request, and none is in slow start. */
     | { readonly kind: "noServer"; }
     /** Servers in slow start have had their share of requests for now. */
@@ -64,6 +67,12 @@
     /** Not even the least time fits into what is left. */
     | { readonly kind: "tooLate"; readonly expected: Milliseconds; };
 
+/** A server as it would be chosen, and what servers are compared by: expected time, and what the choice costs beside it. */
+interface Estimate {
+    readonly choice: ChosenServer;
+    readonly cost: number;
+}
+
 export interface ServerChoiceOptions {
     readonly region: RegionId;
     readonly zone: AvailabilityZoneId;
@@ -76,29 +85,11 @@
     readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
 }
 
-/**
- * Servers of the ranking that are compared by expected time. A third one makes all three forget keys under overload, since
- * servers remember few: worth 0.624 with three, 0.682 with two on the emulator's hard day (docs/MEASUREMENTS.md), 0.455 and
- * 0.516 on kodeyard-ng scale-1 (de0d7e9b, 87cfbcda).
- */
-const comparedServers = 2;
 /**
  * Outliers are left out as long as this part of the servers that may take work remains, so that no service is emptied when
  * most of it fails. Not measured.
  */
 const leastPartWithoutOutliers = 0.5;
-/**
- * Weight of a slot in the box's own region against one in another. 1, 2 and 8 were tried in the emulator and were no better
- * (commits dd5bcf7, b70bbfd).
- */
-const regionWeight = 4;
-/**
- * The same for downloads, in the box's region and in its availability zone: 90 KB between regions cost more than an answer
- * is worth (0.86 to 1.08 of 1), between zones 0.39 to 0.50. Not measured against other weights.
- */
-const downloadRegionWeight = 60;
-/** Weight of a slot in the box's own availability zone for downloads. Not measured against other weights. */
-const downloadZoneWeight = 4000;
 /**
  * What it costs later requests that a key leaves its first server, as milliseconds of expected time. 0 and 250 were worse
  * or alike on the emulator's days (docs/MEASUREMENTS.md).
@@ -151,40 +142,23 @@
         return { kind: isAnyCold ? "allCold" : "noServer" };
     }
 
-    /** Returns the first servers of the key's ranking. */
-    function rank(servers: readonly BackendServer[], request: ChoiceRequest): BackendServer[] {
-        const isDownload = request.route.kind === "download";
-        const best: { readonly server: BackendServer; readonly score: number; }[] = [];
-        for (const server of servers) {
-            const score = rendezvousScore(request.keyHash, server.idHash, weightOf(server, isDownload));
-            if (best.length === comparedServers && score <= best[comparedServers - 1].score) {
-                continue;
-            }
-            const position = best.findIndex(entry => entry.score < score);
-            best.splice(position < 0 ? best.length : position, 0, { server, score });
-            best.length = Math.min(best.length, comparedServers);
-        }
-        return best.map(entry => entry.server);
+    function rank(servers: readonly BackendServer[], { keyHash, route }: ChoiceRequest): readonly BackendServer[] {
+        return comparedServers(servers, { keyHash, kind: route.kind }, options);
     }
 
-    function weightOf(server: BackendServer, isDownload: boolean): number {
-        const { region, slots, zone } = server.state.record();
-        if (region !== options.region) {
-            return slots;
-        }
-        if (!isDownload) {
-            return slots * regionWeight;
+    function fastest(ranked: readonly BackendServer[], request: ChoiceRequest): ChosenServer {
+        const [{ choice: best }, second] = ranked
+            .map((server, index) => estimate(server, index, request))
+            .sort((a, b) => a.cost - b.cost);
+        if (second === undefined) {
+            return best;
         }
-        return slots * (zone === options.zone ? downloadZoneWeight : downloadRegionWeight);
-    }
-
-    function fastest(ranked: readonly BackendServer[], request: ChoiceRequest) {
-        const estimates = ranked.map((server, index) => estimate(server, index, request));
-        return estimates.reduce((best, next) => next.cost < best.cost ? next : best);
+        const { expected, server } = second.choice;
+        return { ...best, runnerUp: { server: server.id, expected } };
     }
 
     /** Estimates the time of a request at one server; `cost` adds what the choice costs later requests and in bytes. */
-    function estimate(server: BackendServer, index: number, request: ChoiceRequest) {
+    function estimate(server: BackendServer, index: number, request: ChoiceRequest): Estimate {
         const { at, route } = request;
         const { region, slots, zone } = server.state.record();
         const slowness = server.state.slowness(at);
@@ -197,13 +171,15 @@
         const expected = way + wait + work;
         const penalty = placePenalty(region, zone, route) + (index > 0 && route.sticky ? movePenalty : 0);
         return {
-            kind: "chosen" as const,
-            server,
-            rank: index,
-            warm,
+            choice: {
+                kind: "chosen",
+                server,
+                rank: index,
+                warm,
+                expected: milliseconds(expected),
+                least: milliseconds(way + wait + options.work.least(route)),
+            },
             cost: expected + penalty,
-            expected: milliseconds(expected),
-            least: milliseconds(way + wait + options.work.least(route)),
         };
     }
 
--- a/packages/testing/src/promises/mechanisms.ts
+++ b/packages/testing/src/promises/mechanisms.ts
@@ -54,7 +54,7 @@
     {
         promise: "P1",
         name: "the place of a key by hashing",
-        file: decision("choose/server-choice"),
+        file: decision("choose/compared-servers"),
         find: "rendezvousScore(request.keyHash, server.idHash,",
         replace: "rendezvousScore(request.keyHash, servers.indexOf(server),",
         specs: [decisionTest("server-choice")],
