Shed by the load of the service: a wait up to the goal, a quarter of it for unknown keys while slots are short

Change: the box smooths the load that servers report; the short limit holds only above one request a slot.

--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -12,6 +12,7 @@
     longestRestBefore,
     overdueTime,
     type Route,
+    type ServiceLoad,
 } from "@chalkdale/decisions";
 import type { Clock, Milliseconds, ServiceId } from "@chalkdale/kernel";
 import type { Socket } from "node:net";
@@ -63,6 +64,7 @@
     /** Connections to one server that this box may hold. */
     readonly mostConnections: (service: ServiceId) => number;
     readonly livenessCheck: LivenessCheck;
+    readonly serviceLoad: ServiceLoad;
 }
 
 /** Returns the function that makes attempts. Never rejects. */
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -11,6 +11,7 @@
     createRecentKeys,
     createRoundTrips,
     createServerChoice,
+    createServiceLoad,
     createWorkEstimate,
     type ServerCatalog,
     type SharedEvidence,
@@ -56,6 +57,7 @@
 export function createRequestPath(options: RequestPathOptions): RequestPath {
     const { catalog, clock, evidence, limits, log, protocol, settings, state } = options;
     const recentKeys = createRecentKeys();
+    const serviceLoad = createServiceLoad();
     const work = createWorkEstimate();
     const roundTrips = createRoundTrips(settings.region, settings.zone);
     const connections = createServerConnections({
@@ -87,6 +89,7 @@
             recentKeys,
             work,
             roundTrip: roundTrips.estimate,
+            loadPerSlot: serviceLoad.perSlot,
             severity: ({ id, state: server }, at) => {
                 const own = server.severity(at);
                 return Math.max(own, evidence.severity(id, own, at));
@@ -99,6 +102,7 @@
             connections,
             mostConnections: limits.mostConnections,
             livenessCheck,
+            serviceLoad,
         }),
         budgetOf: limits.budgetOf,
         recentKeys,
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -5,7 +5,7 @@
  * Carries out the verdict on an answer; owns no state.
  */
 
-import { type AnswerVerdict, judgeAnswer, overdueTime, restAfterAnswer } from "@chalkdale/decisions";
+import { type AnswerVerdict, judgeAnswer, overdueTime, restAfterAnswer, type ServiceLoad } from "@chalkdale/decisions";
 import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import type { Socket } from "node:net";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
@@ -17,6 +17,7 @@
     readonly clock: Clock;
     readonly protocol: CallerProtocol;
     readonly connections: ServerConnections;
+    readonly serviceLoad: ServiceLoad;
 }
 
 /** Takes each way in which an attempt can end, and returns its outcome. */
@@ -54,6 +55,9 @@
             const { id, state } = request.server;
             const load = protocol.readLoad(answer.headers);
             state.onEnded(clock(), load);
+            if (load !== undefined) {
+                options.serviceLoad.onReport(request.service, load);
+            }
             if (answer.reusable) {
                 connections.release(id, socket, restAfterAnswer(readKeepAlive(answer.headers)));
             }
--- a/packages/decisions/src/choose/server-choice.ts
+++ b/packages/decisions/src/choose/server-choice.ts
@@ -89,6 +89,8 @@
     readonly work: WorkEstimate;
     /** Time to a place and back. */
     readonly roundTrip: (region: RegionId, zone: AvailabilityZoneId) => Milliseconds;
+    /** Requests at the service's servers for each of their slots; see `ServiceLoad`. */
+    readonly loadPerSlot: (service: ServiceId) => number;
     /** How badly a server does by what this box and others of the region saw; see `ServerState.severity`. */
     readonly severity: (server: BackendServer, at: Milliseconds) => number;
     /** False for an availability zone that is to get no requests. */
@@ -117,10 +119,17 @@
  */
 const unseenFirstPart = 0.1;
 
-/** Part of the route's goal that a request waits for a free slot at most; with a longer wait it is refused at once. */
-const waitPart = 0.75;
-/** The same for a caller that comes back. */
-const returningWaitPart = 1.125;
+/**
+ * Part of the route's goal that a request waits for a free slot at most where its key is known; with a longer wait it is refused
+ * at once. Shorter ones refuse more than they speed up (docs/LOAD-AND-FAULTS.md).
+ */
+const waitPartWarm = 1;
+/** The same where the key is not known. */
+const waitPartCold = 0.25;
+/** Load per slot of a service above which its slots count as short: more requests wait than slots are free. */
+const shortOfSlots = 1;
+/** Times as long that a caller waits who comes back. */
+const returningPatience = 1.5;
 
 /** Returns the function that chooses. */
 export function createServerChoice(options: ServerChoiceOptions): (request: ChoiceRequest) => Choice {
@@ -134,12 +143,18 @@
         if (best.least > request.timeLeft) {
             return { kind: "tooLate", expected: best.expected };
         }
-        return best.wait > longestWait(request) ? { kind: "crowded", wait: best.wait } : best;
+        return best.wait > longestWait(best, request) ? { kind: "crowded", wait: best.wait } : best;
     };
 
-    /** A caller that comes back was sent away for the wait before, and waits longer. */
-    function longestWait({ isReturning, route }: ChoiceRequest): number {
-        return route.goal * (isReturning ? returningWaitPart : waitPart);
+    /**
+     * How long a request waits for a free slot at most. Work on an object that the server does not know takes three times as
+     * long, so when slots are short it goes only where the wait is short: else it keeps all others waiting. A caller that
+     * comes back was sent away for the wait before, and waits longer.
+     */
+    function longestWait({ warm }: ChosenServer, { isReturning, route, service }: ChoiceRequest): number {
+        const isShort = options.loadPerSlot(service) > shortOfSlots;
+        const part = isShort && !warm ? waitPartCold : waitPartWarm;
+        return route.goal * part * (isReturning ? returningPatience : 1);
     }
 
     function isCandidate(server: BackendServer, request: ChoiceRequest): boolean {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./choose/rendezvous.js";
 export * from "./choose/round-trips.js";
 export * from "./choose/server-choice.js";
+export * from "./choose/service-load.js";
 export * from "./choose/work-estimate.js";
 export * from "./give-up/refusals.js";
 export * from "./give-up/stop-schedule.js";
--- a/packages/testing/src/emulator/emulated-box.ts
+++ b/packages/testing/src/emulator/emulated-box.ts
@@ -11,6 +11,7 @@
     createRetryBudget,
     createServerCatalog,
     createServerState,
+    createServiceLoad,
     createSlowStart,
     createWorkEstimate,
     decideRetry,
@@ -88,6 +89,7 @@
         })
     );
     const recentKeys = createRecentKeys();
+    const serviceLoad = createServiceLoad();
     const work = createWorkEstimate();
     const budgets = new Map<ServiceId, RetryBudget>();
     let closed: ReadonlySet<AvailabilityZoneId> = new Set();
@@ -98,6 +100,7 @@
         recentKeys,
         work,
         roundTrip: (_region, zone) => milliseconds(options.roundTrip(zone)),
+        loadPerSlot: serviceLoad.perSlot,
         severity: (server, at) => server.state.severity(at),
         admitsZone: zone => !closed.has(zone),
     }, options.random);
@@ -177,6 +180,7 @@
         const { state } = choice.server;
         const now = events.now();
         state.onEnded(now, ending.load);
+        serviceLoad.onReport(request.service, ending.load);
         if (now > endsAt) {
             done("timedOut");
             return;
