No refusal promises that a request has not run once an attempt broke off

Cause: an idempotent request that broke off at one server and was then refused (no budget, no server, all full) got 503, which promises that it has not run. INTERFACE.md said so in a note; the users ask that the promise be true. Change: 502 brokenOff in its place; a test that fails without it (503 for 502), and a row in the list of mechanisms.

--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -39,6 +39,8 @@
     sent: number;
     /** Attempts that reached none. */
     notSent: number;
+    /** An attempt broke off after it had reached a server. */
+    mayHaveRun: boolean;
     /** What the latest choice of a server went by, for the log. */
     latestChoice: ChosenServer | undefined;
 }
@@ -80,6 +82,7 @@
         tried: new Set(),
         sent: 0,
         notSent: 0,
+        mayHaveRun: false,
         latestChoice: undefined,
     };
 }
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -15,6 +15,7 @@
     decideRetry,
     isIdempotent,
     type RecentKeys,
+    refusalAfterRun,
     type RefusalKind,
     type RetryBudget,
     type RetryInputs,
@@ -63,17 +64,18 @@
             }
             const choice = options.choose(choiceRequest(active));
             if (choice.kind !== "chosen") {
-                return giveUp(lastAnswer, refusalOf(choice));
+                return giveUp(active, lastAnswer, refusalOf(choice));
             }
             const outcome = await attemptOnce(active, choice, body, signal);
             if (outcome.kind === "cancelled") {
                 return { kind: "callerLeft" };
             }
             logFailure(active, choice, outcome);
+            active.mayHaveRun ||= outcome.kind === "broken";
             lastAnswer = outcome.kind === "answered" ? outcome.answer : lastAnswer;
             const decision = decideRetry(endOf(outcome), retryInputs(active));
             if (decision.kind === "giveUp") {
-                return giveUp(lastAnswer, decision.refusal);
+                return giveUp(active, lastAnswer, decision.refusal);
             }
             if (decision.kind === "finalAnswer" && outcome.kind === "answered") {
                 return { kind: "answer", answer: outcome.answer };
@@ -172,9 +174,12 @@
     }
 }
 
-/** A failure that a server gave goes back before a refusal of the box's own. */
-function giveUp(lastAnswer: ServerAnswer | undefined, refusal: RefusalKind): Ending {
-    return lastAnswer === undefined ? { kind: "refusal", refusal } : { kind: "answer", answer: lastAnswer };
+/** A failure that a server gave goes back before a refusal of the box's own, which must not promise what isn't known. */
+function giveUp(active: ActiveRequest, lastAnswer: ServerAnswer | undefined, refusal: RefusalKind): Ending {
+    if (lastAnswer !== undefined) {
+        return { kind: "answer", answer: lastAnswer };
+    }
+    return { kind: "refusal", refusal: active.mayHaveRun ? refusalAfterRun(refusal) : refusal };
 }
 
 function refusalOf(choice: Exclude<Choice, { readonly kind: "chosen"; }>): RefusalKind {
--- a/packages/decisions/src/give-up/refusals.ts
+++ b/packages/decisions/src/give-up/refusals.ts
@@ -60,3 +60,11 @@
     unprovenAnswer: { status: 502, retryAfter: undefined },
     internalFault: { status: 500, retryAfter: undefined },
 };
+
+/** Status by which a refusal promises that the request has not run. */
+const statusNotRun = 503;
+
+/** Returns the refusal of a request that may have run: none that promises it has not. */
+export function refusalAfterRun(refusal: RefusalKind): RefusalKind {
+    return refusals[refusal].status === statusNotRun ? "brokenOff" : refusal;
+}
--- a/packages/testing/src/promises/mechanisms.ts
+++ b/packages/testing/src/promises/mechanisms.ts
@@ -99,6 +99,14 @@
         replace: "brokenOff: { status: 503",
         specs: [wholeTest("box-servers")],
     },
+    {
+        promise: "P4",
+        name: "the refusal without a promise once an attempt broke off",
+        file: decision("give-up/refusals"),
+        find: "refusals[refusal].status === statusNotRun ? \"brokenOff\" : refusal",
+        replace: "refusal",
+        specs: [wholeTest("box-servers")],
+    },
     {
         promise: "P5",
         name: "the end of a request that may not run twice once it broke",
--- a/packages/testing/test/box-servers.test.ts
+++ b/packages/testing/test/box-servers.test.ts
@@ -84,6 +84,18 @@
             });
         }
 
+        it("is not promised unrun when the next server refuses, even if it may be repeated [P4]", async () => {
+            let calls = 0;
+            for (const backend of [first, second]) {
+                backend.setBehaviour(() => {
+                    calls += 1;
+                    return calls === 1 ? { kind: "loseAnswer", by: "reset" } : { kind: "shed" };
+                });
+            }
+            expect((await ask("/lookup/")).status).to.equal(502);
+            expect(runs()).to.have.length(1);
+        });
+
         it("stays within the route's attempts [P11]", async () => {
             misbehave({ kind: "loseAnswer", by: "reset" });
             expect((await ask("/lookup/")).status).to.equal(502);
