Bound the reports of a datagram, the worst first

Cause: a box reported every server that does badly, without a bound; with some 130 of them the datagram exceeds the 8 KB that boxes read, and the heartbeat in it would be lost with it. Found in reading.

--- a/packages/box/src/peers/server-reports.ts
+++ b/packages/box/src/peers/server-reports.ts
@@ -14,12 +14,18 @@
 
 /** Reports of one box. */
 export interface ServerReports {
-    /** What this box says of servers now; empty while none does badly. */
+    /** What this box says of servers now, the worst first; empty while none does badly. */
     readonly current: () => readonly ReportMessage[];
     /** Takes what another box of the region said. */
     readonly onReports: (reports: readonly ReportMessage[]) => void;
 }
 
+/**
+ * Reports in one datagram at most: some 60 bytes each, so that with the heartbeats they stay far below its 8 KB however many
+ * servers fail; a datagram that is too large would lose the heartbeats too.
+ */
+const mostReports = 30;
+
 export interface ServerReportsOptions {
     readonly clock: Clock;
     readonly self: BoxId;
@@ -34,9 +40,10 @@
     return {
         current() {
             const now = clock();
-            return [...ownReports(), ...evidence.reports(now)].map(({ at, origin, server, severity }) =>
-                [server, origin, round(severity), Math.round(now - at)] as const
-            );
+            return [...ownReports(), ...evidence.reports(now)]
+                .sort((a, b) => b.severity - a.severity)
+                .slice(0, mostReports)
+                .map(({ at, origin, server, severity }) => [server, origin, round(severity), Math.round(now - at)]);
         },
         onReports(reports) {
             const now = clock();
--- a/packages/decisions/src/servers/shared-evidence.ts
+++ b/packages/decisions/src/servers/shared-evidence.ts
@@ -28,7 +28,7 @@
     readonly onReport: (report: ServerReport, now: Milliseconds) => void;
     /** How badly the server does by the lower one of two boxes' views; 0 unless two agree. `own` is this box's view. */
     readonly severity: (server: BackendServerId, own: number, now: Milliseconds) => number;
-    /** Reports that are fresh enough to be passed on, the worst first. */
+    /** Reports that are fresh enough to be passed on. */
     readonly reports: (now: Milliseconds) => readonly ServerReport[];
 }
 
@@ -36,8 +36,6 @@
 const reportLifetime = 2400;
 /** Boxes whose reports are kept for one server: as many as must agree. */
 const originsKept = 2;
-/** Reports that are passed on at most; with some 60 bytes each they fit beside the heartbeats into a datagram. */
-const mostReports = 30;
 
 /** Creates the evidence of a box that has heard nothing. */
 export function createSharedEvidence(self: BoxId): SharedEvidence {
@@ -60,10 +58,7 @@
             return second;
         },
         reports(now) {
-            return [...byServer.keys()]
-                .flatMap(server => freshReports(server, now))
-                .sort((a, b) => b.severity - a.severity)
-                .slice(0, mostReports);
+            return [...byServer.keys()].flatMap(server => freshReports(server, now));
         },
     };
 
