--- a/packages/testing/src/emulator/day.ts
+++ b/packages/testing/src/emulator/day.ts
@@ -13,7 +13,7 @@
     serviceId,
 } from "@chalkdale/kernel";
 import type { EmulatedDeployment, RequestClass } from "./deployment.js";
-import type { RequestEnding } from "./emulated-box.js";
+import type { RequestEnding } from "./emulated-attempts.js";
 import type { EmulatedServer } from "./emulated-server.js";
 import { createEventQueue } from "./event-queue.js";
 import { createFleet } from "./fleet.js";
