--- /dev/null
+++ b/packages/testing/src/soak/box-faults.ts
@@ -0,0 +1,38 @@
+/**
+ * Faults of box processes: killed, stopped, and paused by signals.
+ */
+
+import { milliseconds } from "@chalkdale/kernel";
+import { pause } from "../standins/deployment.js";
+import { type Fault, lasting, pick } from "./fault-tools.js";
+import type { SoakWorld } from "./soak-world.js";
+
+/** Longest pause before a box starts again, in milliseconds. */
+const longestDown = 800;
+
+/** A box ends by a signal, and starts again after a while. */
+export function createRestart(world: SoakWorld, signal: NodeJS.Signals): Fault {
+    const { boxes, random, say } = world;
+
+    return async function restart() {
+        const box = pick(boxes, random);
+        if (!box.isRunning()) {
+            return;
+        }
+        say(`fault="${signal}" box=${box.name}`);
+        box.signal(signal);
+        await box.ended();
+        await pause(milliseconds(random() * longestDown));
+        if (!box.isRunning()) {
+            box.start();
+        }
+    };
+}
+
+/** A box stands still for a while. */
+export function createFreeze(world: SoakWorld): Fault {
+    return async function freeze() {
+        const box = pick(world.boxes, world.random);
+        await lasting(world, `pause of ${box.name}`, () => box.signal("SIGSTOP"), () => box.signal("SIGCONT"));
+    };
+}
--- /dev/null
+++ b/packages/testing/src/soak/fault-tools.ts
@@ -0,0 +1,30 @@
+/**
+ * What all faults of a soak run need: a choice by chance, and a fault that lasts
+ * for a while.
+ */
+
+import { milliseconds, type RandomSource } from "@chalkdale/kernel";
+import { pause } from "../standins/deployment.js";
+import type { SoakWorld } from "./soak-world.js";
+
+/** One fault; resolves when it is over. */
+export type Fault = () => Promise<void>;
+
+/** Shortest time of a fault that lasts, in milliseconds. */
+const shortestFault = 500;
+/** What chance adds to it at most, in milliseconds: in all no longer than the boxes' bound on a failed box. */
+const longestAddition = 2500;
+
+/** Picks one of several, each as likely as the others. */
+export function pick<Item>(items: readonly Item[], random: RandomSource): Item {
+    return items[Math.floor(random() * items.length)];
+}
+
+/** Begins a fault, and ends it after a while drawn from the run's random source. */
+export async function lasting(world: SoakWorld, text: string, begin: () => void, end: () => void): Promise<void> {
+    const duration = shortestFault + world.random() * longestAddition;
+    world.say(`fault="${text}" for=${Math.round(duration)}`);
+    begin();
+    await pause(milliseconds(duration));
+    end();
+}
--- a/packages/testing/src/soak/faults.ts
+++ b/packages/testing/src/soak/faults.ts
@@ -3,14 +3,15 @@
  * outside the boxes.
  */
 
-import { milliseconds, type RandomSource } from "@chalkdale/kernel";
+import { milliseconds } from "@chalkdale/kernel";
 import { pause } from "../standins/deployment.js";
-import type { StoreFault } from "../standins/metadata-store-server.js";
-import type { ServerBehaviour } from "../standins/server-answers.js";
-import type { BoxProcess } from "./box-process.js";
+import { createFreeze, createRestart } from "./box-faults.js";
 import type { Interval } from "./checks.js";
-import type { LinkState, Proxy } from "./proxy.js";
-import { inForceWithin, type SoakWorld, zoneNames } from "./soak-world.js";
+import { type Fault, pick } from "./fault-tools.js";
+import { allLinks, createLinkHarm, createLinkReset } from "./link-faults.js";
+import { createPlannedChanges, type PlannedChanges } from "./planned-changes.js";
+import { createMisbehaviour, createStoreFailure } from "./service-faults.js";
+import type { SoakWorld } from "./soak-world.js";
 
 /** What was done, as far as the checks must know. */
 export interface InjectedFaults {
@@ -21,177 +22,56 @@
     readonly evacuated: ReadonlyMap<string, readonly Interval[]>;
 }
 
-const mostServers = 24;
+/** Least time between the beginnings of two faults, in milliseconds. */
+const shortestPause = 200;
+/** What chance adds to it at most, in milliseconds: faults overlap. */
+const longestAddition = 900;
 
 /** Injects faults for so many milliseconds; resolves when all of them are over and every box runs. */
 export async function injectFaults(world: SoakWorld, length: number): Promise<InjectedFaults> {
-    const { boxes, now, random, say, servers, store, storeLinks, storeServer } = world;
-    const drained = new Map<string, Interval>();
-    const evacuated = new Map<string, Interval[]>();
-    const closedZones = new Set<string>();
-    let count = 0;
-
-    await injectAll();
-    return { count, drained, evacuated };
-
-    /** Injects faults until the time is over, and ends when all are over too. */
-    async function injectAll(): Promise<void> {
-        const ends: Promise<void>[] = [];
-        const end = now() + length;
-        while (now() < end) {
-            count += 1;
-            ends.push(pick(everyFault(), random)());
-            await pause(milliseconds(200 + random() * 900));
-        }
-        await Promise.all(ends);
-        storeServer.setFault(() => ({ kind: "none" }));
-        [...storeLinks, ...servers.map(server => server.proxy)].forEach(link => link.setState("whole"));
-        boxes.filter(box => !box.isRunning()).forEach(box => box.start());
-        say("faults=over");
-    }
-
-    /** All that may happen, each as likely as the others. */
-    function everyFault(): (() => Promise<void>)[] {
-        return [
-            () => restart(pick(boxes, random), "SIGKILL"),
-            () => restart(pick(boxes, random), "SIGTERM"),
-            freeze,
-            () => harmLink(storeLinks, "link to the store"),
-            () => harmLink(servers.map(server => server.proxy), "link to a server"),
-            failStore,
-            misbehave,
-            misbehave,
-            release,
-            evacuate,
-            changeConfiguration,
-            forgetHistory,
-            resetLinks,
-        ];
-    }
-
-    async function lasting(text: string, begin: () => void, end: () => void): Promise<void> {
-        const duration = 500 + random() * 2500;
-        say(`fault="${text}" for=${Math.round(duration)}`);
-        begin();
-        await pause(milliseconds(duration));
-        end();
-    }
-
-    async function restart(box: BoxProcess, signal: NodeJS.Signals): Promise<void> {
-        if (!box.isRunning()) {
-            return;
-        }
-        say(`fault="${signal}" box=${box.name}`);
-        box.signal(signal);
-        await box.ended();
-        await pause(milliseconds(random() * 800));
-        if (!box.isRunning()) {
-            box.start();
-        }
-    }
-
-    async function freeze(): Promise<void> {
-        const box = pick(boxes, random);
-        await lasting(`pause of ${box.name}`, () => box.signal("SIGSTOP"), () => box.signal("SIGCONT"));
-    }
-
-    async function harmLink(links: readonly Proxy[], text: string): Promise<void> {
-        const link = pick(links, random);
-        const state = pick<LinkState>(["delayed", "silent", "silentBack"], random);
-        await lasting(`${state} ${text}`, () => link.setState(state), () => link.setState("whole"));
-    }
-
-    async function failStore(): Promise<void> {
-        const fault = pick<StoreFault>(
-            [
-                { kind: "refused", status: 503 },
-                { kind: "refused", status: 429 },
-                { kind: "silent" },
-                { kind: "reset" },
-                { kind: "answerLost" },
-                { kind: "late", afterMs: 900 },
-            ],
-            random,
-        );
-        await lasting(
-            `store ${fault.kind}`,
-            () => storeServer.setFault(() => fault),
-            () => storeServer.setFault(() => ({ kind: "none" })),
-        );
-    }
-
-    async function misbehave(): Promise<void> {
-        const server = pick(servers, random);
-        const behaviour = pick<ServerBehaviour>(
-            [
-                { kind: "shed" },
-                { kind: "fail", status: 500 },
-                { kind: "loseAnswer", by: "reset" },
-                { kind: "loseAnswer", by: "close" },
-                { kind: "breakOff", by: "reset" },
-                { kind: "breakOff", by: "close" },
-                { kind: "extra", afterMs: 0 },
-                { kind: "extra", afterMs: 40 },
-                { kind: "garbage" },
-            ],
-            random,
-        );
-        const share = 0.1 + random() * 0.6;
-        await lasting(
-            `${behaviour.kind} of ${server.backend.id}`,
-            () => server.backend.setBehaviour(() => random() < share ? behaviour : { kind: "serve" }),
-            () => server.backend.setBehaviour(() => ({ kind: "serve" })),
-        );
-    }
-
-    /** A server drains and leaves; another of its service takes its place. */
-    async function release(): Promise<void> {
-        const server = servers.find(candidate => !candidate.gone);
-        if (server === undefined || servers.length > mostServers) {
-            return;
-        }
-        server.gone = true;
-        say(`fault="release of ${server.backend.id}"`);
-        await world.addServer(server.service, server.zone);
-        world.record(server, "draining");
-        drained.set(server.backend.id, { from: now() + inForceWithin, to: Infinity });
-        await pause(milliseconds(3000));
-        store.delete("servers", server.backend.id);
-    }
-
-    async function evacuate(): Promise<void> {
-        const zone = pick(zoneNames, random);
-        if (closedZones.has(zone) || closedZones.size === zoneNames.length - 1) {
-            return;
-        }
-        closedZones.add(zone);
-        say(`fault="evacuation of ${zone}"`);
-        store.put("evacuations", zone, {});
-        const from = now() + inForceWithin;
-        await pause(milliseconds(inForceWithin + 2500 * random()));
-        store.delete("evacuations", zone);
-        closedZones.delete(zone);
-        evacuated.set(zone, [...evacuated.get(zone) ?? [], { from, to: now() }]);
-    }
-
-    async function changeConfiguration(): Promise<void> {
-        say("fault=\"configuration\"");
-        world.configure();
+    const { now, random } = world;
+    const changes = createPlannedChanges(world);
+    const faults = everyFault(world, changes);
+    const ends: Promise<void>[] = [];
+    const end = now() + length;
+    while (now() < end) {
+        ends.push(pick(faults, random)());
+        await pause(milliseconds(shortestPause + random() * longestAddition));
     }
+    await Promise.all(ends);
+    makeWhole(world);
+    const { drained, evacuated } = changes;
+    return { count: ends.length, drained, evacuated };
+}
 
-    async function forgetHistory(): Promise<void> {
-        say("fault=\"history forgotten\"");
-        store.compact();
-    }
+/** All that may happen, each as likely as the others. */
+function everyFault(world: SoakWorld, changes: PlannedChanges): readonly Fault[] {
+    const misbehave = createMisbehaviour(world);
+    return [
+        createRestart(world, "SIGKILL"),
+        createRestart(world, "SIGTERM"),
+        createFreeze(world),
+        createLinkHarm(world, () => world.storeLinks, "link to the store"),
+        createLinkHarm(world, () => world.servers.map(server => server.proxy), "link to a server"),
+        createStoreFailure(world),
+        misbehave,
+        misbehave,
+        changes.release,
+        changes.evacuate,
+        changes.changeConfiguration,
+        async () => forgetHistory(world),
+        createLinkReset(world),
+    ];
+}
 
-    async function resetLinks(): Promise<void> {
-        say("fault=\"connections reset\"");
-        [...storeLinks, ...servers.map(server => server.proxy)].filter(() => random() < 0.5).forEach(link =>
-            link.reset()
-        );
-    }
+function forgetHistory({ say, store }: SoakWorld): void {
+    say("fault=\"history forgotten\"");
+    store.compact();
 }
 
-function pick<Item>(items: readonly Item[], random: RandomSource): Item {
-    return items[Math.floor(random() * items.length)];
+function makeWhole(world: SoakWorld): void {
+    world.storeServer.setFault(() => ({ kind: "none" }));
+    allLinks(world).forEach(link => link.setState("whole"));
+    world.boxes.filter(box => !box.isRunning()).forEach(box => box.start());
+    world.say("faults=over");
 }
--- /dev/null
+++ b/packages/testing/src/soak/planned-changes.ts
@@ -0,0 +1,76 @@
+/**
+ * What operators do in a soak run: servers are replaced, zones closed, and the
+ * configuration changed.
+ *
+ * Owns from when on a server or a zone must get nothing; the checks read it.
+ */
+
+import { milliseconds } from "@chalkdale/kernel";
+import { pause } from "../standins/deployment.js";
+import type { Interval } from "./checks.js";
+import { type Fault, pick } from "./fault-tools.js";
+import { inForceWithin, type SoakWorld, zoneNames } from "./soak-world.js";
+
+/** The changes of one run. */
+export interface PlannedChanges {
+    /** From when on a server must get nothing, by its id. */
+    readonly drained: ReadonlyMap<string, Interval>;
+    /** When a zone's servers must get nothing. */
+    readonly evacuated: ReadonlyMap<string, readonly Interval[]>;
+    /** A server drains and leaves; another of its service takes its place. */
+    readonly release: Fault;
+    /** A zone is closed for a while. */
+    readonly evacuate: Fault;
+    readonly changeConfiguration: Fault;
+}
+
+/** Servers beyond which none is replaced, since each release adds a process' worth of sockets. */
+const mostServers = 24;
+/** Milliseconds for which a draining server stays listed. */
+const drainTime = milliseconds(3000);
+/** Longest time that a closed zone stays closed once that is in force, in milliseconds. */
+const longestClosed = 2500;
+
+/** Creates the changes; nothing has been changed yet. */
+export function createPlannedChanges(world: SoakWorld): PlannedChanges {
+    const { now, random, say, servers, store } = world;
+    const drained = new Map<string, Interval>();
+    const evacuated = new Map<string, Interval[]>();
+    const closedZones = new Set<string>();
+
+    return { drained, evacuated, release, evacuate, changeConfiguration };
+
+    async function release(): Promise<void> {
+        const server = servers.find(candidate => !candidate.gone);
+        if (server === undefined || servers.length > mostServers) {
+            return;
+        }
+        server.gone = true;
+        say(`fault="release of ${server.backend.id}"`);
+        await world.addServer(server.service, server.zone);
+        world.record(server, "draining");
+        drained.set(server.backend.id, { from: now() + inForceWithin, to: Infinity });
+        await pause(drainTime);
+        store.delete("servers", server.backend.id);
+    }
+
+    async function evacuate(): Promise<void> {
+        const zone = pick(zoneNames, random);
+        if (closedZones.has(zone) || closedZones.size === zoneNames.length - 1) {
+            return;
+        }
+        closedZones.add(zone);
+        say(`fault="evacuation of ${zone}"`);
+        store.put("evacuations", zone, {});
+        const from = now() + inForceWithin;
+        await pause(milliseconds(inForceWithin + longestClosed * random()));
+        store.delete("evacuations", zone);
+        closedZones.delete(zone);
+        evacuated.set(zone, [...evacuated.get(zone) ?? [], { from, to: now() }]);
+    }
+
+    async function changeConfiguration(): Promise<void> {
+        say("fault=\"configuration\"");
+        world.configure();
+    }
+}
--- /dev/null
+++ b/packages/testing/src/soak/service-faults.ts
@@ -0,0 +1,64 @@
+/**
+ * Faults of what the boxes talk to: the store and the backend servers.
+ */
+
+import type { StoreFault } from "../standins/metadata-store-server.js";
+import type { ServerBehaviour } from "../standins/server-answers.js";
+import { type Fault, lasting, pick } from "./fault-tools.js";
+import type { SoakWorld } from "./soak-world.js";
+
+const storeFaults: readonly StoreFault[] = [
+    { kind: "refused", status: 503 },
+    { kind: "refused", status: 429 },
+    { kind: "silent" },
+    { kind: "reset" },
+    { kind: "answerLost" },
+    { kind: "late", afterMs: 900 },
+];
+const serverFaults: readonly ServerBehaviour[] = [
+    { kind: "shed" },
+    { kind: "fail", status: 500 },
+    { kind: "loseAnswer", by: "reset" },
+    { kind: "loseAnswer", by: "close" },
+    { kind: "breakOff", by: "reset" },
+    { kind: "breakOff", by: "close" },
+    { kind: "extra", afterMs: 0 },
+    { kind: "extra", afterMs: 40 },
+    { kind: "garbage" },
+];
+/** Least part of its requests with which a server misbehaves. */
+const leastShare = 0.1;
+/** What chance adds to it at most. */
+const addedShare = 0.6;
+
+/** The store fails for a while. */
+export function createStoreFailure(world: SoakWorld): Fault {
+    const { random, storeServer } = world;
+
+    return async function failStore() {
+        const fault = pick(storeFaults, random);
+        await lasting(
+            world,
+            `store ${fault.kind}`,
+            () => storeServer.setFault(() => fault),
+            () => storeServer.setFault(() => ({ kind: "none" })),
+        );
+    };
+}
+
+/** A server misbehaves at part of its requests for a while. */
+export function createMisbehaviour(world: SoakWorld): Fault {
+    const { random, servers } = world;
+
+    return async function misbehave() {
+        const { backend } = pick(servers, random);
+        const behaviour = pick(serverFaults, random);
+        const share = leastShare + random() * addedShare;
+        await lasting(
+            world,
+            `${behaviour.kind} of ${backend.id}`,
+            () => backend.setBehaviour(() => random() < share ? behaviour : { kind: "serve" }),
+            () => backend.setBehaviour(() => ({ kind: "serve" })),
+        );
+    };
+}
