--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -25,7 +25,7 @@
 import type { BoxMetrics } from "../metrics.js";
 import type { ServerAnswer } from "../servers/exchange.js";
 import type { ActiveRequest, Ending } from "./active-request.js";
-import type { AttemptOutcome, AttemptRequest } from "./attempt.js";
+import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
 import type { RequestLog } from "./request-log.js";
 
 export interface AttemptLoopOptions {
--- /dev/null
+++ b/packages/box/src/requests/attempt-request.ts
@@ -0,0 +1,43 @@
+/**
+ * What one attempt is asked to do, and how it can end: what the attempt, the loop
+ * that makes attempts and the feedback on servers have in common.
+ */
+
+import type { BackendServer, Route } from "@chalkdale/decisions";
+import type { Milliseconds, ServiceId } from "@chalkdale/kernel";
+import type { ServerAnswer } from "../servers/exchange.js";
+
+/** How an attempt ended. */
+export type AttemptOutcome =
+    /** The server's own answer, success or failure. */
+    | { readonly kind: "answered"; readonly answer: ServerAnswer; }
+    /** Nothing reached the server. */
+    | { readonly kind: "notSent"; readonly reason: string; }
+    /** The server says that it did not run the request. */
+    | { readonly kind: "notRun"; readonly status: number; }
+    /** The request may have run; there is no whole answer. */
+    | { readonly kind: "broken"; readonly reason: string; }
+    | { readonly kind: "cancelled"; };
+
+/** What is sent. */
+export interface AttemptRequest {
+    readonly route: Route;
+    readonly service: ServiceId;
+    readonly server: BackendServer;
+    readonly method: string;
+    readonly path: string;
+    /** Names and values in turn, without those that an attempt sets. */
+    readonly rawHeaders: readonly string[];
+    readonly body: Buffer;
+    readonly requestId: string | undefined;
+    /** Time until the request must be answered. */
+    readonly timeLeft: () => Milliseconds;
+    readonly roundTrip: Milliseconds;
+    /** Expected time until the answer of a server of ordinary speed. */
+    readonly expected: Milliseconds;
+    readonly signal: AbortSignal;
+    /** Called once the request is about to be sent. */
+    readonly onSend: () => void;
+    /** Called with how long the server took for a success, without the way there and back. */
+    readonly onServed: (duration: Milliseconds) => void;
+}
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -11,7 +11,7 @@
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import { readKeepAlive, type ServerAnswer } from "../servers/exchange.js";
 import type { ConnectFailure, ServerConnections } from "../servers/server-connections.js";
-import type { AttemptOutcome, AttemptRequest } from "./attempt.js";
+import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
 
 export interface ServerFeedbackOptions {
     readonly clock: Clock;
--- a/packages/decisions/src/servers/server-catalog.ts
+++ b/packages/decisions/src/servers/server-catalog.ts
@@ -38,7 +38,7 @@
 
 /** Creates an empty catalog. */
 export function createServerCatalog(
-    createStanding: (record: BackendServerRecord, at: Milliseconds) => ServerState,
+    createState: (record: BackendServerRecord, at: Milliseconds) => ServerState,
 ): ServerCatalog {
     const servers = new Map<BackendServerId, BackendServer>();
     const unlistedAt = new Map<BackendServerId, Milliseconds>();
@@ -73,7 +73,7 @@
             const known = servers.get(record.id);
             if (known === undefined) {
                 added.push(record);
-                const state = createStanding(record, at);
+                const state = createState(record, at);
                 servers.set(record.id, { id: record.id, idHash: hashText(record.id), state });
                 continue;
             }
