--- a/packages/decisions/src/admit/returning-callers.ts
+++ b/packages/decisions/src/admit/returning-callers.ts
@@ -14,9 +14,9 @@
     readonly isReturning: (route: string, deadline: number, at: Milliseconds) => boolean;
 }
 
-/** Milliseconds for which a deadline is remembered at least: a route has requests each second on the sites. */
+/** Milliseconds for which a deadline is remembered at least; a route has requests each second on the sites. Not measured. */
 const period = 10_000;
-/** Part of the longest deadline below which a caller has asked before: even a quick refusal and its pause take a tenth. */
+/** Part of the longest deadline below which a caller has asked before: a quick refusal and its pause take a tenth at least. Not measured. */
 const beganWith = 0.95;
 
 interface Longest {
--- a/packages/decisions/src/choose/server-choice.ts
+++ b/packages/decisions/src/choose/server-choice.ts
@@ -4,11 +4,14 @@
  * 1. Candidates: servers of the service that this request has not tried, in
  *    availability zones that admit requests and, if the route has homes, in
  *    these regions.
- * 2. Of these, servers that may take a request now; outliers are left out while
- *    enough others remain.
+ * 2. Of these, servers that may take a request now, without the outliers: those
+ *    that do twice as badly as the median of the service, half of it at most.
  * 3. The first two of the ranking of the request's key (`compared-servers`).
  * 4. Of the two, the one with the least expected time: way there and back, wait,
  *    and work, which is less at a server that knows the key.
+ * 5. If its wait for a free slot would cost the route's goal, the request is
+ *    refused: queues in which every answer comes late serve nobody, and callers
+ *    that come back find them shorter.
  *
  * Owns no state; relies on what `servers/` believes of each server and on the
  * learned times of work and way.
@@ -38,7 +41,7 @@
     readonly tried: ReadonlySet<BackendServerId>;
     /** Time until the request must be answered. */
     readonly timeLeft: Milliseconds;
-    /** The caller has asked before, so it is not sent away for a long wait again. */
+    /** The caller has asked before, so it waits longer before it is sent away again. */
     readonly isReturning: boolean;
     readonly at: Milliseconds;
 }
@@ -72,7 +75,7 @@
     | { readonly kind: "allCold"; }
     /** Not even the least time fits into what is left. */
     | { readonly kind: "tooLate"; readonly expected: Milliseconds; }
-    /** The wait for a free slot is so long that the answer would miss the route's goal; it is over after this time. */
+    /** The wait for a free slot, of this length, is longer than the request may wait. */
     | { readonly kind: "crowded"; readonly wait: Milliseconds; };
 
 /** A server as it would be chosen, and what servers are compared by: expected time, and what the choice costs beside it. */
@@ -129,11 +132,14 @@
  * at once. Shorter ones refuse more than they speed up (docs/LOAD-AND-FAULTS.md).
  */
 const waitPartWarm = 1;
-/** The same where the key is not known. */
+/** The same where the key is not known and slots are short. A quarter and the whole were worse (docs/LOAD-AND-FAULTS.md). */
 const waitPartCold = 0.5;
-/** Load per slot of a service above which its slots count as short: more requests wait than slots are free. */
+/**
+ * Load per slot of a service above which its slots count as short: more requests wait than slots are free. 0.8 and 1.3 were
+ * alike in the emulator.
+ */
 const shortOfSlots = 1;
-/** Times as long that a caller waits who comes back. */
+/** Times as long that a caller waits who comes back. 1 and 3 were worse on kodeyard and pedala (docs/LOAD-AND-FAULTS.md). */
 const returningPatience = 1.5;
 
 /** Returns the function that chooses. */
@@ -170,6 +176,7 @@
             && (homes.length === 0 || homes.includes(region));
     }
 
+    /** Leaves out the worst servers, as long as they stand out from the rest of the service. */
     function withoutOutliers(eligible: readonly BackendServer[], request: ChoiceRequest): readonly BackendServer[] {
         const worstFirst = eligible
             .map(server => ({ server, severity: options.severity(server, request.at) }))
