--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -1,27 +1,19 @@
-import {
-    createServerState,
-    createServiceLoad,
-    createSlowStart,
-    type LoadReport,
-    type Route,
-    type ServerState,
-} from "@chalkdale/decisions";
-import { availabilityZoneId, backendServerId, boxId, milliseconds, regionId, serviceId } from "@chalkdale/kernel";
+import { createServiceLoad, type LoadReport, type Route } from "@chalkdale/decisions";
+import { milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
 import { Socket } from "node:net";
 import type { CallerProtocol } from "../src/callers/caller-protocol.js";
 import type { AttemptRequest } from "../src/requests/attempt-request.js";
 import { createServerFeedback } from "../src/requests/server-feedback.js";
 import type { ServerConnections } from "../src/servers/server-connections.js";
+import { createSampleRecord, createSampleState, sampleService, sampleSlots } from "./sample-server.js";
 
-const service = serviceId("profiles");
-const slots = 4;
 const route: Route = {
     name: "lookup",
     host: "example",
     pathPrefix: "/a/",
     kind: "safe",
-    destinations: [{ service, weight: 1 }],
+    destinations: [{ service: sampleService, weight: 1 }],
     goal: milliseconds(400),
     timeout: milliseconds(1500),
     maxAttempts: 2,
@@ -47,10 +39,10 @@
 function createSetup() {
     let now = 1000;
     const clock = () => milliseconds(now);
-    const state = createState();
+    const state = createSampleState(createSampleRecord("s-1"), milliseconds(0));
     const request: AttemptRequest = {
         route,
-        service,
+        service: sampleService,
         server: { id: state.record().id, idHash: 1, state },
         method: "GET",
         path: "/a/",
@@ -90,34 +82,18 @@
     };
 }
 
-function createState(): ServerState {
-    const record = {
-        id: backendServerId("s-1"),
-        service,
-        address: "192.0.2.1:80",
-        zone: availabilityZoneId("north-a"),
-        region: regionId("north"),
-        slots,
-        draining: false,
-        coldFor: milliseconds(0),
-        revision: 1,
-    };
-    const slowStart = createSlowStart({ self: boxId("a"), server: record.id, boxes: () => [], rate: () => 1 });
-    return createServerState(record, milliseconds(0), { recordDelay: milliseconds(0), slowStart });
-}
-
 describe("the feedback on a server", () => {
     describe("that refuses a request unrun", () => {
         it("takes it for full if it has no free slot", () => {
             const { clock, refuseUnrun, state } = createSetup();
-            refuseUnrun({ running: slots, waiting: 2, slots });
-            expect(state.load(clock())).to.be.greaterThan(slots);
+            refuseUnrun({ running: sampleSlots, waiting: 2, slots: sampleSlots });
+            expect(state.load(clock())).to.be.greaterThan(sampleSlots);
             expect(state.severity(clock())).to.be.lessThan(0.5);
         });
 
         it("takes it for failing, not for full, if it has free slots", () => {
             const { clock, refuseUnrun, state } = createSetup();
-            refuseUnrun({ running: 1, waiting: 0, slots });
+            refuseUnrun({ running: 1, waiting: 0, slots: sampleSlots });
             expect(state.load(clock())).to.equal(1);
             expect(state.severity(clock())).to.be.greaterThan(0.5);
         });
--- a/packages/box/test/server-reports.test.ts
+++ b/packages/box/test/server-reports.test.ts
@@ -1,21 +1,8 @@
-import {
-    createServerCatalog,
-    createServerState,
-    createSharedEvidence,
-    createSlowStart,
-    type ServerCatalog,
-} from "@chalkdale/decisions";
-import {
-    availabilityZoneId,
-    type BackendServerId,
-    backendServerId,
-    boxId,
-    milliseconds,
-    regionId,
-    serviceId,
-} from "@chalkdale/kernel";
+import { createServerCatalog, createSharedEvidence, type ServerCatalog } from "@chalkdale/decisions";
+import { type BackendServerId, backendServerId, boxId, milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
 import { createServerReports, isReportMessage } from "../src/peers/server-reports.js";
+import { createSampleRecord, createSampleState } from "./sample-server.js";
 
 const servers = Array.from({ length: 200 }, (_, index) => backendServerId(`s-${index}`));
 const [server] = servers;
@@ -44,24 +31,8 @@
 }
 
 function createCatalog(): ServerCatalog {
-    const catalog = createServerCatalog((record, at) =>
-        createServerState(record, at, {
-            recordDelay: milliseconds(0),
-            slowStart: createSlowStart({ self: boxId("a"), server: record.id, boxes: () => [], rate: () => 1 }),
-        })
-    );
-    const records = servers.map(id => ({
-        id,
-        service: serviceId("profiles"),
-        address: "192.0.2.1:80",
-        zone: availabilityZoneId("north-a"),
-        region: regionId("north"),
-        slots: 4,
-        draining: false,
-        coldFor: milliseconds(0),
-        revision: 1,
-    }));
-    catalog.applyList(records, milliseconds(1000));
+    const catalog = createServerCatalog(createSampleState);
+    catalog.applyList(servers.map(createSampleRecord), milliseconds(1000));
     return catalog;
 }
 
