--- a/packages/testing/src/promises/main.ts
+++ b/packages/testing/src/promises/main.ts
@@ -7,7 +7,8 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import { resolve } from "node:path";
 import { workspace } from "../workspace.js";
-import { mechanisms, promiseTexts } from "./mechanisms.js";
+import { mechanisms } from "./mechanisms.js";
+import { promiseTexts } from "./promise-texts.js";
 import { runProofs } from "./proofs.js";
 
 /** A mechanism that is out when this process is ended is put back on exit. */
--- a/packages/testing/test/mechanisms.test.ts
+++ b/packages/testing/test/mechanisms.test.ts
@@ -1,7 +1,8 @@
 import { expect } from "chai";
 import { readFileSync } from "node:fs";
 import { resolve } from "node:path";
-import { mechanisms, promiseTexts } from "../src/promises/mechanisms.js";
+import { mechanisms } from "../src/promises/mechanisms.js";
+import { promiseTexts } from "../src/promises/promise-texts.js";
 import { workspace } from "../src/workspace.js";
 
 describe("the list of mechanisms that are taken out", () => {
