Count messages and bytes of a box by purpose and reach, in metrics and log

Change: a meter of messages and bytes by purpose and by how far they go; chalkdale_messages_total and chalkdale_message_bytes_total, and one line traffic.counted each 10 s and at a planned stop. Reads between boxes take the place of the other box, so that they can be counted. Nothing on the wire changes.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -30,7 +30,7 @@
 import { createLoadMeter } from "./load-meter.js";
 import { createBoxMetrics } from "./metrics.js";
 import { startPeerLink } from "./peers/peer-link.js";
-import { readPeerSnapshot } from "./peers/peer-reads.js";
+import { createPeerReads } from "./peers/peer-reads.js";
 import { createServerReports } from "./peers/server-reports.js";
 import { createPlannedStop } from "./planned-stop.js";
 import { createRequestPath } from "./requests/request-path.js";
@@ -39,6 +39,7 @@
 import { startReplicator } from "./state/replicator.js";
 import { createSharedState, type SharedState } from "./state/shared-state.js";
 import type { StateStore } from "./state/state-store.js";
+import { reachBetween, type TrafficMeter, type TrafficPlace, type TrafficPurpose } from "./traffic-meter.js";
 
 export interface BoxOptions {
     readonly settings: BoxSettings;
@@ -47,6 +48,8 @@
     readonly clock: Clock;
     readonly random: () => number;
     readonly log: Log;
+    /** Counts of the box's messages; the store's calls are counted by the store itself. */
+    readonly traffic: TrafficMeter;
     /** A later start of the same box has a greater incarnation. */
     readonly incarnation: MemberRecord["incarnation"];
 }
@@ -68,10 +71,12 @@
 const upkeepInterval = 250;
 /** Milliseconds between two measurements of the load, and between two counts of left out lines. */
 const second = 1000;
+/** Milliseconds between two lines with the counts of all messages: few lines, and none of them older than a look at the log. */
+const trafficReportInterval = 10_000;
 
 /** Starts a box. */
 export function startBox(options: BoxOptions): Box {
-    const { clock, protocol, random, settings, store } = options;
+    const { clock, protocol, random, settings, store, traffic } = options;
     const { bounds, region } = settings;
     const log = createBudgetedLog(options.log, { linesPerSecond, byEvent: linesOfEvent });
     const metrics = createBoxMetrics();
@@ -102,6 +107,8 @@
         onConfiguration: configuration => callerServer.setIdleTimeout(configuration.limits.idleTimeout),
     });
 
+    const countTraffic = (purpose: TrafficPurpose, place: TrafficPlace, bytes: number) =>
+        traffic.add(purpose, reachBetween(settings, place), bytes);
     const plannedStop = createPlannedStop({
         clock,
         log,
@@ -126,6 +133,7 @@
         limits,
         evidence,
         phase: plannedStop.phase,
+        countTraffic,
     });
 
     const callerServer = startCallerServer({
@@ -139,9 +147,10 @@
             return membership.inService(clock());
         },
         onLookup: metrics.onLookup,
-        metricsText: () => metrics.text(readGauges()),
+        metricsText: () => [metrics.text(readGauges()).trimEnd(), ...traffic.metricLines(), ""].join("\n"),
     });
 
+    const peerReads = createPeerReads({ countTraffic, signal });
     const replicator = startReplicator({
         clock,
         random,
@@ -155,7 +164,7 @@
             alive: () => membership.alive(clock()),
             changeBound: bounds.changeInForce,
         }),
-        readSnapshot: readPeerSnapshot,
+        readSnapshot: peerReads.readSnapshot,
         publish: update => peerLink.publish(update),
         signal,
     });
@@ -170,6 +179,8 @@
         onUpdate: replicator.onUpdate,
         isFollowing: replicator.isFollowing,
         serverReports,
+        countTraffic,
+        readMembers: peerReads.readMembers,
         snapshot: kind => state.replica(kind).snapshot(),
         signal,
     });
@@ -192,7 +203,8 @@
         loadMeter.measure();
         log.report();
     });
-    settings.seeds.forEach(peerLink.sendGossip);
+    void every(trafficReportInterval, signal).observe(reportTraffic);
+    settings.seeds.forEach(peerAddress => peerLink.sendGossip({ peerAddress }));
     void joinMembers({
         clock,
         log,
@@ -211,10 +223,18 @@
 
     async function stopAsPlanned(): Promise<void> {
         await plannedStop.begin();
+        reportTraffic();
         lifetime.abort();
         callerServer.close();
     }
 
+    function reportTraffic(): void {
+        const counts = traffic.logFields();
+        if (Object.keys(counts).length > 0) {
+            log.info("traffic.counted", counts);
+        }
+    }
+
     function updateOwnRecord(): void {
         membership.setOwnState({
             ready: isReady(),
--- a/packages/box/src/index.ts
+++ b/packages/box/src/index.ts
@@ -6,3 +6,4 @@
 export * from "./callers/caller-protocol.js";
 export * from "./settings.js";
 export * from "./state/state-store.js";
+export * from "./traffic-meter.js";
--- a/packages/box/src/join.ts
+++ b/packages/box/src/join.ts
@@ -19,7 +19,7 @@
     readonly membership: Membership;
     readonly store: StateStore;
     /** Sends what this box knows of all boxes to another. */
-    readonly sendGossip: (peerAddress: string) => void;
+    readonly sendGossip: (peer: MemberRecord) => void;
     readonly signal: AbortSignal;
 }
 
@@ -34,7 +34,7 @@
 }
 
 function greetRecorded({ self, sendGossip }: JoinOptions, recorded: readonly MemberRecord[]): void {
-    recorded.filter(record => record.box !== self).forEach(record => sendGossip(record.peerAddress));
+    recorded.filter(record => record.box !== self).forEach(sendGossip);
 }
 
 async function untilDone({ log, signal }: JoinOptions, call: () => Promise<void>): Promise<void> {
--- a/packages/box/src/peers/peer-link.ts
+++ b/packages/box/src/peers/peer-link.ts
@@ -23,6 +23,7 @@
 import { createServer } from "node:http";
 import type { StatePeer } from "../state/snapshot-catch-up.js";
 import type { StateDigest, StateUpdate } from "../state/state-messages.js";
+import type { TrafficPlace, TrafficPurpose } from "../traffic-meter.js";
 import { type Beat, beatOf, largestDatagram, type PeerMessage } from "./peer-messages.js";
 import { createPeerListener } from "./peer-reads.js";
 import { createPeerReceiver } from "./peer-receiver.js";
@@ -45,13 +46,19 @@
     /** What this box and others of its region say of servers that do badly. */
     readonly serverReports: ServerReports;
     readonly snapshot: (kind: SharedKind) => Snapshot<unknown> | undefined;
+    /** Reads all members that another box knows. */
+    readonly readMembers: (peer: StatePeer) => Promise<readonly MemberRecord[]>;
+    readonly countTraffic: (purpose: TrafficPurpose, place: TrafficPlace, bytes: number) => void;
     readonly signal: AbortSignal;
 }
 
+/** Where a datagram goes; the place of a seed is not known, and the few datagrams to seeds are not counted. */
+export type PeerTarget = Pick<MemberRecord, "peerAddress"> & Partial<TrafficPlace>;
+
 /** The link of one box to the others. */
 export interface PeerLink {
     /** Sends what this box knows of all boxes to the one at an address. */
-    readonly sendGossip: (peerAddress: string) => void;
+    readonly sendGossip: (peer: PeerTarget) => void;
     /** The same to all known boxes at once, for instance that this one is leaving. */
     readonly gossipToAll: () => void;
     /** Passes changes on to the boxes of the region; they read those that are too large for a datagram themselves. */
@@ -68,7 +75,7 @@
         createPeerReceiver({
             ...options,
             onReports: options.serverReports.onReports,
-            greet: peerAddress => sendGossip(peerAddress),
+            greet: peer => sendGossip(peer),
         }),
     );
     socket.bind(options.listen.port, options.listen.host);
@@ -84,9 +91,9 @@
     void every(gossipInterval, signal).observe(gossip);
 
     return {
-        sendGossip: peerAddress => sendGossip(peerAddress),
+        sendGossip: peer => sendGossip(peer),
         gossipToAll,
-        publish: update => sendToRegion(createMessage([], update)),
+        publish: update => sendToRegion("update", createMessage([], update)),
     };
 
     function gossip(): void {
@@ -97,18 +104,18 @@
         gossipToOneOf(near, options.serverReports.current());
         gossipToOneOf(far);
         if (options.isFollowing()) {
-            sendToRegion(createMessage([]));
+            sendToRegion("digest", createMessage([]));
         }
     }
 
     function gossipToOneOf(members: readonly MemberRecord[], reports: readonly ReportMessage[] = []): void {
         const chosen = members[Math.floor(options.random() * members.length)];
         if (chosen !== undefined) {
-            sendGossip(chosen.peerAddress, reports);
+            sendGossip(chosen, reports);
         }
     }
 
-    function sendToRegion(message: PeerMessage): void {
+    function sendToRegion(purpose: TrafficPurpose, message: PeerMessage): void {
         const data = JSON.stringify(message);
         if (data.length > largestDatagram) {
             log.info("peer.updateTooLarge", { bytes: data.length });
@@ -117,18 +124,18 @@
         const { box, region } = message.from;
         membership.alive(clock())
             .filter(member => member.region === region && member.box !== box)
-            .forEach(member => send(data, member.peerAddress));
+            .forEach(member => send(purpose, data, member));
     }
 
     function gossipToAll(): void {
         membership.beat();
-        membership.reachable(clock()).forEach(member => sendGossip(member.peerAddress));
+        membership.reachable(clock()).forEach(member => sendGossip(member));
     }
 
-    function sendGossip(peerAddress: string, reports: readonly ReportMessage[] = []): void {
+    function sendGossip(peer: PeerTarget, reports: readonly ReportMessage[] = []): void {
         const [, ...others] = membership.freshest(mostBeats, clock());
         const message = createMessage(others.map(beatOf));
-        send(JSON.stringify(reports.length > 0 ? { ...message, reports } : message), peerAddress);
+        send("gossip", JSON.stringify(reports.length > 0 ? { ...message, reports } : message), peer);
     }
 
     function createMessage(beats: readonly Beat[], update?: StateUpdate): PeerMessage {
@@ -137,8 +144,11 @@
     }
 
     /** A datagram that could not be sent is as lost as one on the way: the next round says the same. */
-    function send(data: string, peerAddress: string): void {
+    function send(purpose: TrafficPurpose, data: string, { peerAddress, region, zone }: PeerTarget): void {
         const { host, port } = splitAddress(peerAddress);
+        if (region !== undefined && zone !== undefined) {
+            options.countTraffic(purpose, { region, zone }, data.length);
+        }
         socket.send(data, port, host, error => {
             if (error) {
                 log.info("peer.sendFailed", { peer: peerAddress, reason: error.message });
--- a/packages/box/src/peers/peer-reads.ts
+++ b/packages/box/src/peers/peer-reads.ts
@@ -7,7 +7,9 @@
 
 import { type MemberRecord, type SharedKind, sharedKinds, type Snapshot } from "@chalkdale/decisions";
 import { get, type IncomingMessage, type RequestListener, type ServerResponse } from "node:http";
+import type { SnapshotReader, StatePeer } from "../state/snapshot-catch-up.js";
 import { isSharedItem } from "../state/state-messages.js";
+import type { TrafficPlace, TrafficPurpose } from "../traffic-meter.js";
 
 const membersPath = "/members";
 const statePath = "/state/";
@@ -43,19 +45,42 @@
     response.writeHead(200, { "content-type": "application/json", connection: "close" }).end(JSON.stringify(body));
 }
 
-/** Reads the members that another box knows. Rejects when it doesn't answer. */
-export async function readPeerMembers(peer: string, signal: AbortSignal): Promise<readonly MemberRecord[]> {
-    return JSON.parse(await read(`http://${peer}${membersPath}`, signal)) as MemberRecord[];
+/** Reads from other boxes; each rejects when the box doesn't answer, or with something else. */
+export interface PeerReads {
+    /** The members that another box knows. */
+    readonly readMembers: (peer: StatePeer) => Promise<readonly MemberRecord[]>;
+    /** A whole copy of one kind. */
+    readonly readSnapshot: SnapshotReader;
 }
 
-/** Reads a snapshot of a kind from another box. Rejects when it doesn't answer, or with something else. */
-export async function readPeerSnapshot(peer: string, kind: SharedKind, signal: AbortSignal): Promise<Snapshot<never>> {
-    const snapshot = JSON.parse(await read(`http://${peer}${statePath}${kind}`, signal)) as Snapshot<never>;
-    const { items, revision } = snapshot;
-    if (!Number.isFinite(revision) || !Array.isArray(items) || !items.every(item => isSharedItem(kind, item))) {
-        throw new Error("not a snapshot");
+export interface PeerReadsContext {
+    readonly countTraffic: (purpose: TrafficPurpose, place: TrafficPlace, bytes: number) => void;
+    readonly signal: AbortSignal;
+}
+
+/** Creates the reads of one box. */
+export function createPeerReads({ countTraffic, signal }: PeerReadsContext): PeerReads {
+    return {
+        async readMembers(peer) {
+            const text = await readText(peer, membersPath);
+            countTraffic("members", peer, text.length);
+            return JSON.parse(text) as MemberRecord[];
+        },
+        async readSnapshot(peer, kind) {
+            const text = await readText(peer, `${statePath}${kind}`);
+            countTraffic("snapshot", peer, text.length);
+            const snapshot = JSON.parse(text) as Snapshot<never>;
+            const { items, revision } = snapshot;
+            if (!Number.isFinite(revision) || !Array.isArray(items) || !items.every(item => isSharedItem(kind, item))) {
+                throw new Error("not a snapshot");
+            }
+            return snapshot;
+        },
+    };
+
+    function readText(peer: StatePeer, path: string): Promise<string> {
+        return read(`http://${peer.peerAddress}${path}`, signal);
     }
-    return snapshot;
 }
 
 function read(url: string, signal: AbortSignal): Promise<string> {
--- a/packages/box/src/peers/peer-receiver.ts
+++ b/packages/box/src/peers/peer-receiver.ts
@@ -12,7 +12,6 @@
 import type { StatePeer } from "../state/snapshot-catch-up.js";
 import type { StateDigest, StateUpdate } from "../state/state-messages.js";
 import { applyBeat, type Beat, type PeerMessage, readMessage } from "./peer-messages.js";
-import { readPeerMembers } from "./peer-reads.js";
 import type { ReportMessage } from "./server-reports.js";
 
 export interface PeerReceiverOptions {
@@ -23,13 +22,14 @@
     readonly onUpdate: (update: StateUpdate) => void;
     readonly onReports: (reports: readonly ReportMessage[]) => void;
     /** Greets a box that was not known before. */
-    readonly greet: (peerAddress: string) => void;
-    readonly signal: AbortSignal;
+    readonly greet: (peer: MemberRecord) => void;
+    /** Reads all members that another box knows. */
+    readonly readMembers: (peer: StatePeer) => Promise<readonly MemberRecord[]>;
 }
 
 /** Returns the listener for datagrams. Never throws. */
 export function createPeerReceiver(options: PeerReceiverOptions): (data: Buffer) => void {
-    const { clock, log, membership, signal } = options;
+    const { clock, log, membership } = options;
 
     return function onDatagram(data) {
         try {
@@ -48,11 +48,11 @@
     function onMessage(message: PeerMessage): void {
         const added = membership.merge([message.from], clock());
         if (mergeBeats(message.beats)) {
-            void readMembers(message.from.peerAddress);
+            void readMembers(message.from);
         }
         for (const member of added) {
             log.info("peer.joined", { box: member.box, zone: member.zone, incarnation: member.incarnation });
-            options.greet(member.peerAddress);
+            options.greet(member);
         }
         if (message.update !== undefined) {
             options.onUpdate(message.update);
@@ -83,12 +83,12 @@
         return isAnyUnknown;
     }
 
-    async function readMembers(peerAddress: string): Promise<void> {
+    async function readMembers(peer: StatePeer): Promise<void> {
         try {
-            membership.merge(await readPeerMembers(peerAddress, signal), clock());
+            membership.merge(await options.readMembers(peer), clock());
         }
         catch (error) {
-            log.info("peer.membersFailed", { peer: peerAddress, reason: String(error) });
+            log.info("peer.membersFailed", { peer: peer.peerAddress, reason: String(error) });
         }
     }
 }
--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -6,6 +6,7 @@
  */
 
 import {
+    type BackendServer,
     connectTimeoutOfRequest,
     isIdempotent,
     longestRestBefore,
@@ -29,6 +30,8 @@
     readonly mostConnections: (service: ServiceId) => number;
     readonly livenessCheck: LivenessCheck;
     readonly serviceLoad: ServiceLoad;
+    /** Counts the bodies of a request and its answer. */
+    readonly countBytes: (server: BackendServer, bytes: number) => void;
 }
 
 /** Returns the function that makes attempts. Never rejects. */
@@ -72,6 +75,8 @@
             onHead: silence.end,
         });
         silence.end();
+        const answered = outcome.kind === "answer" ? outcome.answer.body.length : 0;
+        options.countBytes(request.server, request.body.length + answered);
         switch (outcome.kind) {
             case "answer":
                 return feedback.onAnswer(request, socket, outcome.answer, sentAt);
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -26,6 +26,7 @@
 import { createServerConnections } from "../servers/server-connections.js";
 import type { BoxSettings } from "../settings.js";
 import type { SharedState } from "../state/shared-state.js";
+import type { TrafficPlace, TrafficPurpose } from "../traffic-meter.js";
 import { createAttempt } from "./attempt.js";
 import { createRequestHandler, type RequestHandler } from "./request-handler.js";
 
@@ -41,6 +42,7 @@
     readonly limits: SharedLimits;
     readonly evidence: SharedEvidence;
     readonly phase: () => StopPhase;
+    readonly countTraffic: (purpose: TrafficPurpose, place: TrafficPlace, bytes: number) => void;
 }
 
 /** The way of requests through one box. */
@@ -103,6 +105,7 @@
             mostConnections: limits.mostConnections,
             livenessCheck,
             serviceLoad,
+            countBytes: (server, bytes) => options.countTraffic("request", server.state.record(), bytes),
         }),
         budgetOf: limits.budgetOf,
         recentKeys,
--- a/packages/box/src/state/snapshot-catch-up.ts
+++ b/packages/box/src/state/snapshot-catch-up.ts
@@ -7,7 +7,7 @@
  */
 
 import { type SharedItems, type SharedKind, type Snapshot, snapshotHeadStart } from "@chalkdale/decisions";
-import type { Clock, RegionId } from "@chalkdale/kernel";
+import type { AvailabilityZoneId, Clock, RegionId } from "@chalkdale/kernel";
 import { type Log, sleep } from "@chalkdale/runtime";
 import type { CopyStatus } from "./copy-status.js";
 import type { SharedState } from "./shared-state.js";
@@ -15,15 +15,15 @@
 
 /** Reads a snapshot from another box. Rejects when the box doesn't answer. */
 export type SnapshotReader = <Kind extends SharedKind>(
-    peerAddress: string,
+    peer: StatePeer,
     kind: Kind,
-    signal: AbortSignal,
 ) => Promise<Snapshot<SharedItems[Kind]>>;
 
 /** The box that a message came from. */
 export interface StatePeer {
     readonly peerAddress: string;
     readonly region: RegionId;
+    readonly zone: AvailabilityZoneId;
 }
 
 export interface SnapshotCatchUpOptions {
@@ -75,21 +75,21 @@
             return;
         }
         if ((state.replica(kind).revision() ?? -1) < told.changed) {
-            await read(kind, peer.peerAddress);
+            await read(kind, peer);
         }
         status.readAt = undefined;
     }
 
-    async function read<Kind extends SharedKind>(kind: Kind, peer: string): Promise<void> {
+    async function read<Kind extends SharedKind>(kind: Kind, peer: StatePeer): Promise<void> {
         try {
-            const snapshot = await options.readSnapshot(peer, kind, signal);
+            const snapshot = await options.readSnapshot(peer, kind);
             if (state.replica(kind).applySnapshot(snapshot)) {
-                log.info("state.fromPeer", { kind, peer, revision: snapshot.revision });
+                log.info("state.fromPeer", { kind, peer: peer.peerAddress, revision: snapshot.revision });
                 statuses[kind].watch?.abort();
             }
         }
         catch (error) {
-            log.info("state.peerFailed", { kind, peer, reason: String(error) });
+            log.info("state.peerFailed", { kind, peer: peer.peerAddress, reason: String(error) });
         }
     }
 }
--- a/packages/box/test/replicator.test.ts
+++ b/packages/box/test/replicator.test.ts
@@ -8,7 +8,7 @@
 import type { StateStore } from "../src/state/state-store.js";
 
 const never = new Promise<never>(() => undefined);
-const peer = { peerAddress: "192.0.2.9:1", region: regionId("north") };
+const peer = { peerAddress: "192.0.2.9:1", region: regionId("north"), zone: availabilityZoneId("north-b") };
 const relayed: RelayRole = {
     isRelayed: () => true,
     alwaysFollows: () => false,
--- a/packages/testing/src/standins/deployment.ts
+++ b/packages/testing/src/standins/deployment.ts
@@ -3,7 +3,7 @@
  * boxes in this process, each with an address of its own.
  */
 
-import { type Box, startBox } from "@chalkdale/box";
+import { type Box, createTrafficMeter, startBox } from "@chalkdale/box";
 import { incarnationId, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { createLog, type Log } from "@chalkdale/runtime";
 import { createObjectReader, createStoreClient, platformProtocol, readSettings } from "@chalkdale/users-platform";
@@ -102,6 +102,7 @@
             ? createLog()
             : createLog({ write: line => logged.push(line) });
         const { box: boxSettings, storeAddress } = settings.val;
+        const traffic = createTrafficMeter();
         const running = startBox({
             settings: {
                 ...boxSettings,
@@ -113,11 +114,13 @@
                 localAddress: host,
                 reader: createObjectReader(boxSettings.regionOfZone),
                 log,
+                traffic,
                 random: Math.random,
             }),
             clock,
             random: Math.random,
             log,
+            traffic,
             incarnation: incarnationId(`${Date.now().toString(36)}-${nextPort}`),
         });
         return { name, running, callers, directory, readiness, peers, logged };
