Membership by questions and news instead of heartbeat counters for all

Cause: gossip of the 24 freshest counters does not scale: in an emulation of the product's own modules each of 80 boxes took 0.7 % of the running others as failed at any moment, each of 195 boxes 15 % (2 % of datagrams lost). So relays lost boxes of their region, these followed the store themselves, and parts of shared limits grew. A start of 195 boxes greeted all of the others, 38,000 datagrams (computed). Change: SWIM (Das, Gupta, Motivala 2002) on the same datagrams: each round asks one box of the region, and eight boxes of a region one of another; who does not answer twice is suspected; suspicions and other news spread with their ages, and count after 2.1 s at 9 boxes, 3.3 s at 195; whoever has heard since contradicts. A region of which nobody hears for 3.9 s counts as failed. Every other question goes to boxes that callers are named. A start greets twelve boxes. Relays tell their copies' age every 0.6 s at a bound of 4 s, not 0.3 s. Beats have two more fields, messages two; boxes of the release before would be suspected at times, so a fleet is upgraded as a whole.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -14,8 +14,7 @@
     createSharedEvidence,
     createSharedLimits,
     createSlowStart,
-    failAfter,
-    forgetAfter,
+    digestRounds,
     type MemberRecord,
     recordDelay,
     type ServerCatalog,
@@ -85,7 +84,7 @@
     setMaxListeners(0, signal);
 
     const loadMeter = createLoadMeter(settings.capacity);
-    const membership = createMembership({ self: ownRecord(options), failAfter, forgetAfter });
+    const membership = createMembership(ownRecord(options));
     const limits = createSharedLimits({
         clock,
         self: settings.box,
@@ -179,6 +178,8 @@
         onDigest: replicator.onDigest,
         onUpdate: replicator.onUpdate,
         isFollowing: replicator.isFollowing,
+        digestRounds: digestRounds(bounds.changeInForce),
+        isAdvertised: limits.isAdvertised,
         serverReports,
         countTraffic,
         readMembers: peerReads.readMembers,
@@ -212,6 +213,7 @@
         log,
         self: settings.box,
         membership,
+        random,
         store,
         sendGossip: peerLink.sendGossip,
         signal,
--- a/packages/box/src/join.ts
+++ b/packages/box/src/join.ts
@@ -1,13 +1,14 @@
 /**
  * How a box that starts makes itself known: it records itself in the store, then
- * reads all records and greets these boxes. Of two that start at once, the one
- * that reads later sees the other.
+ * reads all records and greets some of these boxes, who tell the others. Of two
+ * that start at once, the one that reads later sees the other. As long as nobody
+ * has answered, more are greeted.
  *
  * Each call is tried by itself until it succeeds: with both to succeed in a row,
  * boxes had not met after 20 s while the store turned two of three calls away.
  */
 
-import type { MemberRecord, Membership } from "@chalkdale/decisions";
+import { gossipInterval, type MemberRecord, type Membership } from "@chalkdale/decisions";
 import type { BoxId, Clock } from "@chalkdale/kernel";
 import { type Log, sleep } from "@chalkdale/runtime";
 import type { StateStore } from "./state/state-store.js";
@@ -18,6 +19,8 @@
     readonly self: BoxId;
     readonly membership: Membership;
     readonly store: StateStore;
+    /** Gives numbers from 0 to 1. */
+    readonly random: () => number;
     /** Sends what this box knows of all boxes to another. */
     readonly sendGossip: (peer: MemberRecord) => void;
     readonly signal: AbortSignal;
@@ -25,16 +28,42 @@
 
 /** Milliseconds until a failed call is made again; a box need not be known before it is ready. Not measured. */
 const retryPause = 1000;
+/**
+ * Boxes of the own region that are greeted at once; and of others. Some may be gone: the store keeps their records. With
+ * all of them, 195 boxes that start together send 38,000 greetings and get as many answers (computed). Not measured against others.
+ */
+const nearGreetings = 8;
+/** Boxes of other regions that are greeted at once. */
+const farGreetings = 4;
 
 /** Joins the other boxes. Resolves once that is done or the signal aborts. */
 export async function joinMembers(options: JoinOptions): Promise<void> {
-    const { clock, membership, signal, store } = options;
-    await untilDone(options, () => store.announce(membership.alive(clock())[0], signal));
+    const { membership, signal, store } = options;
+    await untilDone(options, () => store.announce(membership.own(), signal));
     await untilDone(options, async () => greetRecorded(options, await store.listBoxes(signal)));
 }
 
-function greetRecorded({ self, sendGossip }: JoinOptions, recorded: readonly MemberRecord[]): void {
-    recorded.filter(record => record.box !== self).forEach(sendGossip);
+/** Greets some boxes of the list, and more after a while if none of them answers. */
+async function greetRecorded(options: JoinOptions, recorded: readonly MemberRecord[]): Promise<void> {
+    const { clock, membership, self, sendGossip, signal } = options;
+    const { region } = membership.own();
+    const others = shuffle(recorded.filter(record => record.box !== self), options.random);
+    const near = others.filter(record => record.region === region);
+    const far = others.filter(record => record.region !== region);
+    while (!signal.aborted && near.length + far.length > 0) {
+        [...near.splice(0, nearGreetings), ...far.splice(0, farGreetings)].forEach(sendGossip);
+        await sleep(gossipInterval, signal);
+        if (membership.reachable(clock()).length > 0) {
+            return;
+        }
+    }
+}
+
+function shuffle(records: readonly MemberRecord[], random: () => number): readonly MemberRecord[] {
+    return records
+        .map(record => ({ record, order: random() }))
+        .sort((a, b) => a.order - b.order)
+        .map(({ record }) => record);
 }
 
 async function untilDone({ log, signal }: JoinOptions, call: () => Promise<void>): Promise<void> {
--- a/packages/box/src/peers/peer-link.ts
+++ b/packages/box/src/peers/peer-link.ts
@@ -1,24 +1,27 @@
 /**
  * Gossip between boxes by datagrams.
  *
- * Every round a box sends its heartbeat, the highest heartbeats it knows and how
- * far its copies reach to one box of its region and to one of another; the one of
- * its region also hears which servers do badly. A box
- * that follows the store sends to its whole region.
+ * Every round a box asks one box of its region, and at times one of another, for
+ * a sign of life, and tells it the news of members and how far its own copies
+ * reach; one of its region also hears which servers do badly. The answer has the
+ * same parts. A box that follows the store tells its whole region how far its
+ * copies reach.
  *
  * Owns the socket and the listener for reads; relies on the membership for who
  * there is. What arrives is taken by `peer-receiver`.
  */
 
 import {
+    createProbing,
     gossipInterval,
     type MemberRecord,
     type Membership,
     type MissingChanges,
     type SharedKind,
+    type Sighting,
     type Snapshot,
 } from "@chalkdale/decisions";
-import type { Clock, RegionId } from "@chalkdale/kernel";
+import type { BoxId, Clock, RegionId } from "@chalkdale/kernel";
 import { type Address, every, type Log, splitAddress } from "@chalkdale/runtime";
 import { createSocket } from "node:dgram";
 import { createServer } from "node:http";
@@ -28,10 +31,15 @@
 import { type Beat, beatOf, largestDatagram, type PeerMessage } from "./peer-messages.js";
 import { createPeerListener } from "./peer-reads.js";
 import { createPeerReceiver } from "./peer-receiver.js";
-import type { ReportMessage, ServerReports } from "./server-reports.js";
+import type { ServerReports } from "./server-reports.js";
 
-/** Members in one datagram at most: with some 60 bytes each, two fragments of a local network. */
-const mostBeats = 24;
+/**
+ * Members in one datagram at most, of some 65 bytes each: three fragments of a local network while half of a fleet is lost, few
+ * members at other times.
+ */
+const mostBeats = 40;
+/** Boxes that hear at once from a box that others suspect. Not measured against other numbers. */
+const refutationTargets = 4;
 
 export interface PeerLinkOptions {
     readonly clock: Clock;
@@ -43,14 +51,18 @@
     readonly digest: () => StateDigest;
     readonly onDigest: (peer: StatePeer, digest: StateDigest) => void;
     readonly onUpdate: (update: StateUpdate) => void;
+    /** True for a box that callers are named. */
+    readonly isAdvertised: (box: BoxId) => boolean;
     /** True while the boxes of the region depend on what this one says of its copies. */
     readonly isFollowing: () => boolean;
+    /** Rounds between two messages that say so to the whole region. */
+    readonly digestRounds: number;
     /** What this box and others of its region say of servers that do badly. */
     readonly serverReports: ServerReports;
     readonly snapshot: (kind: SharedKind) => Snapshot<unknown> | undefined;
     readonly changesSince: (kind: SharedKind, since: number) => MissingChanges<unknown> | undefined;
     /** Reads all members that another box knows. */
-    readonly readMembers: (peer: StatePeer) => Promise<readonly MemberRecord[]>;
+    readonly readMembers: (peer: StatePeer) => Promise<readonly Sighting[]>;
     readonly countTraffic: (purpose: TrafficPurpose, place: TrafficPlace, bytes: number) => void;
     readonly signal: AbortSignal;
 }
@@ -70,7 +82,9 @@
 
 /** Listens and gossips until the signal aborts. */
 export function startPeerLink(options: PeerLinkOptions): PeerLink {
-    const { clock, log, membership, signal } = options;
+    const { clock, log, membership, random, signal } = options;
+    const probing = createProbing({ membership, random, isAdvertised: options.isAdvertised });
+    let round = 0;
     const socket = createSocket("udp4");
     socket.on("error", error => log.warn("peer.socketFailed", { reason: error.message }));
     socket.on(
@@ -78,12 +92,15 @@
         createPeerReceiver({
             ...options,
             onReports: options.serverReports.onReports,
-            greet: peer => sendGossip(peer),
+            answer: peer => sendGossip(peer),
         }),
     );
     socket.bind(options.listen.port, options.listen.host);
     const server = createServer(createPeerListener({
-        members: () => membership.alive(clock()),
+        members: () => [
+            { record: membership.own(), heardAgo: 0, suspectedFor: undefined },
+            ...membership.sightings(clock()),
+        ],
         snapshot: options.snapshot,
         changesSince: options.changesSince,
     }));
@@ -101,22 +118,28 @@
     };
 
     function gossip(): void {
-        const own = membership.beat();
-        const others = membership.reachable(clock());
-        const near = others.filter(member => member.region === own.region);
-        const far = others.filter(member => member.region !== own.region);
-        gossipToOneOf(near, options.serverReports.current());
-        gossipToOneOf(far);
-        if (options.isFollowing()) {
+        const { region } = membership.beat();
+        const reports = options.serverReports.current();
+        for (const member of probing.nextRound(clock())) {
+            sendGossip(member, { asks: true, ...reports.length > 0 && member.region === region ? { reports } : {} });
+        }
+        if (membership.takeOwnSuspicion()) {
+            log.info("peer.suspected", { box: membership.own().box });
+            someMembers(refutationTargets).forEach(member => sendGossip(member));
+        }
+        round += 1;
+        if (options.isFollowing() && round % options.digestRounds === 0) {
             sendToRegion("digest", createMessage([]));
         }
     }
 
-    function gossipToOneOf(members: readonly MemberRecord[], reports: readonly ReportMessage[] = []): void {
-        const chosen = members[Math.floor(options.random() * members.length)];
-        if (chosen !== undefined) {
-            sendGossip(chosen, reports);
+    function someMembers(count: number): readonly MemberRecord[] {
+        const members = [...membership.reachable(clock())];
+        const chosen: MemberRecord[] = [];
+        while (members.length > 0 && chosen.length < count) {
+            chosen.push(...members.splice(Math.floor(random() * members.length), 1));
         }
+        return chosen;
     }
 
     function sendToRegion(purpose: TrafficPurpose, message: PeerMessage): void {
@@ -136,15 +159,16 @@
         membership.reachable(clock()).forEach(member => sendGossip(member));
     }
 
-    function sendGossip(peer: PeerTarget, reports: readonly ReportMessage[] = []): void {
-        const [, ...others] = membership.freshest(mostBeats, clock());
-        const message = createMessage(others.map(beatOf));
-        send("gossip", JSON.stringify(reports.length > 0 ? { ...message, reports } : message), peer);
+    function sendGossip(peer: PeerTarget, parts: Pick<PeerMessage, "asks" | "reports"> = {}): void {
+        const regions = Object.fromEntries(
+            [...membership.regionAges(clock())].map(([region, age]) => [region, Math.round(age)]),
+        );
+        const message = createMessage(membership.takeNews(mostBeats, clock()).map(beatOf));
+        send("gossip", JSON.stringify({ ...message, regions, ...parts }), peer);
     }
 
     function createMessage(beats: readonly Beat[], update?: StateUpdate): PeerMessage {
-        const [from] = membership.freshest(1, clock());
-        return { from, beats, digest: options.digest(), update };
+        return { from: membership.own(), beats, digest: options.digest(), update };
     }
 
     /** A datagram that could not be sent is as lost as one on the way: the next round says the same. */
--- a/packages/box/src/peers/peer-messages.ts
+++ b/packages/box/src/peers/peer-messages.ts
@@ -6,15 +6,15 @@
  * Owns nothing. What arrives is checked in full before it is used.
  */
 
-import type { MemberRecord } from "@chalkdale/decisions";
-import { incarnationId } from "@chalkdale/kernel";
+import type { MemberRecord, Sighting } from "@chalkdale/decisions";
+import { incarnationId, type RegionId } from "@chalkdale/kernel";
 import { isStateDigest, isStateUpdate, type StateDigest, type StateUpdate } from "../state/state-messages.js";
 import { isReportMessage, type ReportMessage } from "./server-reports.js";
 
 /** Largest datagram that is sent to a region and that is read, in bytes: a few fragments of a local network. */
 export const largestDatagram = 8192;
 
-/** Heartbeat of one member, short since a datagram has many: box, incarnation, heartbeat, ready, leaving, load. */
+/** What is told of one member, short since a datagram has many. Ages in milliseconds, see `Sighting`; the last is left out. */
 export type Beat = readonly [
     box: string,
     incarnation: string,
@@ -22,6 +22,8 @@
     ready: 0 | 1,
     leaving: 0 | 1,
     load: number,
+    heardAgo?: number,
+    suspectedFor?: number,
 ];
 
 /** One datagram. */
@@ -31,22 +33,28 @@
     /** Other members that the sender knows. */
     readonly beats: readonly Beat[];
     readonly digest: StateDigest;
+    /** True if the sender wants an answer, as a sign of life. */
+    readonly asks?: boolean;
+    /** Milliseconds since anyone heard from a box of each region. */
+    readonly regions?: Readonly<Record<RegionId, number>>;
     readonly update?: StateUpdate;
     /** Servers that do badly, for boxes of the sender's region; earlier releases have none. */
     readonly reports?: readonly ReportMessage[];
 }
 
-/** Shortens a member to its heartbeat. */
-export function beatOf(member: MemberRecord): Beat {
-    const { box, heartbeat, incarnation, leaving, load, ready } = member;
-    return [box, incarnation, heartbeat, ready ? 1 : 0, leaving ? 1 : 0, load];
+/** Shortens what is known of a member. */
+export function beatOf({ heardAgo, record, suspectedFor }: Sighting): Beat {
+    const { box, heartbeat, incarnation, leaving, load, ready } = record;
+    const beat = [box, incarnation, heartbeat, ready ? 1 : 0, leaving ? 1 : 0, load, Math.round(heardAgo)] as const;
+    return suspectedFor === undefined ? beat : [...beat, Math.round(suspectedFor)];
 }
 
-/** Returns a known member as it is by a newer heartbeat. */
-export function applyBeat(member: MemberRecord, beat: Beat): MemberRecord {
-    const [, incarnation, heartbeat, ready, leaving, load] = beat;
+/** Returns what a beat tells of a member that is known in full. */
+export function readBeat(member: MemberRecord, beat: Beat): Sighting {
+    const [, incarnation, heartbeat, ready, leaving, load, heardAgo = 0, suspectedFor] = beat;
     const state = { ready: ready === 1, leaving: leaving === 1, load };
-    return { ...member, incarnation: incarnationId(incarnation), heartbeat, ...state };
+    const record = { ...member, incarnation: incarnationId(incarnation), heartbeat, ...state };
+    return { record, heardAgo, suspectedFor };
 }
 
 /** Reads a datagram, or says why it is none of this protocol. */
@@ -73,11 +81,17 @@
     return typeof message === "object" && message !== null
         && isMember(message.from) && Array.isArray(message.beats) && message.beats.every(isBeat)
         && isStateDigest(message.digest) && (message.update === undefined || isStateUpdate(message.update))
-        && (message.reports === undefined || areReports(message.reports));
+        && (message.reports === undefined || areReports(message.reports))
+        && (message.regions === undefined || areAges(message.regions));
+}
+
+function areAges(ages: unknown): boolean {
+    return typeof ages === "object" && ages !== null && Object.values(ages).every(Number.isFinite);
 }
 
 function isMember(record: MemberRecord | undefined): record is MemberRecord {
     return typeof record?.box === "string" && typeof record.incarnation === "string"
+        && typeof record.region === "string" && typeof record.zone === "string"
         && typeof record.peerAddress === "string" && typeof record.callerAddress === "string"
         && [record.heartbeat, record.capacity, record.load].every(Number.isFinite);
 }
--- a/packages/box/src/peers/peer-reads.ts
+++ b/packages/box/src/peers/peer-reads.ts
@@ -14,6 +14,7 @@
     type SharedItems,
     type SharedKind,
     sharedKinds,
+    type Sighting,
     type Snapshot,
 } from "@chalkdale/decisions";
 import { get, type IncomingMessage, type RequestListener, type ServerResponse } from "node:http";
@@ -40,7 +41,7 @@
 
 /** What a box has for others to read. */
 export interface PeerListenerOptions {
-    readonly members: () => readonly MemberRecord[];
+    readonly members: () => readonly Sighting[];
     /** The own copy of a kind, if there is one. */
     readonly snapshot: (kind: SharedKind) => Snapshot<unknown> | undefined;
     /** What a copy that is complete up to a revision lacks, as far as the changes are kept. */
@@ -61,7 +62,7 @@
     function bodyFor(url: string): unknown {
         const [path, query] = url.split("?", 2);
         if (path === membersPath) {
-            return options.members();
+            return options.members().map(writeMember);
         }
         const kind = sharedKinds.find(candidate => path === `${statePath}${candidate}`);
         if (kind === undefined) {
@@ -86,6 +87,17 @@
     response.end(body);
 }
 
+/** A member in an answer: its record, with what is known of it beside; an earlier release gives the record alone. */
+type MemberInAnswer = MemberRecord & Partial<Omit<Sighting, "record">>;
+
+function writeMember({ heardAgo, record, suspectedFor }: Sighting): MemberInAnswer {
+    return { ...record, heardAgo: Math.round(heardAgo), suspectedFor: suspectedFor && Math.round(suspectedFor) };
+}
+
+function readMember({ heardAgo = 0, suspectedFor, ...record }: MemberInAnswer): Sighting {
+    return { record, heardAgo, suspectedFor };
+}
+
 /** A whole copy, or what the reader's own lacks. */
 export type StateRead<Kind extends SharedKind> =
     | { readonly kind: "snapshot"; readonly snapshot: Snapshot<SharedItems[Kind]>; }
@@ -94,7 +106,7 @@
 /** Reads from other boxes; each rejects when the box doesn't answer, or with something else. */
 export interface PeerReads {
     /** The members that another box knows. */
-    readonly readMembers: (peer: StatePeer) => Promise<readonly MemberRecord[]>;
+    readonly readMembers: (peer: StatePeer) => Promise<readonly Sighting[]>;
     /** What another box has of a kind beyond a copy that is complete up to `since`; all of it if there is none. */
     readonly readState: StateReader;
 }
@@ -114,7 +126,10 @@
 /** Creates the reads of one box. */
 export function createPeerReads({ countTraffic, signal }: PeerReadsOptions): PeerReads {
     return {
-        readMembers: async peer => JSON.parse(await readText(peer, "members", membersPath)) as MemberRecord[],
+        async readMembers(peer) {
+            const members = JSON.parse(await readText(peer, "members", membersPath)) as MemberInAnswer[];
+            return members.map(readMember);
+        },
         async readState<Kind extends SharedKind>(peer: StatePeer, kind: Kind, since: number | undefined) {
             const query = since === undefined ? "" : `?${sinceParameter}=${since}`;
             return readStateFrom(kind, await readText(peer, "snapshot", `${statePath}${kind}${query}`));
--- a/packages/box/src/peers/peer-receiver.ts
+++ b/packages/box/src/peers/peer-receiver.ts
@@ -6,12 +6,12 @@
  * everything else on to those who asked for it.
  */
 
-import type { MemberRecord, Membership } from "@chalkdale/decisions";
-import type { BoxId, Clock, RegionId } from "@chalkdale/kernel";
+import type { MemberRecord, Membership, Sighting } from "@chalkdale/decisions";
+import { boxId, type Clock, type RegionId, regionId } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { StatePeer } from "../state/snapshot-catch-up.js";
 import type { StateDigest, StateUpdate } from "../state/state-messages.js";
-import { applyBeat, type Beat, type PeerMessage, readMessage } from "./peer-messages.js";
+import { type Beat, type PeerMessage, readBeat, readMessage } from "./peer-messages.js";
 import type { ReportMessage } from "./server-reports.js";
 
 export interface PeerReceiverOptions {
@@ -23,10 +23,10 @@
     readonly onDigest: (peer: StatePeer, digest: StateDigest) => void;
     readonly onUpdate: (update: StateUpdate) => void;
     readonly onReports: (reports: readonly ReportMessage[]) => void;
-    /** Greets a box that was not known before. */
-    readonly greet: (peer: MemberRecord) => void;
+    /** Answers a box that asks, or that was not known before. */
+    readonly answer: (peer: MemberRecord) => void;
     /** Reads all members that another box knows. */
-    readonly readMembers: (peer: StatePeer) => Promise<readonly MemberRecord[]>;
+    readonly readMembers: (peer: StatePeer) => Promise<readonly Sighting[]>;
 }
 
 /**
@@ -58,13 +58,19 @@
     };
 
     function onMessage(message: PeerMessage): void {
-        const added = membership.merge([message.from], clock());
+        const { from } = message;
+        const isUnknown = membership.onHeard(from, clock());
         if (mergeBeats(message.beats)) {
-            void readMembersIfDue(message.from);
+            void readMembersIfDue(from);
         }
-        for (const member of added) {
-            log.info("peer.joined", { box: member.box, zone: member.zone, incarnation: member.incarnation });
-            options.greet(member);
+        if (message.regions !== undefined) {
+            membership.onRegionAges(new Map(Object.entries(message.regions).map(readAge)), clock());
+        }
+        if (isUnknown) {
+            log.info("peer.joined", { box: from.box, zone: from.zone, incarnation: from.incarnation });
+        }
+        if (isUnknown || message.asks === true) {
+            options.answer(from);
         }
         if (message.update !== undefined) {
             options.onUpdate(message.update);
@@ -75,24 +81,17 @@
         options.onDigest(message.from, message.digest);
     }
 
-    /** Merges heartbeats of members that are known in full; true if some are not. */
+    /** Merges what is told of members that are known in full; true if some are not. */
     function mergeBeats(beats: readonly Beat[]): boolean {
-        const known = new Map<string, MemberRecord>(membership.reachable(clock()).map(member => [member.box, member]));
-        const own: BoxId = membership.freshest(1, clock())[0].box;
-        let isAnyUnknown = false;
-        const records: MemberRecord[] = [];
+        const sightings: Sighting[] = [];
         for (const beat of beats) {
-            const [box] = beat;
-            const member = known.get(box);
+            const member = membership.find(boxId(beat[0]));
             if (member !== undefined) {
-                records.push(applyBeat(member, beat));
-            }
-            else if (box !== own) {
-                isAnyUnknown = true;
+                sightings.push(readBeat(member, beat));
             }
         }
-        membership.merge(records, clock());
-        return isAnyUnknown;
+        membership.merge(sightings, clock());
+        return sightings.length < beats.length;
     }
 
     /** One read at a time: what one box tells, the next would tell again. */
@@ -114,3 +113,7 @@
         }
     }
 }
+
+function readAge([region, age]: [string, number]): [RegionId, number] {
+    return [regionId(region), age];
+}
--- a/packages/box/test/peer-reads.test.ts
+++ b/packages/box/test/peer-reads.test.ts
@@ -1,4 +1,4 @@
-import { type MemberRecord, type MissingChanges, type SharedKind, type Snapshot } from "@chalkdale/decisions";
+import type { MemberRecord, MissingChanges, SharedKind, Sighting, Snapshot } from "@chalkdale/decisions";
 import { availabilityZoneId, regionId } from "@chalkdale/kernel";
 import { expect } from "chai";
 import { createServer, type Server } from "node:http";
@@ -17,12 +17,14 @@
     let counted: { readonly purpose: string; readonly bytes: number; }[];
     let kept: MissingChanges<unknown> | undefined;
     let snapshot: Snapshot<unknown> | undefined;
+    let members: readonly Sighting[];
 
     beforeEach(async () => {
         counted = [];
         kept = undefined;
         snapshot = { revision: 9, items: zones };
-        const members = [{ box: "a" }] as unknown as readonly MemberRecord[];
+        const record = { box: "a" } as unknown as MemberRecord;
+        members = [{ record, heardAgo: 7, suspectedFor: undefined }];
         server = createServer(createPeerListener({
             members: () => members,
             snapshot: (kind: SharedKind) => kind === "closedZones" ? snapshot : undefined,
@@ -54,7 +56,7 @@
     });
 
     it("bring the members", async () => {
-        expect(await reads.readMembers(peer)).to.deep.equal([{ box: "a" }]);
+        expect(await reads.readMembers(peer)).to.deep.equal(members);
         expect(counted.map(({ purpose }) => purpose)).to.deep.equal(["members"]);
     });
 
--- a/packages/decisions/src/limits/shared-limits.ts
+++ b/packages/decisions/src/limits/shared-limits.ts
@@ -11,7 +11,8 @@
  */
 
 import { type BoxId, type Clock, milliseconds, type RegionId, type ServiceId } from "@chalkdale/kernel";
-import type { MemberRecord, Membership } from "../membership/membership.js";
+import type { MemberRecord } from "../membership/member-record.js";
+import type { Membership } from "../membership/membership.js";
 import { advertisedBoxes, slowStartSenders } from "../place/advertised-boxes.js";
 import { createRetryBudget, type RetryBudget, type RetryBudgetOptions } from "../retry/retry-budget.js";
 import { createCached } from "./cached.js";
@@ -31,6 +32,7 @@
 /** The parts of one box. */
 export interface SharedLimits {
     readonly advertisedCount: () => number;
+    readonly isAdvertised: (box: BoxId) => boolean;
     /** Boxes that may send to a cold server of a region. */
     readonly slowStartSenders: (region: RegionId) => readonly BoxId[];
     readonly budgetOf: (service: ServiceId) => RetryBudget;
@@ -56,6 +58,7 @@
 
     return {
         advertisedCount: () => advertised().length,
+        isAdvertised,
         slowStartSenders: region => slowStartSenders(advertised(), region),
         budgetOf,
         mostConnections(service) {
@@ -75,10 +78,13 @@
         return named.length > 0 ? named : alive;
     }
 
+    function isAdvertised(box: BoxId): boolean {
+        return advertised().some(record => record.box === box);
+    }
+
     /** Boxes with an equal part; without end for a box that has none. */
     function sharingBoxes(): number {
-        const hasPart = advertised().some(record => record.box === options.self);
-        return hasPart ? advertised().length : Infinity;
+        return isAdvertised(options.self) ? advertised().length : Infinity;
     }
 
     function budgetOf(service: ServiceId): RetryBudget {
--- a/packages/decisions/src/membership/membership.ts
+++ b/packages/decisions/src/membership/membership.ts
@@ -1,44 +1,29 @@
 /**
- * Which boxes run, by gossip of heartbeat counters (van Renesse, Minsky and
- * Hayden, "A gossip-style failure detection service", 1998).
+ * Which boxes run, by what boxes hear of each other (after Das, Gupta and
+ * Motivala, "SWIM: scalable weakly-consistent infection-style process group
+ * membership protocol", 2002).
  *
- * Each box counts up its own heartbeat and passes on the highest counters that
- * it knows. A box whose counter stood still for too long counts as failed. No
- * clocks are compared.
+ * A box that does not answer is suspected; the suspicion spreads, and unless
+ * someone has heard from the box since, it counts as failed after a while.
+ * Only news spreads, so a datagram's size does not grow with the fleet. Nobody
+ * compares clocks: messages carry ages. A region from which nobody hears
+ * anything counts as failed as a whole.
  *
  * Owns the record of this box and the latest of all others; relies on whoever
- * sends and receives the gossip.
+ * sends and receives the messages, and on the probing for who did not answer.
  */
 
-import {
-    type AvailabilityZoneId,
-    type BoxId,
-    hashText,
-    type IncarnationId,
-    type Milliseconds,
-    milliseconds,
-    type RegionId,
-} from "@chalkdale/kernel";
-
-/** What boxes say about one box. */
-export interface MemberRecord {
-    readonly box: BoxId;
-    /** A later start of the box has a greater incarnation. */
-    readonly incarnation: IncarnationId;
-    readonly heartbeat: number;
-    readonly leaving: boolean;
-    /** False until the box can serve callers. */
-    readonly ready: boolean;
-    readonly region: RegionId;
-    readonly zone: AvailabilityZoneId;
-    /** Where other boxes reach it. */
-    readonly peerAddress: string;
-    /** Where callers reach it. */
-    readonly callerAddress: string;
-    /** What it can carry, as a number of processor cores. */
-    readonly capacity: number;
-    /** What it carries now, in the same unit. */
-    readonly load: number;
+import type { BoxId, Milliseconds, RegionId } from "@chalkdale/kernel";
+import type { MemberRecord } from "./member-record.js";
+import { failAfter, forgetAfter, newsSends, suspicionTime } from "./membership-times.js";
+
+/** What a box tells of a member. */
+export interface Sighting {
+    readonly record: MemberRecord;
+    /** Milliseconds since someone heard from the member itself. */
+    readonly heardAgo: number;
+    /** Milliseconds since the question that it left unanswered; undefined for one that is not suspected. */
+    readonly suspectedFor: number | undefined;
 }
 
 /** What changes about a box while it runs. */
@@ -48,42 +33,80 @@
     readonly load: number;
 }
 
-/** Members and how fresh each is. */
+/** Members, and who has heard from each. */
 export interface Membership {
+    readonly own: () => MemberRecord;
     /** Counts up the own heartbeat and returns the own record. */
     readonly beat: () => MemberRecord;
     readonly setOwnState: (state: MemberState) => void;
-    /** Takes what another box told. Returns boxes that were not known before. */
-    readonly merge: (records: readonly MemberRecord[], at: Milliseconds) => readonly MemberRecord[];
+    /** A message came from the box itself. True if it was not known before. */
+    readonly onHeard: (record: MemberRecord, at: Milliseconds) => boolean;
+    /** Takes what another box tells of members. */
+    readonly merge: (sightings: readonly Sighting[], at: Milliseconds) => void;
+    /** A member did not answer what it was asked. */
+    readonly onUnanswered: (box: BoxId, askedAt: Milliseconds) => void;
+    /** True for a member that is taken to run. */
+    readonly isAlive: (box: BoxId, at: Milliseconds) => boolean;
+    /** True if someone has heard from the member since. */
+    readonly isHeardSince: (box: BoxId, since: Milliseconds) => boolean;
+    readonly find: (box: BoxId) => MemberRecord | undefined;
     /** Boxes that run, this one included. */
     readonly alive: (at: Milliseconds) => readonly MemberRecord[];
     /** Boxes to which callers may be sent: alive, ready and not leaving. */
     readonly inService: (at: Milliseconds) => readonly MemberRecord[];
-    /** Boxes heard of within the memory, to which gossip may go; this one excluded. */
+    /** True while a box is suspected and not yet taken as failed. */
+    readonly isAnySuspected: (at: Milliseconds) => boolean;
+    /** Boxes of the own region whose suspicion is about to be believed, each once: this box should ask them itself. */
+    readonly takeDoubtful: (count: number, at: Milliseconds) => readonly MemberRecord[];
+    /** Boxes heard of within the memory, to which messages may go; this one excluded. */
     readonly reachable: (at: Milliseconds) => readonly MemberRecord[];
-    /** The most recently changed records, for a message of bounded size. */
-    readonly freshest: (count: number, at: Milliseconds) => readonly MemberRecord[];
+    /** What is known of all boxes that run but this one. */
+    readonly sightings: (at: Milliseconds) => readonly Sighting[];
+    /** Takes what others should hear next: the news that was told least, and a few members in turn. */
+    readonly takeNews: (count: number, at: Milliseconds) => readonly Sighting[];
+    /** Milliseconds since anyone heard from a box of each region. */
+    readonly regionAges: (at: Milliseconds) => ReadonlyMap<RegionId, number>;
+    readonly onRegionAges: (ages: ReadonlyMap<RegionId, number>, at: Milliseconds) => void;
+    /** True once after others suspected this box: they should hear from it. */
+    readonly takeOwnSuspicion: () => boolean;
 }
 
-export interface MembershipOptions {
-    readonly self: MemberRecord;
-    /** A box whose heartbeat stood still this long counts as failed. */
-    readonly failAfter: Milliseconds;
-    /** A failed box is asked again for this long, in case it was cut off. */
-    readonly forgetAfter: Milliseconds;
-}
+/** Milliseconds that a message is on its way at most between regions; what others heard is taken to be so much older. */
+const longestWay = 100;
+/** Members told in turn in each message besides the news, so that lost news does not stay unknown. Not measured. */
+const toldInTurn = 4;
+/** Messages that contradict a suspicion; whoever learns from one that it was suspected tells it on as news. */
+const contradictionSends = 3;
+/** Part of its capacity by which a box's load changes before it is news. Not measured. */
+const loadChange = 0.1;
+
+/** Part of the time of a suspicion after which a box asks the suspect itself, so that an answer still comes in time. */
+const askAfterPart = 0.5;
 
 interface Entry {
     record: MemberRecord;
-    changedAt: Milliseconds;
+    /** When someone last heard from the box. */
+    heardAt: number;
+    /** When it was asked what it has not answered; undefined unless it is suspected. */
+    suspectedAt: number | undefined;
+    /** This box itself has asked it since it is suspected. */
+    isAsked: boolean;
+    /** Messages that will still tell of it. */
+    sendsLeft: number;
+    /** Load as it was last told as news. */
+    toldLoad: number;
 }
 
 /** Creates a membership that knows this box only. */
-export function createMembership(options: MembershipOptions): Membership {
+export function createMembership(self: MemberRecord): Membership {
     const others = new Map<BoxId, Entry>();
-    let own = options.self;
+    const regionHeardAt = new Map<RegionId, number>();
+    let own = self;
+    let isSuspected = false;
+    let turn: Iterator<Entry> = others.values();
 
     return {
+        own: () => own,
         beat() {
             own = { ...own, heartbeat: own.heartbeat + 1 };
             return own;
@@ -91,70 +114,177 @@
         setOwnState(state) {
             own = { ...own, ...state };
         },
-        merge(records, at) {
-            return records.filter(record => mergeOne(record, at));
+        onHeard(record, at) {
+            regionHeardAt.set(record.region, at);
+            const isUnknown = record.box !== own.box && !others.has(record.box);
+            take(record, at, undefined);
+            return isUnknown;
+        },
+        merge(sightings, at) {
+            for (const { heardAgo, record, suspectedFor } of sightings) {
+                const suspectedAt = suspectedFor === undefined ? undefined : at - suspectedFor;
+                take(record, at - heardAgo - longestWay, suspectedAt);
+            }
+        },
+        onUnanswered(box, askedAt) {
+            const entry = others.get(box);
+            if (entry !== undefined) {
+                suspect(entry, askedAt);
+            }
         },
+        isHeardSince: (box, since) => (others.get(box)?.heardAt ?? since) >= since,
+        isAlive: (box, at) => {
+            const entry = others.get(box);
+            return entry !== undefined && isAlive(entry, at);
+        },
+        find: box => box === own.box ? own : others.get(box)?.record,
         alive: at => [own, ...recordsOf(entry => isAlive(entry, at))],
         inService(at) {
             const records = [own, ...recordsOf(entry => isAlive(entry, at))];
             return records.filter(record => record.ready && !record.leaving);
         },
-        reachable: at => recordsOf(entry => at - entry.changedAt < options.forgetAfter),
-        freshest(count, at) {
-            const entries = [...others.values()].filter(entry => isAlive(entry, at));
-            entries.sort((a, b) => b.changedAt - a.changedAt);
-            return [own, ...entries.slice(0, count - 1).map(entry => entry.record)];
+        isAnySuspected: at => [...others.values()].some(entry => entry.suspectedAt !== undefined && isAlive(entry, at)),
+        takeDoubtful(count, at) {
+            const doubtful = [...others.values()].filter(entry => isDoubtful(entry, at)).slice(0, count);
+            for (const entry of doubtful) {
+                entry.isAsked = true;
+            }
+            return doubtful.map(entry => entry.record);
+        },
+        reachable: at => recordsOf(entry => at - entry.heardAt < forgetAfter),
+        sightings: at => [...others.values()].filter(entry => isAlive(entry, at)).map(entry => sightingOf(entry, at)),
+        takeNews(count, at) {
+            const news = [...others.values()]
+                .filter(entry => entry.sendsLeft > 0)
+                .sort((a, b) => b.sendsLeft - a.sendsLeft || b.record.capacity - a.record.capacity)
+                .slice(0, count);
+            for (const entry of news) {
+                entry.sendsLeft -= 1;
+            }
+            const inTurn = nextInTurn(Math.min(toldInTurn, count - news.length), at);
+            return [...new Set([...news, ...inTurn])].map(entry => sightingOf(entry, at));
+        },
+        regionAges: at => new Map([...regionHeardAt].map(([region, heardAt]) => [region, at - heardAt])),
+        onRegionAges(ages, at) {
+            for (const [region, age] of ages) {
+                const heardAt = at - age - longestWay;
+                if (heardAt > (regionHeardAt.get(region) ?? -Infinity)) {
+                    regionHeardAt.set(region, heardAt);
+                }
+            }
+        },
+        takeOwnSuspicion() {
+            const wasSuspected = isSuspected;
+            isSuspected = false;
+            return wasSuspected;
         },
     };
 
-    function mergeOne(record: MemberRecord, at: Milliseconds): boolean {
+    function take(record: MemberRecord, heardAt: number, suspectedAt: number | undefined): void {
         if (record.box === own.box) {
-            return false;
+            isSuspected ||= suspectedAt !== undefined && record.incarnation === own.incarnation;
+            return;
         }
-        const known = others.get(record.box);
-        if (known === undefined) {
-            others.set(record.box, { record, changedAt: at });
-            return true;
+        const entry = others.get(record.box);
+        if (entry === undefined || record.incarnation > entry.record.incarnation) {
+            const suspicion = suspectedAt !== undefined && suspectedAt > heardAt ? suspectedAt : undefined;
+            const added = {
+                record,
+                heardAt,
+                suspectedAt: suspicion,
+                isAsked: false,
+                sendsLeft: 0,
+                toldLoad: record.load,
+            };
+            others.set(record.box, added);
+            makeNews(added);
+            return;
         }
-        if (isNewer(record, known.record)) {
-            others.set(record.box, { record, changedAt: at });
+        if (record.incarnation === entry.record.incarnation) {
+            hear(entry, record, heardAt);
+            if (suspectedAt !== undefined) {
+                suspect(entry, suspectedAt);
+            }
         }
-        return false;
     }
 
-    function isAlive(entry: Entry, at: Milliseconds): boolean {
-        return at - entry.changedAt < options.failAfter;
+    /** Takes that someone heard from a box, and its state if that is newer. */
+    function hear(entry: Entry, record: MemberRecord, heardAt: number): void {
+        entry.heardAt = Math.max(entry.heardAt, heardAt);
+        if (entry.suspectedAt !== undefined && entry.heardAt >= entry.suspectedAt) {
+            entry.suspectedAt = undefined;
+            makeNews(entry);
+        }
+        if (record.heartbeat <= entry.record.heartbeat) {
+            return;
+        }
+        const { leaving, ready } = entry.record;
+        entry.record = record;
+        if (record.leaving !== leaving || record.ready !== ready || isLoadNews(entry)) {
+            makeNews(entry);
+        }
     }
 
-    function recordsOf(accept: (entry: Entry) => boolean): MemberRecord[] {
-        return [...others.values()].filter(accept).map(entry => entry.record);
+    /** Takes a suspicion, unless someone has heard from the box since: then those who suspect it should hear that. */
+    function suspect(entry: Entry, askedAt: number): void {
+        if (entry.heardAt >= askedAt) {
+            entry.sendsLeft = Math.max(entry.sendsLeft, contradictionSends);
+            return;
+        }
+        if (entry.suspectedAt === undefined) {
+            entry.suspectedAt = askedAt;
+            entry.isAsked = false;
+            makeNews(entry);
+            return;
+        }
+        entry.suspectedAt = Math.min(entry.suspectedAt, askedAt);
     }
-}
 
-function isNewer(record: MemberRecord, known: MemberRecord): boolean {
-    if (record.incarnation !== known.incarnation) {
-        return record.incarnation > known.incarnation;
+    function isLoadNews({ record, toldLoad }: Entry): boolean {
+        return Math.abs(record.load - toldLoad) > record.capacity * loadChange;
     }
-    return record.heartbeat > known.heartbeat;
-}
 
-/**
- * Orders boxes by what they can carry, the strongest first; boxes of equal capacity stand in an order of their own that is
- * the same on every box. Whatever all boxes must agree on without asking goes by it.
- */
-export function strongestFirst(a: MemberRecord, b: MemberRecord): number {
-    return b.capacity - a.capacity || hashText(a.box) - hashText(b.box);
-}
+    function makeNews(entry: Entry): void {
+        entry.sendsLeft = newsSends(others.size + 1);
+        entry.toldLoad = entry.record.load;
+    }
 
-/** Time between two rounds of gossip: 13 of them fit into the time after which the directory must no longer name a lost box. */
-export const gossipInterval = milliseconds(300);
-/**
- * Rounds without a new heartbeat after which a box counts as failed: 5 that may be lost, and twice the 4 rounds in which
- * gossip reaches 16 boxes. 3.9 s; the directory may name a lost box for 6 to 7 s. At the 80 boxes of the grown sites the same
- * reckoning gives 19 rounds; with 13 a hunt there found no rule broken (e4c090b8). Beyond 80 boxes it is not measured.
- */
-const failAfterRounds = 13;
-/** Time without a new heartbeat after which a box counts as failed. */
-export const failAfter = milliseconds(gossipInterval * failAfterRounds);
-/** Time for which gossip still goes to a failed box, in case it was cut off. Not measured. */
-export const forgetAfter = milliseconds(120_000);
+    /** Members in the order in which they became known, over and over. */
+    function nextInTurn(count: number, at: Milliseconds): readonly Entry[] {
+        const chosen: Entry[] = [];
+        for (let tries = 0; tries < others.size && chosen.length < count; tries++) {
+            let next = turn.next();
+            if (next.done === true) {
+                turn = others.values();
+                next = turn.next();
+            }
+            const entry = next.value as Entry | undefined;
+            if (entry !== undefined && at - entry.heardAt < forgetAfter) {
+                chosen.push(entry);
+            }
+        }
+        return chosen;
+    }
+
+    function sightingOf({ heardAt, record, suspectedAt }: Entry, at: Milliseconds): Sighting {
+        return {
+            record,
+            heardAgo: at - heardAt,
+            suspectedFor: suspectedAt === undefined ? undefined : at - suspectedAt,
+        };
+    }
+
+    function isAlive({ record, suspectedAt }: Entry, at: Milliseconds): boolean {
+        const isFailed = suspectedAt !== undefined && at - suspectedAt >= suspicionTime(others.size + 1);
+        return !isFailed && at - (regionHeardAt.get(record.region) ?? at) < failAfter;
+    }
+
+    function isDoubtful({ isAsked, record, suspectedAt }: Entry, at: Milliseconds): boolean {
+        return suspectedAt !== undefined && !isAsked && record.region === own.region
+            && at - suspectedAt >= suspicionTime(others.size + 1) * askAfterPart;
+    }
+
+    function recordsOf(accept: (entry: Entry) => boolean): MemberRecord[] {
+        return [...others.values()].filter(accept).map(entry => entry.record);
+    }
+}
--- a/packages/decisions/src/place/advertised-boxes.ts
+++ b/packages/decisions/src/place/advertised-boxes.ts
@@ -11,7 +11,7 @@
  */
 
 import type { BoxId, RegionId } from "@chalkdale/kernel";
-import { type MemberRecord, strongestFirst } from "../membership/membership.js";
+import { type MemberRecord, sortStrongestFirst } from "../membership/member-record.js";
 
 /**
  * A box with less than this part of the region's greatest capacity counts as weak. The grown sites have boxes of 0.27 and of
@@ -28,7 +28,7 @@
 
 /** Returns the advertised boxes of one region, the strongest first. `inService` may hold boxes of all regions. */
 export function advertisedBoxesOfRegion(inService: readonly MemberRecord[], region: RegionId): readonly MemberRecord[] {
-    const boxes = inService.filter(record => record.region === region).sort(strongestFirst);
+    const boxes = sortStrongestFirst(inService.filter(record => record.region === region));
     if (boxes.length === 0) {
         return boxes;
     }
--- a/packages/decisions/src/place/directory.ts
+++ b/packages/decisions/src/place/directory.ts
@@ -6,7 +6,7 @@
  */
 
 import type { AvailabilityZoneId, RegionId } from "@chalkdale/kernel";
-import type { MemberRecord } from "../membership/membership.js";
+import type { MemberRecord } from "../membership/member-record.js";
 import { advertisedBoxes, advertisedBoxesOfRegion } from "./advertised-boxes.js";
 
 /** Where a caller is. */
--- a/packages/decisions/src/shared-state/relay-role.ts
+++ b/packages/decisions/src/shared-state/relay-role.ts
@@ -14,7 +14,8 @@
  */
 
 import { type BoxId, type Milliseconds, milliseconds, type RegionId } from "@chalkdale/kernel";
-import { type MemberRecord, strongestFirst } from "../membership/membership.js";
+import { type MemberRecord, sortStrongestFirst } from "../membership/member-record.js";
+import { gossipInterval } from "../membership/membership-times.js";
 
 /**
  * Regions with fewer boxes have no relay: each box follows the store. On the sites of nine
@@ -33,6 +34,14 @@
 /** Ranks that wait longer than the one before; all later boxes wait as long as this one. Not measured. */
 const highestRank = 3;
 
+/** Part of the bound on changes between two messages in which a relay tells its region how old its copies are. Not measured. */
+const digestPart = 0.15;
+
+/** Returns the rounds of gossip between two such messages: 2 for a bound of 4 s. */
+export function digestRounds(changeBound: Milliseconds): number {
+    return Math.max(1, Math.round(changeBound * digestPart / gossipInterval));
+}
+
 /** The part of one box in following the store. */
 export interface RelayRole {
     /** True if the region has a relay, this box or another. */
@@ -70,7 +79,7 @@
     }
 
     function followAfterAge(): Milliseconds {
-        const ranked = boxesOfRegion().sort(strongestFirst);
+        const ranked = sortStrongestFirst(boxesOfRegion());
         const rank = ranked.findIndex(record => record.box === options.self);
         if (ranked.length < leastRelayedBoxes || rank <= 0) {
             return milliseconds(0);
