Choose by kept rankings: a request looks at a few servers, not at all of its service

Change: the first twelve servers of each sticky key's ranking are kept while the list stays as it is; two of them that may take the request are compared; the whole service is looked at only if they don't suffice. Outliers are worked out only when a compared server is suspicious. The same servers are chosen as before. outliers.ts is a module of its own. Tests: server-choice, 'goes by the list as it is now' (additions, slots, three quarters draining) against a fresh choice.

--- a/packages/decisions/src/choose/compared-servers.ts
+++ b/packages/decisions/src/choose/compared-servers.ts
@@ -1,5 +1,5 @@
 /**
- * Which servers are compared for a request: the first two of its key's ranking
+ * Which servers are compared for a request: the first ones of its key's ranking
  * by weighted rendezvous hashing, near servers with a greater weight. So a key
  * stays with its servers from all boxes of a region alike, and few keys move
  * when the list changes.
@@ -26,14 +26,13 @@
 
 /**
  * Servers of the ranking that are compared by expected time. A third one makes all three forget keys under overload, since
- * servers remember few: worth 0.624 with three, 0.682 with two on the emulator's hard day (docs/MEASUREMENTS.md), 0.455 and
- * 0.516 on kodeyard-ng scale-1 (de0d7e9b, 87cfbcda).
+ * servers remember few: worth 0.624 with three, 0.682 with two on the emulator's hard day.
  */
-const comparedCount = 2;
+export const comparedCount = 2;
 /**
- * Weight of a slot in the box's own region against one in another. 1, 2 and 8 were tried in the emulator and were no better
- * (commits dd5bcf7, b70bbfd); a weight by the region's part of the slots kept 0.95 of the keys where there is room, and made
- * that region's servers too busy at the wave's top (tsereteli scale-2 0.754, 0.767 with 4; kodeyard scale-1 0.572, 0.598).
+ * Weight of a slot in the box's own region against one in another. 1, 2 and 8 were tried in the emulator and were no better;
+ * a weight by the region's part of the slots kept 0.95 of the keys where there is room, and made that region's servers too
+ * busy at the top of their load.
  */
 const regionWeight = 4;
 /**
@@ -44,21 +43,22 @@
 /** Weight of a slot in the box's own availability zone for downloads. Not measured against other weights. */
 const downloadZoneWeight = 4000;
 
-/** Returns the first servers of the key's ranking. */
-export function comparedServers(
+/** Returns the first `count` servers of the key's ranking, in its order. */
+export function firstOfRanking(
     servers: readonly BackendServer[],
     request: RankedRequest,
     place: BoxPlace,
+    count: number,
 ): readonly BackendServer[] {
     const best: { readonly server: BackendServer; readonly score: number; }[] = [];
     for (const server of servers) {
         const score = rendezvousScore(request.keyHash, server.idHash, weightOf(server, request.kind, place));
-        if (best.length === comparedCount && score <= best[comparedCount - 1].score) {
+        if (best.length === count && score <= best[count - 1].score) {
             continue;
         }
         const position = best.findIndex(entry => entry.score < score);
         best.splice(position < 0 ? best.length : position, 0, { server, score });
-        best.length = Math.min(best.length, comparedCount);
+        best.length = Math.min(best.length, count);
     }
     return best.map(entry => entry.server);
 }
--- a/packages/decisions/src/choose/server-choice.ts
+++ b/packages/decisions/src/choose/server-choice.ts
@@ -6,7 +6,7 @@
  *    these regions.
  * 2. Of these, servers that may take a request now, without the outliers: those
  *    that do twice as badly as the median of the service, half of it at most.
- * 3. The first two of the ranking of the request's key (`compared-servers`).
+ * 3. The first two of the ranking of the request's key (`compared-servers`, `key-rankings`).
  * 4. Of the two, the one with the least expected time: way there and back, wait,
  *    and work, which is less at a server that knows the key.
  * 5. If its wait for a free slot would cost the route's goal, the request is
@@ -27,7 +27,9 @@
 } from "@chalkdale/kernel";
 import type { BackendServer, ServerCatalog } from "../servers/server-catalog.js";
 import type { Route } from "../shared-state/configuration.js";
-import { comparedServers } from "./compared-servers.js";
+import { comparedCount, firstOfRanking } from "./compared-servers.js";
+import { createKeyRankings } from "./key-rankings.js";
+import { findOutliers, isSuspicious } from "./outliers.js";
 import type { RecentKeys } from "./recent-keys.js";
 import type { WorkEstimate } from "./work-estimate.js";
 
@@ -100,13 +102,6 @@
     readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
 }
 
-/**
- * Part of the servers that may take work which is left out as outliers at most, the worst first, so that no service is emptied
- * when most of it fails. Not measured.
- */
-const mostPartOutliers = 0.5;
-/** Times the median of the service that an outlier's severity is at least: what all servers do alike moves no key. */
-const outlierAgainstMedian = 2;
 /**
  * What it costs later requests that a key leaves its first server, as milliseconds of expected time. 0 and 250 were worse
  * or alike on the emulator's days (docs/MEASUREMENTS.md).
@@ -144,13 +139,17 @@
 
 /** Returns the function that chooses. */
 export function createServerChoice(options: ServerChoiceOptions): (request: ChoiceRequest) => Choice {
+    const rankings = createKeyRankings(options.catalog, options);
+
     return function choose(request) {
-        const candidates = options.catalog.ofService(request.service).filter(server => isCandidate(server, request));
-        const eligible = candidates.filter(server => server.state.exclusion(request.at) === undefined);
-        if (eligible.length === 0) {
+        const compared = comparedServers(request);
+        if (compared.length === 0) {
+            const candidates = options.catalog.ofService(request.service).filter(server =>
+                isCandidate(server, request)
+            );
             return chooseLastResort(candidates, request) ?? noChoice(candidates, request);
         }
-        const best = fastest(rank(withoutOutliers(eligible, request), request), request);
+        const best = fastest(compared, request);
         if (best.least > request.timeLeft) {
             return { kind: "tooLate", expected: best.expected };
         }
@@ -176,27 +175,45 @@
             && (homes.length === 0 || homes.includes(region));
     }
 
-    /** Leaves out the worst servers, as long as they stand out from the rest of the service. */
-    function withoutOutliers(eligible: readonly BackendServer[], request: ChoiceRequest): readonly BackendServer[] {
-        const worstFirst = eligible
-            .map(server => ({ server, severity: options.severity(server, request.at) }))
-            .sort((a, b) => b.severity - a.severity);
-        const median = worstFirst[Math.floor(worstFirst.length / 2)].severity;
-        const threshold = Math.max(1, median * outlierAgainstMedian);
-        const leftOut = new Set(
-            worstFirst
-                .slice(0, Math.floor(eligible.length * mostPartOutliers))
-                .filter(({ severity }) => severity > threshold)
-                .map(({ server }) => server),
-        );
-        return leftOut.size === 0 ? eligible : eligible.filter(server => !leftOut.has(server));
+    function isEligible(server: BackendServer, request: ChoiceRequest): boolean {
+        return isCandidate(server, request) && server.state.exclusion(request.at) === undefined;
+    }
+
+    /** The first servers of the key's ranking that may take the request and are no outliers. */
+    function comparedServers(request: ChoiceRequest): readonly BackendServer[] {
+        const { keyHash, route, service } = request;
+        const all = options.catalog.ofService(service);
+        const ranked = route.sticky
+            ? rankings.first(service, { keyHash, kind: route.kind })
+            : firstOfRanking(all, { keyHash, kind: route.kind }, options, comparedCount);
+        let outliers: ReadonlySet<BackendServer> | undefined;
+        const isOutlier = (server: BackendServer) => {
+            if (!isSuspicious(options.severity(server, request.at))) {
+                return false;
+            }
+            outliers ??= findOutliers(
+                all.filter(other => isEligible(other, request)),
+                other => options.severity(other, request.at),
+            );
+            return outliers.has(server);
+        };
+        const compared = ranked
+            .filter(server => isEligible(server, request) && !isOutlier(server))
+            .slice(0, comparedCount);
+        if (compared.length === comparedCount || ranked.length === all.length) {
+            return compared;
+        }
+        const usable = all.filter(server => isEligible(server, request) && !isOutlier(server));
+        return firstOfRanking(usable, { keyHash, kind: route.kind }, options, comparedCount);
     }
 
     /** When no server is eligible, an ejected one that is idle gets a trial, so that no service stays empty. */
     function chooseLastResort(candidates: readonly BackendServer[], request: ChoiceRequest): Choice | undefined {
         const ejected = candidates.filter(server => server.state.exclusion(request.at) === "ejected");
         const idle = ejected.filter(server => server.state.inFlight() === 0);
-        return idle.length === 0 ? undefined : fastest(rank(idle, request), request);
+        const { keyHash, route } = request;
+        const ranked = firstOfRanking(idle, { keyHash, kind: route.kind }, options, comparedCount);
+        return ranked.length === 0 ? undefined : fastest(ranked, request);
     }
 
     function noChoice(candidates: readonly BackendServer[], request: ChoiceRequest): Choice {
@@ -204,10 +221,6 @@
         return { kind: isAnyCold ? "allCold" : "noServer" };
     }
 
-    function rank(servers: readonly BackendServer[], { keyHash, route }: ChoiceRequest): readonly BackendServer[] {
-        return comparedServers(servers, { keyHash, kind: route.kind }, options);
-    }
-
     function fastest(ranked: readonly BackendServer[], request: ChoiceRequest): ChosenServer {
         const { at, keyHash } = request;
         const knownBy = ranked.filter(server => options.recentKeys.has(server.id, keyHash, at));
--- a/packages/decisions/src/servers/outlier-detection.ts
+++ b/packages/decisions/src/servers/outlier-detection.ts
@@ -41,6 +41,9 @@
     };
 
     function currentShare(now: Milliseconds): number {
+        if (share === 0) {
+            return 0;
+        }
         return share * 0.5 ** ((now - shareAt) / halfLife);
     }
 }
--- a/packages/decisions/src/servers/server-catalog.ts
+++ b/packages/decisions/src/servers/server-catalog.ts
@@ -29,6 +29,8 @@
     readonly ofService: (service: ServiceId) => readonly BackendServer[];
     readonly get: (id: BackendServerId) => BackendServer | undefined;
     readonly all: () => Iterable<BackendServer>;
+    /** Rises whenever a server comes or goes, or what it can carry changes. */
+    readonly version: () => number;
     /** Forgets servers that were unlisted long ago and are idle. */
     readonly sweep: (at: Milliseconds) => readonly BackendServerId[];
 }
@@ -43,12 +45,14 @@
     const servers = new Map<BackendServerId, BackendServer>();
     const unlistedAt = new Map<BackendServerId, Milliseconds>();
     let byService = new Map<ServiceId, BackendServer[]>();
+    let version = 0;
 
     return {
         applyList,
         ofService: service => byService.get(service) ?? [],
         get: id => servers.get(id),
         all: () => servers.values(),
+        version: () => version,
         sweep(at) {
             const forgotten: BackendServerId[] = [];
             for (const [id, since] of unlistedAt) {
@@ -59,6 +63,7 @@
                 }
             }
             if (forgotten.length > 0) {
+                version += 1;
                 index();
             }
             return forgotten;
@@ -68,6 +73,7 @@
     function applyList(records: readonly BackendServerRecord[], at: Milliseconds): CatalogChange {
         const added: BackendServerRecord[] = [];
         const startedDraining: BackendServerId[] = [];
+        let isRankingChanged = false;
         const listed = new Set(records.map(record => record.id));
         for (const record of records) {
             const known = servers.get(record.id);
@@ -80,6 +86,7 @@
             if (record.draining && !known.state.record().draining) {
                 startedDraining.push(record.id);
             }
+            isRankingChanged ||= isRankedAnew(record, known.state.record());
             known.state.applyRecord(record, at);
             unlistedAt.delete(record.id);
         }
@@ -88,10 +95,18 @@
             unlistedAt.set(id, at);
             servers.get(id)?.state.onUnlisted();
         }
+        if (added.length > 0 || isRankingChanged) {
+            version += 1;
+        }
         index();
         return { added, removed, startedDraining };
     }
 
+    /** True if keys may have another order of servers with the newer record. */
+    function isRankedAnew(next: BackendServerRecord, known: BackendServerRecord): boolean {
+        return next.slots !== known.slots || next.zone !== known.zone || next.service !== known.service;
+    }
+
     function index(): void {
         byService = new Map();
         for (const server of servers.values()) {
--- a/packages/decisions/src/servers/server-speed.ts
+++ b/packages/decisions/src/servers/server-speed.ts
@@ -48,6 +48,9 @@
     };
 
     function slowness(now: Milliseconds): number {
+        if (measured === 1) {
+            return 1;
+        }
         return 1 + (measured - 1) * 0.5 ** ((now - measuredAt) / halfLife);
     }
 }
--- a/packages/decisions/test/server-choice.test.ts
+++ b/packages/decisions/test/server-choice.test.ts
@@ -92,6 +92,12 @@
     return { catalog, choose, chosen, request, work };
 }
 
+/** Many servers in two regions and six zones. */
+const manyServers = Array.from({ length: 120 }, (_, index) =>
+    createRecord(`many-${index}`, {
+        zone: availabilityZoneId(`zone-${index % 6}`),
+        region: regionId(index % 3 === 0 ? "north" : "south"),
+    }));
 const fourServers = ["s-1", "s-2", "s-3", "s-4"].map(name => createRecord(name));
 
 describe("server choice", () => {
@@ -102,6 +108,28 @@
             expect(Array.from({ length: 20 }, () => chosen())).to.deep.equal(Array(20).fill(first));
         });
 
+        it("goes by the list as it is now, whatever it was when the key was asked for before", () => {
+            const { catalog, chosen } = createSetup(manyServers.slice(0, 90));
+            const keys = Array.from({ length: 60 }, (_, key) => hashText(`key-${key}`));
+            const choices = () => keys.map(keyHash => chosen({ keyHash }));
+            choices();
+            catalog.applyList(manyServers, at);
+            expect(choices(), "after an addition").to.deep.equal(
+                keys.map(keyHash => createSetup(manyServers).chosen({ keyHash })),
+            );
+            const larger = manyServers.map(record => ({ ...record, slots: Number(record.id.slice(5)) % 7 + 1 }));
+            catalog.applyList(larger, at);
+            expect(choices(), "after a change of slots").to.deep.equal(
+                keys.map(keyHash => createSetup(larger).chosen({ keyHash })),
+            );
+            const draining = larger.map(record => ({ ...record, draining: Number(record.id.slice(5)) % 4 > 0 }));
+            catalog.applyList(draining, at);
+            const left = draining.filter(record => !record.draining);
+            expect(choices(), "after most began to drain").to.deep.equal(
+                keys.map(keyHash => createSetup(left).chosen({ keyHash })),
+            );
+        });
+
         it("moves few keys when a server goes, and none between those that stay [P1]", () => {
             const before = createSetup(fourServers);
             const after = createSetup(fourServers.slice(1));
