Few calls of the store at a start and in an outage, whatever the number of boxes

Cause: at a start each of 195 boxes made nine priced calls (two writes or one, a list of boxes, three or four lists, three watches, since it knew nobody yet and took itself for the relay). In an outage all boxes from the fifth rank of a region on waited equally long and then called in step, with three kinds each. Change: the first lists may be some seconds old, for a tenth of the price; a watch that comes back at once, or other boxes, bring what came since. A box watches only after 0.3 of the bound on changes, when it knows who else runs. Its record is written only if no earlier life wrote it; boxes that follow the store read the newest records once and greet unknown ones. Stand-ins begin one by one, 0.06 of the bound apart, without an end; while the store does not answer, one kind asks for all.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -20,7 +20,7 @@
     type ServerCatalog,
     type SharedLimits,
 } from "@chalkdale/decisions";
-import { boxId, type Clock, type ServiceId } from "@chalkdale/kernel";
+import { boxId, type Clock, milliseconds, type ServiceId } from "@chalkdale/kernel";
 import { createBudgetedLog, every, type Log } from "@chalkdale/runtime";
 import { setMaxListeners } from "node:events";
 import type { CallerProtocol } from "./callers/caller-protocol.js";
@@ -149,6 +149,14 @@
         metricsText: () => [metrics.text(readGauges()).trimEnd(), ...traffic.metricLines(), ""].join("\n"),
     });
 
+    const startedAt = clock();
+    const relayRole = createRelayRole({
+        self: settings.box,
+        region,
+        alive: () => membership.alive(clock()),
+        changeBound: bounds.changeInForce,
+        uptime: () => milliseconds(clock() - startedAt),
+    });
     const peerReads = createPeerReads({ countTraffic, signal });
     const replicator = startReplicator({
         clock,
@@ -157,12 +165,7 @@
         region,
         state,
         store,
-        relayRole: createRelayRole({
-            self: settings.box,
-            region,
-            alive: () => membership.alive(clock()),
-            changeBound: bounds.changeInForce,
-        }),
+        relayRole,
         readState: peerReads.readState,
         publish: update => peerLink.publish(update),
         signal,
@@ -214,6 +217,7 @@
         self: settings.box,
         membership,
         random,
+        relayRole,
         store,
         sendGossip: peerLink.sendGossip,
         signal,
--- a/packages/box/src/join.ts
+++ b/packages/box/src/join.ts
@@ -1,14 +1,15 @@
 /**
- * How a box that starts makes itself known: it records itself in the store, then
- * reads all records and greets some of these boxes, who tell the others. Of two
- * that start at once, the one that reads later sees the other. As long as nobody
- * has answered, more are greeted.
+ * How a box that starts makes itself known: it reads the records of all boxes,
+ * which may be old, and greets some of these, who tell the others; unless its own
+ * record is among them, it writes it. A box that then follows the store, one of a
+ * large region, reads the newest records and greets those that it has not heard
+ * of: so boxes that started at once and know only each other are found.
  *
- * Each call is tried by itself until it succeeds: with both to succeed in a row,
+ * Each call is tried by itself until it succeeds: with two to succeed in a row,
  * boxes had not met after 20 s while the store turned two of three calls away.
  */
 
-import { gossipInterval, type MemberRecord, type Membership } from "@chalkdale/decisions";
+import { gossipInterval, type MemberRecord, type Membership, type RelayRole } from "@chalkdale/decisions";
 import type { BoxId, Clock } from "@chalkdale/kernel";
 import { type Log, sleep } from "@chalkdale/runtime";
 import type { StateStore } from "./state/state-store.js";
@@ -18,6 +19,7 @@
     readonly log: Log;
     readonly self: BoxId;
     readonly membership: Membership;
+    readonly relayRole: RelayRole;
     readonly store: StateStore;
     /** Gives numbers from 0 to 1. */
     readonly random: () => number;
@@ -28,6 +30,8 @@
 
 /** Milliseconds until a failed call is made again; a box need not be known before it is ready. Not measured. */
 const retryPause = 1000;
+/** Milliseconds between two looks whether this box follows the store now. Not measured. */
+const roleCheckInterval = 1000;
 /**
  * Boxes of the own region that are greeted at once; and of others. Some may be gone: the store keeps their records. With
  * all of them, 195 boxes that start together send 38,000 greetings and get as many answers (computed). Not measured against others.
@@ -38,9 +42,32 @@
 
 /** Joins the other boxes. Resolves once that is done or the signal aborts. */
 export async function joinMembers(options: JoinOptions): Promise<void> {
-    const { membership, signal, store } = options;
-    await untilDone(options, () => store.announce(membership.own(), signal));
-    await untilDone(options, async () => greetRecorded(options, await store.listBoxes(signal)));
+    const { membership, relayRole, signal, store } = options;
+    let isRecorded = false;
+    await untilDone(options, async () => {
+        const recorded = await store.listBoxes("mayBeOld", signal);
+        isRecorded = recorded.some(record => isSameBox(record, membership.own()));
+        void greetRecorded(options, recorded);
+    });
+    if (!isRecorded) {
+        await untilDone(options, () => store.announce(membership.own(), signal));
+    }
+    await sleep(relayRole.settleTime, signal);
+    while (!signal.aborted && !relayRole.alwaysFollows()) {
+        await sleep(roleCheckInterval, signal);
+    }
+    await untilDone(options, async () => greetUnknown(options, await store.listBoxes("newest", signal)));
+}
+
+/** True for the record of an earlier life, which tells others all they need: where the box is. */
+function isSameBox(recorded: MemberRecord, own: MemberRecord): boolean {
+    return recorded.box === own.box && recorded.peerAddress === own.peerAddress && recorded.region === own.region;
+}
+
+function greetUnknown({ membership, self, sendGossip }: JoinOptions, recorded: readonly MemberRecord[]): void {
+    recorded
+        .filter(record => record.box !== self && membership.find(record.box) === undefined)
+        .forEach(sendGossip);
 }
 
 /** Greets some boxes of the list, and more after a while if none of them answers. */
--- a/packages/box/src/state/state-store.ts
+++ b/packages/box/src/state/state-store.ts
@@ -13,9 +13,16 @@
     /** The store no longer knows the changes after the revision: the whole list must be read. */
     | { readonly kind: "historyLost"; };
 
+/** Whether a list may be some seconds old, which the store gives for a tenth of the price and outside its rate. */
+export type ListAge = "newest" | "mayBeOld";
+
 /** Reads and watches of the store. Every call rejects with a `StoreError` when it fails. */
 export interface StateStore {
-    readonly list: <Kind extends SharedKind>(kind: Kind, signal: AbortSignal) => Promise<Snapshot<SharedItems[Kind]>>;
+    readonly list: <Kind extends SharedKind>(
+        kind: Kind,
+        age: ListAge,
+        signal: AbortSignal,
+    ) => Promise<Snapshot<SharedItems[Kind]>>;
     /** Resolves as soon as there is a change after `since`, or when nothing changed for `wait` or the store's own time. */
     readonly watch: <Kind extends SharedKind>(
         kind: Kind,
@@ -25,7 +32,7 @@
     ) => Promise<WatchOutcome<SharedItems[Kind]>>;
     /** Records this box, in place of its record of an earlier life. */
     readonly announce: (record: MemberRecord, signal: AbortSignal) => Promise<void>;
-    readonly listBoxes: (signal: AbortSignal) => Promise<readonly MemberRecord[]>;
+    readonly listBoxes: (age: ListAge, signal: AbortSignal) => Promise<readonly MemberRecord[]>;
 }
 
 /** Why a call of the store failed. */
--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -1,6 +1,8 @@
 /**
- * Follows the store, kind by kind, while that is this box's part: reads the
- * list once, then waits for one batch of changes after the other.
+ * Follows the store, kind by kind, while that is this box's part: reads a list
+ * that may be old at the start, then waits for one batch of changes after the
+ * other. While the store does not answer, only the kind that found out goes on
+ * to call it.
  *
  * Owns the calls of the store and whether it answers; relies on the relay role
  * for when to call, and on the copies to refuse what is older.
@@ -15,13 +17,18 @@
     sharedKinds,
     spreadBackoff,
 } from "@chalkdale/decisions";
-import type { Clock, Milliseconds } from "@chalkdale/kernel";
+import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { type Log, sleep } from "@chalkdale/runtime";
 import type { CopyStatus } from "./copy-status.js";
 import type { SharedState } from "./shared-state.js";
 import type { StateUpdate } from "./state-messages.js";
 import { type StateStore, StoreError } from "./state-store.js";
 
+/** Wait in milliseconds of the first watch after a list that may be old: it comes back at once with what has changed since. */
+const noWait = milliseconds(1);
+/** Milliseconds between two looks whether the store answers another kind's calls again. Not measured. */
+const lostPollInterval = milliseconds(150);
+
 export interface StoreFollowerOptions {
     readonly clock: Clock;
     readonly random: () => number;
@@ -46,6 +53,9 @@
 export function startStoreFollower(options: StoreFollowerOptions): StoreFollower {
     const { clock, log, relayRole, signal, state, statuses, store } = options;
     let storeLostAt: Milliseconds | undefined;
+    let lostBy: SharedKind | undefined;
+    /** Kinds whose copy a watch has confirmed since the list that may have been old. */
+    const isConfirmed = new Set<SharedKind>();
 
     for (const kind of sharedKinds) {
         void follow(kind);
@@ -65,6 +75,10 @@
                 await sleep(notDueFor, signal);
                 continue;
             }
+            if (storeLostAt !== undefined && lostBy !== kind && state.replica(kind).revision() !== undefined) {
+                await sleep(lostPollInterval, signal);
+                continue;
+            }
             try {
                 isListNeeded = isListNeeded ? await readList(kind) : !await watchOnce(kind);
                 onStoreAnswered();
@@ -81,11 +95,18 @@
         }
     }
 
-    /** Reads the whole list; false, as no other is needed after it. */
+    /** Reads the whole list; false, as no other is needed after it. The first one may be old: changes since come by a watch, or from others. */
     async function readList(kind: SharedKind): Promise<boolean> {
         const askedAt = clock();
-        state.replica(kind).applySnapshot(await store.list(kind, signal));
-        statuses[kind].confirmedAt = askedAt;
+        const isFirst = state.replica(kind).revision() === undefined;
+        state.replica(kind).applySnapshot(await store.list(kind, isFirst ? "mayBeOld" : "newest", signal));
+        if (!isFirst) {
+            statuses[kind].confirmedAt = askedAt;
+            return false;
+        }
+        const dueAt = askedAt + relayRole.settleTime;
+        statuses[kind].confirmedAt = Math.max(statuses[kind].confirmedAt, dueAt - relayRole.followAfterAge());
+        isConfirmed.delete(kind);
         return false;
     }
 
@@ -118,7 +139,9 @@
         watchSignal: AbortSignal,
     ): Promise<boolean> {
         const replica = state.replica(kind);
-        const outcome = await store.watch(kind, since, watchSignal, relayRole.watchWait());
+        const wait = isConfirmed.has(kind) ? relayRole.watchWait() : noWait;
+        const outcome = await store.watch(kind, since, watchSignal, wait);
+        isConfirmed.add(kind);
         if (outcome.kind === "historyLost") {
             log.info("store.historyLost", { kind, since });
             return false;
@@ -149,6 +172,7 @@
     function onStoreFailed(kind: SharedKind, error: unknown): void {
         if (storeLostAt === undefined) {
             storeLostAt = clock();
+            lostBy = kind;
             const failure = error instanceof StoreError ? error.failure : "unreachable";
             log.warn("store.lost", { kind, failure, reason: String(error) });
         }
--- a/packages/box/test/replicator.test.ts
+++ b/packages/box/test/replicator.test.ts
@@ -13,12 +13,14 @@
     isRelayed: () => true,
     alwaysFollows: () => false,
     followAfterAge: () => milliseconds(60_000),
+    settleTime: milliseconds(0),
     watchWait: () => milliseconds(900),
 };
 const unrelayed: RelayRole = {
     isRelayed: () => false,
     alwaysFollows: () => true,
     followAfterAge: () => milliseconds(0),
+    settleTime: milliseconds(0),
     watchWait: () => undefined,
 };
 
--- a/packages/decisions/src/shared-state/relay-role.ts
+++ b/packages/decisions/src/shared-state/relay-role.ts
@@ -7,8 +7,8 @@
  * has an age: the time since the store confirmed, to this box or through
  * another, that the copy was complete. A box whose copy grows too old follows
  * the store itself, those that rank next after the relay first. So a lost,
- * frozen or cut off relay costs some time and a few calls, and no box depends on
- * another for longer than the bound on changes allows.
+ * frozen or cut off relay costs some time and a few calls. The next boxes ask
+ * within the bound on changes; later ones wait longer, as they hear from these.
  *
  * Owns no state; relies on the members that all boxes know.
  */
@@ -29,10 +29,16 @@
 const watchPart = 0.3;
 /** Part of the bound on changes: age of a copy from which the next box follows the store. Measured with the relay as a whole (a5abbaf2). */
 const patiencePart = 0.55;
-/** Added to that age for each rank after the relay, up to the highest rank that waits; so not all call at once. */
+/**
+ * Added to that age for each rank after the relay. While the store is out for all, the boxes of a region begin to call one by
+ * one, so that few call in an outage of some seconds whatever the size of the region.
+ */
 const rankPart = 0.06;
-/** Ranks that wait longer than the one before; all later boxes wait as long as this one. Not measured. */
-const highestRank = 3;
+/**
+ * Part of the bound on changes for which a box that has started learns who else runs, before it takes itself for a relay. Its
+ * first copy is that young at least. Without it each of 195 boxes made three watches at its start.
+ */
+const settlePart = 0.3;
 
 /** Part of the bound on changes between two messages in which a relay tells its region how old its copies are. Not measured. */
 const digestPart = 0.15;
@@ -50,6 +56,8 @@
     readonly alwaysFollows: () => boolean;
     /** Age of a copy from which this box follows the store itself; 0 for a box that always does. */
     readonly followAfterAge: () => Milliseconds;
+    /** Time after the start in which the box does not follow the store yet. */
+    readonly settleTime: Milliseconds;
     /** How long a watch may wait without a change, or undefined if nobody depends on this box. */
     readonly watchWait: () => Milliseconds | undefined;
 }
@@ -61,16 +69,20 @@
     readonly alive: () => readonly MemberRecord[];
     /** Time in which a change must be in force. */
     readonly changeBound: Milliseconds;
+    /** Time since this box started. */
+    readonly uptime: () => Milliseconds;
 }
 
 /** Creates the role of one box. The strongest box of a region is its relay. */
 export function createRelayRole(options: RelayRoleOptions): RelayRole {
     const { changeBound } = options;
+    const settleTime = milliseconds(changeBound * settlePart);
 
     return {
         isRelayed,
         alwaysFollows: () => followAfterAge() === 0,
         followAfterAge,
+        settleTime,
         watchWait: () => isRelayed() ? milliseconds(changeBound * watchPart) : undefined,
     };
 
@@ -82,9 +94,9 @@
         const ranked = sortStrongestFirst(boxesOfRegion());
         const rank = ranked.findIndex(record => record.box === options.self);
         if (ranked.length < leastRelayedBoxes || rank <= 0) {
-            return milliseconds(0);
+            return options.uptime() < settleTime ? settleTime : milliseconds(0);
         }
-        return milliseconds(changeBound * (patiencePart + rankPart * Math.min(rank, highestRank)));
+        return milliseconds(changeBound * (patiencePart + rankPart * rank));
     }
 
     function boxesOfRegion(): MemberRecord[] {
--- a/packages/testing/src/standins/deployment.ts
+++ b/packages/testing/src/standins/deployment.ts
@@ -44,6 +44,8 @@
     readonly host?: string;
     /** Port of the box's figures on its host; none are told without it. */
     readonly metricsPort?: number;
+    /** A stopped box whose name and addresses the new one takes over. */
+    readonly sameAs?: TestBox;
 }
 
 /** Host that all rules of the tests are for. */
@@ -75,7 +77,7 @@
             store.put("config", "main", configurationObject(version, testHost, rules));
         },
         startBox(options = {}) {
-            const box = createBox(`box-${boxes.length + 1}`, options);
+            const box = createBox(options.sameAs?.name ?? `box-${boxes.length + 1}`, options);
             boxes.push(box);
             return box;
         },
@@ -92,7 +94,9 @@
 
     function createBox(name: string, options: BoxOptions): TestBox {
         const { host = "127.0.0.1", metricsPort, seeds = [], zone = "north-a" } = options;
-        const [callers, directory, readiness, peers] = [0, 1, 2, 3].map(() => `${host}:${nextPort++}`);
+        const [callers, directory, readiness, peers] = options.sameAs === undefined
+            ? [0, 1, 2, 3].map(() => `${host}:${nextPort++}`)
+            : [options.sameAs.callers, options.sameAs.directory, options.sameAs.readiness, options.sameAs.peers];
         const settings = readSettings(settingsText({ name, zone, callers, directory, readiness, peers, seeds }));
         if (settings.err) {
             throw new Error(settings.val.join("; "));
--- a/packages/testing/src/standins/metadata-store-server.ts
+++ b/packages/testing/src/standins/metadata-store-server.ts
@@ -108,7 +108,10 @@
     ): StoreAnswer {
         switch (method) {
             case "GET":
-                return store.list(kind, { after: url.searchParams.get("after") ?? undefined });
+                return store.list(kind, {
+                    after: url.searchParams.get("after") ?? undefined,
+                    stale: url.searchParams.get("stale") === "1",
+                });
             case "POST":
                 return store.create(kind, readWrite(body, undefined));
             case "PUT":
--- a/packages/testing/src/standins/metadata-store.ts
+++ b/packages/testing/src/standins/metadata-store.ts
@@ -39,6 +39,8 @@
 interface ListRequest {
     /** The page begins after this name. */
     readonly after?: string;
+    /** The answer may be as old as the last `holdBack`. */
+    readonly stale?: boolean;
 }
 
 /** The store without its HTTP. */
@@ -56,6 +58,8 @@
     /** Sets or removes an object as the operator or a server does, past all conditions and rates. */
     readonly put: (kind: string, name: string, spec: unknown) => void;
     readonly delete: (kind: string, name: string) => void;
+    /** From now on stale lists answer as of this moment. */
+    readonly holdBack: () => void;
     /** Forgets the history: watches from earlier revisions get 410. */
     readonly compact: () => void;
     /** Ends the waiting watches without an answer. */
@@ -93,6 +97,9 @@
     let history: HistoryEntry[] = [];
     let latest = 0;
     let forgottenUpTo = 0;
+    let heldBack:
+        | { readonly at: number; readonly kinds: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>; }
+        | undefined;
 
     return {
         list,
@@ -118,6 +125,9 @@
                 drop(kind, known);
             }
         },
+        holdBack() {
+            heldBack = { at: latest, kinds: new Map([...kinds].map(([kind, objects]) => [kind, new Map(objects)])) };
+        },
         compact() {
             history = [];
             forgottenUpTo = latest;
@@ -138,11 +148,13 @@
     }
 
     function list(kind: string, request: ListRequest = {}): StoreAnswer {
-        const objects = objectsOf(kind);
+        const isOld = request.stale === true && heldBack !== undefined;
+        const objects = isOld ? heldBack!.kinds.get(kind) ?? new Map<string, StoredObject>() : objectsOf(kind);
         const names = [...objects.keys()].sort().filter(name => request.after === undefined || name > request.after);
         const page = names.slice(0, options.pageSize ?? defaultPageSize);
         const items = page.map(name => objects.get(name)!);
-        return { status: 200, body: { items, more: page.length < names.length, at: latest } };
+        const at = isOld ? heldBack!.at : latest;
+        return { status: 200, body: { items, more: page.length < names.length, at } };
     }
 
     function store(kind: string, { name, spec }: ObjectWrite, known: StoredObject | undefined): StoreAnswer {
--- a/packages/testing/test/box-state.test.ts
+++ b/packages/testing/test/box-state.test.ts
@@ -174,6 +174,32 @@
         });
     });
 
+    for (const [name, forget] of [["still knows", false], ["has forgotten", true]] as const) {
+        it(`start from lists that are old, and catch up at once, when the store ${name} what came since [P8]`, async () => {
+            deployment.store.holdBack();
+            await deployment.addServer({ id: "i-2" });
+            deployment.configure(3, [{ ...rules[0], path: "/next/" }]);
+            if (forget) {
+                deployment.store.compact();
+            }
+            const box = deployment.startBox();
+            await eventually(async () => (await ask(box, "/lookup/")).status === 200, "the old version serves");
+            await eventually(async () => (await ask(box, "/next/")).status === 200, "the newest version is in force");
+            await eventually(() => box.logged.some(line => line.includes("added=i-2")), "the new server is known");
+        });
+    }
+
+    it("that start again write nothing where their record stands", async () => {
+        const [box] = [deployment.startBox(), deployment.startBox()];
+        await ready(box);
+        await eventually(() => (deployment.storeServer.calls().POST ?? 0) === 2, "both are recorded");
+        await box.running.stop();
+        const again = deployment.startBox({ sameAs: box });
+        await eventually(async () => (await lookUp(again.directory, place)).addresses.length === 2, "it is back");
+        expect(deployment.storeServer.calls().POST).to.equal(2);
+        expect(deployment.storeServer.calls().PUT ?? 0).to.equal(0);
+    });
+
     it("start from another box's copies while the store is down [P17]", async () => {
         const old = deployment.startBox();
         await ready(old);
