--- a/packages/box/src/peers/peer-link.ts
+++ b/packages/box/src/peers/peer-link.ts
@@ -68,7 +68,7 @@
 }
 
 /** Where a datagram goes; the place of a seed is not known, and the few datagrams to seeds are not counted. */
-export type PeerTarget = Pick<MemberRecord, "peerAddress"> & Partial<TrafficPlace>;
+type PeerTarget = Pick<MemberRecord, "peerAddress"> & Partial<TrafficPlace>;
 
 /** The link of one box to the others. */
 export interface PeerLink {
