Split the choice of a server: its types, who is eligible, the estimate, the longest wait

Cause: server-choice.ts held seven options and estimates, outliers, waits and last resort in one closure of 290 lines.

--- /dev/null
+++ b/packages/decisions/src/choose/eligible-servers.ts
@@ -0,0 +1,79 @@
+/**
+ * Which servers may take a request, in the order of its key's ranking: not tried
+ * yet, in a zone that admits requests, in a home of the route, not excluded, and
+ * no outliers.
+ *
+ * Owns the kept rankings of keys; relies on the catalog and on how badly each
+ * server does.
+ */
+
+import type { AvailabilityZoneId, Milliseconds } from "@chalkdale/kernel";
+import type { BackendServer, ServerCatalog } from "../servers/server-catalog.js";
+import type { ChoiceRequest } from "./choice.js";
+import { type BoxPlace, comparedCount, firstOfRanking } from "./compared-servers.js";
+import { createKeyRankings, rankedCount } from "./key-rankings.js";
+import { findOutliers, isSuspicious } from "./outliers.js";
+
+export interface EligibleServersOptions extends BoxPlace {
+    readonly catalog: ServerCatalog;
+    /** How badly a server does by what this box and others of the region saw; see `ServerState.severity`. */
+    readonly severity: (server: BackendServer, at: Milliseconds) => number;
+    /** False for an availability zone that is to get no requests. */
+    readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
+}
+
+/** Servers for requests. */
+export interface EligibleServers {
+    /** The first servers of the key's ranking that may take the request; a few more than are compared. */
+    readonly first: (request: ChoiceRequest) => readonly BackendServer[];
+    /** Servers that could have the request by what it is, whether they can take one now or not. */
+    readonly candidates: (request: ChoiceRequest) => readonly BackendServer[];
+}
+
+/** Creates the search for servers. */
+export function createEligibleServers(options: EligibleServersOptions): EligibleServers {
+    const { catalog } = options;
+    const rankings = createKeyRankings(catalog, options);
+
+    return {
+        first,
+        candidates: request => catalog.ofService(request.service).filter(server => isCandidate(server, request)),
+    };
+
+    function isCandidate(server: BackendServer, request: ChoiceRequest): boolean {
+        const { region, zone } = server.state.record();
+        const homes = request.route.homeRegions;
+        return !request.tried.has(server.id)
+            && options.admitsZone(zone)
+            && (homes.length === 0 || homes.includes(region));
+    }
+
+    function isEligible(server: BackendServer, request: ChoiceRequest): boolean {
+        return isCandidate(server, request) && server.state.exclusion(request.at) === undefined;
+    }
+
+    function first(request: ChoiceRequest): readonly BackendServer[] {
+        const { keyHash, route, service } = request;
+        const all = catalog.ofService(service);
+        const ranked = route.sticky
+            ? rankings.first(service, { keyHash, kind: route.kind })
+            : firstOfRanking(all, { keyHash, kind: route.kind }, options, rankedCount);
+        let outliers: ReadonlySet<BackendServer> | undefined;
+        const isOutlier = (server: BackendServer) => {
+            if (!isSuspicious(options.severity(server, request.at))) {
+                return false;
+            }
+            outliers ??= findOutliers(
+                all.filter(other => isEligible(other, request)),
+                other => options.severity(other, request.at),
+            );
+            return outliers.has(server);
+        };
+        const compared = ranked.filter(server => isEligible(server, request) && !isOutlier(server));
+        if (compared.length >= comparedCount || ranked.length === all.length) {
+            return compared;
+        }
+        const usable = all.filter(server => isEligible(server, request) && !isOutlier(server));
+        return firstOfRanking(usable, { keyHash, kind: route.kind }, options, rankedCount);
+    }
+}
