Tell of a new member in six messages a box, not in twenty

Cause: after a start of a whole fleet each of 195 boxes had 194 new members as news and told each in 20 messages: datagrams of 3 KB with 30 members for 40 rounds (emulated), though boxes that hear of unknown members read all of them from another one. Change: six messages for a new member; suspicions and their ends as before.

--- a/packages/decisions/src/membership/membership.ts
+++ b/packages/decisions/src/membership/membership.ts
@@ -75,6 +75,11 @@
 const longestWay = 100;
 /** Members told in turn in each message besides the news, so that lost news does not stay unknown. Not measured. */
 const toldInTurn = 4;
+/**
+ * Messages in which a box tells of a member that is new to it: fewer than of other news, since boxes that hear of unknown ones
+ * read all members from another box. Not measured against other numbers.
+ */
+const newMemberSends = 6;
 /** Messages that contradict a suspicion; whoever learns from one that it was suspected tells it on as news. */
 const contradictionSends = 3;
 /** Part of its capacity by which a box's load changes before it is news. Not measured. */
@@ -197,7 +202,7 @@
                 toldLoad: record.load,
             };
             others.set(record.box, added);
-            makeNews(added);
+            added.sendsLeft = newMemberSends;
             return;
         }
         if (record.incarnation === entry.record.incarnation) {
