--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -2,8 +2,9 @@
  * All commands of the command line.
  */
 
+import { boxes } from "./boxes.js";
+import { burn } from "./burn.js";
 import type { Command } from "./context.js";
-import { boxes, burn } from "./deployment.js";
 import { explain } from "./explain.js";
 import { settingsCheck, settingsShow } from "./settings-file.js";
 import { settingsApply, settingsDiff, settingsEdit, settingsHistory } from "./settings-stored.js";
--- a/packages/cli/src/context.ts
+++ b/packages/cli/src/context.ts
@@ -9,6 +9,7 @@
     readonly at?: string;
     readonly platform?: string;
     readonly json: boolean;
+    readonly all: boolean;
     readonly dryRun: boolean;
     readonly author?: string;
     readonly peer?: string;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -22,6 +22,7 @@
     --samples FILE     where samples of metrics are kept between runs
     --objective PART   part of the requests that must be served (0.999)
     --json             output for programs
+    --all              a line for each box, however many
     --dry-run          show what would be done, and do nothing
     --author NAME      who makes the edit (default: the user's name)
     --help, --version
@@ -39,6 +40,7 @@
             at: { type: "string" },
             platform: { type: "string" },
             json: { type: "boolean", default: false },
+            all: { type: "boolean", default: false },
             dryRun: { type: "boolean", default: false },
             author: { type: "string" },
             peer: { type: "string" },
