--- /dev/null
+++ b/packages/decisions/test/choice-setup.ts
@@ -0,0 +1,104 @@
+/**
+ * A choice of servers with its catalog, as tests of the choice need it.
+ */
+
+import { availabilityZoneId, backendServerId, boxId, milliseconds, regionId, serviceId } from "@chalkdale/kernel";
+import {
+    type BackendServerRecord,
+    type ChoiceRequest,
+    createRecentKeys,
+    createServerCatalog,
+    createServerChoice,
+    createServerState,
+    createSlowStart,
+    createWorkEstimate,
+    hashKey,
+    type Route,
+} from "../src/index.js";
+
+/** The service of all servers. */
+const service = serviceId("profiles");
+/** The time of all choices. */
+export const at = milliseconds(1000);
+
+/** Returns a sticky route of idempotent requests, with changes. */
+export function createRoute(changes: Partial<Route> = {}): Route {
+    return {
+        name: "lookup",
+        host: "example",
+        pathPrefix: "/a/",
+        kind: "safe",
+        destinations: [{ service, weight: 1 }],
+        goal: milliseconds(400),
+        timeout: milliseconds(1500),
+        maxAttempts: 2,
+        priority: 2,
+        sticky: true,
+        homeRegions: [],
+        ...changes,
+    };
+}
+
+/** Returns the record of a server in the north, with changes. */
+export function createRecord(name: string, changes: Partial<BackendServerRecord> = {}): BackendServerRecord {
+    return {
+        id: backendServerId(name),
+        service,
+        address: `192.0.2.${name.length}:80`,
+        zone: availabilityZoneId("north-a"),
+        region: regionId("north"),
+        slots: 4,
+        draining: false,
+        coldFor: milliseconds(0),
+        revision: 1,
+        ...changes,
+    };
+}
+
+/** Creates the choice of a box in the north. */
+export function createSetup(
+    records: readonly BackendServerRecord[],
+    closedZones: readonly string[] = [],
+    loadPerSlot = 0,
+) {
+    const catalog = createServerCatalog((record, now) =>
+        createServerState(record, now, {
+            recordDelay: milliseconds(0),
+            slowStart: createSlowStart({
+                self: boxId("box-1"),
+                server: record.id,
+                boxes: () => [boxId("box-1")],
+                rate: () => 10,
+            }),
+        })
+    );
+    catalog.applyList(records, at);
+    const recentKeys = createRecentKeys();
+    const work = createWorkEstimate();
+    const choose = createServerChoice({
+        region: regionId("north"),
+        zone: availabilityZoneId("north-a"),
+        catalog,
+        recentKeys,
+        work,
+        roundTrip: region => milliseconds(region === "north" ? 1 : 70),
+        loadPerSlot: () => loadPerSlot,
+        severity: (server, now) => server.state.severity(now),
+        admitsZone: zone => !closedZones.includes(zone),
+    });
+    const request = (changes: Partial<ChoiceRequest> = {}): ChoiceRequest => ({
+        route: createRoute(),
+        service,
+        keyHash: hashKey(service, "key-1"),
+        tried: new Set(),
+        timeLeft: milliseconds(1500),
+        isReturning: false,
+        at,
+        ...changes,
+    });
+    const chosen = (changes: Partial<ChoiceRequest> = {}) => {
+        const choice = choose(request(changes));
+        return choice.kind === "chosen" ? choice.server.id : choice.kind;
+    };
+    return { catalog, choose, chosen, request, work };
+}
