Customers: a request is let in by its key, and runs for the customer of that key

Change: the configuration says who may ask; the admission finds the customer by its key in one look-up; the key and what the caller wrote as customer are taken off; homes of route and customer both bind. A key that is not known is denied for good only by a copy that the store confirmed within the bound on changes; boxes tell each other that age, without the credit of a first list. Strict revocations admit no key by an older copy. In regions without a relay a watch of the configuration ends within 0.8 of the bound where callers have keys, so that the age is known. Ruled out: denying routes by the same age: deployments without keys have watches of 20 s, and their 404s would turn into 503s.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -132,6 +132,8 @@
         limits,
         evidence,
         phase: plannedStop.phase,
+        configurationAge: () => replicator.configurationAge(),
+        copyAgeBounds: { changeInForce: bounds.changeInForce, revocation: bounds.strictRevocation },
         countTraffic,
     });
 
--- a/packages/box/src/callers/caller-protocol.ts
+++ b/packages/box/src/callers/caller-protocol.ts
@@ -14,6 +14,10 @@
     /** Milliseconds that the sender will wait. */
     readonly deadline: string;
     readonly affinityKey: string;
+    /** The caller's key. Never passed on to a server. */
+    readonly customerKey: string;
+    /** Name of the customer whose request it is, as the box tells it to a server. */
+    readonly customer: string;
     /** The one server that may run the request. */
     readonly expectedServer: string;
     /** Proof that an answer is the server's own. */
--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -6,13 +6,15 @@
 
 import {
     type ChosenServer,
+    type Customer,
     hashKey,
+    homesOf,
     type RefusalKind,
     requestLimit,
     type ReturningCallers,
     type Route,
 } from "@chalkdale/decisions";
-import { type BackendServerId, hashText, type Milliseconds, type ServiceId } from "@chalkdale/kernel";
+import { type BackendServerId, hashText, type Milliseconds, type RegionId, type ServiceId } from "@chalkdale/kernel";
 import type { IncomingMessage } from "node:http";
 import type { HeaderNames } from "../callers/caller-protocol.js";
 import type { ServerAnswer } from "../servers/exchange.js";
@@ -21,6 +23,10 @@
 /** What is known of a request. */
 export interface ActiveRequest {
     readonly route: Route;
+    /** Whose request it is; undefined where callers need no key. */
+    readonly customer: Customer | undefined;
+    /** The only regions whose servers may have it; undefined when all may. */
+    readonly homes: ReadonlySet<RegionId> | undefined;
     readonly service: ServiceId;
     readonly method: string;
     readonly path: string;
@@ -32,7 +38,7 @@
     readonly isReturning: boolean;
     /** The earlier of the caller's deadline and the route's time limit. */
     readonly endsAt: number;
-    /** Names and values in turn, without those of the connection and those that each attempt sets. */
+    /** Names and values in turn, with the customer's, without the key, those of the connection and those that each attempt sets. */
     readonly rawHeaders: readonly string[];
     readonly tried: Set<BackendServerId>;
     /** Attempts that reached a server. */
@@ -54,6 +60,9 @@
 /** Where a request goes, and when it came. */
 export interface Activation {
     readonly route: Route;
+    readonly customer: Customer | undefined;
+    /** Callers of the deployment have keys, whether this route needs one or not. */
+    readonly isKeyed: boolean;
     readonly service: ServiceId;
     readonly startedAt: Milliseconds;
     readonly returningCallers: ReturningCallers;
@@ -62,12 +71,14 @@
 
 /** Reads a request's head. */
 export function activateRequest(request: IncomingMessage, headers: HeaderNames, activation: Activation): ActiveRequest {
-    const { random, route, service, startedAt } = activation;
+    const { customer, random, route, service, startedAt } = activation;
     const callerWaits = Number(request.headers[headers.deadline]);
     const limit = requestLimit(callerWaits, route.timeout);
     const key = request.headers[headers.affinityKey];
     return {
         route,
+        customer,
+        homes: homesOf(route, customer),
         service,
         method: request.method ?? "GET",
         path: request.url ?? "/",
@@ -78,7 +89,7 @@
         startedAt,
         isReturning: activation.returningCallers.isReturning(route.name, callerWaits, startedAt),
         endsAt: startedAt + limit,
-        rawHeaders: passOnHeaders(request.rawHeaders, new Set([headers.deadline, headers.expectedServer])),
+        rawHeaders: headersToServer(request, headers, activation),
         tried: new Set(),
         sent: 0,
         notSent: 0,
@@ -87,6 +98,20 @@
     };
 }
 
+/**
+ * The caller's headers as a server gets them. Where callers have keys, the key is taken off, and the customer is what the box
+ * found, whatever the caller wrote.
+ */
+function headersToServer(request: IncomingMessage, headers: HeaderNames, activation: Activation): string[] {
+    const { customer, isKeyed } = activation;
+    const replaced = new Set([headers.deadline, headers.expectedServer]);
+    if (isKeyed) {
+        replaced.add(headers.customerKey).add(headers.customer);
+    }
+    const kept = passOnHeaders(request.rawHeaders, replaced);
+    return customer === undefined ? kept : [...kept, headers.customer, customer.id];
+}
+
 /** Returns the first value of a header. */
 export function singleValue(value: string | string[] | undefined): string | undefined {
     return Array.isArray(value) ? value[0] : value;
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -86,6 +86,7 @@
             route: active.route,
             service: active.service,
             keyHash: active.keyHash,
+            homes: active.homes,
             tried: active.tried,
             timeLeft: milliseconds(active.endsAt - at),
             isReturning: active.isReturning,
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -7,8 +7,15 @@
  * the admission and the attempt loop for what is decided.
  */
 
-import { admit, createReturningCallers, type RefusalKind, type Route, type StopPhase } from "@chalkdale/decisions";
-import type { Milliseconds } from "@chalkdale/kernel";
+import {
+    admit,
+    type AdmittedRequest,
+    type CopyAgeBounds,
+    createReturningCallers,
+    type RefusalKind,
+    type StopPhase,
+} from "@chalkdale/decisions";
+import { customerKey, type Milliseconds } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
@@ -26,6 +33,9 @@
     readonly protocol: CallerProtocol;
     readonly state: SharedState;
     readonly phase: () => StopPhase;
+    /** Time since the store confirmed the copy of the configuration. */
+    readonly configurationAge: () => Milliseconds;
+    readonly copyAgeBounds: CopyAgeBounds;
 }
 
 /** Listener for requests of callers. */
@@ -54,30 +64,43 @@
         const startedAt = clock();
         const host = request.headers.host ?? "";
         const url = request.url ?? "/";
+        const key = singleValue(request.headers[headers.customerKey]);
         const admission = admit({
             routes: state.routes(),
+            keys: state.keys(),
             isComplete: state.isComplete(),
             phase: options.phase(),
             host,
             path: pathOf(url),
+            key: key === undefined ? undefined : customerKey(key),
+            configurationAge: options.configurationAge(),
+            bounds: options.copyAgeBounds,
         });
         if (admission.kind === "refused") {
-            requestLog.notAdmitted({ requestId: requestIdOf(request), host, path: url }, admission.refusal);
+            const unrouted = { requestId: requestIdOf(request), host, path: url, copyAge: options.configurationAge() };
+            requestLog.notAdmitted(unrouted, admission.refusal);
             refuseCaller(response, admission.refusal);
             return;
         }
-        await serve(request, response, admission.route, startedAt);
+        await serve(request, response, admission, startedAt);
     }
 
     async function serve(
         request: IncomingMessage,
         response: ServerResponse,
-        route: Route,
+        { customer, route }: AdmittedRequest,
         startedAt: Milliseconds,
     ): Promise<void> {
-        const service = state.destinationOf(route);
         const { random } = options;
-        const active = activateRequest(request, headers, { route, service, startedAt, returningCallers, random });
+        const active = activateRequest(request, headers, {
+            route,
+            customer,
+            isKeyed: state.keys()?.isKeyNeeded ?? false,
+            service: state.destinationOf(route),
+            startedAt,
+            returningCallers,
+            random,
+        });
         const controller = new AbortController();
         let timedOut = false;
         const timer = setTimeout(() => {
--- a/packages/box/src/requests/request-log.ts
+++ b/packages/box/src/requests/request-log.ts
@@ -4,7 +4,7 @@
  */
 
 import type { ChosenServer, RefusalKind } from "@chalkdale/decisions";
-import type { BackendServerId, Clock } from "@chalkdale/kernel";
+import type { BackendServerId, Clock, Milliseconds } from "@chalkdale/kernel";
 import type { Log, LogFields } from "@chalkdale/runtime";
 import type { BoxMetrics } from "../metrics.js";
 import type { ServerAnswer } from "../servers/exchange.js";
@@ -21,12 +21,14 @@
     readonly callerLeft: (active: ActiveRequest) => void;
 }
 
-/** A request that has no route. */
+/** A request that was not admitted. */
 interface UnroutedRequest {
     readonly requestId: string | undefined;
     readonly host: string;
     /** With its query. */
     readonly path: string;
+    /** Time since the store confirmed the configuration by which it was refused. */
+    readonly copyAge: Milliseconds;
 }
 
 export interface RequestLogOptions {
@@ -56,6 +58,7 @@
             log.info("request.served", {
                 request: active.requestId,
                 route: active.route.name,
+                customer: active.customer?.id,
                 status: answer.status,
                 tried: [...active.tried].join(","),
                 ...choiceFields(active.latestChoice),
@@ -68,6 +71,7 @@
             log.info("request.refused", {
                 request: active.requestId,
                 route: active.route.name,
+                customer: active.customer?.id,
                 refusal,
                 sent: active.sent,
                 tried: [...active.tried].join(",") || undefined,
@@ -77,14 +81,20 @@
                 servers: state.replica("servers").revision(),
             });
         },
-        notAdmitted({ host, path, requestId }, refusal) {
+        notAdmitted({ copyAge, host, path, requestId }, refusal) {
             const version = state.configuration()?.version;
             if (refusal === "noRoute") {
                 log.info("request.noRoute", { request: requestId, host, path, version });
                 return;
             }
             const servers = state.replica("servers").revision();
-            log.info("request.refused", { request: requestId, refusal, version, servers });
+            log.info("request.refused", {
+                request: requestId,
+                refusal,
+                version,
+                copyAge: Math.round(copyAge),
+                servers,
+            });
         },
         callerLeft(active) {
             metrics.onEnding(active.route.name, "callerLeft", ageOf(active));
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -8,6 +8,7 @@
 import {
     type BackendServer,
     connectTimeout,
+    type CopyAgeBounds,
     createRecentKeys,
     createRoundTrips,
     createServerChoice,
@@ -42,6 +43,8 @@
     readonly limits: SharedLimits;
     readonly evidence: SharedEvidence;
     readonly phase: () => StopPhase;
+    readonly configurationAge: () => Milliseconds;
+    readonly copyAgeBounds: CopyAgeBounds;
     readonly countTraffic: (purpose: TrafficPurpose, place: TrafficPlace, bytes: number) => void;
 }
 
--- a/packages/box/src/settings.ts
+++ b/packages/box/src/settings.ts
@@ -21,6 +21,11 @@
     readonly lookupLifetime: Milliseconds;
     /** Time in which a change of the shared state must be in force on every box. */
     readonly changeInForce: Milliseconds;
+    /**
+     * Time after which a box that may not know of a revoked key admits no key; undefined where it goes on by the copy
+     * that it has.
+     */
+    readonly strictRevocation: Milliseconds | undefined;
 }
 
 /** Settings of one box. */
--- a/packages/box/src/state/copy-status.ts
+++ b/packages/box/src/state/copy-status.ts
@@ -10,6 +10,11 @@
 export interface CopyStatus {
     /** When the store last confirmed, to this box or through another, that the copy is complete. */
     confirmedAt: number;
+    /**
+     * The same without the credit of a first list that may be old, by which a box that has just started waits for its
+     * region's relay: what the copy lacks may be denied by this one only.
+     */
+    provenAt: number;
     /** When a snapshot will be read from a box that knows more. */
     readAt: number | undefined;
     /** The watch that is waiting now. */
@@ -25,5 +30,5 @@
 }
 
 function createStatus(): CopyStatus {
-    return { confirmedAt: -unconfirmedAge, readAt: undefined, watch: undefined };
+    return { confirmedAt: -unconfirmedAge, provenAt: -unconfirmedAge, readAt: undefined, watch: undefined };
 }
--- a/packages/box/src/state/replicator.ts
+++ b/packages/box/src/state/replicator.ts
@@ -6,7 +6,7 @@
  */
 
 import { type ItemChange, type RelayRole, type SharedItems, type SharedKind, sharedKinds } from "@chalkdale/decisions";
-import type { Clock, RegionId } from "@chalkdale/kernel";
+import { type Clock, type Milliseconds, milliseconds, type RegionId } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { StateReader } from "../peers/peer-reads.js";
 import { createCopyStatuses, unconfirmedAge } from "./copy-status.js";
@@ -35,6 +35,8 @@
     readonly digest: () => StateDigest;
     /** Milliseconds since the store stopped answering; 0 while it answers. */
     readonly storeLostFor: () => number;
+    /** Time since the store confirmed the copy of the configuration, to this box or through another. */
+    readonly configurationAge: () => Milliseconds;
     /** True while this box follows the store, so that others depend on what it says. */
     readonly isFollowing: () => boolean;
     /** Another box said how far its copies reach. */
@@ -57,11 +59,12 @@
 
     return {
         digest: () => ({
-            configuration: copyState("configuration"),
+            configuration: { ...copyState("configuration"), provenAge: Math.round(configurationAge()) },
             servers: copyState("servers"),
             closedZones: copyState("closedZones"),
         }),
         storeLostFor: follower.storeLostFor,
+        configurationAge,
         isFollowing: () => relayRole.alwaysFollows() || sharedKinds.some(kind => statuses[kind].watch !== undefined),
         onDigest(peer, digest) {
             sharedKinds.forEach(kind => onCopyState(kind, peer, digest[kind]));
@@ -78,6 +81,10 @@
         };
     }
 
+    function configurationAge(): Milliseconds {
+        return milliseconds(Math.min(unconfirmedAge, clock() - statuses.configuration.provenAt));
+    }
+
     function applyUpdate<Kind extends SharedKind>(kind: Kind, update: StateUpdate): void {
         const changes = update.changes as readonly ItemChange<SharedItems[Kind]>[];
         state.replica(kind).applyChanges(update.since, changes, update.complete);
--- a/packages/box/src/state/shared-state.ts
+++ b/packages/box/src/state/shared-state.ts
@@ -1,6 +1,6 @@
 /**
- * This box's copies of the shared state and what follows from them: the route
- * table, the catalog of servers, and which availability zones admit requests.
+ * This box's copies of the shared state and what follows from them: the tables of
+ * routes and keys, the catalog of servers, and which availability zones admit requests.
  *
  * Owns the copies; the replicator brings them up to date.
  */
@@ -9,9 +9,11 @@
     type BackendServerRecord,
     closeZones,
     type Configuration,
+    createKeyTable,
     createReplica,
     createRouteTable,
     createWeightedSplit,
+    type KeyTable,
     openPlaces,
     type PlaceSettings,
     type Replica,
@@ -32,6 +34,7 @@
     readonly replica: <Kind extends SharedKind>(kind: Kind) => Replica<SharedItems[Kind]>;
     readonly configuration: () => Configuration | undefined;
     readonly routes: () => RouteTable | undefined;
+    readonly keys: () => KeyTable | undefined;
     readonly service: (id: ServiceId) => Service | undefined;
     /** Picks the destination of a request on a route. */
     readonly destinationOf: (route: Route) => ServiceId;
@@ -54,6 +57,7 @@
     const { clock, log } = options;
     let configuration: Configuration | undefined;
     let routes: RouteTable | undefined;
+    let keys: KeyTable | undefined;
     let services = new Map<ServiceId, Service>();
     let rotations = new Map<string, WeightedSplit>();
     let places: PlaceSettings = openPlaces;
@@ -70,6 +74,7 @@
         replica: kind => replicas[kind],
         configuration: () => configuration,
         routes: () => routes,
+        keys: () => keys,
         service: id => services.get(id),
         destinationOf,
         admitsZone,
@@ -88,10 +93,12 @@
             version: next.version,
             previous: configuration?.version,
             routes: next.routes.length,
+            customers: next.access.kind === "customers" ? next.access.customers.length : undefined,
             at: Math.round(clock()),
         });
         configuration = next;
         routes = createRouteTable(next);
+        keys = createKeyTable(next.access);
         services = new Map(next.services.map(service => [service.id, service]));
         rotations = new Map();
         options.onConfiguration(next);
--- a/packages/box/src/state/snapshot-catch-up.ts
+++ b/packages/box/src/state/snapshot-catch-up.ts
@@ -10,7 +10,7 @@
 import type { AvailabilityZoneId, Clock, RegionId } from "@chalkdale/kernel";
 import { type Log, sleep } from "@chalkdale/runtime";
 import type { StateRead, StateReader } from "../peers/peer-reads.js";
-import type { CopyStatus } from "./copy-status.js";
+import { type CopyStatus, unconfirmedAge } from "./copy-status.js";
 import type { SharedState } from "./shared-state.js";
 import type { CopyState } from "./state-messages.js";
 
@@ -44,6 +44,7 @@
         if (revision !== undefined && revision >= told.changed) {
             replica.applyChanges(revision, [], Math.max(revision, told.complete));
             status.confirmedAt = Math.max(status.confirmedAt, clock() - told.age);
+            status.provenAt = Math.max(status.provenAt, clock() - (told.provenAge ?? unconfirmedAge));
             return;
         }
         const readAt = clock() + headStartOf(kind, peer);
--- a/packages/box/src/state/state-messages.ts
+++ b/packages/box/src/state/state-messages.ts
@@ -5,6 +5,8 @@
 
 import {
     type BackendServerRecord,
+    type CallerAccess,
+    type Configuration,
     type ItemChange,
     type MissingChanges,
     type SharedItems,
@@ -18,8 +20,10 @@
     readonly changed: number;
     /** It is complete up to this revision. */
     readonly complete: number;
-    /** Milliseconds since the store confirmed that. */
+    /** Milliseconds since the store confirmed that; a box that has just started may count its first list. */
     readonly age: number;
+    /** The same without that list. Told of the configuration; earlier releases do not tell it. */
+    readonly provenAge?: number;
 }
 
 /** The copies of one box, by kind. */
@@ -64,7 +68,7 @@
 export function isSharedItem(kind: SharedKind, item: unknown): boolean {
     switch (kind) {
         case "configuration":
-            return hasTypes(item, { version: "number", routes: "object", services: "object", limits: "object" });
+            return hasTypes(item, configurationTypes) && isCallerAccess((item as Configuration).access);
         case "servers":
             return hasTypes(item, serverTypes);
         case "closedZones":
@@ -74,6 +78,14 @@
 
 type TypeName = "string" | "number" | "boolean" | "object";
 
+const configurationTypes: Readonly<Record<keyof Configuration, TypeName>> = {
+    version: "number",
+    routes: "object",
+    services: "object",
+    limits: "object",
+    access: "object",
+};
+
 const serverTypes: Readonly<Record<keyof BackendServerRecord, TypeName>> = {
     id: "string",
     service: "string",
@@ -86,6 +98,11 @@
     revision: "number",
 };
 
+/** A copy without it, as earlier releases have, or with another kind would let anyone in. */
+function isCallerAccess(access: CallerAccess): boolean {
+    return access.kind === "anyone" || access.kind === "customers" && Array.isArray(access.customers);
+}
+
 function hasTypes(value: unknown, types: Readonly<Record<string, TypeName>>): boolean {
     if (typeof value !== "object" || value === null) {
         return false;
@@ -96,7 +113,7 @@
 
 function isCopyState(state: CopyState | undefined): boolean {
     return typeof state === "object" && state !== null
-        && [state.changed, state.complete, state.age].every(Number.isFinite);
+        && [state.changed, state.complete, state.age, state.provenAge ?? 0].every(Number.isFinite);
 }
 
 function isItemChange(kind: SharedKind, value: unknown): boolean {
--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -102,6 +102,7 @@
         state.replica(kind).applySnapshot(await store.list(kind, isFirst ? "mayBeOld" : "newest", signal));
         if (!isFirst) {
             statuses[kind].confirmedAt = askedAt;
+            statuses[kind].provenAt = askedAt;
             return false;
         }
         const dueAt = askedAt + relayRole.settleTime;
@@ -139,7 +140,7 @@
         watchSignal: AbortSignal,
     ): Promise<boolean> {
         const replica = state.replica(kind);
-        const wait = isConfirmed.has(kind) ? relayRole.watchWait() : noWait;
+        const wait = isConfirmed.has(kind) ? relayRole.watchWait(needsProof(kind)) : noWait;
         const outcome = await store.watch(kind, since, watchSignal, wait);
         isConfirmed.add(kind);
         if (outcome.kind === "historyLost") {
@@ -149,6 +150,7 @@
         const changedBefore = replica.changedRevision();
         replica.applyChanges(since, outcome.changes, outcome.revision);
         statuses[kind].confirmedAt = clock();
+        statuses[kind].provenAt = clock();
         if (outcome.changes.length > 0) {
             publish({ kind, since: changedBefore, complete: outcome.revision, changes: outcome.changes });
             await sleep(pauseAfterChange[kind], signal);
@@ -156,6 +158,11 @@
         return true;
     }
 
+    /** Keys are denied by the age of the configuration. */
+    function needsProof(kind: SharedKind): boolean {
+        return kind === "configuration" && state.keys()?.isKeyNeeded === true;
+    }
+
     function publish<Kind extends SharedKind>(update: StateUpdate<Kind>): void {
         if (relayRole.isRelayed()) {
             options.publish(update as StateUpdate);
--- a/packages/box/test/request-handler.test.ts
+++ b/packages/box/test/request-handler.test.ts
@@ -3,8 +3,15 @@
  * gets, and the line that the box writes.
  */
 
-import { createRouteTable, type StopPhase } from "@chalkdale/decisions";
-import { milliseconds } from "@chalkdale/kernel";
+import {
+    type CallerAccess,
+    type Configuration,
+    createKeyTable,
+    createRouteTable,
+    type Route,
+    type StopPhase,
+} from "@chalkdale/decisions";
+import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { createLog } from "@chalkdale/runtime";
 import { expect } from "chai";
 import { once } from "node:events";
@@ -14,10 +21,27 @@
 import { createRequestHandler } from "../src/requests/request-handler.js";
 import type { SharedState } from "../src/state/shared-state.js";
 
+const openRoute: Route = {
+    name: "open",
+    host: "127.0.0.1",
+    pathPrefix: "/open/",
+    kind: "safe",
+    destinations: [],
+    goal: milliseconds(400),
+    timeout: milliseconds(1500),
+    maxAttempts: 2,
+    priority: 1,
+    sticky: true,
+    homeRegions: [],
+    isPublic: false,
+};
+
 describe("the handler of requests", () => {
     let server: Server;
     let lines: string[];
     let phase: StopPhase;
+    let age: Milliseconds;
+    let access: CallerAccess;
 
     beforeEach(async () => {
         lines = [];
@@ -28,9 +52,18 @@
             headerTimeout: milliseconds(3000),
             idleTimeout: milliseconds(15_000),
         };
-        const configuration = { version: 7, routes: [], services: [], limits };
+        const configuration: Configuration = {
+            version: 7,
+            routes: [openRoute],
+            services: [],
+            limits,
+            access: { kind: "anyone" },
+        };
+        access = configuration.access;
+        age = milliseconds(0);
         const state = {
             routes: () => createRouteTable(configuration),
+            keys: () => createKeyTable(access),
             isComplete: () => true,
             configuration: () => configuration,
             replica: () => ({ revision: () => 12 }),
@@ -43,9 +76,11 @@
             random: Math.random,
             log: createLog({ write: line => lines.push(line) }),
             metrics: createBoxMetrics(),
-            protocol: { headers: { requestId: "request-id" } } as never,
+            protocol: { headers: { requestId: "request-id", customerKey: "key" } } as never,
             state,
             phase: () => phase,
+            configurationAge: () => age,
+            copyAgeBounds: { changeInForce: milliseconds(2000), revocation: undefined },
             choose: unused,
             attempt: unused,
             budgetOf: unused,
@@ -62,9 +97,12 @@
         server.closeAllConnections();
     });
 
-    async function ask(requestId: string): Promise<{ readonly status?: number; readonly connection?: string; }> {
+    async function ask(
+        requestId: string,
+        path = "/a/?b",
+    ): Promise<{ readonly status?: number; readonly connection?: string; }> {
         const { port } = server.address() as AddressInfo;
-        const request = httpRequest({ port, host: "127.0.0.1", path: "/a/?b", headers: { "Request-Id": requestId } });
+        const request = httpRequest({ port, host: "127.0.0.1", path, headers: { "Request-Id": requestId } });
         request.end();
         const [response] = await once(request, "response");
         response.resume();
@@ -76,9 +114,19 @@
         expect(lines[0]).to.include("event=request.noRoute request=r-1").and.include("path=/a/?b version=7");
     });
 
+    it("denies a key by a fresh copy only, and tells the copy's age [P21]", async () => {
+        access = { kind: "customers", customers: [] };
+        age = milliseconds(2000);
+        expect(await ask("r-3", "/open/")).to.include({ status: 401 });
+        age = milliseconds(2001);
+        expect(await ask("r-4", "/open/")).to.include({ status: 503 });
+        expect(lines[0]).to.include("refusal=unknownKey version=7 copyAge=2000");
+        expect(lines[1]).to.include("refusal=copyTooOld version=7 copyAge=2001");
+    });
+
     it("refuses unrun, ends the connection, and leaves a line, once the box is closing [P7]", async () => {
         phase = "closing";
         expect(await ask("r-2")).to.deep.equal({ status: 503, connection: "close" });
-        expect(lines[0]).to.include("event=request.refused request=r-2 refusal=leaving version=7 servers=12");
+        expect(lines[0]).to.include("event=request.refused request=r-2 refusal=leaving version=7 copyAge=0 servers=12");
     });
 });
--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -20,6 +20,7 @@
     priority: 2,
     sticky: true,
     homeRegions: [],
+    isPublic: false,
 };
 
 /** Only what the feedback reads of the protocol: the load, told in one header, and the header of a request that did not run. */
--- a/packages/box/test/state-messages.test.ts
+++ b/packages/box/test/state-messages.test.ts
@@ -54,6 +54,23 @@
         expect(isStateUpdate(withItem("closedZones", "north-a"))).to.equal(true);
     });
 
+    it("are refused with a configuration that does not say who may ask, or says it in another way [P21]", () => {
+        const configurationWith = (access: unknown) => ({
+            ...update,
+            kind: "configuration",
+            changes: [{
+                kind: "put",
+                name: "main",
+                item: { version: 3, routes: [], services: [], limits: {}, access },
+            }],
+        });
+        expect(isStateUpdate(configurationWith({ kind: "anyone" }))).to.equal(true);
+        expect(isStateUpdate(configurationWith({ kind: "customers", customers: [] }))).to.equal(true);
+        for (const access of [undefined, {}, { kind: "customers" }, { kind: "nobody" }, "anyone"]) {
+            expect(isStateUpdate(configurationWith(access))).to.equal(false);
+        }
+    });
+
     it("never throw, whatever they hold", () => {
         fc.assert(fc.property(fc.jsonValue(), value => {
             expect(isStateDigest(value)).to.equal(false);
--- a/packages/cli/src/request-story.ts
+++ b/packages/cli/src/request-story.ts
@@ -26,6 +26,8 @@
     notReady: "the box lacked a copy of the configuration, the servers or the closed zones",
     leaving: "the box was stopping",
     noRoute: "no route has this host and path",
+    unknownKey: "the configuration in force knows no such key, or the request had none",
+    copyTooOld: "the box's copy of the configuration is too old to know whether this key or route exists",
     bodyTooLarge: "the body is beyond the configuration's limit",
     noServer: "no server may take the request",
     serversCold: "the servers that are left are in slow start and had their share",
--- a/packages/decisions/src/choose/choice.ts
+++ b/packages/decisions/src/choose/choice.ts
@@ -4,7 +4,7 @@
  * Owns nothing; the choice and its parts share these types.
  */
 
-import type { BackendServerId, Milliseconds, ServiceId } from "@chalkdale/kernel";
+import type { BackendServerId, Milliseconds, RegionId, ServiceId } from "@chalkdale/kernel";
 import type { BackendServer } from "../servers/server-catalog.js";
 import type { Route } from "../shared-state/configuration.js";
 
@@ -14,6 +14,8 @@
     readonly service: ServiceId;
     /** Hash of the affinity key, or a random number for a request without one. */
     readonly keyHash: number;
+    /** The only regions whose servers may have the request, by its route and its customer; undefined when all may. */
+    readonly homes: ReadonlySet<RegionId> | undefined;
     /** Servers that already had this request. */
     readonly tried: ReadonlySet<BackendServerId>;
     /** Time until the request must be answered. */
--- a/packages/decisions/src/choose/eligible-servers.ts
+++ b/packages/decisions/src/choose/eligible-servers.ts
@@ -1,6 +1,6 @@
 /**
  * Which servers may take a request, in the order of its key's ranking: not tried
- * yet, in a zone that admits requests, in a home of the route, not excluded, and
+ * yet, in a zone that admits requests, in a home of the request, not excluded, and
  * no outliers.
  *
  * Owns the kept rankings of keys; relies on the catalog and on how badly each
@@ -42,10 +42,9 @@
 
     function isCandidate(server: BackendServer, request: ChoiceRequest): boolean {
         const { region, zone } = server.state.record();
-        const homes = request.route.homeRegions;
         return !request.tried.has(server.id)
             && options.admitsZone(zone)
-            && (homes.length === 0 || homes.includes(region));
+            && (request.homes === undefined || request.homes.has(region));
     }
 
     function isEligible(server: BackendServer, request: ChoiceRequest): boolean {
--- a/packages/decisions/src/give-up/refusals.ts
+++ b/packages/decisions/src/give-up/refusals.ts
@@ -10,6 +10,8 @@
     | "notReady"
     | "leaving"
     | "noRoute"
+    | "unknownKey"
+    | "copyTooOld"
     | "bodyTooLarge"
     | "noServer"
     | "serversCold"
@@ -46,6 +48,8 @@
     notReady: { status: 503, retryAfter: later },
     leaving: { status: 503, retryAfter: soon },
     noRoute: { status: 404, retryAfter: undefined },
+    unknownKey: { status: 401, retryAfter: undefined },
+    copyTooOld: { status: 503, retryAfter: soon },
     bodyTooLarge: { status: 413, retryAfter: undefined },
     noServer: { status: 503, retryAfter: later },
     serversCold: { status: 503, retryAfter: afterOverload },
--- a/packages/decisions/src/shared-state/configuration.ts
+++ b/packages/decisions/src/shared-state/configuration.ts
@@ -8,7 +8,7 @@
  * `priority`, `warmup`, `maxHeaderBytes` and `headerTimeout` yet.
  */
 
-import type { Milliseconds, RegionId, ServiceId } from "@chalkdale/kernel";
+import type { CustomerId, CustomerKey, Milliseconds, RegionId, ServiceId } from "@chalkdale/kernel";
 
 /** Whether a request may run more than once. Downloads are idempotent and have large answers. */
 export type RouteKind = "safe" | "unsafe" | "download";
@@ -41,8 +41,36 @@
     readonly sticky: boolean;
     /** The only regions that may serve the route; empty when all may. */
     readonly homeRegions: readonly RegionId[];
+    /** Needs no key, whoever may ask elsewhere. */
+    readonly isPublic: boolean;
 }
 
+/** One customer: whose requests are counted together, and how its callers show that they are its own. */
+export interface Customer {
+    readonly id: CustomerId;
+    /** A key belongs to one customer at a time; later versions add keys and take them away. */
+    readonly keys: readonly CustomerKey[];
+    /** Goes before the priority of the route, 0 is the most urgent; undefined if the customer has none. */
+    readonly priority: number | undefined;
+    /** Requests that all boxes together admit; undefined when there is no limit. */
+    readonly quota: CustomerQuota | undefined;
+    /** The only regions that may serve the customer; empty when all may. */
+    readonly homeRegions: readonly RegionId[];
+}
+
+/** Bound on a customer's requests over all boxes. */
+export interface CustomerQuota {
+    /** Requests a second. */
+    readonly rate: number;
+    /** Requests besides, in any window. */
+    readonly burst: number;
+}
+
+/** Who may ask: anyone, or only callers with a key of a customer. */
+export type CallerAccess =
+    | { readonly kind: "anyone"; }
+    | { readonly kind: "customers"; readonly customers: readonly Customer[]; };
+
 /** What all servers of one service have in common. */
 export interface Service {
     readonly id: ServiceId;
@@ -69,6 +97,7 @@
     readonly routes: readonly Route[];
     readonly services: readonly Service[];
     readonly limits: CallerLimits;
+    readonly access: CallerAccess;
 }
 
 /** True for routes whose requests may run more than once. */
--- a/packages/decisions/src/shared-state/relay-role.ts
+++ b/packages/decisions/src/shared-state/relay-role.ts
@@ -40,6 +40,12 @@
  */
 const settlePart = 0.3;
 
+/**
+ * Part of the bound on changes: the longest wait of a watch of a box without a relay whose decisions go by the age of its copy.
+ * The age then stays within the bound, at one call in 2 s, and half a second is left for the call.
+ */
+const proofPart = 0.8;
+
 /** Part of the bound on changes between two messages in which a relay tells its region how old its copies are. Not measured. */
 const digestPart = 0.15;
 
@@ -58,8 +64,11 @@
     readonly followAfterAge: () => Milliseconds;
     /** Time after the start in which the box does not follow the store yet. */
     readonly settleTime: Milliseconds;
-    /** How long a watch may wait without a change, or undefined if nobody depends on this box. */
-    readonly watchWait: () => Milliseconds | undefined;
+    /**
+     * How long a watch may wait without a change, or undefined if nobody depends on this box. `needsProof`: decisions of
+     * this box go by the age of the copy.
+     */
+    readonly watchWait: (needsProof: boolean) => Milliseconds | undefined;
 }
 
 export interface RelayRoleOptions {
@@ -83,9 +92,16 @@
         alwaysFollows: () => followAfterAge() === 0,
         followAfterAge,
         settleTime,
-        watchWait: () => isRelayed() ? milliseconds(changeBound * watchPart) : undefined,
+        watchWait,
     };
 
+    function watchWait(needsProof: boolean): Milliseconds | undefined {
+        if (isRelayed()) {
+            return milliseconds(changeBound * watchPart);
+        }
+        return needsProof ? milliseconds(changeBound * proofPart) : undefined;
+    }
+
     function isRelayed(): boolean {
         return boxesOfRegion().length >= leastRelayedBoxes;
     }
--- a/packages/decisions/test/choice-setup.ts
+++ b/packages/decisions/test/choice-setup.ts
@@ -35,6 +35,7 @@
         priority: 2,
         sticky: true,
         homeRegions: [],
+        isPublic: false,
         ...changes,
     };
 }
@@ -90,6 +91,7 @@
         route: createRoute(),
         service,
         keyHash: hashKey(service, "key-1"),
+        homes: undefined,
         tried: new Set(),
         timeLeft: milliseconds(1500),
         isReturning: false,
--- a/packages/decisions/test/relay-role.test.ts
+++ b/packages/decisions/test/relay-role.test.ts
@@ -21,7 +21,8 @@
         const alive = names.slice(0, 5).map(name => createMember(name));
         expect(followAges(alive)).to.deep.equal([0, 0, 0, 0, 0]);
         expect(roleOf("a", alive).isRelayed()).to.equal(false);
-        expect(roleOf("a", alive).watchWait()).to.equal(undefined);
+        expect(roleOf("a", alive).watchWait(false)).to.equal(undefined);
+        expect(roleOf("a", alive).watchWait(true)).to.be.lessThan(changeBound);
     });
 
     it("falls to one box of a large region", () => {
@@ -39,7 +40,7 @@
     it("leaves the next four boxes the time to ask the store themselves within the bound on changes", () => {
         const alive = names.map(name => createMember(name));
         const ages = followAges(alive).filter(age => age > 0).sort((a, b) => a - b);
-        const watch = roleOf("a", alive).watchWait()!;
+        const watch = roleOf("a", alive).watchWait(false)!;
         const roundOfMessages = 600;
         expect(ages[0]).to.be.greaterThan(watch + roundOfMessages);
         expect(ages[3]).to.be.lessThan(changeBound * 0.8);
--- a/packages/decisions/test/server-choice.test.ts
+++ b/packages/decisions/test/server-choice.test.ts
@@ -228,9 +228,9 @@
                 createRecord("s-3", { zone: availabilityZoneId("south-a"), region: regionId("south") }),
             ];
             const { chosen } = createSetup(records, ["north-a"]);
-            const route = createRoute({ homeRegions: [regionId("north")] });
+            const homes = new Set([regionId("north")]);
             for (let key = 0; key < 50; key++) {
-                expect(chosen({ route, keyHash: hashText(`key-${key}`) })).to.equal(backendServerId("s-2"));
+                expect(chosen({ homes, keyHash: hashText(`key-${key}`) })).to.equal(backendServerId("s-2"));
             }
         });
 
--- a/packages/kernel/src/ids.ts
+++ b/packages/kernel/src/ids.ts
@@ -12,6 +12,10 @@
 export type AvailabilityZoneId = Branded<string, "ZoneId">;
 /** Name of a service that backend servers offer. */
 export type ServiceId = Branded<string, "ServiceId">;
+/** Name of a customer: who asks, and for whom a key was given out. */
+export type CustomerId = Branded<string, "CustomerId">;
+/** Secret by which a caller shows whose customer it is. Never logged, counted or sent to a server. */
+export type CustomerKey = Branded<string, "CustomerKey">;
 /** Name of an entry box. A replacement may carry the same name. */
 export type BoxId = Branded<string, "BoxId">;
 /** One life of a process on a box; a restart draws a new one. */
@@ -29,6 +33,10 @@
 export const availabilityZoneId = (text: string) => text as AvailabilityZoneId;
 /** Takes a text as a service's name. */
 export const serviceId = (text: string) => text as ServiceId;
+/** Takes a text as a customer's name. */
+export const customerId = (text: string) => text as CustomerId;
+/** Takes a text as a customer's key. */
+export const customerKey = (text: string) => text as CustomerKey;
 /** Takes a text as an entry box's name. */
 export const boxId = (text: string) => text as BoxId;
 /** Takes a text as an incarnation. */
--- a/packages/testing/src/emulator/day.ts
+++ b/packages/testing/src/emulator/day.ts
@@ -198,6 +198,7 @@
             priority: 1,
             sticky: true,
             homeRegions: [],
+            isPublic: false,
         };
         routes.set(requestClass, route);
     }
--- a/packages/testing/src/emulator/emulated-attempts.ts
+++ b/packages/testing/src/emulator/emulated-attempts.ts
@@ -169,7 +169,8 @@
     function choiceRequest(request: RequestInProgress): ChoiceRequest {
         const { endsAt, isReturning, keyHash, route, service, tried } = request;
         const at = events.now();
-        return { route, service, keyHash, tried, isReturning, timeLeft: milliseconds(endsAt - at), at };
+        const timeLeft = milliseconds(endsAt - at);
+        return { route, service, keyHash, homes: undefined, tried, isReturning, timeLeft, at };
     }
 
     function refuse(request: RequestInProgress, reason: string): void {
--- a/packages/testing/src/promises/box-mechanisms.ts
+++ b/packages/testing/src/promises/box-mechanisms.ts
@@ -110,6 +110,22 @@
         replace: "100_000",
         specs: [wholeTest("box-requests")],
     },
+    {
+        promise: "P21",
+        name: "the key and the caller's own word of its customer taken off",
+        file: box("requests/active-request"),
+        find: "if (isKeyed) {",
+        replace: "if (false) {",
+        specs: [wholeTest("box-customers")],
+    },
+    {
+        promise: "P21",
+        name: "the refusal of copies that do not say who may ask",
+        file: box("state/state-messages"),
+        find: "&& isCallerAccess(item.access)",
+        replace: "",
+        specs: [boxTest("state-messages")],
+    },
     {
         promise: "P18",
         name: "the name of the server that may run a request",
--- a/packages/testing/src/promises/promise-texts.ts
+++ b/packages/testing/src/promises/promise-texts.ts
@@ -27,4 +27,5 @@
     P18: "a request runs at the service of its route only",
     P19: "callers are told only boxes that run",
     P20: "a route's parts get their weights' shares",
+    P21: "a request runs for the customer of its key, and the key reaches no server and no log",
 };
--- a/packages/testing/src/standins/client.ts
+++ b/packages/testing/src/standins/client.ts
@@ -21,6 +21,10 @@
     readonly method?: string;
     readonly requestId: string;
     readonly affinityKey?: string;
+    /** Key of the client's customer. */
+    readonly credential?: string | string[];
+    /** Headers that a client should not send, or not so. */
+    readonly extraHeaders?: Readonly<Record<string, string>>;
     readonly deadlineMs?: number;
     readonly body?: string;
     /** Send the body in chunks instead of with a length. */
@@ -33,7 +37,14 @@
 /** Makes one attempt. Never rejects. */
 export function sendRequest(options: ClientRequest): Promise<ClientAnswer> {
     const [host, port] = options.address.split(":");
-    const headers: Record<string, string> = { "Host": options.host, "Request-Id": options.requestId };
+    const headers: Record<string, string | string[]> = {
+        "Host": options.host,
+        "Request-Id": options.requestId,
+        ...options.extraHeaders,
+    };
+    if (options.credential !== undefined) {
+        headers.Credential = options.credential;
+    }
     if (options.affinityKey !== undefined) {
         headers["Affinity-Key"] = options.affinityKey;
     }
--- a/packages/testing/src/standins/deployment.ts
+++ b/packages/testing/src/standins/deployment.ts
@@ -10,7 +10,13 @@
 import { type ServerStandIn, type ServerStandInOptions, startServerStandIn } from "./backend-server.js";
 import { type MetadataStoreServer, serveMetadataStore } from "./metadata-store-server.js";
 import { createMetadataStore, type MetadataStore } from "./metadata-store.js";
-import { configurationObject, type RuleOptions, serverObject, type ServerPlace } from "./platform-objects.js";
+import {
+    configurationObject,
+    type RuleOptions,
+    serverObject,
+    type ServerPlace,
+    type TenantOptions,
+} from "./platform-objects.js";
 
 /** A box of the deployment. */
 export interface TestBox {
@@ -31,7 +37,7 @@
     readonly addServer: (options: ServerStandInOptions & ServerPlace) => Promise<ServerStandIn>;
     /** Writes the record of a server again, with changes. */
     readonly recordServer: (backend: ServerStandIn, place: ServerPlace) => void;
-    readonly configure: (version: number, rules: readonly RuleOptions[]) => void;
+    readonly configure: (version: number, rules: readonly RuleOptions[], tenants?: readonly TenantOptions[]) => void;
     readonly startBox: (options?: BoxOptions) => TestBox;
     readonly close: () => Promise<void>;
 }
@@ -73,8 +79,8 @@
             return backend;
         },
         recordServer,
-        configure(version, rules) {
-            store.put("config", "main", configurationObject(version, testHost, rules));
+        configure(version, rules, tenants) {
+            store.put("config", "main", configurationObject(version, testHost, rules, tenants));
         },
         startBox(options = {}) {
             const box = createBox(options.sameAs?.name ?? `box-${boxes.length + 1}`, options);
--- a/packages/testing/src/standins/platform-objects.ts
+++ b/packages/testing/src/standins/platform-objects.ts
@@ -14,6 +14,16 @@
     readonly maxAttempts?: number;
     readonly sticky?: boolean;
     readonly homeRegions?: readonly string[];
+    readonly isPublic?: boolean;
+}
+
+/** A customer of the configuration, in the platform's own words. */
+export interface TenantOptions {
+    readonly name: string;
+    readonly keys: readonly string[];
+    readonly rate?: number;
+    readonly burst?: number;
+    readonly homeRegions?: readonly string[];
 }
 
 /** Where a server is recorded, and how. */
@@ -27,10 +37,16 @@
 /** Services of every configuration that the stand-ins write. */
 const services = ["profiles", "packs"];
 
-/** Returns a configuration of one host. */
-export function configurationObject(version: number, host: string, rules: readonly RuleOptions[]): unknown {
+/** Returns a configuration of one host; anyone may ask if no customers are given. */
+export function configurationObject(
+    version: number,
+    host: string,
+    rules: readonly RuleOptions[],
+    tenants?: readonly TenantOptions[],
+): unknown {
     return {
         version: version.toString(16).padStart(8, "0"),
+        ...tenants === undefined ? {} : { tenants: tenants.map(tenantObject) },
         limits: {
             max_header_bytes: 16384,
             max_body_bytes: 1_000_000,
@@ -50,6 +66,17 @@
     };
 }
 
+function tenantObject({ burst, homeRegions, keys, name, rate }: TenantOptions): unknown {
+    return {
+        name,
+        api_keys: keys,
+        priority: 1,
+        rate_per_s: rate ?? 0,
+        burst: burst ?? 0,
+        home_regions: homeRegions ?? [],
+    };
+}
+
 function ruleObject(rule: RuleOptions): unknown {
     const destination = rule.split === undefined ? { service: rule.service ?? "profiles" } : { split: rule.split };
     return {
@@ -57,6 +84,7 @@
         kind: rule.kind,
         goal: "400ms",
         priority: 1,
+        public: rule.isPublic ?? false,
         sticky: rule.sticky ?? true,
         match: { path_prefix: rule.path },
         action: {
