--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -34,6 +34,7 @@
 import { createServerReports } from "./peers/server-reports.js";
 import { createPlannedStop } from "./planned-stop.js";
 import { createCustomerQuotas } from "./quotas/customer-quotas.js";
+import { quotaMetricLines } from "./quotas/quota-metrics.js";
 import { createRequestPath } from "./requests/request-path.js";
 import { createHealthChecker } from "./servers/health-checker.js";
 import type { BoxSettings } from "./settings.js";
@@ -163,7 +164,13 @@
             return membership.inService(clock());
         },
         onLookup: metrics.onLookup,
-        metricsText: () => [metrics.text(readGauges()).trimEnd(), ...traffic.metricLines(), ""].join("\n"),
+        metricsText: () =>
+            [
+                metrics.text(readGauges()).trimEnd(),
+                ...quotaMetricLines(quotas.counts()),
+                ...traffic.metricLines(),
+                "",
+            ].join("\n"),
     });
 
     const relayRole = createRelayRole({
--- a/packages/box/src/quotas/customer-quotas.ts
+++ b/packages/box/src/quotas/customer-quotas.ts
@@ -40,8 +40,10 @@
 }
 
 /** Counts of one customer on this box. */
-interface CustomerCounts {
+export interface CustomerCounts {
     readonly customer: CustomerId;
+    /** The customer's quota for all boxes together, in requests a second; 0 if it has none any more. */
+    readonly rate: number;
     readonly admitted: number;
     readonly refused: number;
 }
@@ -101,7 +103,12 @@
             sendInParts(from, leases.filter(lease => lease !== undefined).map(leaseEntry), "leases");
             (message.leases ?? []).map(readLease).forEach(onLease);
         },
-        counts: () => [...shares].map(([customer, share]) => ({ customer, ...share.counts() })),
+        counts: () =>
+            [...shares].map(([customer, share]) => ({
+                customer,
+                rate: options.customerOf(customer)?.quota?.rate ?? 0,
+                ...share.counts(),
+            })),
     };
 
     /** Requests that come in one turn share the datagrams. */
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -5,6 +5,7 @@
 import { boxes } from "./boxes.js";
 import { burn } from "./burn.js";
 import type { Command } from "./context.js";
+import { customers } from "./customers.js";
 import { explain } from "./explain.js";
 import { settingsCheck, settingsShow } from "./settings-file.js";
 import { settingsApply, settingsDiff, settingsEdit, settingsHistory } from "./settings-stored.js";
@@ -18,6 +19,7 @@
     settingsEdit,
     settingsHistory,
     boxes,
+    customers,
     burn,
     explain,
 ];
--- a/packages/testing/test/command-line-deployment.test.ts
+++ b/packages/testing/test/command-line-deployment.test.ts
@@ -92,4 +92,29 @@
             `chalkdale: ${spoiled}:1 is no sample; move the file away to begin anew\n`,
         ]);
     });
+
+    it("tells customers' quotas, and what was admitted and refused, without their keys", async () => {
+        expect((await runCommandLine("customers", ...at)).output).to.include("no customer with a quota has asked yet");
+        const rules = [{ name: "lookup", path: "/lookup/", kind: "safe" as const }];
+        deployment.configure(3, rules, [{ name: "club", keys: ["key-of-club"], rate: 2, burst: 2 }]);
+        const ask = (box: TestBox, count: number) =>
+            sendRequest({
+                address: box.callers,
+                host: testHost,
+                path: "/lookup/",
+                requestId: `c-${count}`,
+                credential: "key-of-club",
+            });
+        await eventually(async () => (await ask(boxes[0], 0)).status === 200, "the customer is known");
+        await Promise.all(Array.from({ length: 30 }, (_, count) => ask(boxes[count % 2], count)));
+        const table = await runCommandLine("customers", ...at, "--all");
+        expect(table.code).to.equal(0);
+        expect(table.output).to.match(/club +2\/s +\d+ +[1-9]\d*/).and.to.match(/box-2 +club/);
+        const { customers } = JSON.parse((await runCommandLine("customers", ...at, "--json")).output) as {
+            customers: { customer: string; admitted: number; refused: number; }[];
+        };
+        expect(customers.map(({ customer }) => customer)).to.deep.equal(["club"]);
+        expect(customers[0].admitted + customers[0].refused).to.be.greaterThan(30);
+        expect(table.output).not.to.include("key-of");
+    });
 });
