Learn how long servers keep resting connections

Change: a reset within 30 ms of sending, on a connection that had rested, is noted for the service; for 10 s connections rest half of the shortest such time at most. It says nothing of the server's health.

--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -8,15 +8,16 @@
 import {
     type BackendServer,
     connectTimeoutOfRequest,
+    type IdleLife,
     isIdempotent,
     longestRestBefore,
     overdueTime,
     type ServiceLoad,
 } from "@chalkdale/decisions";
-import type { Clock, ServiceId } from "@chalkdale/kernel";
-import type { Socket } from "node:net";
+import { type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/kernel";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import { exchange } from "../servers/exchange.js";
+import type { ServerConnection } from "../servers/idle-connections.js";
 import type { LivenessCheck } from "../servers/liveness-check.js";
 import type { ServerConnections } from "../servers/server-connections.js";
 import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
@@ -30,6 +31,7 @@
     readonly mostConnections: (service: ServiceId) => number;
     readonly livenessCheck: LivenessCheck;
     readonly serviceLoad: ServiceLoad;
+    readonly idleLife: IdleLife;
     /** Counts the bodies of a request and its answer. */
     readonly countBytes: (server: BackendServer, bytes: number) => void;
 }
@@ -43,7 +45,11 @@
         const connected = await connections.acquire({
             server: request.server.id,
             address: request.server.state.record().address,
-            longestRest: longestRestBefore(isIdempotent(request.route)),
+            longestRest: options.idleLife.longestRest(
+                request.service,
+                longestRestBefore(isIdempotent(request.route)),
+                clock(),
+            ),
             connectTimeout: connectTimeoutOfRequest(request.roundTrip, request.timeLeft()),
             most: options.mostConnections(request.service),
             signal: request.signal,
@@ -52,13 +58,13 @@
             return feedback.onNoConnection(request, connected.val);
         }
         if (request.signal.aborted) {
-            connected.val.destroy();
+            connected.val.socket.destroy();
             return { kind: "cancelled" };
         }
         return send(request, connected.val);
     };
 
-    async function send(request: AttemptRequest, socket: Socket): Promise<AttemptOutcome> {
+    async function send(request: AttemptRequest, { rested, socket }: ServerConnection): Promise<AttemptOutcome> {
         const sentAt = clock();
         request.onSend();
         request.server.state.onSent(sentAt);
@@ -81,12 +87,18 @@
             case "answer":
                 return feedback.onAnswer(request, socket, outcome.answer, sentAt);
             case "broken":
-                return feedback.onBroken(request, outcome.reason);
+                return feedback.onBroken(request, outcome.reason, wasForgotten(request, rested, sentAt));
             case "cancelled":
                 return feedback.onCancelled(request, sentAt);
         }
     }
 
+    /** True if the server most likely no longer knew the connection, since it had rested. */
+    function wasForgotten(request: AttemptRequest, rested: Milliseconds, sentAt: Milliseconds): boolean {
+        const after = milliseconds(clock() - sentAt - request.roundTrip);
+        return options.idleLife.onReset(request.service, rested, after, clock());
+    }
+
     /** Aborts an idempotent request once it is overdue and its server turns out to take no connection. */
     function watchForSilence(request: AttemptRequest): { readonly signal: AbortSignal; readonly end: () => void; } {
         const controller = new AbortController();
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -29,7 +29,8 @@
         answer: ServerAnswer,
         sentAt: Milliseconds,
     ) => AttemptOutcome;
-    readonly onBroken: (request: AttemptRequest, reason: string) => AttemptOutcome;
+    /** `wasForgotten`: the server forgot a connection that rested, which says nothing of its health; a lost one refuses the next. */
+    readonly onBroken: (request: AttemptRequest, reason: string, wasForgotten: boolean) => AttemptOutcome;
     /** The caller left, the request's time is over, or its server is silent. */
     readonly onCancelled: (request: AttemptRequest, sentAt: Milliseconds) => AttemptOutcome;
 }
@@ -70,9 +71,14 @@
             });
             return applyVerdict(request, answer, verdict, sentAt);
         },
-        onBroken(request, reason) {
+        onBroken(request, reason, wasForgotten) {
             request.server.state.onEnded(clock());
-            request.server.state.onFailure(clock(), "brokeOff");
+            if (wasForgotten) {
+                connections.closeIdle(request.server.id);
+            }
+            else {
+                request.server.state.onFailure(clock(), "brokeOff");
+            }
             return { kind: "broken", reason };
         },
         onCancelled(request, sentAt) {
--- a/packages/box/src/servers/idle-connections.ts
+++ b/packages/box/src/servers/idle-connections.ts
@@ -5,13 +5,13 @@
  * ends, is closed and never used again.
  */
 
-import type { BackendServerId, Clock, Milliseconds } from "@chalkdale/kernel";
+import { type BackendServerId, type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import type { Socket } from "node:net";
 
 /** Resting connections by server. */
 export interface IdleConnections {
     /** Takes the connection that rested the shortest, if it is fresh enough. */
-    readonly take: (server: BackendServerId, longestRest: Milliseconds) => Socket | undefined;
+    readonly take: (server: BackendServerId, longestRest: Milliseconds) => ServerConnection | undefined;
     /** Keeps a connection for at most so long. */
     readonly keep: (server: BackendServerId, socket: Socket, rest: Milliseconds) => void;
     /** Closes those of a server. */
@@ -20,6 +20,13 @@
     readonly sweep: () => void;
 }
 
+/** A connection for one request. */
+export interface ServerConnection {
+    readonly socket: Socket;
+    /** How long it rested; 0 for a new one. */
+    readonly rested: Milliseconds;
+}
+
 interface IdleConnection {
     readonly socket: Socket;
     readonly since: Milliseconds;
@@ -41,7 +48,7 @@
                 const connection = list.pop()!;
                 stopListening(connection);
                 if (isUsable(connection, longestRest)) {
-                    return connection.socket;
+                    return { socket: connection.socket, rested: milliseconds(clock() - connection.since) };
                 }
                 if (clock() > connection.until || connection.socket.destroyed) {
                     connection.socket.destroy();
--- a/packages/box/src/servers/server-connections.ts
+++ b/packages/box/src/servers/server-connections.ts
@@ -6,10 +6,18 @@
  * user until it is given back or destroyed.
  */
 
-import { type BackendServerId, type Clock, Err, type Milliseconds, Ok, type Result } from "@chalkdale/kernel";
+import {
+    type BackendServerId,
+    type Clock,
+    Err,
+    type Milliseconds,
+    milliseconds,
+    Ok,
+    type Result,
+} from "@chalkdale/kernel";
 import { splitAddress } from "@chalkdale/runtime";
 import { connect, type Socket } from "node:net";
-import { createIdleConnections } from "./idle-connections.js";
+import { createIdleConnections, type ServerConnection } from "./idle-connections.js";
 
 /** Why there is no connection. Nothing was sent in any of these cases. */
 export type ConnectFailure = "unreachable" | "tooMany" | "cancelled";
@@ -28,7 +36,7 @@
 
 /** Connections to all servers. */
 export interface ServerConnections {
-    readonly acquire: (request: ConnectionRequest) => Promise<Result<Socket, ConnectFailure>>;
+    readonly acquire: (request: ConnectionRequest) => Promise<Result<ServerConnection, ConnectFailure>>;
     /** Keeps a connection for later use, for at most so long. */
     readonly release: (server: BackendServerId, socket: Socket, rest: Milliseconds) => void;
     /** Closes the idle connections of a server. */
@@ -71,7 +79,7 @@
         count: () => [...open.values()].reduce((sum, count) => sum + count, 0),
     };
 
-    function openConnection(request: ConnectionRequest): Promise<Result<Socket, ConnectFailure>> {
+    function openConnection(request: ConnectionRequest): Promise<Result<ServerConnection, ConnectFailure>> {
         return new Promise(resolve => {
             const startedAt = clock();
             const { host, port } = splitAddress(request.address);
@@ -98,7 +106,7 @@
                 socket.removeListener("error", onError);
                 socket.setKeepAlive(true, keepAliveDelay);
                 options.onConnected(request.server, (clock() - startedAt) as Milliseconds);
-                resolve(Ok(socket));
+                resolve(Ok({ socket, rested: milliseconds(0) }));
             }
         });
     }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -36,6 +36,7 @@
 export * from "./retry/retry-budget.js";
 export * from "./retry/retry-decision.js";
 export * from "./retry/sliding-count.js";
+export * from "./servers/idle-life.js";
 export * from "./servers/load-estimate.js";
 export * from "./servers/server-catalog.js";
 export * from "./servers/server-record.js";
--- a/packages/testing/src/standins/backend-server.ts
+++ b/packages/testing/src/standins/backend-server.ts
@@ -4,7 +4,7 @@
  */
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, Server as NetServer } from "node:net";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import { type ServerBehaviour, writeAnswer } from "./server-answers.js";
 import { createSlotQueue } from "./slot-queue.js";
 
@@ -34,6 +34,8 @@
     setWork: (milliseconds: number) => void;
     /** Tells in its health answers that it stays cold for so long. */
     setColdFor: (milliseconds: number) => void;
+    /** Resets connections that rested longer than so many milliseconds once a request comes on them. */
+    readonly setForgetsAfter: (milliseconds: number) => void;
     /** Says in its answers that it is leaving. */
     setLeaving: (leaving: boolean) => void;
     /** Refuses new connections; those that are open stay. */
@@ -71,6 +73,8 @@
     let work = 0;
     let coldFor = 0;
     let leaving = false;
+    let forgetsAfter = Infinity;
+    const lastUsed = new WeakMap<Socket, number>();
     let arrivals = 0;
     let connections = 0;
     let abandoned = 0;
@@ -98,6 +102,9 @@
         setColdFor: duration => {
             coldFor = duration;
         },
+        setForgetsAfter: duration => {
+            forgetsAfter = duration;
+        },
         setLeaving: value => {
             leaving = value;
         },
@@ -118,6 +125,11 @@
             return;
         }
         arrivals += 1;
+        if (performance.now() - (lastUsed.get(request.socket) ?? Infinity) > forgetsAfter) {
+            request.socket.resetAndDestroy();
+            return;
+        }
+        response.on("close", () => lastUsed.set(request.socket, performance.now()));
         const requestId = String(request.headers["request-id"] ?? "");
         const expected = request.headers["expect-instance"];
         if (expected !== undefined && expected !== options.id) {
--- a/packages/testing/test/box-servers.test.ts
+++ b/packages/testing/test/box-servers.test.ts
@@ -244,6 +244,17 @@
             expect(brief.connections()).to.equal(2);
         });
 
+        it("or forget while they rest cost one request that may not run twice, not each [P5]", async () => {
+            const statuses: number[] = [];
+            world.first.setForgetsAfter(200);
+            world.second.setForgetsAfter(200);
+            for (let count = 0; count < 4; count++) {
+                statuses.push((await ask("/save/", { method: "POST" })).status);
+                await pause(milliseconds(350));
+            }
+            expect(statuses).to.deep.equal([200, 502, 200, 200]);
+        });
+
         it("since they are leaving are not kept", async () => {
             first.setLeaving(true);
             second.setLeaving(true);
