Ask a server once more that turned a request away with slots free, and let callers come back at once

The second try went to a server that does not know the key: 1.0 to 1.3 s of work for an aim of 0.86 s, late for sure; callers were told to come back after 0.7 s, late for sure as well. Change: one more try at the same server, within the route's attempts and the budget; the time to come back follows the queues of the service: 50 ms with slots free, up to 0.7 s.

--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -45,6 +45,8 @@
     sent: number;
     /** Attempts that reached none. */
     notSent: number;
+    /** A server that turned the request away with free slots may have it again. */
+    askedAgain: boolean;
     /** An attempt broke off after it had reached a server. */
     mayHaveRun: boolean;
     /** What the latest choice of a server went by, for the log. */
@@ -93,6 +95,7 @@
         tried: new Set(),
         sent: 0,
         notSent: 0,
+        askedAgain: false,
         mayHaveRun: false,
         latestChoice: undefined,
     };
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -69,6 +69,9 @@
             }
             logFailure(active, choice, outcome);
             active.mayHaveRun ||= outcome.kind === "broken";
+            if (mayAskAgain(active, choice, outcome)) {
+                active.tried.delete(choice.server.id);
+            }
             lastAnswer = outcome.kind === "answered" ? outcome.answer : lastAnswer;
             const decision = decideRetry(endOf(outcome), retryInputs(active));
             if (decision.kind === "giveUp") {
@@ -80,6 +83,18 @@
         }
     };
 
+    /**
+     * True once for a server that turned the request away though it has free slots: it knows the key, and takes the next try as
+     * likely as any other server, where the work would be cold and its answer late.
+     */
+    function mayAskAgain(active: ActiveRequest, { server }: ChosenServer, outcome: AttemptOutcome): boolean {
+        if (outcome.kind !== "notRun" || !outcome.hasRoom || active.askedAgain) {
+            return false;
+        }
+        active.askedAgain = true;
+        return active.tried.has(server.id);
+    }
+
     function choiceRequest(active: ActiveRequest): ChoiceRequest {
         const at = clock();
         return {
--- a/packages/box/src/requests/attempt-request.ts
+++ b/packages/box/src/requests/attempt-request.ts
@@ -13,8 +13,8 @@
     | { readonly kind: "answered"; readonly answer: ServerAnswer; }
     /** Nothing reached the server. */
     | { readonly kind: "notSent"; readonly reason: string; }
-    /** The server says that it did not run the request. */
-    | { readonly kind: "notRun"; readonly status: number; }
+    /** The server says that it did not run the request. `hasRoom`: though it has free slots. */
+    | { readonly kind: "notRun"; readonly status: number; readonly hasRoom: boolean; }
     /** The request may have run; there is no whole answer. */
     | { readonly kind: "broken"; readonly reason: string; }
     | { readonly kind: "cancelled"; };
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -38,6 +38,8 @@
     /** Time since the store confirmed the copy of the configuration. */
     readonly configurationAge: () => Milliseconds;
     readonly copyAgeBounds: CopyAgeBounds;
+    /** When the caller of a request may come back; undefined when that cannot help. */
+    readonly comeBackAfter: (active: ActiveRequest, refusal: RefusalKind) => Milliseconds | undefined;
     readonly quotas: Pick<CustomerQuotas, "take" | "giveBack">;
 }
 
@@ -163,7 +165,7 @@
                     options.quotas.giveBack(active.customer);
                 }
                 requestLog.refused(active, ending.refusal);
-                refuseCaller(response, ending.refusal);
+                refuseCaller(response, ending.refusal, options.comeBackAfter(active, ending.refusal));
                 return;
             case "callerLeft":
                 requestLog.callerLeft(active);
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -7,6 +7,7 @@
 
 import {
     type BackendServer,
+    comeBackAfter,
     connectTimeout,
     type CopyAgeBounds,
     createIdleLife,
@@ -115,6 +116,11 @@
             countBytes: (server, bytes) => options.countTraffic("request", server.state.record(), bytes),
         }),
         budgetOf: limits.budgetOf,
+        comeBackAfter: ({ route, service }, refusal) =>
+            comeBackAfter(refusal, {
+                loadPerSlot: serviceLoad.perSlot(service),
+                warmWork: work.expected(route, true),
+            }),
         recentKeys,
         work,
         roundTrip: roundTripTo,
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -109,7 +109,7 @@
             case "otherServer":
                 state.onReplaced();
                 connections.closeIdle(id);
-                return { kind: "notRun", status: answer.status };
+                return { kind: "notRun", status: answer.status, hasRoom: false };
             case "full":
                 if (verdict.isFailure) {
                     state.onResult(now, false);
@@ -117,7 +117,7 @@
                 else {
                     state.onFull(now);
                 }
-                return { kind: "notRun", status: answer.status };
+                return { kind: "notRun", status: answer.status, hasRoom: verdict.isFailure };
             case "ran":
                 state.onHealthy();
                 state.onResult(now, !verdict.isFailure);
--- a/packages/box/test/request-handler.test.ts
+++ b/packages/box/test/request-handler.test.ts
@@ -80,6 +80,7 @@
             state,
             phase: () => phase,
             configurationAge: () => age,
+            comeBackAfter: unused,
             quotas: { take: () => undefined, giveBack: () => undefined },
             copyAgeBounds: { changeInForce: milliseconds(2000), revocation: undefined },
             choose: unused,
--- /dev/null
+++ b/packages/decisions/test/come-back.test.ts
@@ -0,0 +1,24 @@
+import { milliseconds } from "@chalkdale/kernel";
+import { expect } from "chai";
+import { comeBackAfter } from "../src/index.js";
+
+describe("the time to come back", () => {
+    const after = (refusal: Parameters<typeof comeBackAfter>[0], loadPerSlot: number) =>
+        comeBackAfter(refusal, { loadPerSlot, warmWork: milliseconds(300) });
+
+    it("is at once where servers turned requests away with slots free", () => {
+        expect(after("serversFull", 0.3)).to.equal(50);
+        expect(after("budgetSpent", 0.8)).to.equal(50);
+    });
+
+    it("grows with the queues, up to the time for overload", () => {
+        expect(after("serversFull", 1.8)).to.be.closeTo(300, 1);
+        expect(after("budgetSpent", 9)).to.equal(700);
+    });
+
+    it("is that of the table for other refusals, and none where coming back can't help", () => {
+        expect(after("crowded", 0.3)).to.equal(700);
+        expect(after("leaving", 0.3)).to.equal(150);
+        expect(after("timedOut", 0.3)).to.equal(undefined);
+    });
+});
--- a/packages/testing/src/standins/backend-server.ts
+++ b/packages/testing/src/standins/backend-server.ts
@@ -138,7 +138,8 @@
         }
         const behaviour = behaviourOf(request);
         if (behaviour.kind === "shed" || queue.isFull()) {
-            response.writeHead(503, { "Request-Id": requestId, "Not-Run": "1" }).end();
+            const told = behaviour.kind === "shed" && behaviour.tellsLoad === true ? loadHeader() : {};
+            response.writeHead(503, { "Request-Id": requestId, "Not-Run": "1", ...told }).end();
             return;
         }
         if (behaviour.kind === "early") {
@@ -173,6 +174,10 @@
         writeAnswer(request, response, contentOf(requestId), behaviour);
     }
 
+    function loadHeader(): Record<string, string> {
+        return { "Server-Load": `${queue.running()},${queue.waiting()},${slots}` };
+    }
+
     function remember(key: string): boolean {
         const warm = keys.delete(key);
         keys.add(key);
@@ -188,7 +193,7 @@
             headers: {
                 "Request-Id": requestId,
                 "Server-Stamp": `stamp.${requestId}`,
-                "Server-Load": `${queue.running()},${queue.waiting()},${slots}`,
+                ...loadHeader(),
                 ...(leaving ? { "Connection": "close" } : {}),
             },
         };
--- a/packages/testing/test/box-servers.test.ts
+++ b/packages/testing/test/box-servers.test.ts
@@ -202,6 +202,24 @@
         });
     });
 
+    describe("servers that turn requests away with slots free", () => {
+        it("are asked once more before one that does not know the key [P5]", async () => {
+            await ask("/lookup/");
+            const [{ headers }] = runs();
+            misbehave({ kind: "shed", tellsLoad: true }, 1);
+            expect((await ask("/lookup/")).status).to.equal(200);
+            expect(runs().map(run => run.warm)).to.deep.equal([false, true]);
+            expect(runs()[1].headers["expect-instance"]).to.equal(headers["expect-instance"]);
+        });
+
+        it("let callers come back at once", async () => {
+            misbehave({ kind: "shed", tellsLoad: true });
+            const answer = await ask("/lookup/");
+            expect(answer.status).to.equal(503);
+            expect(Number(answer.headers["retry-after"])).to.be.lessThan(0.1);
+        });
+    });
+
     describe("servers that leave", () => {
         it("get nothing once they are draining, nor once their record is gone [P6]", async () => {
             deployment.recordServer(first, { state: "draining" });
