--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -9,19 +9,13 @@
 import {
     createMembership,
     createRelayRole,
-    createServerCatalog,
-    createServerState,
     createSharedEvidence,
     createSharedLimits,
-    createSlowStart,
     digestRounds,
     gossipInterval,
     type MemberRecord,
-    recordDelay,
-    type ServerCatalog,
-    type SharedLimits,
 } from "@chalkdale/decisions";
-import { boxId, type Clock, milliseconds, type ServiceId } from "@chalkdale/kernel";
+import { boxId, type Clock, milliseconds } from "@chalkdale/kernel";
 import { createBudgetedLog, every, type Log } from "@chalkdale/runtime";
 import { setMaxListeners } from "node:events";
 import type { CallerProtocol } from "./callers/caller-protocol.js";
@@ -29,6 +23,7 @@
 import { joinMembers } from "./join.js";
 import { createLoadMeter } from "./load-meter.js";
 import { createBoxMetrics } from "./metrics.js";
+import { createOwnRecord } from "./own-record.js";
 import { startPeerLink } from "./peers/peer-link.js";
 import { createPeerReads } from "./peers/peer-reads.js";
 import { createServerReports } from "./peers/server-reports.js";
@@ -36,6 +31,7 @@
 import { createCustomerQuotas } from "./quotas/customer-quotas.js";
 import { quotaMetricLines } from "./quotas/quota-metrics.js";
 import { createRequestPath } from "./requests/request-path.js";
+import { createCatalog } from "./servers/catalog.js";
 import { createHealthChecker } from "./servers/health-checker.js";
 import type { BoxSettings } from "./settings.js";
 import { startReplicator } from "./state/replicator.js";
@@ -89,7 +85,7 @@
     const startedAt = clock();
     const uptime = () => milliseconds(clock() - startedAt);
     const loadMeter = createLoadMeter(settings.capacity);
-    const membership = createMembership(ownRecord(options));
+    const membership = createMembership(createOwnRecord(settings, options.incarnation));
     const limits = createSharedLimits({
         clock,
         self: settings.box,
@@ -292,41 +288,6 @@
     }
 }
 
-/** Creates the catalog of servers; each cold one is bounded by its own slow start. */
-function createCatalog(
-    settings: BoxSettings,
-    limits: SharedLimits,
-    coldRateOf: (service: ServiceId) => number,
-): ServerCatalog {
-    return createServerCatalog((record, at) =>
-        createServerState(record, at, {
-            recordDelay,
-            slowStart: createSlowStart({
-                self: settings.box,
-                server: record.id,
-                boxes: () => limits.slowStartSenders(record.region),
-                rate: () => coldRateOf(record.service),
-            }),
-        })
-    );
-}
-
-function ownRecord({ incarnation, settings }: BoxOptions): MemberRecord {
-    return {
-        box: boxId(settings.box),
-        incarnation,
-        heartbeat: 0,
-        leaving: false,
-        ready: false,
-        region: settings.region,
-        zone: settings.zone,
-        peerAddress: `${settings.peers.host}:${settings.peers.port}`,
-        callerAddress: `${settings.callers.host}:${settings.callers.port}`,
-        capacity: settings.capacity,
-        load: 0,
-    };
-}
-
 function sumOfLoads(members: readonly MemberRecord[]): string {
     return members.reduce((sum, member) => sum + member.load, 0).toFixed(2);
 }
