The soak and the demo have customers: keys change with each version, one has a quota

Checks: each run is for the customer of its caller's key, no key at a server, none honoured beyond the bound.

--- a/packages/testing/src/demo/main.ts
+++ b/packages/testing/src/demo/main.ts
@@ -55,7 +55,15 @@
     );
     check(refused <= attempts.length * mostRefused, `at most ${mostRefused * 100}% refused`);
     const { destinations, runs } = world;
-    const breaches = findBreaches({ attempts, runs, drained, evacuated, destinations, recoveredFrom: 0 });
+    const breaches = findBreaches({
+        attempts,
+        runs,
+        drained,
+        evacuated,
+        destinations,
+        keyEndsAt: world.customers.endOf,
+        recoveredFrom: 0,
+    });
     breaches.forEach(breach => process.stdout.write(`      ${breach.promise}: ${breach.detail}\n`));
     check(breaches.length === 0, "whole answers, at most once, refused ones unrun, nothing at drained servers");
     process.exitCode = wrong === 0 ? 0 : 1;
--- a/packages/testing/src/soak/callers.ts
+++ b/packages/testing/src/soak/callers.ts
@@ -7,6 +7,7 @@
 import { type Client, createClient } from "../standins/client.js";
 import { pause } from "../standins/deployment.js";
 import type { ObservedAttempt } from "./checks.js";
+import { customerNames } from "./soak-customers.js";
 import { host, servicesByPath, type SoakWorld } from "./soak-world.js";
 
 /** Callers that run. */
@@ -52,7 +53,8 @@
         const client = createCaller("wait", true);
         const end = now() + longestFirstWait;
         while (now() < end) {
-            const answer = await client.call({ host, path: "/lookup/" }, { idempotent: true });
+            const credential = world.customers.keyOf(customerNames[0]).key;
+            const answer = await client.call({ host, path: "/lookup/", credential }, { idempotent: true });
             if (answer.status === 200) {
                 client.close();
                 return;
@@ -84,18 +86,21 @@
             const idempotent = path !== "/save/";
             const before = client.attempts();
             const at = now();
+            const held = world.customers.keyOf(customerNames[index % customerNames.length]);
             const answer = await client.call({
                 host,
                 path,
                 method: idempotent ? "GET" : "POST",
                 body: idempotent ? undefined : "work",
                 affinityKey: `k${count % keys}`,
+                credential: held.key,
+                extraHeaders: { Tenant: "forged" },
                 deadlineMs: deadline,
                 leaveAfterMs: random() < options.leavingShare ? earlyLeave : lateLeave,
             }, { idempotent });
             if (client.attempts() > before) {
                 const requestId = `${options.prefix}-c${index}-${client.attempts()}`;
-                attempts.push({ requestId, idempotent, at, box: "a box", answer });
+                attempts.push({ requestId, idempotent, at, box: "a box", answer, held });
             }
             await pause(milliseconds(10 + random() * 20));
         }
--- a/packages/testing/src/soak/checks.ts
+++ b/packages/testing/src/soak/checks.ts
@@ -4,6 +4,7 @@
 
 import type { ServerRun } from "../standins/backend-server.js";
 import type { ClientAnswer } from "../standins/client.js";
+import type { HeldKey } from "./soak-customers.js";
 
 /** A promise that was not kept. */
 export interface Breach {
@@ -12,6 +13,7 @@
         | "at most once"
         | "refused unrun"
         | "route"
+        | "customer"
         | "drain"
         | "evacuation"
         | "recovery";
@@ -26,6 +28,8 @@
     readonly at: number;
     readonly box: string;
     readonly answer: ClientAnswer;
+    /** The key that it was made with. */
+    readonly held: HeldKey;
 }
 
 /** A run at a server, with when it began. */
@@ -52,6 +56,8 @@
     readonly evacuated: ReadonlyMap<string, readonly Interval[]>;
     /** Services that a path may go to, by time. */
     readonly destinations: readonly (Interval & { readonly path: string; readonly service: string; })[];
+    /** From when on a key must not be honoured; undefined for one that stands. */
+    readonly keyEndsAt: (key: string) => number | undefined;
     /** From here on all faults are over, and enough time has passed to recover. */
     readonly recoveredFrom: number;
 }
@@ -66,6 +72,7 @@
         ...atMostOnce(seen),
         ...refusedUnrun(seen),
         ...routed(seen),
+        ...ofTheirCustomer(seen),
         ...drained(seen),
         ...recovered(seen),
     ];
@@ -123,6 +130,27 @@
     }));
 }
 
+/** Each run is for the customer of the caller's key, while that stands, and the key itself does not reach the server. */
+function ofTheirCustomer({ attempts, keyEndsAt, runs }: Observations): Breach[] {
+    const heldBy = new Map(attempts.map(({ held, requestId }) => [requestId, held]));
+    return runs.flatMap((run): Breach[] => {
+        const held = heldBy.get(run.requestId);
+        if (held === undefined) {
+            return [];
+        }
+        const { credential, tenant } = run.headers;
+        const isAfterEnd = run.at > (keyEndsAt(held.key) ?? Infinity);
+        if (tenant === held.customer && credential === undefined && !isAfterEnd) {
+            return [];
+        }
+        const told = `for ${String(tenant)}, key ${credential === undefined ? "taken off" : "passed on"}`;
+        const detail = `${run.requestId} of ${held.customer} ran on ${run.server} ${told}${
+            isAfterEnd ? ", after its end" : ""
+        }`;
+        return [{ promise: "customer", at: run.at, detail }];
+    });
+}
+
 function drained({ drained, evacuated, runs }: Observations): Breach[] {
     const isIn = (interval: Interval, at: number) => at >= interval.from && at <= interval.to;
     return runs.flatMap((run): Breach[] => {
--- /dev/null
+++ b/packages/testing/src/soak/soak-customers.ts
@@ -0,0 +1,54 @@
+/**
+ * The customers of a soak run: their keys change with each version of the
+ * configuration, and one of them has a quota.
+ *
+ * Owns which key is given out now, and from when on an older one must not be honoured.
+ */
+
+import type { TenantOptions } from "../standins/platform-objects.js";
+
+/** A key as a caller holds it. */
+export interface HeldKey {
+    readonly customer: string;
+    readonly key: string;
+}
+
+/** Customers of one run. */
+export interface SoakCustomers {
+    /** The key that a caller of a customer has now. */
+    readonly keyOf: (customer: string) => HeldKey;
+    /** Gives out new keys; returns the customers as operators write them. */
+    readonly next: (version: number) => readonly TenantOptions[];
+    /** From when on an earlier key must not be honoured; undefined for one that stands. */
+    readonly endOf: (key: string) => number | undefined;
+}
+
+/** Customers by name with their quotas; the callers of a run ask some 100 requests a second together. */
+const quotas: Readonly<Record<string, { readonly rate: number; readonly burst: number; }>> = {
+    club: { rate: 0, burst: 0 },
+    school: { rate: 200, burst: 200 },
+};
+/** Names of the customers. */
+export const customerNames = Object.keys(quotas);
+
+/** Creates customers without keys. `inForceWithin`: milliseconds for which an earlier key may still be honoured. */
+export function createSoakCustomers(now: () => number, inForceWithin: number): SoakCustomers {
+    const current = new Map<string, string>();
+    const ends = new Map<string, number>();
+
+    return {
+        keyOf: customer => ({ customer, key: current.get(customer) ?? "" }),
+        next(version) {
+            return customerNames.map(name => {
+                const earlier = current.get(name);
+                if (earlier !== undefined) {
+                    ends.set(earlier, now() + inForceWithin);
+                }
+                const key = `key-of-${name}-${version}`;
+                current.set(name, key);
+                return { name, keys: [key], ...quotas[name] };
+            });
+        },
+        endOf: key => ends.get(key),
+    };
+}
--- a/packages/testing/src/soak/soak-world.ts
+++ b/packages/testing/src/soak/soak-world.ts
@@ -14,6 +14,7 @@
 import { type BoxProcess, createBoxProcess } from "./box-process.js";
 import type { Interval, ObservedRun } from "./checks.js";
 import { type Proxy, startProxy } from "./proxy.js";
+import { createSoakCustomers, type SoakCustomers } from "./soak-customers.js";
 
 /** Zones and their regions. */
 const zones: Readonly<Record<string, string>> = { "north-a": "north", "north-b": "north", "south-a": "south" };
@@ -57,9 +58,10 @@
     readonly boxes: readonly BoxProcess[];
     readonly runs: readonly ObservedRun[];
     readonly destinations: readonly Destination[];
+    readonly customers: SoakCustomers;
     readonly addServer: (service: string, zone: string) => Promise<void>;
     readonly record: (server: SoakServer, state: "ready" | "draining") => void;
-    /** Writes the next version; the lookups' service changes with every other one. */
+    /** Writes the next version: each customer has a new key, and the lookups' service changes with every other one. */
     readonly configure: () => void;
     readonly stopAll: () => Promise<void>;
 }
@@ -83,6 +85,7 @@
     const servers: SoakServer[] = [];
     const runs: ObservedRun[] = [];
     const destinations: Destination[] = [];
+    const customers = createSoakCustomers(now, inForceWithin);
     const storeLinks: Proxy[] = [];
     let version = 1;
 
@@ -101,6 +104,7 @@
         boxes,
         runs,
         destinations,
+        customers,
         addServer,
         record,
         configure,
@@ -152,7 +156,7 @@
             service: path === "/lookup/" ? lookups : service,
         }));
         rules.forEach(noteDestination);
-        store.put("config", "main", configurationObject(version, host, rules));
+        store.put("config", "main", configurationObject(version, host, rules, customers.next(version)));
     }
 
     /** Notes from when on a path's requests may run at a service, and until when they still may at the one before. */
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -55,7 +55,8 @@
 
     const { attempts } = callers;
     const { destinations, folder, runs } = world;
-    const breaches = findBreaches({ attempts, runs, drained, evacuated, destinations, recoveredFrom });
+    const keyEndsAt = world.customers.endOf;
+    const breaches = findBreaches({ attempts, runs, drained, evacuated, destinations, keyEndsAt, recoveredFrom });
     breaches.forEach(breach => say(`breach="${breach.promise}" at=${Math.round(breach.at)} ${breach.detail}`));
     const served = attempts.filter(attempt => attempt.answer.status === 200).length;
     return { seed, attempts: attempts.length, served, faults, breaches, folder };
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -27,7 +27,7 @@
         method: "POST",
         url: "/save/",
         body: "",
-        headers: {},
+        headers: { tenant: "club" },
         warm: false,
         at: 100,
         server: "i-1",
@@ -40,6 +40,7 @@
         idempotent: false,
         at: 90,
         box: "box",
+        held: { customer: "club", key: "k" },
         answer: { status, body, headers: { "server-stamp": "stamp.r-1" } },
     });
     const seen = (changes: Partial<Observations>): Observations => ({
@@ -48,6 +49,7 @@
         drained: new Map(),
         evacuated: new Map(),
         destinations: [{ path: "/save/", service: "profiles", from: 0, to: Infinity }],
+        keyEndsAt: () => undefined,
         recoveredFrom: 0,
         ...changes,
     });
@@ -62,6 +64,9 @@
         expect(found({ runs: [run(), run({ server: "i-2" })] })).to.deep.equal(["at most once"]);
         expect(found({ attempts: [attempt(503)], recoveredFrom: 0 })).to.include("refused unrun");
         expect(found({ runs: [run({ service: "packs" })] })).to.deep.equal(["route"]);
+        expect(found({ runs: [run({ headers: { tenant: "school" } })] })).to.deep.equal(["customer"]);
+        expect(found({ runs: [run({ headers: { tenant: "club", credential: "k" } })] })).to.deep.equal(["customer"]);
+        expect(found({ keyEndsAt: () => 50 })).to.deep.equal(["customer"]);
         expect(found({ drained: new Map([["i-1", { from: 50, to: Infinity }]]) })).to.deep.equal(["drain"]);
         expect(found({ evacuated: new Map([["north-a", [{ from: 50, to: 150 }]]]) })).to.deep.equal(["evacuation"]);
         expect(found({ attempts: [] })).to.deep.equal(["recovery"]);
