A box with a lease may admit two requests at once at least

Cause: single requests of callers that come to a box for the first time found a bucket of one empty.

--- a/packages/decisions/src/limits/quota/quota-share.ts
+++ b/packages/decisions/src/limits/quota/quota-share.ts
@@ -50,6 +50,11 @@
 const burstUsed = 2000;
 /** Seconds of its rate that a box may admit at once whatever the burst of its lease: what comes between two reports. */
 const smallestBurst = 0.5;
+/**
+ * Requests that a box with a lease may admit at once at least. With 1 a customer of 20 requests a second was refused 8 of 100 in
+ * its first 3 s on 12 boxes, with 2 it is 6 (emulated).
+ */
+const fewest = 2;
 /** Seconds of an equal part that a box without a lease may admit at once: a start of all boxes grants that much anew. */
 const firstBurst = 0.25;
 /**
@@ -163,5 +168,5 @@
 }
 
 function burstOf(lease: QuotaLease): number {
-    return Math.max(1, lease.burst, lease.rate * smallestBurst);
+    return Math.max(fewest, lease.burst, lease.rate * smallestBurst);
 }
