A request ends once another server has the address of the one that had it

Cause: a test connection to a crashed server's address is accepted by the server that took it over, so the silent one passed as slow; a terrain pack waited 12.5 s. Requests that may not run twice were never checked. Change: while overdue a request is checked each second; the newest record at an address says who has it. One that may be repeated goes elsewhere; another gets 502 at once, which promises nothing.

--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -30,6 +30,8 @@
     /** Connections to one server that this box may hold. */
     readonly mostConnections: (service: ServiceId) => number;
     readonly livenessCheck: LivenessCheck;
+    /** True once a later server is listed at the address of this one. */
+    readonly isAddressTaken: (server: BackendServer) => boolean;
     readonly serviceLoad: ServiceLoad;
     readonly idleLife: IdleLife;
     /** Counts the bodies of a request and its answer. */
@@ -99,20 +101,15 @@
         return options.idleLife.onReset(request.service, rested, after, clock());
     }
 
-    /** Aborts an idempotent request once it is overdue and its server turns out to take no connection. */
+    /**
+     * Aborts a request once it is overdue and its server turns out to have ended: a later one has its address or, for an
+     * idempotent request, which another server may run as well, it takes no connection. A test connection alone is answered by
+     * whoever has the address; a request waited 12.5 s so, until its caller's deadline.
+     */
     function watchForSilence(request: AttemptRequest): { readonly signal: AbortSignal; readonly end: () => void; } {
         const controller = new AbortController();
-        if (!isIdempotent(request.route)) {
-            return { signal: controller.signal, end: () => undefined };
-        }
+        let timer = setTimeout(() => void check(), overdueTime(request.expected));
         let isOver = false;
-        const timer = setTimeout(() => {
-            void options.livenessCheck(request.server).then(isAlive => {
-                if (!isAlive && !isOver) {
-                    controller.abort();
-                }
-            });
-        }, overdueTime(request.expected));
         return {
             signal: controller.signal,
             end() {
@@ -120,6 +117,23 @@
                 clearTimeout(timer);
             },
         };
+
+        async function check(): Promise<void> {
+            if (await hasEnded(request) && !isOver) {
+                controller.abort();
+            }
+            else if (!isOver) {
+                timer = setTimeout(() => void check(), checkInterval);
+            }
+        }
+    }
+
+    /** Never rejects. */
+    async function hasEnded({ route, server }: AttemptRequest): Promise<boolean> {
+        if (options.isAddressTaken(server)) {
+            return true;
+        }
+        return isIdempotent(route) && !await options.livenessCheck(server);
     }
 
     function headersFor(request: AttemptRequest): string[] {
@@ -139,4 +153,6 @@
     }
 }
 
+/** Milliseconds between two checks of a server whose answer is overdue: few for a request, each a new connection. Not measured. */
+const checkInterval = 1000;
 const methodsWithoutBody = new Set(["GET", "HEAD", "DELETE", "OPTIONS"]);
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -111,6 +111,7 @@
             connections,
             mostConnections: limits.mostConnections,
             livenessCheck,
+            isAddressTaken: catalog.isAddressTaken,
             serviceLoad,
             idleLife: createIdleLife(),
             countBytes: (server, bytes) => options.countTraffic("request", server.state.record(), bytes),
--- a/packages/decisions/src/servers/server-catalog.ts
+++ b/packages/decisions/src/servers/server-catalog.ts
@@ -29,6 +29,8 @@
     readonly ofService: (service: ServiceId) => readonly BackendServer[];
     readonly get: (id: BackendServerId) => BackendServer | undefined;
     readonly all: () => Iterable<BackendServer>;
+    /** True once a later server is listed at the address of this one, which has ended then. */
+    readonly isAddressTaken: (server: BackendServer) => boolean;
     /** Rises whenever a server comes or goes, or what it can carry changes. */
     readonly version: () => number;
     /** Forgets servers that were unlisted long ago and are idle. */
@@ -45,6 +47,8 @@
     const servers = new Map<BackendServerId, BackendServer>();
     const unlistedAt = new Map<BackendServerId, Milliseconds>();
     let byService = new Map<ServiceId, BackendServer[]>();
+    /** The server whose record is the newest, for each address. */
+    let newestAt = new Map<string, BackendServer>();
     let version = 0;
 
     return {
@@ -52,6 +56,10 @@
         ofService: service => byService.get(service) ?? [],
         get: id => servers.get(id),
         all: () => servers.values(),
+        isAddressTaken(server) {
+            const newest = newestAt.get(server.state.record().address);
+            return newest !== undefined && newest.id !== server.id;
+        },
         version: () => version,
         sweep(at) {
             const forgotten: BackendServerId[] = [];
@@ -109,8 +117,12 @@
 
     function index(): void {
         byService = new Map();
+        newestAt = new Map();
         for (const server of servers.values()) {
-            const { service } = server.state.record();
+            const { address, revision, service } = server.state.record();
+            if (revision > (newestAt.get(address)?.state.record().revision ?? -1)) {
+                newestAt.set(address, server);
+            }
             const list = byService.get(service) ?? [];
             list.push(server);
             byService.set(service, list);
--- a/packages/testing/test/box-servers.test.ts
+++ b/packages/testing/test/box-servers.test.ts
@@ -124,6 +124,32 @@
             expect(runs()).to.have.length(2);
         });
 
+        /** Another service's server takes the address of the one that has the request. */
+        const replaceSilentServer = async (ports: ReadonlyMap<ServerStandIn, number>) => {
+            await eventually(() => runs().length === 1, "the request runs");
+            const silent = first.runs.length === 1 ? first : second;
+            await deployment.addServer({ id: "i-9", service: "packs", port: ports.get(silent) });
+        };
+        const portsOfBoth = () =>
+            new Map([first, second].map(server => [server, Number(server.address().split(":")[1])]));
+
+        it("loses a request that may be repeated once another server has its address", async () => {
+            const ports = portsOfBoth();
+            silence();
+            const answer = ask("/patient/", { deadlineMs: 60_000 });
+            await replaceSilentServer(ports);
+            expect((await answer).status).to.equal(200);
+        });
+
+        it("ends one that may not, and promises nothing, once another server has its address [P4]", async () => {
+            const ports = portsOfBoth();
+            silence();
+            const answer = ask("/patient-save/", { method: "POST", body: "b", deadlineMs: 60_000 });
+            await replaceSilentServer(ports);
+            expect((await answer).status).to.equal(502);
+            expect(runs()).to.have.length(1);
+        });
+
         it("keeps one that may not, until its time is over [P5]", async () => {
             silence();
             expect((await ask("/save/", { method: "POST", body: "b" })).status).to.equal(504);
--- a/packages/testing/test/one-box.ts
+++ b/packages/testing/test/one-box.ts
@@ -15,6 +15,7 @@
     { name: "save", path: "/save/", kind: "unsafe" },
     { name: "pack", path: "/pack/", kind: "download", service: "packs" },
     { name: "patient", path: "/patient/", kind: "safe", timeout: "60s" },
+    { name: "patient-save", path: "/patient-save/", kind: "unsafe", timeout: "60s" },
     { name: "brief", path: "/brief/", kind: "safe", timeout: "150ms" },
 ];
 
