A store that is out is called by the next kind that is due

Cause: the kind that found the store out was left to call it for all; once its copy was confirmed by other boxes it was not due, called no more, and the others waited for it. Change: another kind waits only while the one that found out is due itself.

--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -70,12 +70,12 @@
         let backoff = firstBackoff;
         let isListNeeded = state.replica(kind).revision() === undefined;
         while (!signal.aborted) {
-            const notDueFor = relayRole.followAfterAge() - (clock() - statuses[kind].confirmedAt);
-            if (!relayRole.alwaysFollows() && notDueFor > 0) {
-                await sleep(notDueFor, signal);
+            const wait = notDueFor(kind);
+            if (wait > 0) {
+                await sleep(wait, signal);
                 continue;
             }
-            if (storeLostAt !== undefined && lostBy !== kind && state.replica(kind).revision() !== undefined) {
+            if (isLeftToAnother(kind)) {
                 await sleep(lostPollInterval, signal);
                 continue;
             }
@@ -95,6 +95,22 @@
         }
     }
 
+    /** Milliseconds until this box has to follow the store itself for a kind. */
+    function notDueFor(kind: SharedKind): number {
+        return relayRole.alwaysFollows() ? 0 : relayRole.followAfterAge() - (clock() - statuses[kind].confirmedAt);
+    }
+
+    /**
+     * True while the store does not answer and the kind that found out goes on to call it. That one calls no more once its copy
+     * is confirmed by others; then the next kind that is due does.
+     */
+    function isLeftToAnother(kind: SharedKind): boolean {
+        if (storeLostAt === undefined || lostBy === undefined || state.replica(kind).revision() === undefined) {
+            return false;
+        }
+        return lostBy !== kind && notDueFor(lostBy) <= 0;
+    }
+
     /** Reads the whole list; false, as no other is needed after it. The first one may be old: changes since come by a watch, or from others. */
     async function readList(kind: SharedKind): Promise<boolean> {
         const askedAt = clock();
@@ -177,9 +193,9 @@
     }
 
     function onStoreFailed(kind: SharedKind, error: unknown): void {
+        lostBy = kind;
         if (storeLostAt === undefined) {
             storeLostAt = clock();
-            lostBy = kind;
             const failure = error instanceof StoreError ? error.failure : "unreachable";
             log.warn("store.lost", { kind, failure, reason: String(error) });
         }
--- a/packages/box/test/replicator.test.ts
+++ b/packages/box/test/replicator.test.ts
@@ -5,7 +5,7 @@
 import { type Replicator, startReplicator } from "../src/state/replicator.js";
 import type { SharedState } from "../src/state/shared-state.js";
 import type { CopyState, StateDigest, StateUpdate } from "../src/state/state-messages.js";
-import type { StateStore } from "../src/state/state-store.js";
+import { type StateStore, StoreError } from "../src/state/state-store.js";
 
 const never = new Promise<never>(() => undefined);
 const peer = { peerAddress: "192.0.2.9:1", region: regionId("north"), zone: availabilityZoneId("north-b") };
@@ -109,6 +109,30 @@
         expect(ageOf(replicator)).to.be.lessThan(-5000);
     });
 
+    it("goes on to call a store that was out, though the kind that found out hears of its copy from others", async () => {
+        let isOut = true;
+        const failed = new Set<SharedKind>();
+        const watched = new Set<SharedKind>();
+        const watch = (kind: SharedKind) => {
+            if (isOut) {
+                failed.add(kind);
+                return Promise.reject(new StoreError("silent", "out"));
+            }
+            watched.add(kind);
+            return Promise.resolve({ kind: "changes" as const, changes: [], revision: 5 });
+        };
+        const { replicator } = await start({ ...relayed, followAfterAge: () => milliseconds(100) }, watch);
+        await until(() => failed.size > 0);
+        const [finder] = failed;
+        isOut = false;
+        const fresh = { changed: 5, complete: 5, age: -60_000 };
+        const { configuration, servers, closedZones } = replicator.digest();
+        replicator.onDigest(peer, { configuration, servers, closedZones, [finder]: fresh });
+        await until(() => watched.size === 2);
+        expect(watched.has(finder)).to.equal(false);
+        expect(replicator.storeLostFor()).to.equal(0);
+    });
+
     it("passes on what its own watch brings, as following the last change before it", async () => {
         let told = false;
         const change = { kind: "put", name: "north-a", item: availabilityZoneId("north-a") } as const;
