Retries go to the most urgent requests while the budget does not suffice

Change: what more urgent requests asked for in the window is left to them; urgency is the customer's priority, among equals the route's. Figures: emulated, 55 of 100 turned away: less urgent ones get under a quarter of the retries of the others; with 10 of 100 turned away they get theirs.

--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -19,6 +19,7 @@
     type RefusalKind,
     type RetryBudget,
     type RetryInputs,
+    urgencyOf,
     type WorkEstimate,
 } from "@chalkdale/decisions";
 import { type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/kernel";
@@ -116,7 +117,8 @@
             sent: active.sent,
             notSent: active.notSent,
             timeLeft: milliseconds(active.endsAt - clock()),
-            takeRetry: () => options.budgetOf(active.service).tryTake(clock()),
+            takeRetry: () =>
+                options.budgetOf(active.service).tryTake(clock(), urgencyOf(active.route, active.customer)),
         };
     }
 
--- a/packages/decisions/src/retry/retry-budget.ts
+++ b/packages/decisions/src/retry/retry-budget.ts
@@ -6,12 +6,15 @@
  * and an equal part of the common allowance. The sum over all boxes then stays
  * within the whole.
  *
+ * What more urgent requests ask for is left to them: while servers turn away more
+ * than the budget can send again, the retries go where an answer is worth most.
+ *
  * Owns the counts of one box and service; relies on the number of boxes that
  * share the allowance.
  */
 
 import type { Milliseconds } from "@chalkdale/kernel";
-import { createSlidingCount } from "./sliding-count.js";
+import { createSlidingCount, type SlidingCount } from "./sliding-count.js";
 
 export interface RetryBudgetOptions {
     /** Retries allowed for each request, from 0 to 1. */
@@ -27,8 +30,8 @@
 export interface RetryBudget {
     /** Notes a request for the service. */
     readonly onRequest: (at: Milliseconds) => void;
-    /** Takes one retry; false when none is left. */
-    readonly tryTake: (at: Milliseconds) => boolean;
+    /** Takes one retry for a request; false when none is left for one so urgent, see `urgencyOf`. */
+    readonly tryTake: (at: Milliseconds, urgency: number) => boolean;
 }
 
 /**
@@ -43,17 +46,35 @@
 export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
     const requests = createSlidingCount(options.window);
     const retries = createSlidingCount(options.window);
+    const asked = new Map<number, SlidingCount>();
 
     return {
         onRequest: at => requests.add(at),
-        tryTake(at) {
+        tryTake(at, urgency) {
+            askedOf(urgency).add(at);
             const earned = requests.total(at) * options.ratio * usedShareOfRatio;
             const granted = options.allowance * usedShareOfAllowance / Math.max(1, options.boxCount());
-            if (retries.total(at) + 1 > earned + granted) {
+            const taken = Math.max(retries.total(at), askedMoreUrgent(at, urgency));
+            if (taken + 1 > earned + granted) {
                 return false;
             }
             retries.add(at);
             return true;
         },
     };
+
+    function askedOf(urgency: number): SlidingCount {
+        let count = asked.get(urgency);
+        if (count === undefined) {
+            count = createSlidingCount(options.window);
+            asked.set(urgency, count);
+        }
+        return count;
+    }
+
+    function askedMoreUrgent(at: Milliseconds, urgency: number): number {
+        return [...asked]
+            .filter(([other]) => other < urgency)
+            .reduce((sum, [, count]) => sum + count.total(at), 0);
+    }
 }
--- a/packages/decisions/test/retry-budget.test.ts
+++ b/packages/decisions/test/retry-budget.test.ts
@@ -1,6 +1,7 @@
-import { milliseconds } from "@chalkdale/kernel";
+import { createSeededRandom, customerId, milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
-import { createRetryBudget, createSlidingCount } from "../src/index.js";
+import { createRetryBudget, createSlidingCount, urgencyOf } from "../src/index.js";
+import { createRoute } from "./choice-setup.js";
 
 describe("retry budget [P11]", () => {
     it("keeps all boxes together within ratio and allowance in every window", () => {
@@ -20,7 +21,7 @@
             const at = milliseconds(time);
             const box = boxes[time / 10 % boxCount];
             box.onRequest(at);
-            if (box.tryTake(at)) {
+            if (box.tryTake(at, 0)) {
                 taken.push(time);
             }
         }
@@ -32,6 +33,58 @@
     });
 });
 
+describe("retry budget while servers turn away more than it can send again", () => {
+    /** 100 requests a second for 12 s, of which 55 of 100 are turned away: 57 of 100 urgent ones. Returns the retries of each. */
+    const play = (turnedAway: number) => {
+        const options = { ratio: 0.2, window: milliseconds(10_000), allowance: 10, boxCount: () => 1 };
+        const budget = createRetryBudget(options);
+        const random = createSeededRandom(7);
+        const retries = { urgent: 0, other: 0 };
+        for (let time = 0; time < 12_000; time += 10) {
+            const at = milliseconds(time);
+            budget.onRequest(at);
+            const isUrgent = random() < 0.57;
+            if (random() < turnedAway && budget.tryTake(at, isUrgent ? 1 : 2)) {
+                retries[isUrgent ? "urgent" : "other"] += 1;
+            }
+        }
+        return retries;
+    };
+
+    it("goes to the urgent ones", () => {
+        const { other, urgent } = play(0.55);
+        expect(other).to.be.lessThan(urgent / 4);
+    });
+
+    it("is there for all while it suffices", () => {
+        const { other, urgent } = play(0.1);
+        expect(other).to.be.greaterThan(urgent / 2);
+    });
+});
+
+describe("urgency of a request", () => {
+    const customer = (priority: number | undefined) => ({
+        id: customerId("c"),
+        keys: [],
+        priority,
+        quota: undefined,
+        homeRegions: [],
+    });
+    const route = (priority: number) => createRoute({ priority });
+
+    it("goes by the customer's priority, among equals by the route's", () => {
+        const inOrder = [
+            urgencyOf(route(2), customer(0)),
+            urgencyOf(route(1), undefined),
+            urgencyOf(route(1), customer(1)),
+            urgencyOf(route(2), customer(1)),
+            urgencyOf(route(2), customer(undefined)),
+            urgencyOf(route(0), customer(3)),
+        ];
+        expect([...inOrder].sort((a, b) => a - b)).to.deep.equal(inOrder);
+    });
+});
+
 describe("sliding count", () => {
     it("forgets what is older than the window", () => {
         const count = createSlidingCount(milliseconds(1000));
--- a/packages/testing/src/emulator/emulated-attempts.ts
+++ b/packages/testing/src/emulator/emulated-attempts.ts
@@ -18,6 +18,7 @@
     type RetryBudget,
     type Route,
     type ServiceLoad,
+    urgencyOf,
     type WorkEstimate,
 } from "@chalkdale/decisions";
 import {
@@ -148,7 +149,7 @@
             sent: request.tried.size,
             notSent: 0,
             timeLeft: milliseconds(request.endsAt - now),
-            takeRetry: () => budgetOf(request.service).tryTake(now),
+            takeRetry: () => budgetOf(request.service).tryTake(now, urgencyOf(request.route, undefined)),
         });
         if (decision.kind === "giveUp") {
             refuse(request, decision.refusal);
--- a/packages/testing/src/promises/decision-mechanisms.ts
+++ b/packages/testing/src/promises/decision-mechanisms.ts
@@ -146,7 +146,7 @@
         promise: "P11",
         name: "the share of retries",
         file: decision("retry/retry-budget"),
-        find: "if (retries.total(at) + 1 > earned + granted) {",
+        find: "if (taken + 1 > earned + granted) {",
         replace: "if (false) {",
         specs: [decisionTest("retry-budget")],
     },
