--- a/packages/decisions/test/server-choice.test.ts
+++ b/packages/decisions/test/server-choice.test.ts
@@ -118,7 +118,7 @@
             expect([...new Set(chosen)].sort()).to.deep.equal([backendServerId("s-3"), backendServerId("s-4")]);
         });
 
-        it("are servers three times slower than expected too, though cold work elsewhere takes as long", () => {
+        it("are servers three times slower than expected too, though cold work elsewhere takes as long [P7]", () => {
             const setup = createSetup(fourServers);
             const first = setup.chosen();
             const { state } = setup.catalog.get(backendServerId(String(first)))!;
@@ -153,7 +153,7 @@
             }
         };
 
-        it("refuses a request that would wait past its goal, and says how long the wait is", () => {
+        it("refuses a request that would wait past its goal, and says how long the wait is [P2]", () => {
             const setup = createSetup(fourServers);
             const refusal = fill(setup);
             expect(refusal.kind).to.equal("crowded");
@@ -194,7 +194,7 @@
             expect([...served].sort()).to.deep.equal(["n-1", "n-2", "s-1", "s-2", "s-3"]);
         });
 
-        it("refuses work on unknown objects sooner while the service is short of slots", () => {
+        it("refuses work on unknown objects sooner while the service is short of slots [P2]", () => {
             const wait = (loadPerSlot: number) => {
                 const refusal = fill(createSetup(fourServers, [], loadPerSlot));
                 return refusal.kind === "crowded" ? refusal.wait : undefined;
--- a/packages/decisions/test/shared-evidence.test.ts
+++ b/packages/decisions/test/shared-evidence.test.ts
@@ -11,13 +11,13 @@
 }
 
 describe("shared evidence", () => {
-    it("takes nothing from one other box alone", () => {
+    it("takes nothing from one other box alone [P7]", () => {
         const evidence = createSharedEvidence(self);
         evidence.onReport(report("box-2", 5), at);
         expect(evidence.severity(server, 0, at)).to.equal(0);
     });
 
-    it("goes by the lower view of two other boxes", () => {
+    it("goes by the lower view of two other boxes [P7]", () => {
         const evidence = createSharedEvidence(self);
         evidence.onReport(report("box-2", 5), at);
         evidence.onReport(report("box-3", 2), at);
