--- a/packages/testing/src/promises/decision-mechanisms.ts
+++ b/packages/testing/src/promises/decision-mechanisms.ts
@@ -140,7 +140,7 @@
         file: decision("retry/retry-decision"),
         find: "if (inputs.sent >= inputs.maxAttempts) {",
         replace: "if (false) {",
-        specs: [wholeTest("box-servers")],
+        specs: [decisionTest("retry")],
     },
     {
         promise: "P11",
