The command line reads labels of metrics whatever their values hold

Cause: a customer's name may have a quote or a backslash, which boxes write behind a backslash; the reader ended the label there. Figures: a test with such a name, which fails without the change (the label was cut at its first quote).

--- a/packages/cli/src/box-metrics.ts
+++ b/packages/cli/src/box-metrics.ts
@@ -20,7 +20,8 @@
 const requestTimeout = 3000;
 const prefix = "chalkdale_";
 const metricLine = /^(\w+)(?:\{(.*)\})? (\S+)$/;
-const labelPattern = /(\w+)="([^"]*)"/g;
+/** A label; quotes and backslashes in its value stand behind a backslash. */
+const labelPattern = /(\w+)="((?:[^"\\]|\\.)*)"/g;
 
 /** Returns the members that the box at a peer address knows. Throws a `CommandError` if it doesn't answer. */
 export async function readMembers(peer: string): Promise<readonly MemberRecord[]> {
@@ -64,7 +65,7 @@
             return [];
         }
         const labels = Object.fromEntries(
-            [...(match[2] ?? "").matchAll(labelPattern)].map(([, key, text]) => [key, text]),
+            [...(match[2] ?? "").matchAll(labelPattern)].map(([, key, text]) => [key, text.replaceAll(/\\(.)/g, "$1")]),
         );
         return [{ name: match[1].slice(prefix.length), labels, value }];
     });
--- a/packages/cli/test/burn-rate.test.ts
+++ b/packages/cli/test/burn-rate.test.ts
@@ -60,4 +60,11 @@
         expect(valueOf(metrics, "boxes_alive")).to.equal(3);
         expect(valueOf(metrics, "requests_total")).to.equal(undefined);
     });
+
+    it("are read whatever a label's value holds", () => {
+        const line = "chalkdale_customer_quota_rate{customer=\"a \\\"b\\\\c, d=\\\"e\\\"\"} 5";
+        expect(parseMetrics(line)).to.deep.equal([
+            { name: "customer_quota_rate", labels: { customer: "a \"b\\c, d=\"e\"" }, value: 5 },
+        ]);
+    });
 });
