--- a/packages/testing/src/emulator/main.ts
+++ b/packages/testing/src/emulator/main.ts
@@ -8,6 +8,7 @@
 import { type DayResult, type EmulatedTrouble, playDay } from "./day.js";
 import type { EmulatedDeployment } from "./deployment.js";
 import { kodeyard, pedala } from "./deployments.js";
+import { pedalaNow } from "./pedala-now.js";
 import { type PolicyName, policyNames } from "./policies.js";
 import { tsereteli } from "./tsereteli.js";
 
@@ -16,7 +17,7 @@
   Compares ways to choose a server over many emulated days.
 
   Usage
-    $ npm run experiment -- [--site pedala|kodeyard|tsereteli] [--seeds 10] [--loads 0.6,1,1.3] [--trouble none|slow|closed|lost|burst]
+    $ npm run experiment -- [--site pedala|kodeyard|tsereteli|pedala-now] [--seeds 10] [--loads 0.6,1,1.3] [--trouble none|slow|closed|lost|burst]
 
   Options
     --site     the deployment (pedala)
@@ -35,7 +36,12 @@
     },
 );
 
-const sites: Readonly<Record<string, EmulatedDeployment>> = { pedala, kodeyard, tsereteli };
+const sites: Readonly<Record<string, EmulatedDeployment>> = {
+    pedala,
+    kodeyard,
+    tsereteli,
+    "pedala-now": pedalaNow,
+};
 
 function troublesOf(name: string, deployment: EmulatedDeployment): EmulatedTrouble[] {
     const [zone] = Object.keys(deployment.zones);
