Who is cut off shows by the boxes that run, not by those that callers are named

Before any box is in service all 67 that run are named, then 12: each box took itself for cut off for 20 s, nobody counted, and each had a 67th of each quota. Change: the high-water mark is of the boxes that run; the boxes named are those of the latest round. Figures: a test that goes from 67 named boxes to 12.

--- a/packages/box/src/quotas/customer-quotas.ts
+++ b/packages/box/src/quotas/customer-quotas.ts
@@ -55,7 +55,7 @@
     readonly take: (customer: Customer) => Milliseconds | undefined;
     /** A request that was taken in has not run at any server. */
     readonly giveBack: (customer: Customer) => void;
-    /** One round of reports. */
+    /** One round: who counts is found anew, and reports are sent. Due with each round of gossip. */
     readonly round: () => void;
     /** Another box reported, or answered. */
     readonly onMessage: (from: MemberRecord, message: QuotaMessage) => void;
@@ -97,6 +97,8 @@
             }
         },
         round() {
+            const named = options.advertised().map(({ box }) => box);
+            countingBoxes.update({ named, aliveCount: membership.alive(clock()).length }, clock());
             forgetLostCustomers();
             report([...shares.values()]);
         },
@@ -127,7 +129,7 @@
 
     function report(reporting: readonly QuotaShare[]): void {
         const byCounter = new Map<BoxId, QuotaReport[]>();
-        const candidates = countingBoxes.among(options.advertised().map(({ box }) => box), clock());
+        const candidates = countingBoxes.current();
         if (candidates.length === 0) {
             return;
         }
@@ -202,7 +204,7 @@
         if (options.uptime() < settleTime) {
             return Math.max(1, advertisedBoxes([membership.own(), ...membership.reachable(clock())]).length);
         }
-        return countingBoxes.boxCount(options.advertised().length, clock());
+        return countingBoxes.boxCount();
     }
 
     function forgetLostCustomers(): void {
--- a/packages/box/test/customer-quotas.test.ts
+++ b/packages/box/test/customer-quotas.test.ts
@@ -39,8 +39,10 @@
 
 describe("customers' quotas on a box [P22]", () => {
     const all = Array.from({ length: 12 }, (_, index) => member(`b-${index}`));
+    const weak = Array.from({ length: 55 }, (_, index) => member(`w-${index}`));
     let now: number;
     let advertised: readonly MemberRecord[];
+    let alive: readonly MemberRecord[];
     let sent: { readonly to: string; readonly message: QuotaMessage; }[];
 
     const create = () =>
@@ -50,6 +52,7 @@
             membership: {
                 find: (box: string) => all.find(record => record.box === box),
                 own: () => all[1],
+                alive: () => alive,
                 reachable: () => all.filter(record => record !== all[1]),
             } as unknown as Membership,
             advertised: () => advertised,
@@ -60,6 +63,7 @@
         });
     const admitted = (quotas: ReturnType<typeof create>, seconds: number) => {
         let count = 0;
+        quotas.round();
         for (const end = now + seconds * 1000; now < end; now += 10) {
             count += quotas.take(customer) === undefined ? 1 : 0;
             if (now % 300 === 0) {
@@ -72,16 +76,31 @@
     beforeEach(() => {
         now = 60_000;
         advertised = all;
+        alive = [...all, ...weak];
         sent = [];
     });
 
     it("are reported to the box that counts, which all find alike", () => {
-        const counters = createCountingBoxes().among(all.map(({ box }) => box), milliseconds(now));
+        const search = createCountingBoxes();
+        search.update({ named: all.map(({ box }) => box), aliveCount: 67 }, milliseconds(now));
+        const counters = search.current();
         expect(counters).to.have.length(4).and.not.to.include(all[1].box);
         admitted(create(), 1);
         expect([...new Set(sent.map(({ to }) => to))]).to.deep.equal([countingBox(customer.id, counters)]);
     });
 
+    it("are shared by the boxes that callers are named, also right after all others were alike", () => {
+        // Before any box is in service all that run are named.
+        advertised = alive;
+        const quotas = create();
+        quotas.round();
+        now += 300;
+        advertised = all;
+        quotas.round();
+        expect(admitted(quotas, 5)).to.be.within(45, 60);
+        expect(sent).not.to.have.length(0);
+    });
+
     it("are an equal part while no lease comes", () => {
         // The box that counts does not answer; a twelfth of 120 a second, and a first burst.
         expect(admitted(create(), 5)).to.be.within(45, 60);
@@ -90,20 +109,21 @@
     it("are not taken whole by a box that hears of nobody any more", () => {
         const quotas = create();
         admitted(quotas, 1);
-        advertised = [all[1]];
+        advertised = alive = [all[1]];
         expect(admitted(quotas, 10)).to.be.lessThan(10 * 120 / 4);
     });
 
     it("are counted by a box that is left alone for long", () => {
         const quotas = create();
         admitted(quotas, 1);
-        advertised = [all[1]];
+        advertised = alive = [all[1]];
         now += 30_000;
         expect(admitted(quotas, 10)).to.be.greaterThan(10 * 70);
     });
 
     it("are counted anew by a box that nobody reported to for a while: others may have admitted a burst", () => {
         const quotas = create();
+        quotas.round();
         const burstOf = (since: number) => {
             now += since;
             sent = [];
@@ -126,6 +146,7 @@
 
     it("are leased to other boxes by one that counts, once it has run for a while", () => {
         const quotas = create();
+        quotas.round();
         const report: QuotaMessage = { reports: [["club", 3, 3, 300]] };
         quotas.onMessage(all[2], report);
         expect(sent.map(({ to }) => to)).to.deep.equal(["b-2"]);
--- a/packages/decisions/src/limits/quota/counting-box.ts
+++ b/packages/decisions/src/limits/quota/counting-box.ts
@@ -14,12 +14,22 @@
 import { rendezvousScore } from "../../choose/rendezvous.js";
 import { leaseUsed } from "./quota-messages.js";
 
+/** What a box knows of the others. */
+export interface KnownBoxes {
+    /** Boxes that callers are named. */
+    readonly named: readonly BoxId[];
+    /** Boxes that run, named or not. How many are named changes with the load, so it does not show who is cut off. */
+    readonly aliveCount: number;
+}
+
 /** Finds the boxes that count. */
 export interface CountingBoxes {
-    /** The boxes that count, of those that callers are named; none while this box may be cut off. */
-    readonly among: (boxes: readonly BoxId[], at: Milliseconds) => readonly BoxId[];
-    /** Boxes that may admit requests, whether this box reaches them or not. */
-    readonly boxCount: (known: number, at: Milliseconds) => number;
+    /** Takes what is known now; due some times a second. */
+    readonly update: (known: KnownBoxes, at: Milliseconds) => void;
+    /** The boxes that count; none while this box may be cut off. */
+    readonly current: () => readonly BoxId[];
+    /** Boxes that may admit requests, whether this box reaches them or not; 1 at least. */
+    readonly boxCount: () => number;
 }
 
 /** Hash by which the boxes that count are chosen. */
@@ -27,23 +37,28 @@
 /** Part of the most boxes below which a box may be cut off. A region of three may be lost, and with it a third. Not measured. */
 const leastKnownPart = 0.5;
 
-/** Creates the search of one box. */
+/** Creates the search of one box that knows none yet. */
 export function createCountingBoxes(): CountingBoxes {
     let most = { count: 0, at: 0 };
+    let counters: readonly BoxId[] = [];
+    let namedCount = 1;
 
     return {
-        among(boxes, at) {
-            if (boxes.length < mostKnown(boxes.length, at) * leastKnownPart) {
-                return [];
+        update({ aliveCount, named }, at) {
+            if (aliveCount < mostAlive(aliveCount, at) * leastKnownPart) {
+                counters = [];
+                return;
             }
             // Of N boxes the root of N count: each box sends so many messages a round, and each that counts takes as many more.
-            return rank(countersHash, boxes).slice(0, Math.ceil(Math.sqrt(boxes.length)));
+            counters = rank(countersHash, named).slice(0, Math.ceil(Math.sqrt(named.length)));
+            namedCount = Math.max(1, named.length);
         },
-        boxCount: (known, at) => Math.max(1, mostKnown(known, at)),
+        current: () => counters,
+        boxCount: () => namedCount,
     };
 
     /** The most of the time for which leases hold. */
-    function mostKnown(count: number, at: Milliseconds): number {
+    function mostAlive(count: number, at: Milliseconds): number {
         if (count >= most.count || at - most.at > leaseUsed) {
             most = { count, at };
         }
--- a/packages/testing/src/promises/decision-mechanisms.ts
+++ b/packages/testing/src/promises/decision-mechanisms.ts
@@ -210,7 +210,7 @@
         promise: "P22",
         name: "the leases that go on in a box that may be cut off",
         file: decision("limits/quota/counting-box"),
-        find: "if (boxes.length < mostKnown(boxes.length, at) * leastKnownPart) {",
+        find: "if (aliveCount < mostAlive(aliveCount, at) * leastKnownPart) {",
         replace: "if (false) {",
         specs: [boxTest("customer-quotas")],
     },
