The demo's download has a key, and its wait an end

Cause: the demo did not end in a fresh clone: the download was refused with 401 and the demo waited for it to run.

--- a/packages/testing/src/demo/main.ts
+++ b/packages/testing/src/demo/main.ts
@@ -11,9 +11,10 @@
 import { createSeededRandom, milliseconds } from "@chalkdale/kernel";
 import { startCallers } from "../soak/callers.js";
 import { findBreaches, type Interval } from "../soak/checks.js";
+import { customerNames } from "../soak/soak-customers.js";
 import { createSoakWorld, host, inForceWithin, type SoakWorld } from "../soak/soak-world.js";
 import { sendRequest } from "../standins/client.js";
-import { pause } from "../standins/deployment.js";
+import { eventually, pause } from "../standins/deployment.js";
 
 const seed = 1;
 const boxes = 6;
@@ -95,10 +96,16 @@
 async function stopBox(world: SoakWorld): Promise<void> {
     const box = world.boxes[0];
     world.servers.forEach(server => server.backend.setWork(longDownload));
-    const download = sendRequest({ address: box.callers, host, path: "/pack/", requestId: "demo-download" });
-    while (!world.runs.some(run => run.requestId === "demo-download")) {
-        await pause(milliseconds(10));
-    }
+    const credential = world.customers.keyOf(customerNames[0]).key;
+    const download = sendRequest({
+        address: box.callers,
+        host,
+        path: "/pack/",
+        requestId: "demo-download",
+        credential,
+    });
+    const isRunning = () => world.runs.some(run => run.requestId === "demo-download");
+    await eventually(isRunning, "the download runs");
     box.signal("SIGTERM");
     const code = await box.ended();
     const answer = await download;
