--- a/packages/cli/src/request-story.ts
+++ b/packages/cli/src/request-story.ts
@@ -27,7 +27,7 @@
     leaving: "the box was stopping",
     noRoute: "no route has this host and path",
     unknownKey: "the configuration in force knows no such key, or the request had none",
-    copyTooOld: "the box's copy of the configuration is too old to know whether this key or route exists",
+    copyTooOld: "the box's copy of the configuration is too old to know whether this key exists or still stands",
     quotaSpent: "the customer's quota over all boxes had no room",
     bodyTooLarge: "the body is beyond the configuration's limit",
     noServer: "no server may take the request",
