--- a/packages/decisions/src/limits/quota/counting-box.ts
+++ b/packages/decisions/src/limits/quota/counting-box.ts
@@ -15,7 +15,7 @@
 import { leaseUsed } from "./quota-messages.js";
 
 /** What a box knows of the others. */
-export interface KnownBoxes {
+interface KnownBoxes {
     /** Boxes that callers are named. */
     readonly named: readonly BoxId[];
     /** Boxes that run, named or not. How many are named changes with the load, so it does not show who is cut off. */
