A failed test of the box's program ends its box

Cause: the run of all tests did not end after this test failed: its box went on as a child. Change: what the test starts is ended after it, whatever its outcome. No check changed.

--- a/packages/testing/test/box-program.test.ts
+++ b/packages/testing/test/box-program.test.ts
@@ -28,12 +28,18 @@
 
 describe("the box's program", () => {
     let folder: string;
+    /** What a test has started; it ends also when the test fails, or the run of all tests would not end. */
+    let cleanUps: (() => Promise<void>)[];
 
     beforeEach(() => {
+        cleanUps = [];
         folder = mkdtempSync(join(tmpdir(), "chalkdale-"));
     });
 
-    afterEach(() => rmSync(folder, { recursive: true }));
+    afterEach(async () => {
+        await Promise.all(cleanUps.map(cleanUp => cleanUp()));
+        rmSync(folder, { recursive: true });
+    });
 
     it("ends with status 3 and a reason when no settings file is named", async () => {
         const { status, output } = await run(undefined);
@@ -64,6 +70,11 @@
             readLog: false,
         });
         box.start();
+        cleanUps.push(async () => {
+            box.signal("SIGKILL");
+            await box.ended();
+            await deployment.close();
+        });
         const ask = (path: string) => sendRequest({ address: box.callers, host: testHost, path, requestId: "p-1" });
         await eventually(async () => (await ask("/lookup/")).status === 200, "it serves");
         // Each line names the path, so that the lines of one second fill the pipe.
@@ -72,9 +83,6 @@
             expect((await ask(longPath)).status).to.equal(404);
         }
         expect((await ask("/lookup/")).status).to.equal(200);
-        box.signal("SIGKILL");
-        await box.ended();
-        await deployment.close();
     });
 
     it("ends with status 3 and a line for each fault when the settings are wrong", async () => {
