--- a/packages/decisions/src/membership/membership-times.ts
+++ b/packages/decisions/src/membership/membership-times.ts
@@ -31,3 +31,6 @@
 export function newsSends(boxes: number): number {
     return fewestNewsSends + Math.ceil(Math.log2(boxes));
 }
+
+/** Milliseconds that a message is on its way at most between regions; what others heard is taken to be so much older. */
+export const longestWay = 100;
--- a/packages/decisions/src/membership/membership.ts
+++ b/packages/decisions/src/membership/membership.ts
@@ -6,16 +6,18 @@
  * A box that does not answer is suspected; the suspicion spreads, and unless
  * someone has heard from the box since, it counts as failed after a while.
  * Only news spreads, so a datagram's size does not grow with the fleet. Nobody
- * compares clocks: messages carry ages. A region from which nobody hears
- * anything counts as failed as a whole.
+ * compares clocks: messages carry ages.
  *
- * Owns the record of this box and the latest of all others; relies on whoever
+ * Owns the record of this box and the latest of all others, with the news of them
+ * (`member-news`) and the silence of regions (`region-ages`); relies on whoever
  * sends and receives the messages, and on the probing for who did not answer.
  */
 
 import type { BoxId, Milliseconds, RegionId } from "@chalkdale/kernel";
+import { createMemberNews } from "./member-news.js";
 import type { MemberRecord } from "./member-record.js";
-import { failAfter, forgetAfter, newsSends, suspicionTime } from "./membership-times.js";
+import { forgetAfter, longestWay, suspicionTime } from "./membership-times.js";
+import { createRegionAges } from "./region-ages.js";
 
 /** What a box tells of a member. */
 export interface Sighting {
@@ -71,20 +73,6 @@
     readonly takeOwnSuspicion: () => boolean;
 }
 
-/** Milliseconds that a message is on its way at most between regions; what others heard is taken to be so much older. */
-const longestWay = 100;
-/** Members told in turn in each message besides the news, so that lost news does not stay unknown. Not measured. */
-const toldInTurn = 4;
-/**
- * Messages in which a box tells of a member that is new to it: fewer than of other news, since boxes that hear of unknown ones
- * read all members from another box. Not measured against other numbers.
- */
-const newMemberSends = 6;
-/** Messages that contradict a suspicion; whoever learns from one that it was suspected tells it on as news. */
-const contradictionSends = 3;
-/** Part of its capacity by which a box's load changes before it is news. Not measured. */
-const loadChange = 0.1;
-
 /** Part of the time of a suspicion after which a box asks the suspect itself, so that an answer still comes in time. */
 const askAfterPart = 0.5;
 
@@ -96,19 +84,15 @@
     suspectedAt: number | undefined;
     /** This box itself has asked it since it is suspected. */
     isAsked: boolean;
-    /** Messages that will still tell of it. */
-    sendsLeft: number;
-    /** Load as it was last told as news. */
-    toldLoad: number;
 }
 
 /** Creates a membership that knows this box only. */
 export function createMembership(self: MemberRecord): Membership {
     const others = new Map<BoxId, Entry>();
-    const regionHeardAt = new Map<RegionId, number>();
+    const regions = createRegionAges();
+    const news = createMemberNews();
     let own = self;
     let isSuspected = false;
-    let turn: Iterator<Entry> = others.values();
 
     return {
         own: () => own,
@@ -120,7 +104,7 @@
             own = { ...own, ...state };
         },
         onHeard(record, at) {
-            regionHeardAt.set(record.region, at);
+            regions.onHeard(record.region, at);
             const isUnknown = record.box !== own.box && !others.has(record.box);
             take(record, at, undefined);
             return isUnknown;
@@ -158,26 +142,13 @@
         },
         reachable: at => recordsOf(entry => at - entry.heardAt < forgetAfter),
         sightings: at => [...others.values()].filter(entry => isAlive(entry, at)).map(entry => sightingOf(entry, at)),
-        takeNews(count, at) {
-            const news = [...others.values()]
-                .filter(entry => entry.sendsLeft > 0)
-                .sort((a, b) => b.sendsLeft - a.sendsLeft || b.record.capacity - a.record.capacity)
-                .slice(0, count);
-            for (const entry of news) {
-                entry.sendsLeft -= 1;
-            }
-            const inTurn = nextInTurn(Math.min(toldInTurn, count - news.length), at);
-            return [...new Set([...news, ...inTurn])].map(entry => sightingOf(entry, at));
-        },
-        regionAges: at => new Map([...regionHeardAt].map(([region, heardAt]) => [region, at - heardAt])),
-        onRegionAges(ages, at) {
-            for (const [region, age] of ages) {
-                const heardAt = at - age - longestWay;
-                if (heardAt > (regionHeardAt.get(region) ?? -Infinity)) {
-                    regionHeardAt.set(region, heardAt);
-                }
-            }
-        },
+        takeNews: (count, at) =>
+            news.take(count, box => at - (others.get(box)?.heardAt ?? -Infinity) < forgetAfter)
+                .map(box => others.get(box))
+                .filter(entry => entry !== undefined)
+                .map(entry => sightingOf(entry, at)),
+        regionAges: regions.ages,
+        onRegionAges: regions.merge,
         takeOwnSuspicion() {
             const wasSuspected = isSuspected;
             isSuspected = false;
@@ -193,16 +164,8 @@
         const entry = others.get(record.box);
         if (entry === undefined || record.incarnation > entry.record.incarnation) {
             const suspicion = suspectedAt !== undefined && suspectedAt > heardAt ? suspectedAt : undefined;
-            const added = {
-                record,
-                heardAt,
-                suspectedAt: suspicion,
-                isAsked: false,
-                sendsLeft: 0,
-                toldLoad: record.load,
-            };
-            others.set(record.box, added);
-            added.sendsLeft = newMemberSends;
+            others.set(record.box, { record, heardAt, suspectedAt: suspicion, isAsked: false });
+            news.onNew(record);
             return;
         }
         if (record.incarnation === entry.record.incarnation) {
@@ -218,59 +181,33 @@
         entry.heardAt = Math.max(entry.heardAt, heardAt);
         if (entry.suspectedAt !== undefined && entry.heardAt >= entry.suspectedAt) {
             entry.suspectedAt = undefined;
-            makeNews(entry);
+            news.onChanged(entry.record);
         }
         if (record.heartbeat <= entry.record.heartbeat) {
             return;
         }
         const { leaving, ready } = entry.record;
         entry.record = record;
-        if (record.leaving !== leaving || record.ready !== ready || isLoadNews(entry)) {
-            makeNews(entry);
+        if (record.leaving !== leaving || record.ready !== ready || news.isLoadNews(record)) {
+            news.onChanged(record);
         }
     }
 
     /** Takes a suspicion, unless someone has heard from the box since: then those who suspect it should hear that. */
     function suspect(entry: Entry, askedAt: number): void {
         if (entry.heardAt >= askedAt) {
-            entry.sendsLeft = Math.max(entry.sendsLeft, contradictionSends);
+            news.onContradicted(entry.record);
             return;
         }
         if (entry.suspectedAt === undefined) {
             entry.suspectedAt = askedAt;
             entry.isAsked = false;
-            makeNews(entry);
+            news.onChanged(entry.record);
             return;
         }
         entry.suspectedAt = Math.min(entry.suspectedAt, askedAt);
     }
 
-    function isLoadNews({ record, toldLoad }: Entry): boolean {
-        return Math.abs(record.load - toldLoad) > record.capacity * loadChange;
-    }
-
-    function makeNews(entry: Entry): void {
-        entry.sendsLeft = newsSends(others.size + 1);
-        entry.toldLoad = entry.record.load;
-    }
-
-    /** Members in the order in which they became known, over and over. */
-    function nextInTurn(count: number, at: Milliseconds): readonly Entry[] {
-        const chosen: Entry[] = [];
-        for (let tries = 0; tries < others.size && chosen.length < count; tries++) {
-            let next = turn.next();
-            if (next.done === true) {
-                turn = others.values();
-                next = turn.next();
-            }
-            const entry = next.value as Entry | undefined;
-            if (entry !== undefined && at - entry.heardAt < forgetAfter) {
-                chosen.push(entry);
-            }
-        }
-        return chosen;
-    }
-
     function sightingOf({ heardAt, record, suspectedAt }: Entry, at: Milliseconds): Sighting {
         return {
             record,
@@ -281,7 +218,7 @@
 
     function isAlive({ record, suspectedAt }: Entry, at: Milliseconds): boolean {
         const isFailed = suspectedAt !== undefined && at - suspectedAt >= suspicionTime(others.size + 1);
-        return !isFailed && at - (regionHeardAt.get(record.region) ?? at) < failAfter;
+        return !isFailed && regions.isHeard(record.region, at);
     }
 
     function isDoubtful({ isAsked, record, suspectedAt }: Entry, at: Milliseconds): boolean {
--- a/packages/testing/src/promises/decision-mechanisms.ts
+++ b/packages/testing/src/promises/decision-mechanisms.ts
@@ -266,7 +266,7 @@
         promise: "P19",
         name: "boxes that did not answer, and regions that fell silent",
         file: decision("membership/membership"),
-        find: "return !isFailed && at - (regionHeardAt.get(record.region) ?? at) < failAfter;",
+        find: "return !isFailed && regions.isHeard(record.region, at);",
         replace: "return true;",
         specs: [decisionTest("membership")],
     },
