A second server beside one that is overdue, for requests that may run twice

Change: once the server has the request for three times the expected time, 400 ms at least, it goes to a second one as well, within the route's attempts and the retry budget, and only to a free slot while the service has some. The first good answer counts and ends the other attempt. Rule in decisions/retry/hedge- decision, carried out by box/requests/hedged-attempt; a line attempt.hedged.

--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -49,6 +49,8 @@
     askedAgain: boolean;
     /** An attempt broke off after it had reached a server. */
     mayHaveRun: boolean;
+    /** The latest answer of a server, a failure as long as the request goes on. */
+    lastAnswer: ServerAnswer | undefined;
     /** What the latest choice of a server went by, for the log. */
     latestChoice: ChosenServer | undefined;
 }
@@ -97,6 +99,7 @@
         notSent: 0,
         askedAgain: false,
         mayHaveRun: false,
+        lastAnswer: undefined,
         latestChoice: undefined,
     };
 }
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -12,8 +12,12 @@
     type Choice,
     type ChoiceRequest,
     type ChosenServer,
+    decideHedge,
     decideRetry,
+    type HedgeInputs,
+    isFailureStatus,
     isIdempotent,
+    mayBeHedged,
     type RecentKeys,
     refusalAfterRun,
     type RefusalKind,
@@ -27,6 +31,7 @@
 import type { ServerAnswer } from "../servers/exchange.js";
 import type { ActiveRequest, Ending } from "./active-request.js";
 import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
+import { attemptHedged, type EndedAttempt } from "./hedged-attempt.js";
 import type { RequestLog } from "./request-log.js";
 
 export interface AttemptLoopOptions {
@@ -38,6 +43,8 @@
     readonly recentKeys: RecentKeys;
     readonly work: WorkEstimate;
     readonly roundTrip: (server: BackendServer) => Milliseconds;
+    /** Requests at the service's servers for each of their slots; see `ServiceLoad`. */
+    readonly loadPerSlot: (service: ServiceId) => number;
 }
 
 /** The loop's other needs. */
@@ -55,28 +62,26 @@
     const { clock, metrics, requestLog } = options;
 
     return async function runAttempts(active, body, signal) {
-        let lastAnswer: ServerAnswer | undefined;
         for (;;) {
             if (signal.aborted) {
                 return { kind: "callerLeft" };
             }
             const choice = options.choose(choiceRequest(active));
             if (choice.kind !== "chosen") {
-                return giveUp(active, lastAnswer, refusalOf(choice));
+                return giveUp(active, refusalOf(choice));
             }
-            const outcome = await attemptOnce(active, choice, body, signal);
+            const ended = await attemptOnceOrTwice(active, choice, body, signal);
+            const { outcome } = ended;
             if (outcome.kind === "cancelled") {
                 return { kind: "callerLeft" };
             }
-            logFailure(active, choice, outcome);
-            active.mayHaveRun ||= outcome.kind === "broken";
-            if (mayAskAgain(active, choice, outcome)) {
-                active.tried.delete(choice.server.id);
+            noteEnd(active, ended);
+            if (mayAskAgain(active, ended.choice, outcome)) {
+                active.tried.delete(ended.choice.server.id);
             }
-            lastAnswer = outcome.kind === "answered" ? outcome.answer : lastAnswer;
             const decision = decideRetry(endOf(outcome), retryInputs(active));
             if (decision.kind === "giveUp") {
-                return giveUp(active, lastAnswer, decision.refusal);
+                return giveUp(active, decision.refusal);
             }
             if (decision.kind === "finalAnswer" && outcome.kind === "answered") {
                 return { kind: "answer", answer: outcome.answer };
@@ -122,6 +127,17 @@
         };
     }
 
+    /** `beforeFirst`: the attempt that is about to be made counts as sent. */
+    function hedgeInputs(active: ActiveRequest, { beforeFirst = false } = {}): HedgeInputs {
+        const inputs = retryInputs(active);
+        return {
+            ...inputs,
+            sent: beforeFirst ? inputs.sent + 1 : inputs.sent,
+            loadPerSlot: options.loadPerSlot(active.service),
+            chooseSecond: () => options.choose(choiceRequest(active)),
+        };
+    }
+
     function endOf(outcome: Exclude<AttemptOutcome, { readonly kind: "cancelled"; }>): AttemptEnd {
         if (outcome.kind !== "answered") {
             return { kind: outcome.kind };
@@ -130,6 +146,39 @@
         return { kind: "answered", status: answer.status, isVerified: options.isVerified(answer) };
     }
 
+    /** A request that may be repeated gets a second server beside one that is overdue, where that helps. */
+    async function attemptOnceOrTwice(
+        active: ActiveRequest,
+        choice: ChosenServer,
+        body: Buffer,
+        signal: AbortSignal,
+    ): Promise<EndedAttempt> {
+        if (!mayBeHedged(hedgeInputs(active, { beforeFirst: true }))) {
+            return { choice, outcome: await attemptOnce(active, choice, body, signal) };
+        }
+        return attemptHedged(choice, signal, {
+            attemptOnce: (at, attemptSignal) => attemptOnce(active, at, body, attemptSignal),
+            secondChoice: () => {
+                const second = decideHedge(hedgeInputs(active));
+                if (second !== undefined) {
+                    requestLog.hedged(active, choice.server.id, second.server.id);
+                }
+                return second;
+            },
+            isFinal: outcome =>
+                outcome.kind === "answered" && !isFailureStatus(outcome.answer.status)
+                && options.isVerified(outcome.answer),
+            onFailedBeside: ended => noteEnd(active, ended),
+        });
+    }
+
+    function noteEnd(active: ActiveRequest, { choice, outcome }: EndedAttempt): void {
+        logFailure(active, choice, outcome);
+        active.latestChoice = choice;
+        active.mayHaveRun ||= outcome.kind === "broken";
+        active.lastAnswer = outcome.kind === "answered" ? outcome.answer : active.lastAnswer;
+    }
+
     async function attemptOnce(
         active: ActiveRequest,
         choice: ChosenServer,
@@ -190,9 +239,9 @@
 }
 
 /** A failure that a server gave goes back before a refusal of the box's own, which must not promise what isn't known. */
-function giveUp(active: ActiveRequest, lastAnswer: ServerAnswer | undefined, refusal: RefusalKind): Ending {
-    if (lastAnswer !== undefined) {
-        return { kind: "answer", answer: lastAnswer };
+function giveUp(active: ActiveRequest, refusal: RefusalKind): Ending {
+    if (active.lastAnswer !== undefined) {
+        return { kind: "answer", answer: active.lastAnswer };
     }
     return { kind: "refusal", refusal: active.mayHaveRun ? refusalAfterRun(refusal) : refusal };
 }
--- a/packages/box/src/requests/request-log.ts
+++ b/packages/box/src/requests/request-log.ts
@@ -14,6 +14,8 @@
 /** Log of the requests of one box. */
 export interface RequestLog {
     readonly attemptFailed: (active: ActiveRequest, server: BackendServerId, reason: string) => void;
+    /** A second server has the request beside one that is overdue. */
+    readonly hedged: (active: ActiveRequest, overdue: BackendServerId, second: BackendServerId) => void;
     readonly served: (active: ActiveRequest, answer: ServerAnswer) => void;
     readonly refused: (active: ActiveRequest, refusal: RefusalKind) => void;
     /** A request was refused before it was taken. */
@@ -54,6 +56,17 @@
                 timeLeft: Math.round(active.endsAt - clock()),
             });
         },
+        hedged(active, overdue, second) {
+            metrics.onAttempt("hedged");
+            log.info("attempt.hedged", {
+                request: active.requestId,
+                route: active.route.name,
+                overdue,
+                second,
+                after: Math.round(ageOf(active)),
+                timeLeft: Math.round(active.endsAt - clock()),
+            });
+        },
         served(active, answer) {
             metrics.onEnding(active.route.name, String(answer.status), ageOf(active));
             log.info("request.served", {
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -117,6 +117,7 @@
             countBytes: (server, bytes) => options.countTraffic("request", server.state.record(), bytes),
         }),
         budgetOf: limits.budgetOf,
+        loadPerSlot: serviceLoad.perSlot,
         comeBackAfter: ({ route, service }, refusal) =>
             comeBackAfter(refusal, {
                 loadPerSlot: serviceLoad.perSlot(service),
--- a/packages/box/test/request-handler.test.ts
+++ b/packages/box/test/request-handler.test.ts
@@ -89,6 +89,7 @@
             recentKeys: undefined as never,
             work: undefined as never,
             roundTrip: unused,
+            loadPerSlot: unused,
         }));
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
--- a/packages/cli/src/request-story.ts
+++ b/packages/cli/src/request-story.ts
@@ -66,6 +66,8 @@
     switch (line.event) {
         case "attempt.failed":
             return `attempt at ${line.server}: ${line.reason}; ${line.timeLeft} ms left`;
+        case "attempt.hedged":
+            return `${line.overdue} overdue after ${line.after} ms: ${line.second} has it too`;
         case "request.served":
             return `answered ${line.status} after ${line.after} ms${choiceOf(line)}; configuration ${line.version}`;
         case "request.refused":
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -35,6 +35,7 @@
 export * from "./place/homes.js";
 export * from "./place/place-settings.js";
 export * from "./retry/answer-verdict.js";
+export * from "./retry/hedge-decision.js";
 export * from "./retry/retry-budget.js";
 export * from "./retry/retry-decision.js";
 export * from "./retry/sliding-count.js";
--- a/packages/testing/test/box-servers.test.ts
+++ b/packages/testing/test/box-servers.test.ts
@@ -157,6 +157,43 @@
         });
     });
 
+    describe("a server that is overdue while it goes on to take connections", () => {
+        const loseFirstAnswer = () => misbehave({ kind: "loseAnswer", by: "silence" }, 1);
+        const hedged = () => box.logged.filter(line => line.includes("event=attempt.hedged")).length;
+
+        it("is left waiting beside a second one, which answers long before the deadline", async () => {
+            loseFirstAnswer();
+            const answer = await ask("/patient/", { deadlineMs: 60_000 });
+            expect(answer.status).to.equal(200);
+            expect(hedged()).to.equal(1);
+            expect(runs()).to.have.length(2);
+        });
+
+        it("loses the connection once the second one has answered, so that it stops its work", async () => {
+            first.setWork(60_000);
+            second.setWork(60_000);
+            const slow = ask("/patient/", { deadlineMs: 60_000 });
+            await eventually(() => runs().length === 1, "the first server has the request");
+            const other = first.runs.length === 1 ? second : first;
+            other.setWork(0);
+            expect((await slow).status).to.equal(200);
+            await eventually(() => first.abandoned() + second.abandoned() === 1, "the work is abandoned");
+        });
+
+        it("keeps a request that may not run twice to itself [P5]", async () => {
+            loseFirstAnswer();
+            expect((await ask("/save/", { method: "POST", body: "b" })).status).to.equal(504);
+            expect(runs()).to.have.length(1);
+            expect(hedged()).to.equal(0);
+        });
+
+        it("is the last one when the route allows no more servers [P11]", async () => {
+            misbehave({ kind: "loseAnswer", by: "silence" });
+            expect((await ask("/lookup/")).status).to.equal(504);
+            expect(runs()).to.have.length(2);
+        });
+    });
+
     describe("a server that fails requests while it accepts connections", () => {
         /** The server that runs the next request goes on to misbehave; the other one serves. */
         const misbehaveFirst = (behaviour: ServerBehaviour) => {
