Requests of one connection follow the connection, in order, within a bound

Cause: Node tells only the first response of a connection that it was closed, so the work of pipelined requests went on after their caller had left, and the count in flight never fell: a planned stop waited its whole grace. An answer with Connection: close ended the connection although requests behind it were at servers. Unreadable bytes were answered 400 in the place of the first request.

Change: one pipeline a connection. At most 8 requests in progress; what must not run twice waits for all before it, and all behind it wait for it; nothing is begun once the connection is to end, so its last answer ends it. An answer without a length is a 502 (unframedAnswer) while requests behind it are at servers. What can't be read is answered behind all answers. The end goes out first, and what the caller still sends is read and dropped, so that no reset overtakes an answer.

The whole of the tests has not run on this commit.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -153,7 +153,12 @@
         log,
         protocol,
         settings,
-        onRequest: requests.onRequest,
+        pipelines: {
+            clock,
+            isRepeatable: requests.handler.isRepeatable,
+            isLeaving: () => plannedStop.phase() !== "running",
+            serve: requests.handler.serve,
+        },
         isReady,
         inService: () => {
             updateOwnRecord();
--- a/packages/box/src/callers/caller-connections.ts
+++ b/packages/box/src/callers/caller-connections.ts
@@ -3,14 +3,15 @@
  *
  * Node's own `closeIdleConnections` takes a connection as idle once its answer
  * was written, also while the caller still reads it; here it is idle only once
- * the answer has left the process.
+ * all its answers have left the process.
  *
- * Owns the count of requests whose answers have not left; relies on the server's
- * events for each connection and request.
+ * Owns the pipeline of each connection; relies on the server's events.
  */
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import { type CallerPipeline, type CallerPipelineOptions, createCallerPipeline } from "./caller-pipeline.js";
+import { statusOfUnreadable } from "./unreadable-requests.js";
 
 /** Connections of one server. */
 export interface CallerConnections {
@@ -21,37 +22,43 @@
     readonly count: () => number;
 }
 
-/** Follows the connections of a server from now on. */
-export function trackCallerConnections(server: Server): CallerConnections {
-    const busy = new Map<Socket, number>();
-    let inFlight = 0;
+/** Status for a method that no server can serve. */
+const badRequest = 400;
+/** The caller ended its side within a request. */
+const endWithinRequest = "HPE_INVALID_EOF_STATE";
 
-    server.on("connection", (socket: Socket) => {
-        busy.set(socket, 0);
-        socket.once("close", () => busy.delete(socket));
+/** Serves the requests of a server's connections from now on. */
+export function serveCallers(server: Server, options: CallerPipelineOptions): CallerConnections {
+    const pipelines = new Map<Duplex, CallerPipeline>();
+
+    server.on("connection", socket => {
+        const pipeline = createCallerPipeline(socket, options);
+        pipelines.set(socket, pipeline);
+        socket.once("close", () => {
+            pipelines.delete(socket);
+            pipeline.onClosed();
+        });
     });
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
-        const { socket } = request;
-        inFlight += 1;
-        busy.set(socket, (busy.get(socket) ?? 0) + 1);
-        response.once("close", () => {
-            inFlight -= 1;
-            const left = busy.get(socket);
-            if (left !== undefined) {
-                busy.set(socket, left - 1);
-            }
-        });
+        pipelines.get(request.socket)?.onRequest(request, response);
+    });
+    // Without this listener Node ends the connection at once, whatever is in progress on it.
+    server.on("connect", (_request, socket) => pipelines.get(socket)?.onUnreadable(badRequest));
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+        const status = statusOfUnreadable(error.code);
+        if (status === undefined) {
+            socket.destroy();
+            return;
+        }
+        pipelines.get(socket)?.onUnreadable(status);
+        if (error.code === endWithinRequest) {
+            socket.end();
+        }
     });
 
     return {
-        inFlight: () => inFlight,
-        endIdle() {
-            for (const [socket, requests] of busy) {
-                if (requests === 0) {
-                    socket.end();
-                }
-            }
-        },
-        count: () => busy.size,
+        inFlight: () => [...pipelines.values()].reduce((sum, pipeline) => sum + pipeline.inProgress(), 0),
+        endIdle: () => pipelines.forEach(pipeline => pipeline.endIfIdle()),
+        count: () => pipelines.size,
     };
 }
--- a/packages/box/src/callers/caller-server.ts
+++ b/packages/box/src/callers/caller-server.ts
@@ -8,9 +8,10 @@
 import type { MemberRecord } from "@chalkdale/decisions";
 import type { Milliseconds } from "@chalkdale/kernel";
 import type { Address, Log } from "@chalkdale/runtime";
-import { createServer, type RequestListener, type Server } from "node:http";
+import { createServer, type Server } from "node:http";
 import type { BoxSettings } from "../settings.js";
-import { type CallerConnections, trackCallerConnections } from "./caller-connections.js";
+import { type CallerConnections, serveCallers } from "./caller-connections.js";
+import type { CallerPipelineOptions } from "./caller-pipeline.js";
 import type { CallerProtocol } from "./caller-protocol.js";
 import { createDirectoryListener, createMetricsListener, createReadinessListener } from "./listeners.js";
 
@@ -18,7 +19,7 @@
     readonly log: Log;
     readonly protocol: CallerProtocol;
     readonly settings: BoxSettings;
-    readonly onRequest: RequestListener;
+    readonly pipelines: CallerPipelineOptions;
     readonly isReady: () => boolean;
     /** Boxes to which callers may be sent. */
     readonly inService: () => readonly MemberRecord[];
@@ -46,8 +47,7 @@
 export function startCallerServer(options: CallerServerOptions): CallerServer {
     const { protocol, settings } = options;
     const callers = createServer({ maxHeaderSize: largestHead, requestTimeout: 0, noDelay: true });
-    const connections = trackCallerConnections(callers);
-    callers.on("request", options.onRequest);
+    const connections = serveCallers(callers, options.pipelines);
     const directory = createDirectoryListener({
         protocol,
         lifetime: settings.bounds.lookupLifetime,
--- a/packages/box/src/requests/caller-answers.ts
+++ b/packages/box/src/requests/caller-answers.ts
@@ -1,6 +1,5 @@
 /**
- * Writes answers to callers: a server's, unchanged, or the box's own. A box
- * that is leaving ends each connection with its answer.
+ * Answers to callers: a server's, unchanged, or the box's own.
  *
  * Owns nothing; relies on the table of refusals.
  */
@@ -8,46 +7,62 @@
 import { type RefusalKind, refusals } from "@chalkdale/decisions";
 import type { Milliseconds } from "@chalkdale/kernel";
 import type { ServerResponse } from "node:http";
+import type { CallerAnswer } from "../callers/caller-pipeline.js";
 import type { ServerAnswer } from "../servers/exchange.js";
 import { passOnHeaders } from "./headers.js";
 
-/** Passes a server's answer back as it is. */
-export function passBack(response: ServerResponse, answer: ServerAnswer, isLeaving: boolean): void {
-    response.sendDate = false;
-    const back = passOnHeaders(answer.rawHeaders, new Set());
-    response.useChunkedEncodingByDefault = false;
-    if (answer.framed) {
-        back.push("Content-Length", String(answer.body.length));
-    }
-    if (isLeaving || !answer.framed) {
-        response.shouldKeepAlive = false;
-        back.push("Connection", "close");
-    }
-    response.writeHead(answer.status, back);
-    response.end(answer.body);
+/** A server's answer as it is. `onFault`: it can't be written, and the caller gets a failure instead. */
+export function passBack(answer: ServerAnswer, onFault: (error: unknown) => void): CallerAnswer {
+    const { body, framed, status } = answer;
+    return {
+        bytes: body.length,
+        isFramed: framed,
+        write(response, isLast) {
+            const back = passOnHeaders(answer.rawHeaders, new Set());
+            if (framed) {
+                back.push("Content-Length", String(body.length));
+            }
+            if (isLast) {
+                back.push("Connection", "close");
+            }
+            response.sendDate = false;
+            response.useChunkedEncodingByDefault = false;
+            try {
+                response.writeHead(status, back);
+            }
+            catch (error) {
+                onFault(error);
+                writeRefusal(response, "internalFault", undefined, isLast);
+                return;
+            }
+            response.end(body);
+        },
+    };
 }
 
-/** How a refusal is given. */
-export interface RefusalOptions {
-    readonly isLeaving: boolean;
-    /** Goes before the time of the table. */
-    readonly comeBackAfter?: Milliseconds;
+/** An answer of the box's own. `comeBackAfter` goes before the time of the table. */
+export function refuse(kind: RefusalKind, comeBackAfter?: Milliseconds): CallerAnswer {
+    return {
+        bytes: 0,
+        isFramed: true,
+        write: (response, isLast) => writeRefusal(response, kind, comeBackAfter, isLast),
+    };
 }
 
-/** Gives an answer of the box's own; breaks the connection if another was begun. */
-export function refuse(response: ServerResponse, kind: RefusalKind, options: RefusalOptions): void {
-    if (response.headersSent || response.destroyed) {
-        response.destroy();
-        return;
-    }
+function writeRefusal(
+    response: ServerResponse,
+    kind: RefusalKind,
+    comeBackAfter: Milliseconds | undefined,
+    isLast: boolean,
+): void {
     const { status, retryAfter } = refusals[kind];
+    const seconds = comeBackAfter === undefined ? retryAfter : toSeconds(comeBackAfter);
     response.sendDate = false;
     response.setHeader("Content-Length", "0");
-    const comeBackAfter = options.comeBackAfter === undefined ? retryAfter : toSeconds(options.comeBackAfter);
-    if (comeBackAfter !== undefined) {
-        response.setHeader("Retry-After", String(comeBackAfter));
+    if (seconds !== undefined) {
+        response.setHeader("Retry-After", String(seconds));
     }
-    if (options.isLeaving) {
+    if (isLast) {
         response.setHeader("Connection", "close");
     }
     response.writeHead(status).end();
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -3,8 +3,8 @@
  * attempts, and the answer. Every request that is given up gets its answer at
  * once.
  *
- * Owns the request's time limit and its end when the caller leaves; relies on
- * the admission and the attempt loop for what is decided.
+ * Owns the request's time limit; relies on the admission and the attempt loop for
+ * what is decided, and on the request's turn for its end when the caller leaves.
  */
 
 import {
@@ -12,13 +12,15 @@
     type AdmittedRequest,
     type CopyAgeBounds,
     createReturningCallers,
+    isIdempotent,
     promisesNotRun,
     type RefusalKind,
     type StopPhase,
 } from "@chalkdale/decisions";
 import { customerKey, type Milliseconds } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
+import type { CallerTurn } from "../callers/caller-pipeline.js";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import type { CustomerQuotas } from "../quotas/customer-quotas.js";
 import type { ServerAnswer } from "../servers/exchange.js";
@@ -43,13 +45,17 @@
     readonly quotas: Pick<CustomerQuotas, "take" | "giveBack">;
 }
 
-/** Listener for requests of callers. */
-export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void;
+/** Serves the requests of callers. */
+export interface RequestHandler {
+    readonly serve: (turn: CallerTurn) => void;
+    /** True if a request may run more than once, by the configuration in force. */
+    readonly isRepeatable: (request: IncomingMessage) => boolean;
+}
 
 /** Bytes of a body that are taken in at most, whatever the configuration allows: a box has 350 MB. Not measured. */
 const largestBody = 16 * 1024 * 1024;
 
-/** Returns the listener for requests of callers. */
+/** Creates the handler of requests. */
 export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
     const { clock, log, state } = options;
     const { headers } = options.protocol;
@@ -57,84 +63,75 @@
     const returningCallers = createReturningCallers();
     const runAttempts = createAttemptLoop({ ...options, requestLog, isVerified });
 
-    return function onRequest(request, response) {
-        void handle(request, response).catch(error => {
-            const reason = error instanceof Error ? error.stack : String(error);
-            log.error("request.fault", { request: requestIdOf(request), reason });
-            refuseCaller(response, "internalFault");
-        });
+    return {
+        serve(turn) {
+            void handle(turn).catch(error => {
+                logFault(turn, error);
+                turn.answer(refuse("internalFault"));
+            });
+        },
+        isRepeatable(request) {
+            const route = state.routes()?.match(hostOf(request), pathOf(request));
+            return route === undefined || isIdempotent(route);
+        },
     };
 
-    async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const startedAt = clock();
-        const host = request.headers.host ?? "";
-        const url = request.url ?? "/";
+    async function handle(turn: CallerTurn): Promise<void> {
+        const { request } = turn;
         const key = singleValue(request.headers[headers.customerKey]);
         const admission = admit({
             routes: state.routes(),
             keys: state.keys(),
             isComplete: state.isComplete(),
             phase: options.phase(),
-            host,
-            path: pathOf(url),
+            host: hostOf(request),
+            path: pathOf(request),
             key: key === undefined ? undefined : customerKey(key),
             configurationAge: options.configurationAge(),
             bounds: options.copyAgeBounds,
         });
         if (admission.kind === "refused") {
-            requestLog.notAdmitted(describe(), admission.refusal);
-            refuseCaller(response, admission.refusal);
+            requestLog.notAdmitted(describe(request), admission.refusal);
+            turn.answer(refuse(admission.refusal));
             return;
         }
         const { customer } = admission;
         const comeBackAfter = customer && options.quotas.take(customer);
         if (comeBackAfter !== undefined) {
-            requestLog.notAdmitted({ ...describe(), customer: customer?.id }, "quotaSpent");
-            refuseCaller(response, "quotaSpent", comeBackAfter);
+            requestLog.notAdmitted({ ...describe(request), customer: customer?.id }, "quotaSpent");
+            turn.answer(refuse("quotaSpent", comeBackAfter));
             return;
         }
-        await serve(request, response, admission, startedAt);
-
-        function describe(): UnservedRequest {
-            return { requestId: requestIdOf(request), host, path: url, copyAge: options.configurationAge() };
-        }
+        await serveAdmitted(turn, admission);
     }
 
-    async function serve(
-        request: IncomingMessage,
-        response: ServerResponse,
-        { customer, route }: AdmittedRequest,
-        startedAt: Milliseconds,
-    ): Promise<void> {
-        const { random } = options;
+    async function serveAdmitted(turn: CallerTurn, { customer, route }: AdmittedRequest): Promise<void> {
+        const { controller, request } = turn;
         const active = activateRequest(request, headers, {
             route,
             customer,
             isKeyed: state.keys()?.isKeyNeeded ?? false,
             service: state.destinationOf(route),
-            startedAt,
+            startedAt: turn.arrivedAt,
             returningCallers,
-            random,
+            random: options.random,
         });
-        const controller = new AbortController();
         let timedOut = false;
         const timer = setTimeout(() => {
             timedOut = true;
             controller.abort();
-        }, Math.max(0, active.endsAt - startedAt));
-        response.on("close", () => controller.abort());
+        }, Math.max(0, active.endsAt - clock()));
         try {
             const body = await readBody(request, mostBodyBytes(), controller.signal);
             if (body.kind === "tooLarge") {
-                requestLog.refused(active, "bodyTooLarge");
-                refuseCaller(response, "bodyTooLarge");
+                finish(turn, active, { kind: "refusal", refusal: "bodyTooLarge" });
                 return;
             }
             options.budgetOf(active.service).onRequest(clock());
             const ending: Ending = body.kind === "cut"
                 ? { kind: "callerLeft" }
                 : await runAttempts(active, body.body, controller.signal);
-            finish(active, response, ending.kind === "callerLeft" && timedOut ? timeoutEnding(active) : ending);
+            finish(turn, active, ending.kind === "callerLeft" && timedOut ? timeoutEnding(active) : ending);
         }
         finally {
             clearTimeout(timer);
@@ -149,23 +146,17 @@
         return { kind: "refusal", refusal: active.sent > 0 ? "timedOut" : "timedOutUnsent" };
     }
 
-    function finish(active: ActiveRequest, response: ServerResponse, ending: Ending): void {
+    function finish(turn: CallerTurn, active: ActiveRequest, ending: Ending): void {
         switch (ending.kind) {
             case "answer":
-                if (isSuccess(ending.answer) && !isVerified(ending.answer)) {
-                    requestLog.refused(active, "unprovenAnswer");
-                    refuseCaller(response, "unprovenAnswer");
-                    return;
-                }
-                requestLog.served(active, ending.answer);
-                passBack(response, ending.answer, isLeaving());
+                finishAnswered(turn, active, ending.answer);
                 return;
             case "refusal":
                 if (active.customer !== undefined && promisesNotRun(ending.refusal)) {
                     options.quotas.giveBack(active.customer);
                 }
                 requestLog.refused(active, ending.refusal);
-                refuseCaller(response, ending.refusal, options.comeBackAfter(active, ending.refusal));
+                turn.answer(refuse(ending.refusal, options.comeBackAfter(active, ending.refusal)));
                 return;
             case "callerLeft":
                 requestLog.callerLeft(active);
@@ -173,26 +164,56 @@
         }
     }
 
+    function finishAnswered(turn: CallerTurn, active: ActiveRequest, answer: ServerAnswer): void {
+        const refusal = refusalOfAnswer(turn, answer);
+        if (refusal !== undefined) {
+            requestLog.refused(active, refusal);
+            turn.answer(refuse(refusal));
+            return;
+        }
+        requestLog.served(active, answer);
+        turn.answer(passBack(answer, error => logFault(turn, error)));
+    }
+
+    /** Why an answer can't be passed back; undefined if it can. */
+    function refusalOfAnswer(turn: CallerTurn, answer: ServerAnswer): RefusalKind | undefined {
+        if (isSuccess(answer) && !isVerified(answer)) {
+            return "unprovenAnswer";
+        }
+        return !answer.framed && turn.isFollowed() ? "unframedAnswer" : undefined;
+    }
+
     /** A success must carry the server's stamp, and a body in the coding that was asked for. */
     function isVerified(answer: ServerAnswer): boolean {
         return answer.headers[headers.serverStamp] !== undefined && answer.headers["content-encoding"] === undefined;
     }
 
+    function describe(request: IncomingMessage): UnservedRequest {
+        const copyAge = options.configurationAge();
+        return { requestId: requestIdOf(request), host: hostOf(request), path: urlOf(request), copyAge };
+    }
+
     function requestIdOf(request: IncomingMessage): string | undefined {
         return singleValue(request.headers[headers.requestId]);
     }
 
-    /** True once callers should use other boxes. */
-    function isLeaving(): boolean {
-        return options.phase() !== "running";
+    function logFault({ request }: CallerTurn, error: unknown): void {
+        const reason = error instanceof Error ? error.stack : String(error);
+        log.error("request.fault", { request: requestIdOf(request), reason });
     }
+}
 
-    function refuseCaller(response: ServerResponse, kind: RefusalKind, comeBackAfter?: Milliseconds): void {
-        refuse(response, kind, { isLeaving: isLeaving(), comeBackAfter });
-    }
+function hostOf(request: IncomingMessage): string {
+    return request.headers.host ?? "";
+}
+
+function urlOf(request: IncomingMessage): string {
+    return request.url ?? "/";
 }
 
-function pathOf(url: string): string {
+/** Path without the query. */
+function pathOf(request: IncomingMessage): string {
+    const url = urlOf(request);
     const query = url.indexOf("?");
     return query < 0 ? url : url.slice(0, query);
 }
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -54,8 +54,8 @@
 
 /** The way of requests through one box. */
 export interface RequestPath {
-    /** Listener for requests of callers. */
-    readonly onRequest: RequestHandler;
+    /** Serves the requests of callers. */
+    readonly handler: RequestHandler;
     /** Closes connections that have rested too long, and forgets servers that are gone. Due some times a second. */
     readonly sweep: () => void;
     /** Connections to servers that are open. */
@@ -89,7 +89,7 @@
             connections.closeIdle(server.id);
         },
     });
-    const onRequest = createRequestHandler({
+    const handler = createRequestHandler({
         ...options,
         choose: createServerChoice({
             region: settings.region,
@@ -128,7 +128,7 @@
     });
 
     return {
-        onRequest,
+        handler,
         sweep() {
             connections.sweep();
             catalog.sweep(clock()).forEach(server => recentKeys.forget(server));
--- a/packages/box/test/caller-connections.test.ts
+++ b/packages/box/test/caller-connections.test.ts
@@ -1,7 +1,8 @@
+import { milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
 import { createServer, get, type IncomingMessage, type Server } from "node:http";
 import { type AddressInfo, connect } from "node:net";
-import { type CallerConnections, trackCallerConnections } from "../src/callers/caller-connections.js";
+import { type CallerConnections, serveCallers } from "../src/callers/caller-connections.js";
 
 const answerSize = 24 * 1024 * 1024;
 
@@ -11,10 +12,20 @@
     let port: number;
 
     beforeEach(async () => {
-        server = createServer((_request, response) => {
-            response.writeHead(200, { "Content-Length": answerSize }).end(Buffer.alloc(answerSize));
+        server = createServer();
+        connections = serveCallers(server, {
+            clock: () => milliseconds(0),
+            isRepeatable: () => true,
+            isLeaving: () => false,
+            serve: turn =>
+                turn.answer({
+                    bytes: answerSize,
+                    isFramed: true,
+                    write: response => {
+                        response.writeHead(200, { "Content-Length": answerSize }).end(Buffer.alloc(answerSize));
+                    },
+                }),
         });
-        connections = trackCallerConnections(server);
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
         port = (server.address() as AddressInfo).port;
     });
--- a/packages/box/test/request-handler.test.ts
+++ b/packages/box/test/request-handler.test.ts
@@ -17,6 +17,7 @@
 import { once } from "node:events";
 import { createServer, request as httpRequest, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { serveCallers } from "../src/callers/caller-connections.js";
 import { createBoxMetrics } from "../src/metrics.js";
 import { createRequestHandler } from "../src/requests/request-handler.js";
 import type { SharedState } from "../src/state/shared-state.js";
@@ -71,8 +72,10 @@
         const unused = () => {
             throw new Error("no server is chosen here");
         };
-        server = createServer(createRequestHandler({
-            clock: () => milliseconds(performance.now()),
+        const clock = () => milliseconds(performance.now());
+        server = createServer();
+        const handler = createRequestHandler({
+            clock,
             random: Math.random,
             log: createLog({ write: line => lines.push(line) }),
             metrics: createBoxMetrics(),
@@ -89,7 +92,8 @@
             recentKeys: undefined as never,
             work: undefined as never,
             roundTrip: unused,
-        }));
+        });
+        serveCallers(server, { ...handler, clock, isLeaving: () => phase !== "running" });
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
     });
--- a/packages/cli/src/request-story.ts
+++ b/packages/cli/src/request-story.ts
@@ -41,6 +41,8 @@
     timedOut: "the time limit was over while a server had the request",
     brokenOff: "the connection to the server broke after the request was sent",
     unprovenAnswer: "a success came without the server's stamp, or in another coding",
+    unframedAnswer:
+        "the answer had no length, and could not end the connection since requests behind it were at servers",
     internalFault: "a fault of the program: please report it",
 };
 
--- /dev/null
+++ b/packages/decisions/src/admit/pipelining.ts
@@ -0,0 +1,51 @@
+/**
+ * Which requests of one connection may be in progress together when its caller
+ * sends the next one before the last one has its answer, and what stops the
+ * reading.
+ *
+ * Answers return in order, and whoever gets an answer that ends the connection
+ * sends the requests behind it again, whatever their kind. So what must not run
+ * twice is begun only once everything before it is answered, and nothing is begun
+ * behind it: a read behind a write sees the write. A connection that is to end
+ * begins nothing more, so that its last answer can end it.
+ */
+
+/** What one connection has in progress; read when the rule needs it. */
+export interface ConnectionWork {
+    /** Requests that were begun and whose answers have not left. */
+    readonly inProgress: () => number;
+    /** One of them must not run twice. */
+    readonly hasUnrepeatable: () => boolean;
+    /** Bytes of answers that are ready and wait for the ones before them. */
+    readonly waitingBytes: () => number;
+    /** The connection ends with the last answer of what is in progress. */
+    readonly isEnding: () => boolean;
+}
+
+/** Requests of one connection in progress at once: as many as a browser opens connections, or few more. Not measured. */
+const mostInProgress = 8;
+/** Bytes of ready answers behind a slower one at which no more work for that caller is begun: three downloads. Not measured. */
+const mostWaitingBytes = 256 * 1024;
+/**
+ * Requests of one connection that are read and not answered, at which its socket is not read: more than are in progress,
+ * since callers give up what is not read within a second. Not measured.
+ */
+const mostRead = 32;
+
+/** True if the next request of a connection may be begun. `isRepeatable`: it may run more than once. */
+export function mayBegin(work: ConnectionWork, isRepeatable: () => boolean): boolean {
+    const inProgress = work.inProgress();
+    if (inProgress === 0) {
+        return true;
+    }
+    return inProgress < mostInProgress
+        && !work.isEnding()
+        && isRepeatable()
+        && !work.hasUnrepeatable()
+        && work.waitingBytes() < mostWaitingBytes;
+}
+
+/** True if a connection with so many requests that are not answered is not read for now. */
+export function stopsReading(unanswered: number): boolean {
+    return unanswered >= mostRead;
+}
--- a/packages/decisions/src/give-up/refusals.ts
+++ b/packages/decisions/src/give-up/refusals.ts
@@ -25,6 +25,7 @@
     | "timedOut"
     | "brokenOff"
     | "unprovenAnswer"
+    | "unframedAnswer"
     | "internalFault";
 
 /** How one kind is answered. */
@@ -64,6 +65,7 @@
     timedOut: { status: 504, retryAfter: undefined },
     brokenOff: { status: 502, retryAfter: undefined },
     unprovenAnswer: { status: 502, retryAfter: undefined },
+    unframedAnswer: { status: 502, retryAfter: undefined },
     internalFault: { status: 500, retryAfter: undefined },
 };
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,6 +3,7 @@
  */
 
 export * from "./admit/admission.js";
+export * from "./admit/pipelining.js";
 export * from "./admit/returning-callers.js";
 export * from "./admit/route-table.js";
 export * from "./admit/weighted-split.js";
