--- /dev/null
+++ b/packages/decisions/test/pipelining.test.ts
@@ -0,0 +1,41 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { type ConnectionWork, mayBegin, stopsReading } from "../src/admit/pipelining.js";
+
+describe("the rule on pipelined requests", () => {
+    const work = (changes: Partial<Record<keyof ConnectionWork, number | boolean>> = {}): ConnectionWork => {
+        const values = { inProgress: 1, hasUnrepeatable: false, waitingBytes: 0, isEnding: false, ...changes };
+        return {
+            inProgress: () => Number(values.inProgress),
+            hasUnrepeatable: () => Boolean(values.hasUnrepeatable),
+            waitingBytes: () => Number(values.waitingBytes),
+            isEnding: () => Boolean(values.isEnding),
+        };
+    };
+    const begins = (changes: Partial<Record<keyof ConnectionWork, number | boolean>>, isRepeatable = true) =>
+        mayBegin(work(changes), () => isRepeatable);
+
+    it("begins the first of a connection whatever it is, and what may run twice behind others", () => {
+        expect(begins({ inProgress: 0, isEnding: true }, false)).to.equal(true);
+        expect(begins({})).to.equal(true);
+    });
+
+    it("begins nothing beside what must not run twice [P5]", () => {
+        expect(begins({}, false)).to.equal(false);
+        expect(begins({ hasUnrepeatable: true })).to.equal(false);
+    });
+
+    it("begins nothing behind an answer that is to end the connection [P7]", () => {
+        expect(begins({ isEnding: true })).to.equal(false);
+    });
+
+    it("begins no more than the bounds on requests and on ready answers allow", () => {
+        expect([7, 8].map(inProgress => begins({ inProgress }))).to.deep.equal([true, false]);
+        expect([262_143, 262_144].map(waitingBytes => begins({ waitingBytes }))).to.deep.equal([true, false]);
+    });
+
+    it("lets reading stop only with more read than may be in progress", () => {
+        fc.assert(fc.property(fc.nat(100), count => !stopsReading(count) || !begins({ inProgress: count })));
+        expect(stopsReading(100)).to.equal(true);
+    });
+});
