The soak's callers pipeline reads

Two callers of each run send up to six reads together over one connection. Checked: answers by order belong to their requests, nothing comes unasked, what is behind an answer that ends the connection reached no server, and nothing that ran is lost to a planned stop.

--- a/packages/testing/src/demo/main.ts
+++ b/packages/testing/src/demo/main.ts
@@ -59,6 +59,9 @@
     const breaches = findBreaches({
         attempts,
         runs,
+        // No caller of the demo pipelines.
+        boxEnds: [],
+        surplus: [],
         drained,
         evacuated,
         destinations,
--- a/packages/testing/src/soak/box-faults.ts
+++ b/packages/testing/src/soak/box-faults.ts
@@ -4,15 +4,16 @@
 
 import { milliseconds } from "@chalkdale/kernel";
 import { pause } from "../standins/deployment.js";
+import type { BoxEnd } from "./checks.js";
 import { type Fault, lasting, pick } from "./fault-tools.js";
 import type { SoakWorld } from "./soak-world.js";
 
 /** Longest pause before a box starts again, in milliseconds. */
 const longestDown = 800;
 
-/** A box ends by a signal, and starts again after a while. */
-export function createRestart(world: SoakWorld, signal: NodeJS.Signals): Fault {
-    const { boxes, random, say } = world;
+/** A box ends by a signal, which is noted in `ends`, and starts again after a while. */
+export function createRestart(world: SoakWorld, signal: NodeJS.Signals, ends: BoxEnd[]): Fault {
+    const { boxes, now, random, say } = world;
 
     return async function restart() {
         const box = pick(boxes, random);
@@ -20,6 +21,7 @@
             return;
         }
         say(`fault="${signal}" box=${box.name}`);
+        ends.push({ box: box.callers, signal, at: now() });
         box.signal(signal);
         await box.ended();
         await pause(milliseconds(random() * longestDown));
--- a/packages/testing/src/soak/checks.ts
+++ b/packages/testing/src/soak/checks.ts
@@ -4,6 +4,7 @@
 
 import type { ServerRun } from "../standins/backend-server.js";
 import type { ClientAnswer } from "../standins/client.js";
+import { pipeliningBreaches } from "./pipelining-checks.js";
 import type { HeldKey } from "./soak-customers.js";
 
 /** A promise that was not kept. */
@@ -16,7 +17,9 @@
         | "customer"
         | "drain"
         | "evacuation"
-        | "recovery";
+        | "recovery"
+        | "unread"
+        | "planned stop";
     readonly at: number;
     readonly detail: string;
 }
@@ -30,6 +33,22 @@
     readonly answer: ClientAnswer;
     /** The key that it was made with. */
     readonly held: HeldKey;
+    /** A pipelined request got no answer: one before it ended the connection, or the connection was lost. */
+    readonly unanswered?: { readonly kind: "unread" | "lost"; readonly at: number; };
+}
+
+/** A signal that ended a box; `box` is where callers reach it. */
+export interface BoxEnd {
+    readonly box: string;
+    readonly signal: NodeJS.Signals;
+    readonly at: number;
+}
+
+/** What a box sent while no request waited for an answer. */
+export interface SurplusBytes {
+    readonly at: number;
+    readonly box: string;
+    readonly bytes: string;
 }
 
 /** A run at a server, with when it began. */
@@ -50,6 +69,8 @@
 export interface Observations {
     readonly attempts: readonly ObservedAttempt[];
     readonly runs: readonly ObservedRun[];
+    readonly boxEnds: readonly BoxEnd[];
+    readonly surplus: readonly SurplusBytes[];
     /** By server: when it must not get requests. */
     readonly drained: ReadonlyMap<string, Interval>;
     /** By zone: when it must not get requests. */
@@ -75,6 +96,7 @@
         ...ofTheirCustomer(seen),
         ...drained(seen),
         ...recovered(seen),
+        ...pipeliningBreaches(seen),
     ];
 }
 
--- a/packages/testing/src/soak/faults.ts
+++ b/packages/testing/src/soak/faults.ts
@@ -6,7 +6,7 @@
 import { milliseconds } from "@chalkdale/kernel";
 import { pause } from "../standins/deployment.js";
 import { createFreeze, createRestart } from "./box-faults.js";
-import type { Interval } from "./checks.js";
+import type { BoxEnd, Interval } from "./checks.js";
 import { type Fault, pick } from "./fault-tools.js";
 import { allLinks, createLinkHarm, createLinkReset } from "./link-faults.js";
 import { createPlannedChanges, type PlannedChanges } from "./planned-changes.js";
@@ -20,6 +20,8 @@
     readonly drained: ReadonlyMap<string, Interval>;
     /** When a zone's servers must get nothing. */
     readonly evacuated: ReadonlyMap<string, readonly Interval[]>;
+    /** Signals that ended boxes, in their order. */
+    readonly boxEnds: readonly BoxEnd[];
 }
 
 /** Least time between the beginnings of two faults, in milliseconds. */
@@ -31,7 +33,8 @@
 export async function injectFaults(world: SoakWorld, length: number): Promise<InjectedFaults> {
     const { now, random } = world;
     const changes = createPlannedChanges(world);
-    const faults = everyFault(world, changes);
+    const boxEnds: BoxEnd[] = [];
+    const faults = everyFault(world, changes, boxEnds);
     const ends: Promise<void>[] = [];
     const end = now() + length;
     while (now() < end) {
@@ -41,15 +44,15 @@
     await Promise.all(ends);
     makeWhole(world);
     const { drained, evacuated } = changes;
-    return { count: ends.length, drained, evacuated };
+    return { count: ends.length, drained, evacuated, boxEnds };
 }
 
 /** All that may happen, each as likely as the others. */
-function everyFault(world: SoakWorld, changes: PlannedChanges): readonly Fault[] {
+function everyFault(world: SoakWorld, changes: PlannedChanges, boxEnds: BoxEnd[]): readonly Fault[] {
     const misbehave = createMisbehaviour(world);
     return [
-        createRestart(world, "SIGKILL"),
-        createRestart(world, "SIGTERM"),
+        createRestart(world, "SIGKILL", boxEnds),
+        createRestart(world, "SIGTERM", boxEnds),
         createFreeze(world),
         createLinkHarm(world, () => world.storeLinks, "link to the store"),
         createLinkHarm(world, () => world.servers.map(server => server.proxy), "link to a server"),
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -9,6 +9,7 @@
 import { startCallers } from "./callers.js";
 import { type Breach, findBreaches } from "./checks.js";
 import { injectFaults } from "./faults.js";
+import { startPipeliningCallers } from "./pipelining-callers.js";
 import { createSoakWorld } from "./soak-world.js";
 
 export interface SoakOptions {
@@ -36,6 +37,7 @@
 const observedAfterRecovery = 2500;
 const defaultBoxes = 5;
 const defaultCallers = 6;
+const pipeliningCallers = 2;
 /** Part of the callers' requests that are given up early. */
 const leavingShare = 0.05;
 
@@ -47,16 +49,18 @@
     const { now, say } = world;
 
     const callers = await startCallers(world, { count, prefix: `s${seed}`, leavingShare });
-    const { count: faults, drained, evacuated } = await injectFaults(world, options.length);
+    const pipelining = startPipeliningCallers(world, { count: pipeliningCallers, seed, leavingShare });
+    const { count: faults, ...injected } = await injectFaults(world, options.length);
     const recoveredFrom = now() + recoverWithin;
     await pause(milliseconds(recoverWithin + observedAfterRecovery));
-    await callers.stop();
+    await Promise.all([callers.stop(), pipelining.stop()]);
     await world.stopAll();
 
-    const { attempts } = callers;
+    const attempts = [...callers.attempts, ...pipelining.attempts];
     const { destinations, folder, runs } = world;
     const keyEndsAt = world.customers.endOf;
-    const breaches = findBreaches({ attempts, runs, drained, evacuated, destinations, keyEndsAt, recoveredFrom });
+    const { surplus } = pipelining;
+    const breaches = findBreaches({ attempts, runs, surplus, ...injected, destinations, keyEndsAt, recoveredFrom });
     breaches.forEach(breach => say(`breach="${breach.promise}" at=${Math.round(breach.at)} ${breach.detail}`));
     const served = attempts.filter(attempt => attempt.answer.status === 200).length;
     return { seed, attempts: attempts.length, served, faults, breaches, folder };
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -46,6 +46,8 @@
     const seen = (changes: Partial<Observations>): Observations => ({
         attempts: [attempt(200)],
         runs: [run()],
+        boxEnds: [],
+        surplus: [],
         drained: new Map(),
         evacuated: new Map(),
         destinations: [{ path: "/save/", service: "profiles", from: 0, to: Infinity }],
@@ -70,5 +72,19 @@
         expect(found({ drained: new Map([["i-1", { from: 50, to: Infinity }]]) })).to.deep.equal(["drain"]);
         expect(found({ evacuated: new Map([["north-a", [{ from: 50, to: 150 }]]]) })).to.deep.equal(["evacuation"]);
         expect(found({ attempts: [] })).to.deep.equal(["recovery"]);
+        expect(found({ surplus: [{ at: 50, box: "box", bytes: "HTTP/1.1 200 OK" }] })).to.deep.equal(["whole answers"]);
+    });
+
+    it("find pipelined requests that ran in vain, and those lost to a planned stop", () => {
+        const unanswered = (kind: "unread" | "lost") => [{ ...attempt(0, ""), unanswered: { kind, at: 1000 } }];
+        const end = (signal: NodeJS.Signals, at: number) => ({ box: "box", signal, at });
+        const lost = (...boxEnds: Observations["boxEnds"]) =>
+            found({ attempts: unanswered("lost"), boxEnds, recoveredFrom: Infinity });
+        expect(found({ attempts: unanswered("unread") })).to.deep.equal(["recovery", "unread"]);
+        expect(found({ attempts: unanswered("unread"), runs: [] })).to.deep.equal(["recovery"]);
+        expect(lost(end("SIGTERM", 500))).to.deep.equal(["recovery", "planned stop"]);
+        expect(lost(end("SIGTERM", 1500))).to.deep.equal(["recovery"]);
+        expect(lost(end("SIGTERM", 500), end("SIGKILL", 900))).to.deep.equal(["recovery"]);
+        expect(lost({ ...end("SIGTERM", 500), box: "another" })).to.deep.equal(["recovery"]);
     });
 });
