A pipeline's state is a plain object, and a connection that rests keeps no answer

Change: the latest request is let go once it is whole and answered; one set of functions for all connections.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -155,7 +155,7 @@
         settings,
         pipelines: {
             clock,
-            isRepeatable: requests.handler.isRepeatable,
+            isIdempotent: requests.handler.isIdempotent,
             isLeaving: () => plannedStop.phase() !== "running",
             serve: requests.handler.serve,
         },
--- a/packages/box/src/callers/caller-connections.ts
+++ b/packages/box/src/callers/caller-connections.ts
@@ -10,7 +10,8 @@
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
-import { type CallerPipeline, type CallerPipelineOptions, createCallerPipeline } from "./caller-pipeline.js";
+import { type CallerPipelinesOptions, createCallerPipelines } from "./caller-pipeline.js";
+import type { CallerPipeline } from "./caller-turn.js";
 import { statusOfUnreadable } from "./unreadable-requests.js";
 
 /** Connections of one server. */
@@ -28,37 +29,46 @@
 const endWithinRequest = "HPE_INVALID_EOF_STATE";
 
 /** Serves the requests of a server's connections from now on. */
-export function serveCallers(server: Server, options: CallerPipelineOptions): CallerConnections {
-    const pipelines = new Map<Duplex, CallerPipeline>();
+export function serveCallers(server: Server, options: CallerPipelinesOptions): CallerConnections {
+    const pipelines = createCallerPipelines(options);
+    const open = new Map<Duplex, CallerPipeline>();
 
     server.on("connection", socket => {
-        const pipeline = createCallerPipeline(socket, options);
-        pipelines.set(socket, pipeline);
+        open.set(socket, pipelines.open(socket));
         socket.once("close", () => {
-            pipelines.delete(socket);
-            pipeline.onClosed();
+            withPipeline(socket, pipelines.onClosed);
+            open.delete(socket);
         });
     });
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
-        pipelines.get(request.socket)?.onRequest(request, response);
+        withPipeline(request.socket, pipeline => pipelines.onRequest(pipeline, request, response));
     });
     // Without this listener Node ends the connection at once, whatever is in progress on it.
-    server.on("connect", (_request, socket) => pipelines.get(socket)?.onUnreadable(badRequest));
+    server.on("connect", (_request, socket) => {
+        withPipeline(socket, pipeline => pipelines.onUnreadable(pipeline, badRequest));
+    });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
         const status = statusOfUnreadable(error.code);
         if (status === undefined) {
             socket.destroy();
             return;
         }
-        pipelines.get(socket)?.onUnreadable(status);
+        withPipeline(socket, pipeline => pipelines.onUnreadable(pipeline, status));
         if (error.code === endWithinRequest) {
             socket.end();
         }
     });
 
     return {
-        inFlight: () => [...pipelines.values()].reduce((sum, pipeline) => sum + pipeline.inProgress(), 0),
-        endIdle: () => pipelines.forEach(pipeline => pipeline.endIfIdle()),
-        count: () => pipelines.size,
+        inFlight: () => [...open.values()].reduce((sum, pipeline) => sum + pipeline.begun, 0),
+        endIdle: () => open.forEach(pipelines.endIfIdle),
+        count: () => open.size,
     };
+
+    function withPipeline(socket: Duplex, act: (pipeline: CallerPipeline) => void): void {
+        const pipeline = open.get(socket);
+        if (pipeline !== undefined) {
+            act(pipeline);
+        }
+    }
 }
--- a/packages/box/src/callers/caller-pipeline.ts
+++ b/packages/box/src/callers/caller-pipeline.ts
@@ -3,146 +3,110 @@
  * in the order in which they came, ended when the connection ends.
  *
  * Owns the order of the answers, the count of what is in progress, and which
- * answer ends the connection. Relies on Node for parsing; what is in progress
+ * answer ends the connection: plain state a connection, since closures for each
+ * cost 2 KB of a connection that rests. Relies on Node for parsing; what is in progress
  * follows the socket, since Node tells only the first response of a connection
  * that it was closed.
  */
 
-import { type ConnectionWork, mayBegin, stopsReading } from "@chalkdale/decisions";
-import type { Clock, Milliseconds } from "@chalkdale/kernel";
+import { mayBegin, stopsReading } from "@chalkdale/decisions";
+import type { Clock } from "@chalkdale/kernel";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { CallerPipeline, CallerTurn, QueuedTurn } from "./caller-turn.js";
 import { endInOrder } from "./ordered-end.js";
-import { createReadingBound } from "./reading-bound.js";
+import { readOn, stopReading } from "./reading-bound.js";
 import { unreadableAnswer, unreadableBytes } from "./unreadable-requests.js";
 
-/** An answer that can wait for its turn. */
-export interface CallerAnswer {
-    /** Bytes of its body. */
-    readonly bytes: number;
-    /** False: the connection must end with it. */
-    readonly isFramed: boolean;
-    /** Called once, in its turn. `isLast`: the connection ends with it. Never throws. */
-    readonly write: (response: ServerResponse, isLast: boolean) => void;
-}
-
-/** One request, and the place of its answer among those of its connection. */
-export interface CallerTurn {
-    readonly request: IncomingMessage;
-    /** When its head was read. */
-    readonly arrivedAt: Milliseconds;
-    /** Aborted when the connection ends; who serves the request may abort it as well. */
-    readonly controller: AbortController;
-    /** True if requests behind it were begun: an answer to it that ends the connection would lose theirs. */
-    readonly isFollowed: () => boolean;
-    /** Takes the answer; only the first counts. */
-    readonly answer: (answer: CallerAnswer) => void;
-}
-
-export interface CallerPipelineOptions {
+export interface CallerPipelinesOptions {
     readonly clock: Clock;
     /** True if a request may run more than once. */
-    readonly isRepeatable: (request: IncomingMessage) => boolean;
+    readonly isIdempotent: (request: IncomingMessage) => boolean;
     /** True once callers should use other boxes. */
     readonly isLeaving: () => boolean;
     readonly serve: (turn: CallerTurn) => void;
 }
 
-/** The requests of one connection. */
-export interface CallerPipeline {
-    readonly onRequest: (request: IncomingMessage, response: ServerResponse) => void;
+/** What happens on connections. */
+export interface CallerPipelines {
+    readonly open: (socket: Socket) => CallerPipeline;
+    readonly onRequest: (pipeline: CallerPipeline, request: IncomingMessage, response: ServerResponse) => void;
     /** What came can't be read; the status is given behind all answers, and ends the connection. */
-    readonly onUnreadable: (status: number) => void;
+    readonly onUnreadable: (pipeline: CallerPipeline, status: number) => void;
     /** The connection has ended, and with it all that is in progress. */
-    readonly onClosed: () => void;
+    readonly onClosed: (pipeline: CallerPipeline) => void;
     /** Ends the connection if no request waits for its answer. */
-    readonly endIfIdle: () => void;
-    /** Requests that were begun and whose answers have not left. */
-    readonly inProgress: () => number;
+    readonly endIfIdle: (pipeline: CallerPipeline) => void;
 }
 
-/** A request that was read. */
-interface QueuedTurn extends CallerTurn {
-    readonly response: ServerResponse;
-    readonly isRepeatable: () => boolean;
-    ready: CallerAnswer | undefined;
-}
-
-/** Creates the requests of a connection: none yet. */
-export function createCallerPipeline(socket: Socket, options: CallerPipelineOptions): CallerPipeline {
-    const reading = createReadingBound(socket);
-    /** Read and not answered, in order; the first `begun` of them are in progress. */
-    let turns: QueuedTurn[] = [];
-    let begun = 0;
-    let latest: QueuedTurn | undefined;
-    let isWriting = false;
-    /** The last answer of what is in progress ends the connection. */
-    let isEnding = false;
-    /** The last answer was written, or the connection has ended: nothing more is served. */
-    let isOver = false;
-    /** What goes out once all requests that could be read are answered. */
-    let lastBytes: string | undefined;
-    const work: ConnectionWork = {
-        inProgress: () => begun,
-        hasUnrepeatable: () => turns.slice(0, begun).some(turn => !turn.isRepeatable()),
-        waitingBytes: () => turns.reduce((bytes, { ready }) => bytes + (ready?.bytes ?? 0), 0),
-        isEnding: () => isEnding || options.isLeaving(),
-    };
-    // Node calls it once the last answer was written.
-    socket.destroySoon = () => endInOrder(socket);
-
+/** Creates what happens on the connections of one server. */
+export function createCallerPipelines(options: CallerPipelinesOptions): CallerPipelines {
     return {
-        onRequest(request, response) {
-            if (isOver || lastBytes !== undefined) {
+        open(socket) {
+            // Node calls it once the last answer was written.
+            socket.destroySoon = endThisInOrder;
+            return {
+                socket,
+                turns: [],
+                begun: 0,
+                latest: undefined,
+                isWriting: false,
+                isEnding: false,
+                isOver: false,
+                lastBytes: undefined,
+            };
+        },
+        onRequest(pipeline, request, response) {
+            if (pipeline.isOver || pipeline.lastBytes !== undefined) {
                 request.resume();
                 return;
             }
-            latest = createTurn(request, response);
-            turns.push(latest);
-            if (stopsReading(turns.length)) {
-                reading.stop();
+            const turn = createTurn(pipeline, request, response);
+            pipeline.latest = turn;
+            pipeline.turns.push(turn);
+            if (stopsReading(pipeline.turns.length)) {
+                stopReading(pipeline.socket);
             }
-            goOn();
+            goOn(pipeline);
         },
-        onUnreadable(status) {
+        onUnreadable(pipeline, status) {
+            const { latest } = pipeline;
             if (latest === undefined || latest.request.complete) {
-                lastBytes ??= unreadableBytes(status);
+                pipeline.lastBytes ??= unreadableBytes(status);
             }
             else {
-                cutOff(latest, status);
+                cutOff(pipeline, latest, status);
             }
-            goOn();
+            goOn(pipeline);
         },
-        onClosed() {
-            isOver = true;
-            const ended = turns;
-            turns = [];
-            begun = 0;
-            ended.forEach(turn => turn.controller.abort());
+        onClosed(pipeline) {
+            const { turns } = pipeline;
+            pipeline.isOver = true;
+            pipeline.turns = [];
+            pipeline.begun = 0;
+            turns.forEach(turn => turn.controller.abort());
         },
-        endIfIdle() {
-            if (turns.length === 0) {
-                end();
+        endIfIdle(pipeline) {
+            if (pipeline.turns.length === 0) {
+                end(pipeline);
             }
         },
-        inProgress: () => begun,
     };
 
-    function createTurn(request: IncomingMessage, response: ServerResponse): QueuedTurn {
-        let isRepeatable: boolean | undefined;
+    function createTurn(pipeline: CallerPipeline, request: IncomingMessage, response: ServerResponse): QueuedTurn {
         const turn: QueuedTurn = {
             request,
             response,
             arrivedAt: options.clock(),
             controller: new AbortController(),
+            isIdempotent: undefined,
             ready: undefined,
-            isRepeatable: () => isRepeatable ??= options.isRepeatable(request),
-            isFollowed: () => turns.indexOf(turn) < begun - 1,
+            isFollowed: () => pipeline.turns.indexOf(turn) < pipeline.begun - 1,
             answer(answer) {
                 if (turn.ready === undefined) {
                     turn.ready = answer;
-                    isEnding ||= !answer.isFramed;
-                    goOn();
+                    pipeline.isEnding ||= !answer.isFramed;
+                    goOn(pipeline);
                 }
             },
         };
@@ -150,84 +114,109 @@
     }
 
     /** The body of the latest request can't be read to its end, so it reached no server. */
-    function cutOff(turn: QueuedTurn, status: number): void {
-        if (turns.indexOf(turn) >= begun) {
-            turns.pop();
-            lastBytes ??= unreadableBytes(status);
+    function cutOff(pipeline: CallerPipeline, turn: QueuedTurn, status: number): void {
+        if (pipeline.turns.indexOf(turn) >= pipeline.begun) {
+            pipeline.turns.pop();
+            pipeline.lastBytes ??= unreadableBytes(status);
             return;
         }
-        isEnding = true;
+        pipeline.isEnding = true;
         turn.answer(unreadableAnswer(status));
     }
 
     /** Begins what may be begun and writes what is due. */
-    function goOn(): void {
-        while (!isOver && begun < turns.length && mayBegin(work, turns[begun].isRepeatable)) {
-            begin(turns[begun]);
+    function goOn(pipeline: CallerPipeline): void {
+        while (!pipeline.isOver && mayBeginNext(pipeline)) {
+            begin(pipeline, pipeline.turns[pipeline.begun]);
+        }
+        if (!pipeline.isOver && !pipeline.isWriting) {
+            writeNext(pipeline);
         }
-        if (!isOver && !isWriting) {
-            writeNext();
+    }
+
+    function mayBeginNext({ begun, isEnding, turns }: CallerPipeline): boolean {
+        if (begun === turns.length) {
+            return false;
         }
+        return begun === 0 || mayBegin({
+            inProgress: begun,
+            isIdempotent: turns.slice(0, begun + 1).every(isIdempotent),
+            waitingBytes: turns.reduce((bytes, { ready }) => bytes + (ready?.bytes ?? 0), 0),
+            isEnding: isEnding || options.isLeaving(),
+        });
     }
 
-    function begin(turn: QueuedTurn): void {
-        begun += 1;
+    function isIdempotent(turn: QueuedTurn): boolean {
+        return turn.isIdempotent ??= options.isIdempotent(turn.request);
+    }
+
+    function begin(pipeline: CallerPipeline, turn: QueuedTurn): void {
+        pipeline.begun += 1;
         // Its caller says that it sends no other.
-        isEnding ||= !turn.response.shouldKeepAlive;
+        pipeline.isEnding ||= !turn.response.shouldKeepAlive;
         options.serve(turn);
     }
 
-    function writeNext(): void {
+    function writeNext(pipeline: CallerPipeline): void {
+        const { begun, isEnding, turns } = pipeline;
         if (turns.length === 0) {
-            endUnlessReadable();
+            endIfDue(pipeline);
             return;
         }
         const [turn] = turns;
         if (turn.ready === undefined) {
             return;
         }
-        isWriting = true;
-        isOver = begun === 1 && work.isEnding();
-        turn.response.once("close", () => onLeft(turn));
-        turn.ready.write(turn.response, isOver);
+        pipeline.isWriting = true;
+        pipeline.isOver = begun === 1 && (isEnding || options.isLeaving());
+        turn.response.once("close", () => onLeft(pipeline, turn));
+        turn.ready.write(turn.response, pipeline.isOver);
     }
 
-    function onLeft(turn: QueuedTurn): void {
-        if (turns[0] !== turn) {
+    function onLeft(pipeline: CallerPipeline, turn: QueuedTurn): void {
+        if (pipeline.turns[0] !== turn) {
             return;
         }
-        isWriting = false;
-        turns.shift();
-        begun -= 1;
-        if (isOver) {
-            dropUnread();
+        pipeline.isWriting = false;
+        pipeline.turns.shift();
+        pipeline.begun -= 1;
+        if (pipeline.latest === turn && turn.request.complete) {
+            // A connection that rests must not keep its last answer.
+            pipeline.latest = undefined;
+        }
+        if (pipeline.isOver) {
+            dropUnread(pipeline);
             return;
         }
-        if (!stopsReading(turns.length)) {
-            reading.goOn();
+        if (!stopsReading(pipeline.turns.length)) {
+            readOn(pipeline.socket);
         }
-        goOn();
+        goOn(pipeline);
     }
+}
 
-    function endUnlessReadable(): void {
-        if (lastBytes !== undefined) {
-            socket.write(lastBytes);
-            end();
-        }
-        else if (isEnding) {
-            end();
-        }
+function endIfDue(pipeline: CallerPipeline): void {
+    if (pipeline.lastBytes !== undefined) {
+        pipeline.socket.write(pipeline.lastBytes);
+        end(pipeline);
     }
-
-    function end(): void {
-        isOver = true;
-        endInOrder(socket);
+    else if (pipeline.isEnding) {
+        end(pipeline);
     }
+}
 
-    /** What was read behind the last answer counts as unread; reading on lets that answer arrive. */
-    function dropUnread(): void {
-        turns.forEach(turn => turn.request.resume());
-        turns = [];
-        reading.goOn();
-    }
+function end(pipeline: CallerPipeline): void {
+    pipeline.isOver = true;
+    endInOrder(pipeline.socket);
+}
+
+/** What was read behind the last answer counts as unread; reading on lets that answer arrive. */
+function dropUnread(pipeline: CallerPipeline): void {
+    pipeline.turns.forEach(turn => turn.request.resume());
+    pipeline.turns = [];
+    readOn(pipeline.socket);
+}
+
+function endThisInOrder(this: Socket): void {
+    endInOrder(this);
 }
--- a/packages/box/src/callers/caller-server.ts
+++ b/packages/box/src/callers/caller-server.ts
@@ -11,7 +11,7 @@
 import { createServer, type Server } from "node:http";
 import type { BoxSettings } from "../settings.js";
 import { type CallerConnections, serveCallers } from "./caller-connections.js";
-import type { CallerPipelineOptions } from "./caller-pipeline.js";
+import type { CallerPipelinesOptions } from "./caller-pipeline.js";
 import type { CallerProtocol } from "./caller-protocol.js";
 import { createDirectoryListener, createMetricsListener, createReadinessListener } from "./listeners.js";
 
@@ -19,7 +19,7 @@
     readonly log: Log;
     readonly protocol: CallerProtocol;
     readonly settings: BoxSettings;
-    readonly pipelines: CallerPipelineOptions;
+    readonly pipelines: CallerPipelinesOptions;
     readonly isReady: () => boolean;
     /** Boxes to which callers may be sent. */
     readonly inService: () => readonly MemberRecord[];
--- /dev/null
+++ b/packages/box/src/callers/caller-turn.ts
@@ -0,0 +1,58 @@
+/**
+ * A request of a caller with the place of its answer, and what is kept of the
+ * connection on which it came.
+ *
+ * Owns nothing; the pipeline changes what is kept, who serves a request sees its turn.
+ */
+
+import type { Milliseconds } from "@chalkdale/kernel";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** An answer that can wait for its turn. */
+export interface CallerAnswer {
+    /** Bytes of its body. */
+    readonly bytes: number;
+    /** False: the connection must end with it. */
+    readonly isFramed: boolean;
+    /** Called once, in its turn. `isLast`: the connection ends with it. Never throws. */
+    readonly write: (response: ServerResponse, isLast: boolean) => void;
+}
+
+/** One request, and the place of its answer among those of its connection. */
+export interface CallerTurn {
+    readonly request: IncomingMessage;
+    /** When its head was read. */
+    readonly arrivedAt: Milliseconds;
+    /** Aborted when the connection ends; who serves the request may abort it as well. */
+    readonly controller: AbortController;
+    /** True if requests behind it were begun: an answer to it that ends the connection would lose theirs. */
+    readonly isFollowed: () => boolean;
+    /** Takes the answer; only the first counts. */
+    readonly answer: (answer: CallerAnswer) => void;
+}
+
+/** The requests of one connection. */
+export interface CallerPipeline {
+    readonly socket: Socket;
+    /** Read and not answered, in order; the first of them, as many as were begun, are in progress. */
+    turns: QueuedTurn[];
+    begun: number;
+    /** The latest request as long as it is not whole, or not answered. */
+    latest: QueuedTurn | undefined;
+    isWriting: boolean;
+    /** The last answer of what is in progress ends the connection. */
+    isEnding: boolean;
+    /** The last answer was written, or the connection has ended: nothing more is served. */
+    isOver: boolean;
+    /** What goes out once all requests that could be read are answered. */
+    lastBytes: string | undefined;
+}
+
+/** A request that was read. */
+export interface QueuedTurn extends CallerTurn {
+    readonly response: ServerResponse;
+    /** Undefined until it matters. */
+    isIdempotent: boolean | undefined;
+    ready: CallerAnswer | undefined;
+}
--- a/packages/box/src/callers/reading-bound.ts
+++ b/packages/box/src/callers/reading-bound.ts
@@ -2,39 +2,29 @@
  * Stops the reading of a caller's connection, so that the caller's own sending
  * stops, and goes on with it.
  *
- * Owns whether the connection is read; relies on Node resuming a socket by its
- * `resume` only.
+ * Owns nothing; relies on Node resuming a socket by its `resume` only. A
+ * connection that isn't read carries a `resume` of its own.
  */
 
 import type { Socket } from "node:net";
 
-/** Whether one connection is read. */
-export interface ReadingBound {
-    readonly stop: () => void;
-    readonly goOn: () => void;
+/** Stops the reading, if it is not stopped yet. */
+export function stopReading(socket: Socket): void {
+    if (!isStopped(socket)) {
+        // Node's HTTP server resumes a socket by itself after each request that it has parsed.
+        socket.resume = () => socket;
+        socket.pause();
+    }
 }
 
-/** Creates it for a connection that is read. */
-export function createReadingBound(socket: Socket): ReadingBound {
-    let isStopped = false;
+/** Reads on, if the reading was stopped. */
+export function readOn(socket: Socket): void {
+    if (isStopped(socket)) {
+        Reflect.deleteProperty(socket, "resume");
+        socket.resume();
+    }
+}
 
-    return {
-        stop() {
-            if (isStopped) {
-                return;
-            }
-            isStopped = true;
-            // Node's HTTP server resumes a socket by itself after each request that it has parsed.
-            socket.resume = () => socket;
-            socket.pause();
-        },
-        goOn() {
-            if (!isStopped) {
-                return;
-            }
-            isStopped = false;
-            Reflect.deleteProperty(socket, "resume");
-            socket.resume();
-        },
-    };
+function isStopped(socket: Socket): boolean {
+    return Object.hasOwn(socket, "resume");
 }
--- a/packages/box/src/callers/unreadable-requests.ts
+++ b/packages/box/src/callers/unreadable-requests.ts
@@ -5,7 +5,7 @@
  */
 
 import { STATUS_CODES } from "node:http";
-import type { CallerAnswer } from "./caller-pipeline.js";
+import type { CallerAnswer } from "./caller-turn.js";
 
 const badRequest = 400;
 const statusOfCode: Readonly<Record<string, number>> = {
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -20,8 +20,8 @@
 import { customerKey, type Milliseconds } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { IncomingMessage } from "node:http";
-import type { CallerTurn } from "../callers/caller-pipeline.js";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
+import type { CallerTurn } from "../callers/caller-turn.js";
 import type { CustomerQuotas } from "../quotas/customer-quotas.js";
 import type { ServerAnswer } from "../servers/exchange.js";
 import type { SharedState } from "../state/shared-state.js";
@@ -30,6 +30,7 @@
 import { passBack, refuse } from "./caller-answers.js";
 import { readBody } from "./request-body.js";
 import { createRequestLog, type UnservedRequest } from "./request-log.js";
+import { hostOf, pathOf, urlOf } from "./request-target.js";
 
 export interface RequestHandlerOptions extends AttemptLoopOptions {
     readonly random: () => number;
@@ -49,7 +50,7 @@
 export interface RequestHandler {
     readonly serve: (turn: CallerTurn) => void;
     /** True if a request may run more than once, by the configuration in force. */
-    readonly isRepeatable: (request: IncomingMessage) => boolean;
+    readonly isIdempotent: (request: IncomingMessage) => boolean;
 }
 
 /** Bytes of a body that are taken in at most, whatever the configuration allows: a box has 350 MB. Not measured. */
@@ -70,7 +71,7 @@
                 turn.answer(refuse("internalFault"));
             });
         },
-        isRepeatable(request) {
+        isIdempotent(request) {
             const route = state.routes()?.match(hostOf(request), pathOf(request));
             return route === undefined || isIdempotent(route);
         },
@@ -203,21 +204,6 @@
     }
 }
 
-function hostOf(request: IncomingMessage): string {
-    return request.headers.host ?? "";
-}
-
-function urlOf(request: IncomingMessage): string {
-    return request.url ?? "/";
-}
-
-/** Path without the query. */
-function pathOf(request: IncomingMessage): string {
-    const url = urlOf(request);
-    const query = url.indexOf("?");
-    return query < 0 ? url : url.slice(0, query);
-}
-
 function isSuccess(answer: ServerAnswer): boolean {
     return answer.status >= 200 && answer.status < 300;
 }
--- a/packages/box/test/caller-connections.test.ts
+++ b/packages/box/test/caller-connections.test.ts
@@ -15,7 +15,7 @@
         server = createServer();
         connections = serveCallers(server, {
             clock: () => milliseconds(0),
-            isRepeatable: () => true,
+            isIdempotent: () => true,
             isLeaving: () => false,
             serve: turn =>
                 turn.answer({
--- a/packages/box/test/caller-pipeline.test.ts
+++ b/packages/box/test/caller-pipeline.test.ts
@@ -8,7 +8,7 @@
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { type CallerConnections, serveCallers } from "../src/callers/caller-connections.js";
-import type { CallerAnswer, CallerTurn } from "../src/callers/caller-pipeline.js";
+import type { CallerAnswer, CallerTurn } from "../src/callers/caller-turn.js";
 import { passBack, refuse } from "../src/requests/caller-answers.js";
 import type { ServerAnswer } from "../src/servers/exchange.js";
 
@@ -33,7 +33,7 @@
         server = createServer();
         connections = serveCallers(server, {
             clock: () => milliseconds(0),
-            isRepeatable: request => request.method === "GET",
+            isIdempotent: request => request.method === "GET",
             isLeaving: () => isLeaving,
             serve: turn => {
                 turns.push(turn);
--- a/packages/decisions/src/admit/pipelining.ts
+++ b/packages/decisions/src/admit/pipelining.ts
@@ -10,16 +10,16 @@
  * begins nothing more, so that its last answer can end it.
  */
 
-/** What one connection has in progress; read when the rule needs it. */
+/** What one connection has in progress, and the next request. */
 export interface ConnectionWork {
     /** Requests that were begun and whose answers have not left. */
-    readonly inProgress: () => number;
-    /** One of them must not run twice. */
-    readonly hasUnrepeatable: () => boolean;
+    readonly inProgress: number;
+    /** All of them, and the next request, may run more than once. */
+    readonly isIdempotent: boolean;
     /** Bytes of answers that are ready and wait for the ones before them. */
-    readonly waitingBytes: () => number;
+    readonly waitingBytes: number;
     /** The connection ends with the last answer of what is in progress. */
-    readonly isEnding: () => boolean;
+    readonly isEnding: boolean;
 }
 
 /** Requests of one connection in progress at once: as many as a browser opens connections, or few more. Not measured. */
@@ -32,17 +32,10 @@
  */
 const mostRead = 32;
 
-/** True if the next request of a connection may be begun. `isRepeatable`: it may run more than once. */
-export function mayBegin(work: ConnectionWork, isRepeatable: () => boolean): boolean {
-    const inProgress = work.inProgress();
-    if (inProgress === 0) {
-        return true;
-    }
-    return inProgress < mostInProgress
-        && !work.isEnding()
-        && isRepeatable()
-        && !work.hasUnrepeatable()
-        && work.waitingBytes() < mostWaitingBytes;
+/** True if the next request of a connection may be begun; the first always may. */
+export function mayBegin({ inProgress, isEnding, isIdempotent, waitingBytes }: ConnectionWork): boolean {
+    const hasRoom = inProgress < mostInProgress && waitingBytes < mostWaitingBytes;
+    return inProgress === 0 || hasRoom && isIdempotent && !isEnding;
 }
 
 /** True if a connection with so many requests that are not answered is not read for now. */
--- a/packages/decisions/test/pipelining.test.ts
+++ b/packages/decisions/test/pipelining.test.ts
@@ -3,26 +3,16 @@
 import { type ConnectionWork, mayBegin, stopsReading } from "../src/admit/pipelining.js";
 
 describe("the rule on pipelined requests", () => {
-    const work = (changes: Partial<Record<keyof ConnectionWork, number | boolean>> = {}): ConnectionWork => {
-        const values = { inProgress: 1, hasUnrepeatable: false, waitingBytes: 0, isEnding: false, ...changes };
-        return {
-            inProgress: () => Number(values.inProgress),
-            hasUnrepeatable: () => Boolean(values.hasUnrepeatable),
-            waitingBytes: () => Number(values.waitingBytes),
-            isEnding: () => Boolean(values.isEnding),
-        };
-    };
-    const begins = (changes: Partial<Record<keyof ConnectionWork, number | boolean>>, isRepeatable = true) =>
-        mayBegin(work(changes), () => isRepeatable);
+    const begins = (changes: Partial<ConnectionWork>) =>
+        mayBegin({ inProgress: 1, isIdempotent: true, waitingBytes: 0, isEnding: false, ...changes });
 
     it("begins the first of a connection whatever it is, and what may run twice behind others", () => {
-        expect(begins({ inProgress: 0, isEnding: true }, false)).to.equal(true);
+        expect(begins({ inProgress: 0, isEnding: true, isIdempotent: false })).to.equal(true);
         expect(begins({})).to.equal(true);
     });
 
     it("begins nothing beside what must not run twice [P5]", () => {
-        expect(begins({}, false)).to.equal(false);
-        expect(begins({ hasUnrepeatable: true })).to.equal(false);
+        expect(begins({ isIdempotent: false })).to.equal(false);
     });
 
     it("begins nothing behind an answer that is to end the connection [P7]", () => {
--- a/packages/testing/src/promises/decision-mechanisms.ts
+++ b/packages/testing/src/promises/decision-mechanisms.ts
@@ -70,6 +70,22 @@
         replace: "if (false) {",
         specs: [wholeTest("box-servers")],
     },
+    {
+        promise: "P5",
+        name: "what must not run twice behind an answer that may end the connection",
+        file: decision("admit/pipelining"),
+        find: "&& isIdempotent",
+        replace: "",
+        specs: [decisionTest("pipelining"), wholeTest("box-pipelining")],
+    },
+    {
+        promise: "P7",
+        name: "nothing begun on a connection that is to end",
+        file: decision("admit/pipelining"),
+        find: "&& !isEnding",
+        replace: "",
+        specs: [decisionTest("pipelining"), wholeTest("box-pipelining")],
+    },
     {
         promise: "P6",
         name: "draining servers",
