--- a/packages/box/src/callers/caller-connections.ts
+++ b/packages/box/src/callers/caller-connections.ts
@@ -3,14 +3,16 @@
  *
  * Node's own `closeIdleConnections` takes a connection as idle once its answer
  * was written, also while the caller still reads it; here it is idle only once
- * the answer has left the process.
+ * all its answers have left the process.
  *
- * Owns the count of requests whose answers have not left; relies on the server's
- * events for each connection and request.
+ * Owns the pipeline of each connection; relies on the server's events.
  */
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import { type CallerPipelinesOptions, createCallerPipelines } from "./caller-pipeline.js";
+import type { CallerPipeline } from "./caller-turn.js";
+import { statusOfUnreadable } from "./unreadable-requests.js";
 
 /** Connections of one server. */
 export interface CallerConnections {
@@ -21,37 +23,52 @@
     readonly count: () => number;
 }
 
-/** Follows the connections of a server from now on. */
-export function trackCallerConnections(server: Server): CallerConnections {
-    const busy = new Map<Socket, number>();
-    let inFlight = 0;
+/** Status for a method that no server can serve. */
+const badRequest = 400;
+/** The caller ended its side within a request. */
+const endWithinRequest = "HPE_INVALID_EOF_STATE";
 
-    server.on("connection", (socket: Socket) => {
-        busy.set(socket, 0);
-        socket.once("close", () => busy.delete(socket));
+/** Serves the requests of a server's connections from now on. */
+export function serveCallers(server: Server, options: CallerPipelinesOptions): CallerConnections {
+    const pipelines = createCallerPipelines(options);
+    const open = new Map<Duplex, CallerPipeline>();
+
+    server.on("connection", socket => {
+        open.set(socket, pipelines.open(socket));
+        socket.once("close", () => {
+            withPipeline(socket, pipelines.onClosed);
+            open.delete(socket);
+        });
     });
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
-        const { socket } = request;
-        inFlight += 1;
-        busy.set(socket, (busy.get(socket) ?? 0) + 1);
-        response.once("close", () => {
-            inFlight -= 1;
-            const left = busy.get(socket);
-            if (left !== undefined) {
-                busy.set(socket, left - 1);
-            }
-        });
+        withPipeline(request.socket, pipeline => pipelines.onRequest(pipeline, request, response));
+    });
+    // Without this listener Node ends the connection at once, whatever is in progress on it.
+    server.on("connect", (_request, socket) => {
+        withPipeline(socket, pipeline => pipelines.onUnreadable(pipeline, badRequest));
+    });
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+        const status = statusOfUnreadable(error.code);
+        if (status === undefined) {
+            socket.destroy();
+            return;
+        }
+        withPipeline(socket, pipeline => pipelines.onUnreadable(pipeline, status));
+        if (error.code === endWithinRequest) {
+            socket.end();
+        }
     });
 
     return {
-        inFlight: () => inFlight,
-        endIdle() {
-            for (const [socket, requests] of busy) {
-                if (requests === 0) {
-                    socket.end();
-                }
-            }
-        },
-        count: () => busy.size,
+        inFlight: () => [...open.values()].reduce((sum, pipeline) => sum + pipeline.begun, 0),
+        endIdle: () => open.forEach(pipelines.endIfIdle),
+        count: () => open.size,
     };
+
+    function withPipeline(socket: Duplex, act: (pipeline: CallerPipeline) => void): void {
+        const pipeline = open.get(socket);
+        if (pipeline !== undefined) {
+            act(pipeline);
+        }
+    }
 }
