Uploads: a kind of their own, a bound on the memory of all bodies, the end of refused ones

Cause: an upload was taken for an unknown kind. Nothing bounded the bodies that a box holds together: 600 callers that each sent 300 KB of 360 KB and stalled held 180 MB of buffers. After 413 a box read on and threw away whatever came, over a kept connection; parts of a chunked one stayed in memory. A caller that asks before it sends its body was told to go on before anyone had looked at the head.

Change: kind upload, at most once. The retry budget counts a request from its head.

The row for bodies that are too large names the check by length in request-body, where the refusal is decided now.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -283,6 +283,7 @@
             callers_connections: callerServer.connections.count(),
             callers_in_flight: callerServer.connections.inFlight(),
             servers_connections: requests.connectionCount(),
+            bodies_bytes: requests.bodyBytes(),
             memory_bytes: process.memoryUsage.rss(),
         };
     }
--- a/packages/box/src/callers/caller-server.ts
+++ b/packages/box/src/callers/caller-server.ts
@@ -48,6 +48,8 @@
     const callers = createServer({ maxHeaderSize: largestHead, requestTimeout: 0, noDelay: true });
     const connections = trackCallerConnections(callers);
     callers.on("request", options.onRequest);
+    // Node would tell a caller to send its body before anyone has looked at the head.
+    callers.on("checkContinue", (request, response) => callers.emit("request", request, response));
     const directory = createDirectoryListener({
         protocol,
         lifetime: settings.bounds.lookupLifetime,
--- a/packages/box/src/requests/caller-answers.ts
+++ b/packages/box/src/requests/caller-answers.ts
@@ -29,7 +29,8 @@
 
 /** How a refusal is given. */
 export interface RefusalOptions {
-    readonly isLeaving: boolean;
+    /** The connection ends with it. */
+    readonly isLast: boolean;
     /** Goes before the time of the table. */
     readonly comeBackAfter?: Milliseconds;
 }
@@ -47,7 +48,7 @@
     if (comeBackAfter !== undefined) {
         response.setHeader("Retry-After", String(comeBackAfter));
     }
-    if (options.isLeaving) {
+    if (options.isLast) {
         response.setHeader("Connection", "close");
     }
     response.writeHead(status).end();
--- a/packages/box/src/requests/request-body.ts
+++ b/packages/box/src/requests/request-body.ts
@@ -1,44 +1,137 @@
 /**
- * Reads a caller's request body whole, within a bound.
+ * Reads a caller's request body whole, within the bounds on one body and on all bodies of the box.
  *
- * Owns the parts until the body is whole; relies on the signal for its end.
+ * Owns the parts until the body is whole; relies on the signal for its end, and on the account of all bodies for when to
+ * read. Nothing is read of a body that is announced as too large, and a caller that asks first whether to send it is told
+ * to only once it is wanted.
  */
 
-import type { IncomingMessage } from "node:http";
+import type { BodyMemory } from "@chalkdale/decisions";
+import type { Clock } from "@chalkdale/kernel";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createGrowingBuffer } from "./growing-buffer.js";
 
 /** A body, or why there is none. */
 export type BodyOutcome =
-    | { readonly kind: "whole"; readonly body: Buffer; }
+    /** `release` gives its memory back to the account; due once the request is over. */
+    | { readonly kind: "whole"; readonly body: Buffer; readonly release: () => void; }
     | { readonly kind: "tooLarge"; }
+    /** It hardly came on while others waited for the memory that it holds. */
+    | { readonly kind: "stalled"; }
+    /** The memory for bodies is spent, and so many wait already that this one can't. */
+    | { readonly kind: "noRoom"; }
     /** The caller went away, or the time was over, before the body was in. */
     | { readonly kind: "cut"; };
 
+/** Bounds and the end of a body. */
+export interface BodyReading {
+    readonly clock: Clock;
+    /** Bytes of this body at most. */
+    readonly mostBytes: number;
+    readonly memory: BodyMemory;
+    readonly signal: AbortSignal;
+}
+
 const noBody = Buffer.alloc(0);
 
 /** Reads the body until the signal aborts. Never rejects. */
-export function readBody(request: IncomingMessage, mostBytes: number, signal: AbortSignal): Promise<BodyOutcome> {
-    const { "content-length": length, "transfer-encoding": encoding } = request.headers;
-    if (encoding === undefined && (length === undefined || length === "0")) {
+export function readBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+    reading: BodyReading,
+): Promise<BodyOutcome> {
+    const { clock, memory, mostBytes, signal } = reading;
+    const length = announcedLength(request);
+    if (length === 0) {
         request.resume();
-        return Promise.resolve({ kind: "whole", body: noBody });
+        return Promise.resolve({ kind: "whole", body: noBody, release: () => undefined });
     }
-    if (Number(length ?? 0) > mostBytes) {
+    if (length !== undefined && length > mostBytes) {
         return Promise.resolve({ kind: "tooLarge" });
     }
+    if (signal.aborted) {
+        return Promise.resolve({ kind: "cut" });
+    }
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let size = 0;
-        request.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > mostBytes) {
-                resolve({ kind: "tooLarge" });
+        const buffer = createGrowingBuffer(length);
+        const account = memory.open(clock());
+        const release = () => account.close(clock());
+        account.onTurn = () => {
+            request.resume();
+            request.socket.resume();
+        };
+        account.onStalled = () => settle({ kind: "stalled" });
+        request.on("data", onData);
+        request.on("end", onEnd);
+        request.on("error", onCut);
+        request.on("close", onCut);
+        signal.addEventListener("abort", onCut, { once: true });
+        waitForTurn();
+        if (awaitsContinue(request)) {
+            response.writeContinue();
+        }
+
+        function onData(part: Buffer): void {
+            if (buffer.size() + part.length > mostBytes) {
+                settle({ kind: "tooLarge" });
+                return;
+            }
+            buffer.add(part);
+            account.grow(buffer.size(), buffer.held(), clock());
+            waitForTurn();
+        }
+
+        function waitForTurn(): void {
+            if (buffer.size() === length || account.mayRead(length)) {
+                return;
+            }
+            if (!memory.mayWait()) {
+                settle({ kind: "noRoom" });
                 return;
             }
-            chunks.push(chunk);
-        });
-        request.on("end", () => resolve({ kind: "whole", body: Buffer.concat(chunks) }));
-        request.on("error", () => resolve({ kind: "cut" }));
-        request.on("close", () => resolve({ kind: "cut" }));
-        signal.addEventListener("abort", () => resolve({ kind: "cut" }), { once: true });
+            request.pause();
+            // The request alone would take in one more part before it stops.
+            request.socket.pause();
+        }
+
+        function onEnd(): void {
+            account.finish();
+            settle({ kind: "whole", body: buffer.take(), release });
+        }
+
+        function onCut(): void {
+            settle({ kind: "cut" });
+        }
+
+        function settle(outcome: BodyOutcome): void {
+            account.onTurn = () => undefined;
+            account.onStalled = () => undefined;
+            request.off("data", onData);
+            request.off("end", onEnd);
+            request.off("close", onCut);
+            signal.removeEventListener("abort", onCut);
+            if (outcome.kind !== "whole") {
+                release();
+                // Listeners of the request would hold it until the connection ends.
+                buffer.take();
+                // Node keeps what nobody reads; the rest is thrown away.
+                request.resume();
+                request.socket.resume();
+            }
+            resolve(outcome);
+        }
     });
 }
+
+/** True if the caller sends its body only once it is told to. */
+export function awaitsContinue(request: IncomingMessage): boolean {
+    return request.headers.expect?.toLowerCase() === "100-continue";
+}
+
+/** Bytes that the head announces; undefined if the body comes in chunks. */
+export function announcedLength(request: IncomingMessage): number | undefined {
+    if (request.headers["transfer-encoding"] !== undefined) {
+        return undefined;
+    }
+    return Number(request.headers["content-length"] ?? 0);
+}
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -10,6 +10,7 @@
 import {
     admit,
     type AdmittedRequest,
+    type BodyMemory,
     type CopyAgeBounds,
     createReturningCallers,
     promisesNotRun,
@@ -26,8 +27,9 @@
 import { activateRequest, type ActiveRequest, type Ending, singleValue } from "./active-request.js";
 import { type AttemptLoopOptions, createAttemptLoop } from "./attempt-loop.js";
 import { passBack, refuse } from "./caller-answers.js";
-import { readBody } from "./request-body.js";
+import { type BodyOutcome, readBody } from "./request-body.js";
 import { createRequestLog, type UnservedRequest } from "./request-log.js";
+import { isEnding, leaveBodyUnread } from "./unread-body.js";
 
 export interface RequestHandlerOptions extends AttemptLoopOptions {
     readonly random: () => number;
@@ -41,6 +43,8 @@
     /** When the caller of a request may come back; undefined when that cannot help. */
     readonly comeBackAfter: (active: ActiveRequest, refusal: RefusalKind) => Milliseconds | undefined;
     readonly quotas: Pick<CustomerQuotas, "take" | "giveBack">;
+    /** Of all bodies that the box holds. */
+    readonly bodyMemory: BodyMemory;
 }
 
 /** Listener for requests of callers. */
@@ -58,10 +62,13 @@
     const runAttempts = createAttemptLoop({ ...options, requestLog, isVerified });
 
     return function onRequest(request, response) {
+        if (isEnding(request.socket)) {
+            return;
+        }
         void handle(request, response).catch(error => {
             const reason = error instanceof Error ? error.stack : String(error);
             log.error("request.fault", { request: requestIdOf(request), reason });
-            refuseCaller(response, "internalFault");
+            refuseCaller(request, response, "internalFault");
         });
     };
 
@@ -83,14 +90,14 @@
         });
         if (admission.kind === "refused") {
             requestLog.notAdmitted(describe(), admission.refusal);
-            refuseCaller(response, admission.refusal);
+            refuseCaller(request, response, admission.refusal);
             return;
         }
         const { customer } = admission;
         const comeBackAfter = customer && options.quotas.take(customer);
         if (comeBackAfter !== undefined) {
             requestLog.notAdmitted({ ...describe(), customer: customer?.id }, "quotaSpent");
-            refuseCaller(response, "quotaSpent", comeBackAfter);
+            refuseCaller(request, response, "quotaSpent", comeBackAfter);
             return;
         }
         await serve(request, response, admission, startedAt);
@@ -123,22 +130,35 @@
             controller.abort();
         }, Math.max(0, active.endsAt - startedAt));
         response.on("close", () => controller.abort());
+        options.budgetOf(active.service).onRequest(startedAt);
         try {
-            const body = await readBody(request, mostBodyBytes(), controller.signal);
-            if (body.kind === "tooLarge") {
-                requestLog.refused(active, "bodyTooLarge");
-                refuseCaller(response, "bodyTooLarge");
-                return;
-            }
-            options.budgetOf(active.service).onRequest(clock());
-            const ending: Ending = body.kind === "cut"
-                ? { kind: "callerLeft" }
-                : await runAttempts(active, body.body, controller.signal);
-            finish(active, response, ending.kind === "callerLeft" && timedOut ? timeoutEnding(active) : ending);
+            const ending = await readAndRun();
+            const isOverdue = ending.kind === "callerLeft" && timedOut;
+            finish(active, request, response, isOverdue ? timeoutEnding(active) : ending);
         }
         finally {
             clearTimeout(timer);
         }
+
+        async function readAndRun(): Promise<Ending> {
+            const { bodyMemory } = options;
+            const { signal } = controller;
+            const body = await readBody(request, response, {
+                clock,
+                mostBytes: mostBodyBytes(),
+                memory: bodyMemory,
+                signal,
+            });
+            if (body.kind !== "whole") {
+                return endingWithoutBody(body.kind);
+            }
+            try {
+                return await runAttempts(active, body.body, signal);
+            }
+            finally {
+                body.release();
+            }
+        }
     }
 
     function mostBodyBytes(): number {
@@ -149,12 +169,17 @@
         return { kind: "refusal", refusal: active.sent > 0 ? "timedOut" : "timedOutUnsent" };
     }
 
-    function finish(active: ActiveRequest, response: ServerResponse, ending: Ending): void {
+    function finish(
+        active: ActiveRequest,
+        request: IncomingMessage,
+        response: ServerResponse,
+        ending: Ending,
+    ): void {
         switch (ending.kind) {
             case "answer":
                 if (isSuccess(ending.answer) && !isVerified(ending.answer)) {
                     requestLog.refused(active, "unprovenAnswer");
-                    refuseCaller(response, "unprovenAnswer");
+                    refuseCaller(request, response, "unprovenAnswer");
                     return;
                 }
                 requestLog.served(active, ending.answer);
@@ -165,7 +190,7 @@
                     options.quotas.giveBack(active.customer);
                 }
                 requestLog.refused(active, ending.refusal);
-                refuseCaller(response, ending.refusal, options.comeBackAfter(active, ending.refusal));
+                refuseCaller(request, response, ending.refusal, options.comeBackAfter(active, ending.refusal));
                 return;
             case "callerLeft":
                 requestLog.callerLeft(active);
@@ -187,8 +212,27 @@
         return options.phase() !== "running";
     }
 
-    function refuseCaller(response: ServerResponse, kind: RefusalKind, comeBackAfter?: Milliseconds): void {
-        refuse(response, kind, { isLeaving: isLeaving(), comeBackAfter });
+    function refuseCaller(
+        request: IncomingMessage,
+        response: ServerResponse,
+        kind: RefusalKind,
+        comeBackAfter?: Milliseconds,
+    ): void {
+        const isLast = leaveBodyUnread(request, response) || isLeaving();
+        refuse(response, kind, { isLast, comeBackAfter });
+    }
+}
+
+function endingWithoutBody(kind: Exclude<BodyOutcome["kind"], "whole">): Ending {
+    switch (kind) {
+        case "tooLarge":
+            return { kind: "refusal", refusal: "bodyTooLarge" };
+        case "stalled":
+            return { kind: "refusal", refusal: "bodyStalled" };
+        case "noRoom":
+            return { kind: "refusal", refusal: "bodiesFull" };
+        case "cut":
+            return { kind: "callerLeft" };
     }
 }
 
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -10,12 +10,14 @@
     comeBackAfter,
     connectTimeout,
     type CopyAgeBounds,
+    createBodyMemory,
     createIdleLife,
     createRecentKeys,
     createRoundTrips,
     createServerChoice,
     createServiceLoad,
     createWorkEstimate,
+    memoryForBodies,
     type ServerCatalog,
     type SharedEvidence,
     type SharedLimits,
@@ -60,11 +62,14 @@
     readonly sweep: () => void;
     /** Connections to servers that are open. */
     readonly connectionCount: () => number;
+    /** Bytes of request bodies that are held. */
+    readonly bodyBytes: () => number;
 }
 
 /** Creates the way of requests; nothing is learned yet. */
 export function createRequestPath(options: RequestPathOptions): RequestPath {
     const { catalog, clock, evidence, limits, log, protocol, settings, state } = options;
+    const bodyMemory = createBodyMemory(memoryForBodies(settings.memoryLimit));
     const recentKeys = createRecentKeys();
     const serviceLoad = createServiceLoad();
     const work = createWorkEstimate();
@@ -125,15 +130,18 @@
         recentKeys,
         work,
         roundTrip: roundTripTo,
+        bodyMemory,
     });
 
     return {
         onRequest,
         sweep() {
             connections.sweep();
+            bodyMemory.sweep(clock());
             catalog.sweep(clock()).forEach(server => recentKeys.forget(server));
         },
         connectionCount: connections.count,
+        bodyBytes: bodyMemory.held,
     };
 
     function roundTripTo(server: BackendServer): Milliseconds {
--- a/packages/box/src/settings.ts
+++ b/packages/box/src/settings.ts
@@ -42,6 +42,8 @@
     readonly directory: Address;
     /** What the box can carry, as a number of processor cores. */
     readonly capacity: number;
+    /** Bytes of memory that the box may use; undefined if it has no limit. */
+    readonly memoryLimit: number | undefined;
     /** Other boxes reach this one here, over TCP and UDP. */
     readonly peers: Address;
     /** Where the box serves its metrics, if it does. */
--- a/packages/box/test/request-handler.test.ts
+++ b/packages/box/test/request-handler.test.ts
@@ -6,6 +6,7 @@
 import {
     type CallerAccess,
     type Configuration,
+    createBodyMemory,
     createKeyTable,
     createRouteTable,
     type Route,
@@ -81,6 +82,7 @@
             phase: () => phase,
             configurationAge: () => age,
             comeBackAfter: unused,
+            bodyMemory: createBodyMemory(1_000_000),
             quotas: { take: () => undefined, giveBack: () => undefined },
             copyAgeBounds: { changeInForce: milliseconds(2000), revocation: undefined },
             choose: unused,
--- a/packages/cli/src/burn-rate.ts
+++ b/packages/cli/src/burn-rate.ts
@@ -57,7 +57,7 @@
 const ticketRate = 1;
 
 /** Outcomes that are the caller's own doing and use up no budget. */
-const callersOwn: ReadonlySet<string> = new Set(["callerLeft", "noRoute", "bodyTooLarge"]);
+const callersOwn: ReadonlySet<string> = new Set(["callerLeft", "noRoute", "bodyTooLarge", "bodyStalled"]);
 /** Statuses of failures begin here, by HTTP. */
 const leastFailureStatus = 500;
 
--- a/packages/cli/src/request-story.ts
+++ b/packages/cli/src/request-story.ts
@@ -30,6 +30,8 @@
     copyTooOld: "the box's copy of the configuration is too old to know whether this key exists or still stands",
     quotaSpent: "the customer's quota over all boxes had no room",
     bodyTooLarge: "the body is beyond the configuration's limit",
+    bodyStalled: "the body hardly came on while the memory for bodies was spent and others waited",
+    bodiesFull: "the memory for bodies was spent, and as many as may wait were waiting",
     noServer: "no server may take the request",
     serversCold: "the servers that are left are in slow start and had their share",
     tooLate: "no server could answer in the time that was left",
--- a/packages/decisions/src/give-up/refusals.ts
+++ b/packages/decisions/src/give-up/refusals.ts
@@ -14,6 +14,8 @@
     | "copyTooOld"
     | "quotaSpent"
     | "bodyTooLarge"
+    | "bodyStalled"
+    | "bodiesFull"
     | "noServer"
     | "serversCold"
     | "tooLate"
@@ -53,6 +55,8 @@
     copyTooOld: { status: 503, retryAfter: soon },
     quotaSpent: { status: 429, retryAfter: later },
     bodyTooLarge: { status: 413, retryAfter: undefined },
+    bodyStalled: { status: 503, retryAfter: soon },
+    bodiesFull: { status: 503, retryAfter: afterOverload },
     noServer: { status: 503, retryAfter: later },
     serversCold: { status: 503, retryAfter: afterOverload },
     crowded: { status: 503, retryAfter: afterOverload },
--- a/packages/decisions/src/shared-state/configuration.ts
+++ b/packages/decisions/src/shared-state/configuration.ts
@@ -10,8 +10,8 @@
 
 import type { CustomerId, CustomerKey, Milliseconds, RegionId, ServiceId } from "@chalkdale/kernel";
 
-/** Whether a request may run more than once. Downloads are idempotent and have large answers. */
-export type RouteKind = "safe" | "unsafe" | "download";
+/** Whether a request may run more than once. Downloads are idempotent and have large answers; uploads run at most once and have large bodies. */
+export type RouteKind = "safe" | "unsafe" | "download" | "upload";
 
 /** One destination of a route and its part of the requests. */
 export interface WeightedService {
@@ -102,5 +102,12 @@
 
 /** True for routes whose requests may run more than once. */
 export function isIdempotent(route: Route): boolean {
-    return route.kind !== "unsafe";
+    switch (route.kind) {
+        case "safe":
+        case "download":
+            return true;
+        case "unsafe":
+        case "upload":
+            return false;
+    }
 }
--- a/packages/testing/src/promises/box-mechanisms.ts
+++ b/packages/testing/src/promises/box-mechanisms.ts
@@ -145,8 +145,8 @@
     {
         promise: "P9",
         name: "the refusal of bodies that are too large",
-        file: box("requests/request-handler"),
-        find: "if (body.kind === \"tooLarge\") {",
+        file: box("requests/request-body"),
+        find: "if (length !== undefined && length > mostBytes) {",
         replace: "if (false) {",
         specs: [wholeTest("box-callers")],
     },
--- a/packages/testing/src/soak/callers.ts
+++ b/packages/testing/src/soak/callers.ts
@@ -8,7 +8,7 @@
 import { pause } from "../standins/deployment.js";
 import type { ObservedAttempt } from "./checks.js";
 import { customerNames } from "./soak-customers.js";
-import { host, servicesByPath, type SoakWorld } from "./soak-world.js";
+import { host, soakRequests, type SoakWorld } from "./soak-world.js";
 
 /** Callers that run. */
 export interface Callers {
@@ -80,10 +80,9 @@
 
     async function runCaller(index: number): Promise<void> {
         const client = createCaller(`c${index}`, index % 2 === 0);
-        const paths = Object.keys(servicesByPath);
         for (let count = 0; !isOver; count++) {
-            const path = paths[count % paths.length];
-            const idempotent = path !== "/save/";
+            const { body, path } = soakRequests[count % soakRequests.length];
+            const idempotent = body === undefined;
             const before = client.attempts();
             const at = now();
             const held = world.customers.keyOf(customerNames[index % customerNames.length]);
@@ -91,7 +90,7 @@
                 host,
                 path,
                 method: idempotent ? "GET" : "POST",
-                body: idempotent ? undefined : "work",
+                body,
                 affinityKey: `k${count % keys}`,
                 credential: held.key,
                 extraHeaders: { Tenant: "forged" },
--- a/packages/testing/src/soak/soak-world.ts
+++ b/packages/testing/src/soak/soak-world.ts
@@ -20,11 +20,33 @@
 const zones: Readonly<Record<string, string>> = { "north-a": "north", "north-b": "north", "south-a": "south" };
 export const zoneNames = Object.keys(zones);
 /** Routes and the services that they begin with. */
-export const servicesByPath: Readonly<Record<string, string>> = {
+const servicesByPath: Readonly<Record<string, string>> = {
     "/lookup/": "profiles",
     "/save/": "profiles",
     "/pack/": "packs",
+    "/photos/": "packs",
 };
+/** Routes and their kinds; those that are not here are for requests that may be repeated. */
+const kindsByPath: Readonly<Record<string, RuleOptions["kind"]>> = {
+    "/save/": "unsafe",
+    "/pack/": "download",
+    "/photos/": "upload",
+};
+/** Bytes of an upload. */
+const uploadSize = 60_000;
+/** What callers ask for, in turn; `body` is there for what may run only once. */
+export const soakRequests = Object.keys(servicesByPath).map(path => ({ path, body: bodyOf(path) }));
+
+function bodyOf(path: string): string | undefined {
+    switch (kindsByPath[path]) {
+        case "unsafe":
+            return "work";
+        case "upload":
+            return "x".repeat(uploadSize);
+        default:
+            return undefined;
+    }
+}
 export const host = "app.example";
 /** A change must be in force after this long once the store answers again; the boxes' own bounds are 2 to 3 s. */
 export const inForceWithin = 7000;
@@ -152,7 +174,7 @@
         const rules = Object.entries(servicesByPath).map(([path, service]): RuleOptions => ({
             name: path,
             path,
-            kind: path === "/save/" ? "unsafe" : path === "/pack/" ? "download" : "safe",
+            kind: kindsByPath[path] ?? "safe",
             service: path === "/lookup/" ? lookups : service,
         }));
         rules.forEach(noteDestination);
--- a/packages/testing/src/standins/backend-server.ts
+++ b/packages/testing/src/standins/backend-server.ts
@@ -142,6 +142,12 @@
             response.writeHead(503, { "Request-Id": requestId, "Not-Run": "1", ...told }).end();
             return;
         }
+        if (behaviour.kind === "shedAndDrop") {
+            request.pause();
+            response.writeHead(503, { "Request-Id": requestId, "Not-Run": "1", "Connection": "close" });
+            response.end(() => request.socket.destroy());
+            return;
+        }
         if (behaviour.kind === "early") {
             response.writeHead(400, { "Request-Id": requestId, "Server-Stamp": `stamp.${requestId}` }).end("early");
             return;
--- a/packages/testing/src/standins/deployment.ts
+++ b/packages/testing/src/standins/deployment.ts
@@ -26,6 +26,8 @@
     readonly directory: string;
     readonly readiness: string;
     readonly peers: string;
+    /** Where its figures are read; nothing listens there unless a port was given. */
+    readonly metrics: string;
     /** Lines that the box has logged. */
     readonly logged: readonly string[];
 }
@@ -43,11 +45,13 @@
 }
 
 /** How a box is started. */
-interface BoxOptions {
+export interface BoxOptions {
     readonly zone?: string;
     readonly seeds?: readonly string[];
     /** Loopback address of the box, so that the store can tell boxes apart. */
     readonly host?: string;
+    /** Memory limit of the box in megabytes; none without it. */
+    readonly memoryMb?: number;
     /** Port of the box's figures on its host; none are told without it. */
     readonly metricsPort?: number;
     /** A stopped box whose name and addresses the new one takes over. */
@@ -99,11 +103,13 @@
     }
 
     function createBox(name: string, options: BoxOptions): TestBox {
-        const { host = "127.0.0.1", metricsPort, seeds = [], zone = "north-a" } = options;
+        const { host = "127.0.0.1", memoryMb, metricsPort, seeds = [], zone = "north-a" } = options;
         const [callers, directory, readiness, peers] = options.sameAs === undefined
             ? [0, 1, 2, 3].map(() => `${host}:${nextPort++}`)
             : [options.sameAs.callers, options.sameAs.directory, options.sameAs.readiness, options.sameAs.peers];
-        const settings = readSettings(settingsText({ name, zone, callers, directory, readiness, peers, seeds }));
+        const settings = readSettings(
+            settingsText({ name, zone, callers, directory, readiness, peers, seeds, memoryMb }),
+        );
         if (settings.err) {
             throw new Error(settings.val.join("; "));
         }
@@ -133,7 +139,7 @@
             traffic,
             incarnation: incarnationId(`${Date.now().toString(36)}-${nextPort}`),
         });
-        return { name, running, callers, directory, readiness, peers, logged };
+        return { name, running, callers, directory, readiness, peers, metrics: `${host}:${metricsPort}`, logged };
     }
 
     function settingsText(box: {
@@ -144,6 +150,7 @@
         readonly readiness: string;
         readonly peers: string;
         readonly seeds: readonly string[];
+        readonly memoryMb: number | undefined;
     }): string {
         return [
             `node_name=${box.name}`,
@@ -155,6 +162,7 @@
             `listen.directory=${box.directory}`,
             `listen.control=${box.peers}`,
             `seeds=${box.seeds.join(",")}`,
+            ...box.memoryMb === undefined ? [] : [`limits.memory_mb=${box.memoryMb}`],
             "bounds=budget_ratio=0.2,budget_window=10s,budget_slack=58,grace=500ms,ttl_max=5s",
             `platform.address=${storeServer.address()}`,
             "a.field.of.later=ignored",
--- a/packages/testing/src/standins/platform-objects.ts
+++ b/packages/testing/src/standins/platform-objects.ts
@@ -7,7 +7,7 @@
 export interface RuleOptions {
     readonly name: string;
     readonly path: string;
-    readonly kind: "safe" | "unsafe" | "download";
+    readonly kind: "safe" | "unsafe" | "download" | "upload";
     readonly service?: string;
     readonly split?: readonly { readonly service: string; readonly weight: number; }[];
     readonly timeout?: string;
--- a/packages/testing/src/standins/server-answers.ts
+++ b/packages/testing/src/standins/server-answers.ts
@@ -21,8 +21,10 @@
     | { readonly kind: "extra"; readonly afterMs: number; }
     /** Bytes that are no answer. */
     | { readonly kind: "garbage"; }
-    /** Answers before it has read the body. */
-    | { readonly kind: "early"; };
+    /** Answers before it has read the body, then reads on. */
+    | { readonly kind: "early"; }
+    /** Says before it has read the body that it does not run the request, and drops the connection. */
+    | { readonly kind: "shedAndDrop"; };
 
 /** What an answer says. */
 export interface AnswerContent {
@@ -44,6 +46,7 @@
         case "serve":
         case "shed":
         case "early":
+        case "shedAndDrop":
             response.writeHead(200, headers).end(text);
             return;
         case "fail":
--- a/packages/testing/test/one-box.ts
+++ b/packages/testing/test/one-box.ts
@@ -5,7 +5,14 @@
 
 import type { ServerRun, ServerStandIn } from "../src/standins/backend-server.js";
 import { type ClientAnswer, type ClientRequest, sendRequest } from "../src/standins/client.js";
-import { type Deployment, eventually, startDeployment, type TestBox, testHost } from "../src/standins/deployment.js";
+import {
+    type BoxOptions,
+    type Deployment,
+    eventually,
+    startDeployment,
+    type TestBox,
+    testHost,
+} from "../src/standins/deployment.js";
 import type { RuleOptions } from "../src/standins/platform-objects.js";
 import type { ServerBehaviour } from "../src/standins/server-answers.js";
 
@@ -13,6 +20,7 @@
 export const rules: readonly RuleOptions[] = [
     { name: "lookup", path: "/lookup/", kind: "safe" },
     { name: "save", path: "/save/", kind: "unsafe" },
+    { name: "photos", path: "/photos/", kind: "upload" },
     { name: "pack", path: "/pack/", kind: "download", service: "packs" },
     { name: "patient", path: "/patient/", kind: "safe", timeout: "60s" },
     { name: "patient-save", path: "/patient-save/", kind: "unsafe", timeout: "60s" },
@@ -36,13 +44,13 @@
 }
 
 /** Starts it; the box is ready when this resolves. `deployment.close` ends all of it. */
-export async function startOneBox(): Promise<OneBox> {
+export async function startOneBox(options: BoxOptions = {}): Promise<OneBox> {
     const deployment = await startDeployment();
     const first = await deployment.addServer({ id: "i-1" });
     const second = await deployment.addServer({ id: "i-2", zone: "south-a" });
     await deployment.addServer({ id: "i-3", service: "packs" });
     deployment.configure(2, rules);
-    const box = deployment.startBox();
+    const box = deployment.startBox(options);
     let requestCount = 0;
     await eventually(() => box.running.isReady(), "the box is ready");
 
