Directory: callers are named the boxes of their availability zone

Cause: a caller was named all advertised boxes of its region, so half of the bodies crossed availability zones on their way to a box, whatever server was chosen.

Change: place/zone-boxes. A zone's own advertised boxes, joined by others of the region until there are two and until they bear the load of the whole region with 0.8 of their capacity when the strongest is lost. That load is the same whoever is named, so answers settle when callers move between zones. Whoever is named is an advertised box, by which shared limits count.

box-state: the test that all boxes are named asked as a caller of one zone; it now asks as a caller of no known zone for all three by name, and as one of each zone for exactly its own, and one of a zone with a single box for two.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -37,6 +37,7 @@
 export * from "./place/directory.js";
 export * from "./place/homes.js";
 export * from "./place/place-settings.js";
+export * from "./place/zone-boxes.js";
 export * from "./retry/answer-verdict.js";
 export * from "./retry/retry-budget.js";
 export * from "./retry/retry-decision.js";
--- a/packages/decisions/src/place/directory.ts
+++ b/packages/decisions/src/place/directory.ts
@@ -1,6 +1,7 @@
 /**
- * Chooses the boxes that the directory names to a caller: the advertised boxes of
- * its region, or those of the other regions if its own has none.
+ * Chooses the boxes that the directory names to a caller: those of its availability
+ * zone where they can bear its callers, else the advertised boxes of its region, or
+ * those of the other regions if its own has none.
  *
  * Owns no state; relies on the members in service.
  */
@@ -8,6 +9,7 @@
 import type { AvailabilityZoneId, RegionId } from "@chalkdale/kernel";
 import type { MemberRecord } from "../membership/member-record.js";
 import { advertisedBoxes, advertisedBoxesOfRegion } from "./advertised-boxes.js";
+import { boxesForZone } from "./zone-boxes.js";
 
 /** Where a caller is. */
 export interface CallerPlace {
@@ -20,7 +22,14 @@
 
 /** Returns the addresses for a caller. */
 export function chooseBoxes(inService: readonly MemberRecord[], place: CallerPlace): string[] {
-    const ofRegion = place.region === undefined ? [] : advertisedBoxesOfRegion(inService, place.region);
-    const chosen = ofRegion.length > 0 ? ofRegion : advertisedBoxes(inService);
+    const near = nearBoxes(inService, place);
+    const chosen = near.length > 0 ? near : advertisedBoxes(inService);
     return chosen.slice(0, mostAddresses).map(record => record.callerAddress);
 }
+
+function nearBoxes(inService: readonly MemberRecord[], { region, zone }: CallerPlace): readonly MemberRecord[] {
+    if (region === undefined) {
+        return [];
+    }
+    return zone === undefined ? advertisedBoxesOfRegion(inService, region) : boxesForZone(inService, region, zone);
+}
--- a/packages/testing/test/box-state.test.ts
+++ b/packages/testing/test/box-state.test.ts
@@ -38,8 +38,14 @@
     it("find each other through the store, and name each other to callers [P19]", async () => {
         const boxes = [deployment.startBox(), deployment.startBox({ zone: "north-b" }), deployment.startBox()];
         await Promise.all(boxes.map(ready));
+        const named = async (box: TestBox, zone: string) =>
+            [...(await lookUp(box.directory, { ...place, zone })).addresses].sort();
+        const [first, other, second] = boxes.map(box => box.callers);
         for (const box of boxes) {
-            await eventually(async () => (await lookUp(box.directory, place)).addresses.length === 3, "all are named");
+            await eventually(async () => (await named(box, "of none")).length === 3, "all are named");
+            expect(await named(box, "of none")).to.deep.equal([first, other, second].sort());
+            expect(await named(box, "north-a")).to.deep.equal([first, second].sort());
+            expect(await named(box, "north-b")).to.include(other).and.to.have.length(2);
         }
     });
 
