--- /dev/null
+++ b/packages/box/test/attempt-loop.test.ts
@@ -0,0 +1,55 @@
+/**
+ * What the loop of attempts learns of the bytes that a route moves.
+ */
+
+import { type ChosenServer, createMovedBytes, type Route } from "@chalkdale/decisions";
+import { backendServerId, milliseconds } from "@chalkdale/kernel";
+import { expect } from "chai";
+import { createBoxMetrics } from "../src/metrics.js";
+import type { ActiveRequest } from "../src/requests/active-request.js";
+import { createAttemptLoop } from "../src/requests/attempt-loop.js";
+import type { AttemptOutcome } from "../src/requests/attempt-request.js";
+
+const route = { name: "photos", kind: "safe", maxAttempts: 1 } as Route;
+
+/** Runs one request that has one outcome, and returns the bytes that were learned. */
+async function learnedFrom(outcome: AttemptOutcome): Promise<readonly number[]> {
+    const learned: number[] = [];
+    const unused = () => undefined;
+    const runAttempts = createAttemptLoop({
+        clock: () => milliseconds(0),
+        metrics: createBoxMetrics(),
+        choose: () => ({ kind: "chosen", server: { id: backendServerId("i-1") } }) as ChosenServer,
+        attempt: ({ onSend }) => {
+            onSend();
+            return Promise.resolve(outcome);
+        },
+        budgetOf: () => ({ onRequest: unused, tryTake: () => false }),
+        recentKeys: undefined as never,
+        work: undefined as never,
+        movedBytes: { ...createMovedBytes(), onMoved: (_route, bytes) => learned.push(bytes) },
+        roundTrip: () => milliseconds(1),
+        requestLog: { attemptFailed: unused, served: unused, refused: unused, notAdmitted: unused, callerLeft: unused },
+        isVerified: () => true,
+    });
+    const active = { route, tried: new Set(), sent: 0, notSent: 0, endsAt: 1000 } as unknown as ActiveRequest;
+    await runAttempts(active, Buffer.alloc(60_000), new AbortController().signal);
+    return learned;
+}
+
+function answerOf(status: number): AttemptOutcome {
+    const body = Buffer.alloc(400);
+    return { kind: "answered", answer: { status, body, rawHeaders: [], headers: {}, framed: true, reusable: true } };
+}
+
+describe("the loop of attempts", () => {
+    it("learns the body and the answer of a success", async () => {
+        expect(await learnedFrom(answerOf(200))).to.deep.equal([60_400]);
+    });
+
+    it("learns nothing of failures, whose answers are short", async () => {
+        expect(await learnedFrom(answerOf(500))).to.deep.equal([]);
+        expect(await learnedFrom({ kind: "broken", reason: "reset" })).to.deep.equal([]);
+        expect(await learnedFrom({ kind: "notRun", status: 503, hasRoom: false })).to.deep.equal([]);
+    });
+});
