--- a/packages/box/src/callers/unreadable-requests.ts
+++ b/packages/box/src/callers/unreadable-requests.ts
@@ -26,7 +26,7 @@
 export function unreadableAnswer(status: number): CallerAnswer {
     return {
         bytes: 0,
-        isFramed: false,
+        endsConnection: true,
         write(response) {
             response.sendDate = false;
             response.writeHead(status, { "Content-Length": 0, "Connection": "close" }).end();
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -17,7 +17,9 @@
     type HedgeInputs,
     isFailureStatus,
     isIdempotent,
+    isSuccessStatus,
     mayBeHedged,
+    type MovedBytes,
     type RecentKeys,
     refusalAfterRun,
     type RefusalKind,
@@ -42,6 +44,7 @@
     readonly budgetOf: (service: ServiceId) => RetryBudget;
     readonly recentKeys: RecentKeys;
     readonly work: WorkEstimate;
+    readonly movedBytes: Pick<MovedBytes, "onMoved">;
     readonly roundTrip: (server: BackendServer) => Milliseconds;
     /** Requests at the service's servers for each of their slots; see `ServiceLoad`. */
     readonly loadPerSlot: (service: ServiceId) => number;
@@ -212,6 +215,9 @@
             active.notSent += 1;
         }
         metrics.onAttempt(outcome.kind);
+        if (outcome.kind === "answered" && isSuccessStatus(outcome.answer.status)) {
+            options.movedBytes.onMoved(active.route, body.length + outcome.answer.body.length);
+        }
         return outcome;
     }
 
--- a/packages/box/src/requests/caller-answers.ts
+++ b/packages/box/src/requests/caller-answers.ts
@@ -16,7 +16,7 @@
     const { body, framed, status } = answer;
     return {
         bytes: body.length,
-        isFramed: framed,
+        endsConnection: !framed,
         write(response, isLast) {
             const back = passOnHeaders(answer.rawHeaders, new Set());
             if (framed) {
@@ -40,11 +40,22 @@
     };
 }
 
-/** An answer of the box's own. `comeBackAfter` goes before the time of the table. */
-export function refuse(kind: RefusalKind, comeBackAfter?: Milliseconds): CallerAnswer {
+/** How a refusal is given. */
+export interface RefusalOptions {
+    /** Goes before the time of the table. */
+    readonly comeBackAfter?: Milliseconds;
+    /** The rest of the request can't be waited for. */
+    readonly endsConnection?: boolean;
+}
+
+/** An answer of the box's own. */
+export function refuse(
+    kind: RefusalKind,
+    { comeBackAfter, endsConnection = false }: RefusalOptions = {},
+): CallerAnswer {
     return {
         bytes: 0,
-        isFramed: true,
+        endsConnection,
         write: (response, isLast) => writeRefusal(response, kind, comeBackAfter, isLast),
     };
 }
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -10,6 +10,7 @@
 import {
     admit,
     type AdmittedRequest,
+    type BodyMemory,
     type CopyAgeBounds,
     createReturningCallers,
     isIdempotent,
@@ -28,9 +29,10 @@
 import { activateRequest, type ActiveRequest, type Ending, singleValue } from "./active-request.js";
 import { type AttemptLoopOptions, createAttemptLoop } from "./attempt-loop.js";
 import { passBack, refuse } from "./caller-answers.js";
-import { readBody } from "./request-body.js";
+import { type BodyOutcome, readBody } from "./request-body.js";
 import { createRequestLog, type UnservedRequest } from "./request-log.js";
 import { hostOf, pathOf, urlOf } from "./request-target.js";
+import { endingIfStalled, endsWithRefusal } from "./unread-body.js";
 
 export interface RequestHandlerOptions extends AttemptLoopOptions {
     readonly random: () => number;
@@ -44,6 +46,8 @@
     /** When the caller of a request may come back; undefined when that cannot help. */
     readonly comeBackAfter: (active: ActiveRequest, refusal: RefusalKind) => Milliseconds | undefined;
     readonly quotas: Pick<CustomerQuotas, "take" | "giveBack">;
+    /** Of all bodies that the box holds. */
+    readonly bodyMemory: BodyMemory;
 }
 
 /** Serves the requests of callers. */
@@ -68,7 +72,7 @@
         serve(turn) {
             void handle(turn).catch(error => {
                 logFault(turn, error);
-                turn.answer(refuse("internalFault"));
+                refuseCaller(turn, "internalFault");
             });
         },
         isIdempotent(request) {
@@ -93,14 +97,14 @@
         });
         if (admission.kind === "refused") {
             requestLog.notAdmitted(describe(request), admission.refusal);
-            turn.answer(refuse(admission.refusal));
+            refuseCaller(turn, admission.refusal);
             return;
         }
         const { customer } = admission;
         const comeBackAfter = customer && options.quotas.take(customer);
         if (comeBackAfter !== undefined) {
             requestLog.notAdmitted({ ...describe(request), customer: customer?.id }, "quotaSpent");
-            turn.answer(refuse("quotaSpent", comeBackAfter));
+            refuseCaller(turn, "quotaSpent", comeBackAfter);
             return;
         }
         await serveAdmitted(turn, admission);
@@ -122,21 +126,34 @@
             timedOut = true;
             controller.abort();
         }, Math.max(0, active.endsAt - clock()));
+        options.budgetOf(active.service).onRequest(turn.arrivedAt);
         try {
-            const body = await readBody(request, mostBodyBytes(), controller.signal);
-            if (body.kind === "tooLarge") {
-                finish(turn, active, { kind: "refusal", refusal: "bodyTooLarge" });
-                return;
-            }
-            options.budgetOf(active.service).onRequest(clock());
-            const ending: Ending = body.kind === "cut"
-                ? { kind: "callerLeft" }
-                : await runAttempts(active, body.body, controller.signal);
+            const ending = await readAndRun();
             finish(turn, active, ending.kind === "callerLeft" && timedOut ? timeoutEnding(active) : ending);
         }
         finally {
             clearTimeout(timer);
         }
+
+        async function readAndRun(): Promise<Ending> {
+            const { bodyMemory } = options;
+            const { signal } = controller;
+            const body = await readBody(turn, {
+                clock,
+                mostBytes: mostBodyBytes(),
+                memory: bodyMemory,
+                signal,
+            });
+            if (body.kind !== "whole") {
+                return endingWithoutBody(body.kind);
+            }
+            try {
+                return await runAttempts(active, body.body, signal);
+            }
+            finally {
+                body.release();
+            }
+        }
     }
 
     function mostBodyBytes(): number {
@@ -157,7 +174,7 @@
                     options.quotas.giveBack(active.customer);
                 }
                 requestLog.refused(active, ending.refusal);
-                turn.answer(refuse(ending.refusal, options.comeBackAfter(active, ending.refusal)));
+                refuseCaller(turn, ending.refusal, options.comeBackAfter(active, ending.refusal));
                 return;
             case "callerLeft":
                 requestLog.callerLeft(active);
@@ -169,7 +186,7 @@
         const refusal = refusalOfAnswer(turn, answer);
         if (refusal !== undefined) {
             requestLog.refused(active, refusal);
-            turn.answer(refuse(refusal));
+            refuseCaller(turn, refusal);
             return;
         }
         requestLog.served(active, answer);
@@ -202,6 +219,24 @@
         const reason = error instanceof Error ? error.stack : String(error);
         log.error("request.fault", { request: requestIdOf(request), reason });
     }
+
+    function refuseCaller(turn: CallerTurn, kind: RefusalKind, comeBackAfter?: Milliseconds): void {
+        const endsConnection = endsWithRefusal(turn.request);
+        turn.answer(endingIfStalled(turn.request, refuse(kind, { comeBackAfter, endsConnection })));
+    }
+}
+
+function endingWithoutBody(kind: Exclude<BodyOutcome["kind"], "whole">): Ending {
+    switch (kind) {
+        case "tooLarge":
+            return { kind: "refusal", refusal: "bodyTooLarge" };
+        case "stalled":
+            return { kind: "refusal", refusal: "bodyStalled" };
+        case "noRoom":
+            return { kind: "refusal", refusal: "bodiesFull" };
+        case "cut":
+            return { kind: "callerLeft" };
+    }
 }
 
 function isSuccess(answer: ServerAnswer): boolean {
--- /dev/null
+++ b/packages/box/src/requests/unread-body.ts
@@ -0,0 +1,57 @@
+/**
+ * What becomes of a connection whose request is refused before its body is in.
+ *
+ * The rest of the body is thrown away as it comes, so that the next request begins where it should. Where the rest may be
+ * long, or may not come at all, the connection ends with the refusal instead.
+ *
+ * Owns the timers of connections that are kept; relies on Node to throw away what nobody reads, and on the pipeline to end a
+ * connection so that the refusal still arrives.
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { CallerAnswer } from "../callers/caller-turn.js";
+import { announcedLength, awaitsContinue } from "./request-body.js";
+
+/**
+ * Bytes of an unread body up to which its connection is kept, and with it the requests behind: a little beyond the limits of
+ * bodies that deployments set. Not measured.
+ */
+const longestKept = 1024 * 1024;
+/** Milliseconds for which the rest of a body may come on a connection that is kept, then it ends. Not measured. */
+const keptFor = 5000;
+
+/** True if the connection should end with a refusal that is given now. */
+export function endsWithRefusal(request: IncomingMessage): boolean {
+    if (isIn(request)) {
+        return false;
+    }
+    return awaitsContinue(request) || (announcedLength(request) ?? Infinity) > longestKept;
+}
+
+/** Ends the connection if it is kept after the answer and the rest of the body does not come. */
+export function endingIfStalled(request: IncomingMessage, answer: CallerAnswer): CallerAnswer {
+    if (isIn(request)) {
+        return answer;
+    }
+    return {
+        ...answer,
+        write(response: ServerResponse, isLast: boolean) {
+            response.once("finish", () => endIfStalled(request));
+            answer.write(response, isLast);
+        },
+    };
+}
+
+function isIn(request: IncomingMessage): boolean {
+    return request.complete || announcedLength(request) === 0;
+}
+
+function endIfStalled(request: IncomingMessage): void {
+    if (request.complete) {
+        return;
+    }
+    const timer = setTimeout(() => request.socket.destroy(), keptFor);
+    const stop = () => clearTimeout(timer);
+    request.once("end", stop);
+    request.once("close", stop);
+}
--- a/packages/box/test/caller-connections.test.ts
+++ b/packages/box/test/caller-connections.test.ts
@@ -20,7 +20,7 @@
             serve: turn =>
                 turn.answer({
                     bytes: answerSize,
-                    isFramed: true,
+                    endsConnection: false,
                     write: response => {
                         response.writeHead(200, { "Content-Length": answerSize }).end(Buffer.alloc(answerSize));
                     },
