--- a/packages/testing/src/soak/faults.ts
+++ b/packages/testing/src/soak/faults.ts
@@ -10,7 +10,7 @@
 import { type Fault, pick } from "./fault-tools.js";
 import { allLinks, createLinkHarm, createLinkReset } from "./link-faults.js";
 import { createPlannedChanges, type PlannedChanges } from "./planned-changes.js";
-import { createMisbehaviour, createStoreFailure } from "./service-faults.js";
+import { createMisbehaviour, createStoreFailure, createTurningAway } from "./service-faults.js";
 import type { SoakWorld } from "./soak-world.js";
 
 /** What was done, as far as the checks must know. */
@@ -61,6 +61,7 @@
         changes.changeConfiguration,
         async () => forgetHistory(world),
         createLinkReset(world),
+        createTurningAway(world),
     ];
 }
 
--- a/packages/testing/src/soak/proxy.ts
+++ b/packages/testing/src/soak/proxy.ts
@@ -20,8 +20,8 @@
 
 const delay = 150;
 
-/** Starts a proxy to a target `host:port`. */
-export async function startProxy(target: string): Promise<Proxy> {
+/** Starts a proxy to a target `host:port`, which takes its calls as coming from an address of this machine if one is given. */
+export async function startProxy(target: string, localAddress?: string): Promise<Proxy> {
     const pairs = new Set<readonly [Socket, Socket]>();
     let state: LinkState = "whole";
     const server: Server = createServer(onConnection);
@@ -47,7 +47,7 @@
 
     function onConnection(caller: Socket): void {
         const [host, port] = target.split(":");
-        const called = connect({ host, port: Number(port), noDelay: true });
+        const called = connect({ host, port: Number(port), localAddress, noDelay: true });
         const pair = [caller, called] as const;
         pairs.add(pair);
         pipe(caller, called, () => state === "silent");
--- a/packages/testing/src/soak/service-faults.ts
+++ b/packages/testing/src/soak/service-faults.ts
@@ -15,6 +15,9 @@
     { kind: "answerLost" },
     { kind: "late", afterMs: 900 },
 ];
+const turningAway = storeFaults.slice(0, 4);
+/** Part of the boxes that are turned away while others are served. */
+const turnedAwayShare = 0.6;
 const serverFaults: readonly ServerBehaviour[] = [
     { kind: "shed" },
     { kind: "fail", status: 500 },
@@ -46,6 +49,28 @@
     };
 }
 
+/** The store turns some boxes away for a while, and serves the others. */
+export function createTurningAway(world: SoakWorld): Fault {
+    const { random, storeServer } = world;
+
+    return async function turnAway() {
+        const fault = pick(turningAway, random);
+        const turnedAway = new Map<string, boolean>();
+        await lasting(
+            world,
+            `store ${fault.kind} to some boxes`,
+            () => storeServer.setFault(({ caller }) => isTurnedAway(caller) ? fault : { kind: "none" }),
+            () => storeServer.setFault(() => ({ kind: "none" })),
+        );
+
+        function isTurnedAway(caller: string): boolean {
+            const drawn = turnedAway.get(caller) ?? random() < turnedAwayShare;
+            turnedAway.set(caller, drawn);
+            return drawn;
+        }
+    };
+}
+
 /** A server misbehaves at part of its requests for a while. */
 export function createMisbehaviour(world: SoakWorld): Fault {
     const { random, servers } = world;
--- a/packages/testing/src/soak/soak-world.ts
+++ b/packages/testing/src/soak/soak-world.ts
@@ -174,7 +174,8 @@
         const created: BoxProcess[] = [];
         const firstPort = 20_000 + (process.pid % 50) * 200;
         for (let index = 0; index < options.boxes; index++) {
-            const link = await startProxy(storeServer.address());
+            // So the store can tell the boxes apart.
+            const link = await startProxy(storeServer.address(), `127.0.2.${index + 1}`);
             storeLinks.push(link);
             const box = createBoxProcess({
                 name: `box-${index}`,
