--- a/packages/testing/src/promises/box-mechanisms.ts
+++ b/packages/testing/src/promises/box-mechanisms.ts
@@ -76,7 +76,7 @@
         file: box("peers/peer-link"),
         find: "member.region === region && member.box !== box",
         replace: "false",
-        specs: [wholeTest("box-state")],
+        specs: [boxTest("peer-link")],
     },
     {
         promise: "P8",
--- a/packages/testing/src/promises/decision-mechanisms.ts
+++ b/packages/testing/src/promises/decision-mechanisms.ts
@@ -124,7 +124,7 @@
         file: decision("shared-state/relay-role"),
         find: "changeBound * (patiencePart + rankPart * rank)",
         replace: "1e9",
-        specs: [wholeTest("box-state")],
+        specs: [decisionTest("relay-role")],
     },
     {
         promise: "P8",
