--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -11,6 +11,7 @@
     createRelayRole,
     createSharedEvidence,
     createSharedLimits,
+    createTurnedAwayBoxes,
     digestRounds,
     gossipInterval,
     type MemberRecord,
@@ -174,11 +175,14 @@
             ].join("\n"),
     });
 
+    const turnedAway = createTurnedAwayBoxes(boxId(settings.box), bounds.changeInForce);
     const relayRole = createRelayRole({
         self: settings.box,
         region,
         alive: () => membership.alive(clock()),
         changeBound: bounds.changeInForce,
+        turnedAway,
+        clock,
         uptime,
     });
     const peerReads = createPeerReads({ countTraffic, signal });
@@ -190,8 +194,11 @@
         state,
         store,
         relayRole,
+        turnedAway,
+        self: boxId(settings.box),
         readState: peerReads.readState,
         publish: update => peerLink.publish(update),
+        tellRegion: () => peerLink.tellRegion(),
         signal,
     });
     const peerLink = startPeerLink({
