--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -11,6 +11,7 @@
     createRelayRole,
     createSharedEvidence,
     createSharedLimits,
+    createTurnedAwayBoxes,
     digestRounds,
     gossipInterval,
     type MemberRecord,
@@ -153,7 +154,12 @@
         log,
         protocol,
         settings,
-        onRequest: requests.onRequest,
+        pipelines: {
+            clock,
+            isIdempotent: requests.handler.isIdempotent,
+            isLeaving: () => plannedStop.phase() !== "running",
+            serve: requests.handler.serve,
+        },
         isReady,
         inService: () => {
             updateOwnRecord();
@@ -169,11 +175,14 @@
             ].join("\n"),
     });
 
+    const turnedAway = createTurnedAwayBoxes(boxId(settings.box), bounds.changeInForce);
     const relayRole = createRelayRole({
         self: settings.box,
         region,
         alive: () => membership.alive(clock()),
         changeBound: bounds.changeInForce,
+        turnedAway,
+        clock,
         uptime,
     });
     const peerReads = createPeerReads({ countTraffic, signal });
@@ -185,8 +194,11 @@
         state,
         store,
         relayRole,
+        turnedAway,
+        self: boxId(settings.box),
         readState: peerReads.readState,
         publish: update => peerLink.publish(update),
+        tellRegion: () => peerLink.tellRegion(),
         signal,
     });
     const peerLink = startPeerLink({
@@ -283,6 +295,7 @@
             callers_connections: callerServer.connections.count(),
             callers_in_flight: callerServer.connections.inFlight(),
             servers_connections: requests.connectionCount(),
+            bodies_bytes: requests.bodyBytes(),
             memory_bytes: process.memoryUsage.rss(),
         };
     }
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -10,12 +10,15 @@
     comeBackAfter,
     connectTimeout,
     type CopyAgeBounds,
+    createBodyMemory,
     createIdleLife,
+    createMovedBytes,
     createRecentKeys,
     createRoundTrips,
     createServerChoice,
     createServiceLoad,
     createWorkEstimate,
+    memoryForBodies,
     type ServerCatalog,
     type SharedEvidence,
     type SharedLimits,
@@ -54,20 +57,24 @@
 
 /** The way of requests through one box. */
 export interface RequestPath {
-    /** Listener for requests of callers. */
-    readonly onRequest: RequestHandler;
+    /** Serves the requests of callers. */
+    readonly handler: RequestHandler;
     /** Closes connections that have rested too long, and forgets servers that are gone. Due some times a second. */
     readonly sweep: () => void;
     /** Connections to servers that are open. */
     readonly connectionCount: () => number;
+    /** Bytes of request bodies that are held. */
+    readonly bodyBytes: () => number;
 }
 
 /** Creates the way of requests; nothing is learned yet. */
 export function createRequestPath(options: RequestPathOptions): RequestPath {
     const { catalog, clock, evidence, limits, log, protocol, settings, state } = options;
+    const bodyMemory = createBodyMemory(memoryForBodies(settings.memoryLimit));
     const recentKeys = createRecentKeys();
     const serviceLoad = createServiceLoad();
     const work = createWorkEstimate();
+    const movedBytes = createMovedBytes();
     const roundTrips = createRoundTrips(settings.region, settings.zone);
     const connections = createServerConnections({
         clock,
@@ -89,7 +96,7 @@
             connections.closeIdle(server.id);
         },
     });
-    const onRequest = createRequestHandler({
+    const handler = createRequestHandler({
         ...options,
         choose: createServerChoice({
             region: settings.region,
@@ -97,6 +104,7 @@
             catalog,
             recentKeys,
             work,
+            movedBytes,
             roundTrip: roundTrips.estimate,
             loadPerSlot: serviceLoad.perSlot,
             severity: ({ id, state: server }, at) => {
@@ -125,16 +133,20 @@
             }),
         recentKeys,
         work,
+        movedBytes,
         roundTrip: roundTripTo,
+        bodyMemory,
     });
 
     return {
-        onRequest,
+        handler,
         sweep() {
             connections.sweep();
+            bodyMemory.sweep(clock());
             catalog.sweep(clock()).forEach(server => recentKeys.forget(server));
         },
         connectionCount: connections.count,
+        bodyBytes: bodyMemory.held,
     };
 
     function roundTripTo(server: BackendServer): Milliseconds {
--- a/packages/box/test/request-handler.test.ts
+++ b/packages/box/test/request-handler.test.ts
@@ -6,6 +6,7 @@
 import {
     type CallerAccess,
     type Configuration,
+    createBodyMemory,
     createKeyTable,
     createRouteTable,
     type Route,
@@ -17,6 +18,7 @@
 import { once } from "node:events";
 import { createServer, request as httpRequest, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { serveCallers } from "../src/callers/caller-connections.js";
 import { createBoxMetrics } from "../src/metrics.js";
 import { createRequestHandler } from "../src/requests/request-handler.js";
 import type { SharedState } from "../src/state/shared-state.js";
@@ -71,8 +73,10 @@
         const unused = () => {
             throw new Error("no server is chosen here");
         };
-        server = createServer(createRequestHandler({
-            clock: () => milliseconds(performance.now()),
+        const clock = () => milliseconds(performance.now());
+        server = createServer();
+        const handler = createRequestHandler({
+            clock,
             random: Math.random,
             log: createLog({ write: line => lines.push(line) }),
             metrics: createBoxMetrics(),
@@ -81,6 +85,7 @@
             phase: () => phase,
             configurationAge: () => age,
             comeBackAfter: unused,
+            bodyMemory: createBodyMemory(1_000_000),
             quotas: { take: () => undefined, giveBack: () => undefined },
             copyAgeBounds: { changeInForce: milliseconds(2000), revocation: undefined },
             choose: unused,
@@ -88,9 +93,11 @@
             budgetOf: unused,
             recentKeys: undefined as never,
             work: undefined as never,
+            movedBytes: undefined as never,
             roundTrip: unused,
             loadPerSlot: unused,
-        }));
+        });
+        serveCallers(server, { ...handler, clock, isLeaving: () => phase !== "running" });
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
     });
--- a/packages/cli/src/request-story.ts
+++ b/packages/cli/src/request-story.ts
@@ -30,6 +30,8 @@
     copyTooOld: "the box's copy of the configuration is too old to know whether this key exists or still stands",
     quotaSpent: "the customer's quota over all boxes had no room",
     bodyTooLarge: "the body is beyond the configuration's limit",
+    bodyStalled: "the body hardly came on while the memory for bodies was spent and others waited",
+    bodiesFull: "the memory for bodies was spent, and as many as may wait were waiting",
     noServer: "no server may take the request",
     serversCold: "the servers that are left are in slow start and had their share",
     tooLate: "no server could answer in the time that was left",
@@ -41,6 +43,8 @@
     timedOut: "the time limit was over while a server had the request",
     brokenOff: "the connection to the server broke after the request was sent",
     unprovenAnswer: "a success came without the server's stamp, or in another coding",
+    unframedAnswer:
+        "the answer had no length, and could not end the connection since requests behind it were at servers",
     internalFault: "a fault of the program: please report it",
 };
 
--- a/packages/decisions/src/give-up/refusals.ts
+++ b/packages/decisions/src/give-up/refusals.ts
@@ -14,6 +14,8 @@
     | "copyTooOld"
     | "quotaSpent"
     | "bodyTooLarge"
+    | "bodyStalled"
+    | "bodiesFull"
     | "noServer"
     | "serversCold"
     | "tooLate"
@@ -25,6 +27,7 @@
     | "timedOut"
     | "brokenOff"
     | "unprovenAnswer"
+    | "unframedAnswer"
     | "internalFault";
 
 /** How one kind is answered. */
@@ -53,6 +56,8 @@
     copyTooOld: { status: 503, retryAfter: soon },
     quotaSpent: { status: 429, retryAfter: later },
     bodyTooLarge: { status: 413, retryAfter: undefined },
+    bodyStalled: { status: 503, retryAfter: soon },
+    bodiesFull: { status: 503, retryAfter: afterOverload },
     noServer: { status: 503, retryAfter: later },
     serversCold: { status: 503, retryAfter: afterOverload },
     crowded: { status: 503, retryAfter: afterOverload },
@@ -64,6 +69,7 @@
     timedOut: { status: 504, retryAfter: undefined },
     brokenOff: { status: 502, retryAfter: undefined },
     unprovenAnswer: { status: 502, retryAfter: undefined },
+    unframedAnswer: { status: 502, retryAfter: undefined },
     internalFault: { status: 500, retryAfter: undefined },
 };
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,10 +3,13 @@
  */
 
 export * from "./admit/admission.js";
+export * from "./admit/pipelining.js";
 export * from "./admit/returning-callers.js";
 export * from "./admit/route-table.js";
 export * from "./admit/weighted-split.js";
 export * from "./choose/choice.js";
+export * from "./choose/moved-bytes.js";
+export * from "./choose/place-cost.js";
 export * from "./choose/recent-keys.js";
 export * from "./choose/rendezvous.js";
 export * from "./choose/round-trips.js";
@@ -20,6 +23,7 @@
 export * from "./give-up/refusals.js";
 export * from "./give-up/stop-schedule.js";
 export * from "./give-up/time-limits.js";
+export * from "./limits/body-memory.js";
 export * from "./limits/quota/counting-box.js";
 export * from "./limits/quota/quota-counter.js";
 export * from "./limits/quota/quota-messages.js";
@@ -34,6 +38,7 @@
 export * from "./place/directory.js";
 export * from "./place/homes.js";
 export * from "./place/place-settings.js";
+export * from "./place/zone-boxes.js";
 export * from "./retry/answer-verdict.js";
 export * from "./retry/hedge-decision.js";
 export * from "./retry/retry-budget.js";
@@ -51,3 +56,4 @@
 export * from "./shared-state/kinds.js";
 export * from "./shared-state/relay-role.js";
 export * from "./shared-state/replica.js";
+export * from "./shared-state/turned-away.js";
