--- a/packages/decisions/src/servers/server-record.ts
+++ b/packages/decisions/src/servers/server-record.ts
@@ -10,6 +10,7 @@
     type Milliseconds,
     milliseconds,
     type RegionId,
+    type ServerVersion,
     type ServiceId,
 } from "@chalkdale/kernel";
 
@@ -24,6 +25,10 @@
     /** Requests that the server works on at once. */
     readonly slots: number;
     readonly draining: boolean;
+    /** Version of its software; undefined in copies of earlier releases. */
+    readonly version?: ServerVersion;
+    /** Revision of the store when the server was recorded first; undefined in copies of earlier releases. */
+    readonly createdAt?: number;
     /** How much longer the server was cold when it wrote the record. */
     readonly coldFor: Milliseconds;
     /** Revision of the record in the store. */
--- a/packages/kernel/src/ids.ts
+++ b/packages/kernel/src/ids.ts
@@ -22,6 +22,8 @@
 export type IncarnationId = Branded<string, "IncarnationId">;
 /** Name of a backend server. */
 export type BackendServerId = Branded<string, "ServerId">;
+/** Version of the software that a backend server runs. */
+export type ServerVersion = Branded<string, "ServerVersion">;
 /** Version of an object in the store of the settings tree; only ever goes up. */
 export type ObjectVersion = Branded<number, "ObjectVersion">;
 /** A duration, or a point on the monotonic clock, in milliseconds. */
@@ -43,6 +45,8 @@
 export const incarnationId = (text: string) => text as IncarnationId;
 /** Takes a text as a backend server's name. */
 export const backendServerId = (text: string) => text as BackendServerId;
+/** Takes a text as the version of a server's software. */
+export const serverVersion = (text: string) => text as ServerVersion;
 /** Takes a whole number as an object's version. */
 export const objectVersion = (value: number) => value as ObjectVersion;
 /** Takes a number as milliseconds. */
