Copy orders of roll-outs where the settings bound them, and write their state

Cause: a box read neither orders nor servers' versions, so it could not carry out a roll-out. Change: kind `rollouts` is followed only where the settings state `expose_share`; other deployments make no call and send no byte more. A relay's watch of it waits three times as long as the others' and the next box stands in as much later: a change ends a watch at once. Digests and server records are taken with and without the new fields. The state of an order is written under its revision; what the store has afterwards is what counts.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -7,6 +7,7 @@
  */
 
 import {
+    copiedKinds,
     createMembership,
     createRelayRole,
     createSharedEvidence,
@@ -185,6 +186,7 @@
         state,
         store,
         relayRole,
+        kinds: copiedKinds(bounds.rollouts !== undefined),
         readState: peerReads.readState,
         publish: update => peerLink.publish(update),
         signal,
--- a/packages/box/src/settings.ts
+++ b/packages/box/src/settings.ts
@@ -5,7 +5,7 @@
  * Owns nothing; read once, at the start.
  */
 
-import type { QuotaTolerance } from "@chalkdale/decisions";
+import type { QuotaTolerance, RolloutBounds } from "@chalkdale/decisions";
 import type { AvailabilityZoneId, BoxId, Milliseconds, RegionId } from "@chalkdale/kernel";
 import type { Address } from "@chalkdale/runtime";
 
@@ -29,6 +29,8 @@
     readonly strictRevocation: Milliseconds | undefined;
     /** What may be admitted beyond a customer's quota in one window, from all boxes together. */
     readonly quotaTolerance: QuotaTolerance;
+    /** Bounds on what a version that is not proven may get; undefined where versions are not rolled out by order. */
+    readonly rollouts: RolloutBounds | undefined;
 }
 
 /** Settings of one box. */
--- a/packages/box/src/state/copy-status.ts
+++ b/packages/box/src/state/copy-status.ts
@@ -26,7 +26,12 @@
 
 /** Creates the statuses of copies that nobody has confirmed yet. */
 export function createCopyStatuses(): Readonly<Record<SharedKind, CopyStatus>> {
-    return { configuration: createStatus(), servers: createStatus(), closedZones: createStatus() };
+    return {
+        configuration: createStatus(),
+        servers: createStatus(),
+        closedZones: createStatus(),
+        rollouts: createStatus(),
+    };
 }
 
 function createStatus(): CopyStatus {
--- a/packages/box/src/state/replicator.ts
+++ b/packages/box/src/state/replicator.ts
@@ -5,7 +5,7 @@
  * Owns the age of each copy; the copies themselves belong to the shared state.
  */
 
-import { type ItemChange, type RelayRole, type SharedItems, type SharedKind, sharedKinds } from "@chalkdale/decisions";
+import { type ItemChange, type RelayRole, type SharedItems, type SharedKind } from "@chalkdale/decisions";
 import { type Clock, type Milliseconds, milliseconds, type RegionId } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { StateReader } from "../peers/peer-reads.js";
@@ -24,6 +24,8 @@
     readonly state: SharedState;
     readonly store: StateStore;
     readonly relayRole: RelayRole;
+    /** Kinds that the box copies. */
+    readonly kinds: readonly SharedKind[];
     readonly readState: StateReader;
     /** Passes changes on to the boxes of the region. */
     readonly publish: (update: StateUpdate) => void;
@@ -37,6 +39,8 @@
     readonly storeLostFor: () => number;
     /** Time since the store confirmed the copy of the configuration, to this box or through another. */
     readonly configurationAge: () => Milliseconds;
+    /** True once the store confirmed the copy of a kind, to this box or through another, since this box started. */
+    readonly isProven: (kind: SharedKind) => boolean;
     /** True while this box follows the store, so that others depend on what it says. */
     readonly isFollowing: () => boolean;
     /** Another box said how far its copies reach. */
@@ -59,15 +63,22 @@
 
     return {
         digest: () => ({
-            configuration: { ...copyState("configuration"), provenAge: Math.round(configurationAge()) },
+            configuration: provenCopyState("configuration"),
             servers: copyState("servers"),
             closedZones: copyState("closedZones"),
+            ...options.kinds.includes("rollouts") ? { rollouts: provenCopyState("rollouts") } : {},
         }),
         storeLostFor: follower.storeLostFor,
-        configurationAge,
-        isFollowing: () => relayRole.alwaysFollows() || sharedKinds.some(kind => statuses[kind].watch !== undefined),
+        configurationAge: () => provenAge("configuration"),
+        isProven: kind => provenAge(kind) < unconfirmedAge,
+        isFollowing: () => relayRole.alwaysFollows() || options.kinds.some(kind => statuses[kind].watch !== undefined),
         onDigest(peer, digest) {
-            sharedKinds.forEach(kind => onCopyState(kind, peer, digest[kind]));
+            for (const kind of options.kinds) {
+                const told = digest[kind];
+                if (told !== undefined) {
+                    onCopyState(kind, peer, told);
+                }
+            }
         },
         onUpdate: update => applyUpdate(update.kind, update),
     };
@@ -81,8 +92,12 @@
         };
     }
 
-    function configurationAge(): Milliseconds {
-        return milliseconds(Math.min(unconfirmedAge, clock() - statuses.configuration.provenAt));
+    function provenCopyState(kind: SharedKind): CopyState {
+        return { ...copyState(kind), provenAge: Math.round(provenAge(kind)) };
+    }
+
+    function provenAge(kind: SharedKind): Milliseconds {
+        return milliseconds(Math.min(unconfirmedAge, clock() - statuses[kind].provenAt));
     }
 
     function applyUpdate<Kind extends SharedKind>(kind: Kind, update: StateUpdate): void {
--- a/packages/box/src/state/shared-state.ts
+++ b/packages/box/src/state/shared-state.ts
@@ -18,6 +18,7 @@
     type PlaceSettings,
     type Replica,
     resolvePlace,
+    type RolloutOrder,
     type Route,
     type RouteTable,
     type ServerCatalog,
@@ -68,6 +69,7 @@
         configuration: createReplica<Configuration>(() => "main", applyConfiguration),
         servers: createReplica<BackendServerRecord>(record => record.id, applyServers),
         closedZones: createReplica<AvailabilityZoneId>(zone => zone, applyClosedZones),
+        rollouts: createReplica<RolloutOrder>(order => order.service, logRollouts),
     };
 
     return {
@@ -124,6 +126,14 @@
         log.info("places.changed", { closed: zones.join(",") || "none" });
     }
 
+    function logRollouts(orders: readonly RolloutOrder[]): void {
+        log.info("rollouts.changed", {
+            orders: orders.map(({ service, state, targetVersion }) => `${service}:${targetVersion}:${state ?? "new"}`)
+                .slice(0, 8).join(",") || "none",
+            revision: replicas.rollouts.revision(),
+        });
+    }
+
     function admitsZone(zone: AvailabilityZoneId): boolean {
         let admits = admission.get(zone);
         if (admits === undefined) {
--- a/packages/box/src/state/state-messages.ts
+++ b/packages/box/src/state/state-messages.ts
@@ -6,9 +6,11 @@
 import {
     type BackendServerRecord,
     type CallerAccess,
+    commonKinds,
     type Configuration,
     type ItemChange,
     type MissingChanges,
+    type RolloutOrder,
     type SharedItems,
     type SharedKind,
     sharedKinds,
@@ -22,12 +24,14 @@
     readonly complete: number;
     /** Milliseconds since the store confirmed that; a box that has just started may count its first list. */
     readonly age: number;
-    /** The same without that list. Told of the configuration; earlier releases do not tell it. */
+    /** The same without that list. Told of the configuration and of roll-outs; earlier releases do not tell it. */
     readonly provenAge?: number;
 }
 
-/** The copies of one box, by kind. */
-export type StateDigest = Readonly<Record<SharedKind, CopyState>>;
+/** The copies of one box, by kind. Earlier releases, and boxes without roll-outs, tell only of the kinds that all copy. */
+export type StateDigest =
+    & Readonly<Record<(typeof commonKinds)[number], CopyState>>
+    & Readonly<Partial<Record<SharedKind, CopyState>>>;
 
 /** Changes of one kind, as a relay passes them on. */
 export interface StateUpdate<Kind extends SharedKind = SharedKind> {
@@ -41,7 +45,8 @@
 /** True for a digest as boxes send it. */
 export function isStateDigest(value: unknown): value is StateDigest {
     const digest = value as Partial<StateDigest> | undefined;
-    return typeof digest === "object" && digest !== null && sharedKinds.every(kind => isCopyState(digest[kind]));
+    return typeof digest === "object" && digest !== null && commonKinds.every(kind => isCopyState(digest[kind]))
+        && sharedKinds.every(kind => digest[kind] === undefined || isCopyState(digest[kind]));
 }
 
 /** True for an update as boxes send it. */
@@ -70,9 +75,11 @@
         case "configuration":
             return hasTypes(item, configurationTypes) && isCallerAccess((item as Configuration).access);
         case "servers":
-            return hasTypes(item, serverTypes);
+            return hasTypes(item, serverTypes) && hasOptionalTypes(item, optionalServerTypes);
         case "closedZones":
             return typeof item === "string";
+        case "rollouts":
+            return hasTypes(item, rolloutTypes) && isRolloutState((item as RolloutOrder).state);
     }
 }
 
@@ -86,7 +93,8 @@
     access: "object",
 };
 
-const serverTypes: Readonly<Record<keyof BackendServerRecord, TypeName>> = {
+/** Earlier releases tell neither the version nor the creation. */
+const serverTypes: Readonly<Record<Exclude<keyof BackendServerRecord, "version" | "createdAt">, TypeName>> = {
     id: "string",
     service: "string",
     address: "string",
@@ -98,6 +106,20 @@
     revision: "number",
 };
 
+const optionalServerTypes = { version: "string", createdAt: "number" } as const;
+
+const rolloutTypes: Readonly<Record<Exclude<keyof RolloutOrder, "state">, TypeName>> = {
+    service: "string",
+    targetVersion: "string",
+    duration: "number",
+    createdAt: "number",
+    revision: "number",
+};
+
+function isRolloutState(state: unknown): boolean {
+    return state === undefined || state === "running" || state === "completed" || state === "rolledBack";
+}
+
 /** A copy without it, as earlier releases have, or with another kind would let anyone in. */
 function isCallerAccess(access: CallerAccess): boolean {
     return access.kind === "anyone" || access.kind === "customers" && Array.isArray(access.customers);
@@ -111,6 +133,12 @@
     return Object.entries(types).every(([name, type]) => typeof fields[name] === type && fields[name] !== null);
 }
 
+/** The same for fields that may be missing, in a value that is known to be a table. */
+function hasOptionalTypes(value: unknown, types: Readonly<Record<string, TypeName>>): boolean {
+    const fields = value as Readonly<Record<string, unknown>>;
+    return Object.entries(types).every(([name, type]) => fields[name] === undefined || typeof fields[name] === type);
+}
+
 function isCopyState(state: CopyState | undefined): boolean {
     return typeof state === "object" && state !== null
         && [state.changed, state.complete, state.age, state.provenAge ?? 0].every(Number.isFinite);
--- a/packages/box/src/state/state-store.ts
+++ b/packages/box/src/state/state-store.ts
@@ -4,8 +4,16 @@
  * Owns nothing; `platform/` implements it.
  */
 
-import type { ItemChange, MemberRecord, SharedItems, SharedKind, Snapshot } from "@chalkdale/decisions";
-import type { Milliseconds } from "@chalkdale/kernel";
+import type {
+    ItemChange,
+    MemberRecord,
+    RolloutOrder,
+    RolloutState,
+    SharedItems,
+    SharedKind,
+    Snapshot,
+} from "@chalkdale/decisions";
+import type { Milliseconds, ServiceId } from "@chalkdale/kernel";
 
 /** What a watch brought. */
 export type WatchOutcome<Item> =
@@ -16,7 +24,7 @@
 /** Whether a list may be some seconds old, which the store gives for a tenth of the price and outside its rate. */
 export type ListAge = "newest" | "mayBeOld";
 
-/** Reads and watches of the store. Every call rejects with a `StoreError` when it fails. */
+/** Reads, watches and writes of the store. Every call rejects with a `StoreError` when it fails. */
 export interface StateStore {
     readonly list: <Kind extends SharedKind>(
         kind: Kind,
@@ -32,6 +40,17 @@
     ) => Promise<WatchOutcome<SharedItems[Kind]>>;
     /** Records this box, in place of its record of an earlier life. */
     readonly announce: (record: MemberRecord, signal: AbortSignal) => Promise<void>;
+    /**
+     * Writes the state of an order, if it has not changed since `order` was read. Returns it as the store has it then, whoever
+     * wrote it; undefined if it is gone. After an error the write may be done, or be done later while its condition holds.
+     */
+    readonly writeRolloutState: (
+        order: RolloutOrder,
+        state: RolloutState,
+        signal: AbortSignal,
+    ) => Promise<RolloutOrder | undefined>;
+    /** Returns the newest order of a service; undefined if there is none. */
+    readonly readRollout: (service: ServiceId, signal: AbortSignal) => Promise<RolloutOrder | undefined>;
     readonly listBoxes: (age: ListAge, signal: AbortSignal) => Promise<readonly MemberRecord[]>;
 }
 
--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -14,7 +14,6 @@
     pauseAfterChange,
     type RelayRole,
     type SharedKind,
-    sharedKinds,
     spreadBackoff,
 } from "@chalkdale/decisions";
 import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
@@ -37,6 +36,8 @@
     readonly statuses: Readonly<Record<SharedKind, CopyStatus>>;
     readonly store: StateStore;
     readonly relayRole: RelayRole;
+    /** Kinds that the box copies. */
+    readonly kinds: readonly SharedKind[];
     /** Passes changes on to the boxes of the region. */
     readonly publish: (update: StateUpdate) => void;
     readonly signal: AbortSignal;
@@ -57,7 +58,7 @@
     /** Kinds whose copy a watch has confirmed since the list that may have been old. */
     const isConfirmed = new Set<SharedKind>();
 
-    for (const kind of sharedKinds) {
+    for (const kind of options.kinds) {
         void follow(kind);
     }
 
@@ -97,7 +98,7 @@
 
     /** Milliseconds until this box has to follow the store itself for a kind. */
     function notDueFor(kind: SharedKind): number {
-        return relayRole.alwaysFollows() ? 0 : relayRole.followAfterAge() - (clock() - statuses[kind].confirmedAt);
+        return relayRole.alwaysFollows() ? 0 : relayRole.followAfterAge(kind) - (clock() - statuses[kind].confirmedAt);
     }
 
     /**
@@ -122,7 +123,7 @@
             return false;
         }
         const dueAt = askedAt + relayRole.settleTime;
-        statuses[kind].confirmedAt = Math.max(statuses[kind].confirmedAt, dueAt - relayRole.followAfterAge());
+        statuses[kind].confirmedAt = Math.max(statuses[kind].confirmedAt, dueAt - relayRole.followAfterAge(kind));
         isConfirmed.delete(kind);
         return false;
     }
@@ -156,7 +157,7 @@
         watchSignal: AbortSignal,
     ): Promise<boolean> {
         const replica = state.replica(kind);
-        const wait = isConfirmed.has(kind) ? relayRole.watchWait(needsProof(kind)) : noWait;
+        const wait = isConfirmed.has(kind) ? relayRole.watchWait(kind, needsProof(kind)) : noWait;
         const outcome = await store.watch(kind, since, watchSignal, wait);
         isConfirmed.add(kind);
         if (outcome.kind === "historyLost") {
--- a/packages/box/test/replicator.test.ts
+++ b/packages/box/test/replicator.test.ts
@@ -1,4 +1,4 @@
-import { createReplica, type RelayRole, type SharedKind } from "@chalkdale/decisions";
+import { copiedKinds, createReplica, type RelayRole, type RolloutOrder, type SharedKind } from "@chalkdale/decisions";
 import { type AvailabilityZoneId, availabilityZoneId, milliseconds, regionId } from "@chalkdale/kernel";
 import { createLog } from "@chalkdale/runtime";
 import { expect } from "chai";
@@ -38,12 +38,13 @@
     afterEach(() => lifetime.abort());
 
     /** Starts a replicator whose copies are as of revision 5; its watches bring nothing unless told otherwise. */
-    async function start(relayRole: RelayRole, watch: StateStore["watch"] = () => never) {
+    async function start(relayRole: RelayRole, watch: StateStore["watch"] = () => never, hasRollouts = false) {
         const zones: AvailabilityZoneId[][] = [];
         const replicas = {
             configuration: createReplica<never>(() => "main", () => undefined),
             servers: createReplica<never>(() => "s", () => undefined),
             closedZones: createReplica<AvailabilityZoneId>(zone => zone, items => zones.push([...items])),
+            rollouts: createReplica<RolloutOrder>(order => order.service, () => undefined),
         };
         const replicator = startReplicator({
             clock: () => milliseconds(performance.now()),
@@ -56,8 +57,11 @@
                 watch,
                 announce: () => never,
                 listBoxes: () => never,
+                writeRolloutState: () => never,
+                readRollout: () => never,
             },
             relayRole,
+            kinds: copiedKinds(hasRollouts),
             readState(_peer, kind, since) {
                 read.push(kind);
                 return Promise.resolve({ kind: "missing", missing: { since: since ?? 0, revision: 9, changes: [] } });
@@ -65,7 +69,7 @@
             publish: update => published.push(update),
             signal: lifetime.signal,
         });
-        await until(() => Object.values(replicas).every(replica => (replica.revision() ?? 0) >= 5));
+        await until(() => copiedKinds(hasRollouts).every(kind => (replicas[kind].revision() ?? 0) >= 5));
         return { replicator, replicas, zones };
     }
 
@@ -133,6 +137,38 @@
         expect(replicator.storeLostFor()).to.equal(0);
     });
 
+    describe("of orders of roll-outs", () => {
+        const told = {
+            ...digestOf({ changed: 5, complete: 5, age: 0 }),
+            rollouts: { changed: 7, complete: 8, age: 0 },
+        };
+
+        it("neither calls the store nor tells or asks other boxes where there are none", async () => {
+            const watched = new Set<SharedKind>();
+            const watch = (kind: SharedKind) => {
+                watched.add(kind);
+                return never;
+            };
+            const { replicator, replicas } = await start({ ...relayed, alwaysFollows: () => true }, watch);
+            replicator.onDigest(peer, told);
+            await until(() => watched.size === 3);
+            expect(watched).not.to.include("rollouts");
+            expect(replicator.digest()).not.to.have.property("rollouts");
+            expect([read, replicas.rollouts.revision()]).to.deep.equal([[], undefined]);
+        });
+
+        it("reads what it lacks, and knows when the store has confirmed it", async () => {
+            const { replicator, replicas } = await start(relayed, undefined, true);
+            expect(replicator.isProven("rollouts")).to.equal(false);
+            replicator.onDigest(peer, told);
+            await until(() => replicas.rollouts.revision() === 9);
+            replicator.onDigest(peer, { ...told, rollouts: { changed: 7, complete: 9, age: 0 } });
+            expect(replicator.isProven("rollouts"), "told by an old list").to.equal(false);
+            replicator.onDigest(peer, { ...told, rollouts: { changed: 7, complete: 9, age: 0, provenAge: 40 } });
+            expect(replicator.isProven("rollouts")).to.equal(true);
+        });
+    });
+
     it("passes on what its own watch brings, as following the last change before it", async () => {
         let told = false;
         const change = { kind: "put", name: "north-a", item: availabilityZoneId("north-a") } as const;
--- a/packages/box/test/state-messages.test.ts
+++ b/packages/box/test/state-messages.test.ts
@@ -54,6 +54,31 @@
         expect(isStateUpdate(withItem("closedZones", "north-a"))).to.equal(true);
     });
 
+    it("are taken with and without what earlier releases lack", () => {
+        expect(isStateDigest({ ...digest, rollouts: { ...copy, provenAge: 4 } })).to.equal(true);
+        expect(isStateDigest({ ...digest, rollouts: { changed: 1 } })).to.equal(false);
+        const withServer = (fields: object) => ({
+            ...update,
+            changes: [{ kind: "put", name: "s-1", item: { ...server, ...fields } }],
+        });
+        expect(isStateUpdate(withServer({ version: "v2", createdAt: 5 }))).to.equal(true);
+        expect(isStateUpdate(withServer({ version: 2 }))).to.equal(false);
+        expect(isStateUpdate(withServer({ createdAt: "5" }))).to.equal(false);
+    });
+
+    it("are refused with an order that could not be carried out", () => {
+        const order = { service: "profiles", targetVersion: "v2", duration: 40_000, createdAt: 7, revision: 9 };
+        const withOrder = (fields: object) =>
+            isStateUpdate({
+                ...update,
+                kind: "rollouts",
+                changes: [{ kind: "put", name: "profiles", item: { ...order, ...fields } }],
+            });
+        expect([withOrder({}), withOrder({ state: "rolledBack" })]).to.deep.equal([true, true]);
+        expect([withOrder({ state: "done" }), withOrder({ targetVersion: undefined }), withOrder({ duration: "40s" })])
+            .to.deep.equal([false, false, false]);
+    });
+
     it("are refused with a configuration that does not say who may ask, or says it in another way [P21]", () => {
         const configurationWith = (access: unknown) => ({
             ...update,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -38,6 +38,8 @@
 export * from "./retry/retry-budget.js";
 export * from "./retry/retry-decision.js";
 export * from "./retry/sliding-count.js";
+export * from "./rollouts/rollout-messages.js";
+export * from "./rollouts/rollout-order.js";
 export * from "./servers/idle-life.js";
 export * from "./servers/load-estimate.js";
 export * from "./servers/server-catalog.js";
--- a/packages/decisions/src/shared-state/copy-refresh.ts
+++ b/packages/decisions/src/shared-state/copy-refresh.ts
@@ -55,6 +55,8 @@
     configuration: milliseconds(200),
     servers: milliseconds(500),
     closedZones: milliseconds(200),
+    // The write of an outcome follows seconds after that of `running`. Not measured.
+    rollouts: milliseconds(200),
 };
 
 /** First pause after a call that failed. Not measured. */
--- a/packages/decisions/src/shared-state/relay-role.ts
+++ b/packages/decisions/src/shared-state/relay-role.ts
@@ -16,6 +16,7 @@
 import { type BoxId, type Milliseconds, milliseconds, type RegionId } from "@chalkdale/kernel";
 import { type MemberRecord, sortStrongestFirst } from "../membership/member-record.js";
 import { gossipInterval } from "../membership/membership-times.js";
+import type { SharedKind } from "./kinds.js";
 
 /**
  * Regions with fewer boxes have no relay: each box follows the store. With nine
@@ -27,6 +28,11 @@
  * box follows the store itself. A relay that is lost costs 0.55 to 0.73 of the bound; the rest is for a list or snapshot.
  */
 const watchPart = 0.3;
+/**
+ * The same for orders of roll-outs: a third of the calls of another kind. A change ends a watch at once, and outcomes reach boxes
+ * as news before the store has them, so a lost relay only makes an order begin later. Not measured against other waits.
+ */
+const rolloutWatchPart = 0.9;
 /** Part of the bound on changes: age of a copy from which the next box follows the store. Measured with the relay as a whole. */
 const patiencePart = 0.55;
 /**
@@ -60,15 +66,15 @@
     readonly isRelayed: () => boolean;
     /** True if this box is the relay of its region, or the region has none. */
     readonly alwaysFollows: () => boolean;
-    /** Age of a copy from which this box follows the store itself; 0 for a box that always does. */
-    readonly followAfterAge: () => Milliseconds;
+    /** Age of a copy of a kind from which this box follows the store itself; 0 for a box that always does. */
+    readonly followAfterAge: (kind: SharedKind) => Milliseconds;
     /** Time after the start in which the box does not follow the store yet. */
     readonly settleTime: Milliseconds;
     /**
-     * How long a watch may wait without a change, or undefined if nobody depends on this box. `needsProof`: decisions of
-     * this box go by the age of the copy.
+     * How long a watch of a kind may wait without a change, or undefined if nobody depends on this box. `needsProof`: decisions
+     * of this box go by the age of the copy.
      */
-    readonly watchWait: (needsProof: boolean) => Milliseconds | undefined;
+    readonly watchWait: (kind: SharedKind, needsProof: boolean) => Milliseconds | undefined;
 }
 
 export interface RelayRoleOptions {
@@ -89,15 +95,15 @@
 
     return {
         isRelayed,
-        alwaysFollows: () => followAfterAge() === 0,
+        alwaysFollows: () => followAfterAge("configuration") === 0,
         followAfterAge,
         settleTime,
         watchWait,
     };
 
-    function watchWait(needsProof: boolean): Milliseconds | undefined {
+    function watchWait(kind: SharedKind, needsProof: boolean): Milliseconds | undefined {
         if (isRelayed()) {
-            return milliseconds(changeBound * watchPart);
+            return milliseconds(changeBound * watchPartOf(kind));
         }
         return needsProof ? milliseconds(changeBound * proofPart) : undefined;
     }
@@ -106,16 +112,21 @@
         return boxesOfRegion().length >= leastRelayedBoxes;
     }
 
-    function followAfterAge(): Milliseconds {
+    function followAfterAge(kind: SharedKind): Milliseconds {
         const ranked = sortStrongestFirst(boxesOfRegion());
         const rank = ranked.findIndex(record => record.box === options.self);
         if (ranked.length < leastRelayedBoxes || rank <= 0) {
             return options.uptime() < settleTime ? settleTime : milliseconds(0);
         }
-        return milliseconds(changeBound * (patiencePart + rankPart * rank));
+        const longerWatch = watchPartOf(kind) - watchPart;
+        return milliseconds(changeBound * (patiencePart + longerWatch + rankPart * rank));
     }
 
     function boxesOfRegion(): MemberRecord[] {
         return options.alive().filter(record => record.region === options.region && !record.leaving);
     }
 }
+
+function watchPartOf(kind: SharedKind): number {
+    return kind === "rollouts" ? rolloutWatchPart : watchPart;
+}
--- a/packages/decisions/test/relay-role.test.ts
+++ b/packages/decisions/test/relay-role.test.ts
@@ -15,14 +15,14 @@
             uptime: () => milliseconds(uptime),
         });
     const followAges = (alive: readonly MemberRecord[]) =>
-        alive.map(record => roleOf(record.box, alive).followAfterAge() as number);
+        alive.map(record => roleOf(record.box, alive).followAfterAge("configuration") as number);
 
     it("falls to every box of a small region, with watches of the store's own length", () => {
         const alive = names.slice(0, 5).map(name => createMember(name));
         expect(followAges(alive)).to.deep.equal([0, 0, 0, 0, 0]);
         expect(roleOf("a", alive).isRelayed()).to.equal(false);
-        expect(roleOf("a", alive).watchWait(false)).to.equal(undefined);
-        expect(roleOf("a", alive).watchWait(true)).to.be.lessThan(changeBound);
+        expect(roleOf("a", alive).watchWait("configuration", false)).to.equal(undefined);
+        expect(roleOf("a", alive).watchWait("configuration", true)).to.be.lessThan(changeBound);
     });
 
     it("falls to one box of a large region", () => {
@@ -40,7 +40,7 @@
     it("leaves the next four boxes the time to ask the store themselves within the bound on changes", () => {
         const alive = names.map(name => createMember(name));
         const ages = followAges(alive).filter(age => age > 0).sort((a, b) => a - b);
-        const watch = roleOf("a", alive).watchWait(false)!;
+        const watch = roleOf("a", alive).watchWait("configuration", false)!;
         const roundOfMessages = 600;
         expect(ages[0]).to.be.greaterThan(watch + roundOfMessages);
         expect(ages[3]).to.be.lessThan(changeBound * 0.8);
@@ -56,10 +56,21 @@
         });
     }
 
+    it("watches orders of roll-outs at a third of the rate, and the next box waits as much longer for them", () => {
+        const alive = names.map(name => createMember(name));
+        const followers = alive.map(({ box }) => roleOf(box, alive)).filter(role => !role.alwaysFollows());
+        for (const role of followers) {
+            const [watch, rolloutWatch] = [role.watchWait("servers", false)!, role.watchWait("rollouts", false)!];
+            expect(rolloutWatch).to.be.closeTo(3 * watch, 1);
+            const patience = (kind: "servers" | "rollouts") => role.followAfterAge(kind) - role.watchWait(kind, false)!;
+            expect(patience("rollouts")).to.be.closeTo(patience("servers"), 1);
+        }
+    });
+
     it("falls to no box in its first moments, when it knows nobody", () => {
         const role = roleOf("a", [createMember("a")], 100);
         expect(role.alwaysFollows()).to.equal(false);
-        expect(role.followAfterAge()).to.equal(role.settleTime);
+        expect(role.followAfterAge("configuration")).to.equal(role.settleTime);
         expect(role.settleTime).to.be.lessThan(changeBound / 2);
     });
 
--- a/packages/testing/src/promises/decision-mechanisms.ts
+++ b/packages/testing/src/promises/decision-mechanisms.ts
@@ -122,7 +122,7 @@
         promise: "P8",
         name: "the boxes that follow the store when their relay can't",
         file: decision("shared-state/relay-role"),
-        find: "return milliseconds(changeBound * (patiencePart + rankPart * rank));",
+        find: "return milliseconds(changeBound * (patiencePart + longerWatch + rankPart * rank));",
         replace: "return milliseconds(1e9);",
         specs: [wholeTest("box-state")],
     },
--- a/packages/testing/src/standins/metadata-store-server.ts
+++ b/packages/testing/src/standins/metadata-store-server.ts
@@ -27,6 +27,7 @@
     /** Address of the caller, without its port. */
     readonly caller: string;
     readonly isWatch: boolean;
+    readonly isStatus: boolean;
 }
 
 /** A served store. */
@@ -39,7 +40,7 @@
 }
 
 const stepInterval = 20;
-const objectPath = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+))?$/;
+const objectPath = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+)(\/status)?)?$/;
 
 /** Listens on a loopback address. */
 export async function serveMetadataStore(store: MetadataStore, host = "127.0.0.1"): Promise<MetadataStoreServer> {
@@ -72,9 +73,10 @@
             answer(response, { status: 404 });
             return;
         }
-        const [, kind, name] = match;
+        const [, kind, name, statusPath] = match;
+        const isStatus = statusPath !== undefined;
         const isWatch = url.searchParams.has("watch");
-        const fault = faultOf({ method, kind, caller: request.socket.remoteAddress ?? "", isWatch });
+        const fault = faultOf({ method, kind, caller: request.socket.remoteAddress ?? "", isWatch, isStatus });
         if (applyFault(fault, request, response)) {
             return;
         }
@@ -85,7 +87,7 @@
             response.on("close", cancel);
             return;
         }
-        const act = () => perform(method, kind, name, url, body);
+        const act = () => perform({ method, kind, name, isStatus, url, body });
         if (fault.kind === "late") {
             setTimeout(act, fault.afterMs);
             request.socket.destroy();
@@ -99,23 +101,19 @@
         answer(response, done);
     }
 
-    function perform(
-        method: string,
-        kind: string,
-        name: string | undefined,
-        url: URL,
-        body: unknown,
-    ): StoreAnswer {
+    function perform({ body, isStatus, kind, method, name, url }: PerformedCall): StoreAnswer {
         switch (method) {
             case "GET":
-                return store.list(kind, {
+                return name !== undefined ? store.get(kind, decodeURIComponent(name)) : store.list(kind, {
                     after: url.searchParams.get("after") ?? undefined,
                     stale: url.searchParams.get("stale") === "1",
                 });
             case "POST":
                 return store.create(kind, readWrite(body, undefined));
             case "PUT":
-                return store.replace(kind, readWrite(body, name));
+                return isStatus
+                    ? store.replaceStatus(kind, readWrite(body, name))
+                    : store.replace(kind, readWrite(body, name));
             default:
                 return { status: 405 };
         }
@@ -142,13 +140,24 @@
 interface WrittenObject {
     readonly metadata?: { readonly name?: string; readonly revision?: number; };
     readonly spec?: unknown;
+    readonly status?: unknown;
+}
+
+interface PerformedCall {
+    readonly method: string;
+    readonly kind: string;
+    readonly name: string | undefined;
+    readonly isStatus: boolean;
+    readonly url: URL;
+    readonly body: unknown;
 }
 
 function readWrite(body: unknown, name: string | undefined): ObjectWrite {
-    const { metadata = {}, spec } = body as WrittenObject;
+    const { metadata = {}, spec, status } = body as WrittenObject;
     return {
         name: name === undefined ? metadata.name ?? "" : decodeURIComponent(name),
         spec,
+        status,
         revision: metadata.revision,
     };
 }
--- a/packages/testing/src/standins/metadata-store.ts
+++ b/packages/testing/src/standins/metadata-store.ts
@@ -11,8 +11,11 @@
     readonly metadata: {
         readonly name: string;
         readonly revision: number;
+        /** Revision at which it was created. */
+        readonly made: number;
     };
     readonly spec: unknown;
+    readonly status?: unknown;
 }
 
 /** One change as watches tell it. */
@@ -31,6 +34,7 @@
 export interface ObjectWrite {
     readonly name: string;
     readonly spec?: unknown;
+    readonly status?: unknown;
     /** The write is done only if the object has this revision. */
     readonly revision?: number;
 }
@@ -47,7 +51,9 @@
 export interface MetadataStore {
     readonly list: (kind: string, request?: ListRequest) => StoreAnswer;
     readonly create: (kind: string, write: ObjectWrite) => StoreAnswer;
+    readonly get: (kind: string, name: string) => StoreAnswer;
     readonly replace: (kind: string, write: ObjectWrite) => StoreAnswer;
+    readonly replaceStatus: (kind: string, write: ObjectWrite) => StoreAnswer;
     /** Answers as soon as the kind changes after a revision; at the end of the wait with no events. */
     readonly watch: (
         kind: string,
@@ -107,17 +113,16 @@
             const known = objectsOf(kind).get(write.name);
             return known === undefined ? store(kind, write, undefined) : { status: 409, body: known };
         },
-        replace(kind, write) {
-            const known = objectsOf(kind).get(write.name);
-            if (known === undefined) {
-                return { status: 404 };
-            }
-            const isMet = write.revision === undefined || write.revision === known.metadata.revision;
-            return isMet ? store(kind, write, known) : { status: 409, body: known };
+        get(kind, name) {
+            const known = objectsOf(kind).get(name);
+            return known === undefined ? { status: 404 } : { status: 200, body: known };
         },
+        replace: (kind, write) => replaceIfMet(kind, write, known => ({ ...write, status: known.status })),
+        replaceStatus: (kind, write) => replaceIfMet(kind, write, known => ({ ...write, spec: known.spec })),
         watch,
         put: (kind, name, spec) => {
-            store(kind, { name, spec }, objectsOf(kind).get(name));
+            const known = objectsOf(kind).get(name);
+            store(kind, { name, spec, status: known?.status }, known);
         },
         delete(kind, name) {
             const known = objectsOf(kind).get(name);
@@ -157,12 +162,29 @@
         return { status: 200, body: { items, more: page.length < names.length, at } };
     }
 
-    function store(kind: string, { name, spec }: ObjectWrite, known: StoredObject | undefined): StoreAnswer {
-        if (known !== undefined && JSON.stringify(known.spec) === JSON.stringify(spec)) {
+    function replaceIfMet(
+        kind: string,
+        write: ObjectWrite,
+        next: (known: StoredObject) => ObjectWrite,
+    ): StoreAnswer {
+        const known = objectsOf(kind).get(write.name);
+        if (known === undefined) {
+            return { status: 404 };
+        }
+        const isMet = write.revision === undefined || write.revision === known.metadata.revision;
+        return isMet ? store(kind, next(known), known) : { status: 409, body: known };
+    }
+
+    function store(kind: string, { name, spec, status }: ObjectWrite, known: StoredObject | undefined): StoreAnswer {
+        if (known !== undefined && JSON.stringify([known.spec, known.status]) === JSON.stringify([spec, status])) {
             return { status: 200, body: known };
         }
         latest += 1;
-        const object: StoredObject = { metadata: { name, revision: latest }, spec };
+        const object: StoredObject = {
+            metadata: { name, revision: latest, made: known?.metadata.made ?? latest },
+            spec,
+            status,
+        };
         objectsOf(kind).set(name, object);
         record(kind, { gone: false, object });
         return { status: known === undefined ? 201 : 200, body: object };
--- a/packages/testing/src/standins/platform-objects.ts
+++ b/packages/testing/src/standins/platform-objects.ts
@@ -32,6 +32,7 @@
     readonly zone?: string;
     readonly state?: "ready" | "draining";
     readonly coldLeft?: string;
+    readonly version?: string;
 }
 
 /** Services of every configuration that the stand-ins write. */
@@ -102,10 +103,15 @@
         service: place.service ?? "profiles",
         address,
         zone: place.zone ?? "north-a",
-        version: "v1",
+        version: place.version ?? "v1",
         slots: 4,
         state: place.state ?? "ready",
         cold_left: place.coldLeft ?? "0ms",
         call_seq: 1,
     };
 }
+
+/** Returns an order to move a service onto servers of a version. */
+export function rolloutObject(service: string, targetVersion: string, over: string): unknown {
+    return { service, target_version: targetVersion, over };
+}
--- a/packages/testing/test/metadata-store.test.ts
+++ b/packages/testing/test/metadata-store.test.ts
@@ -27,6 +27,20 @@
         expect(store.replace("things", { name: "a", spec: 2, revision: 1 }).status).to.equal(200);
     });
 
+    it("keeps status and spec apart, and when an object was created", () => {
+        store.put("things", "a", 1);
+        expect(store.replaceStatus("things", { name: "a", status: "on", revision: 99 }).status).to.equal(409);
+        expect(store.replaceStatus("things", { name: "a", status: "on", revision: 1 }).status).to.equal(200);
+        store.put("things", "a", 2);
+        expect(store.get("things", "a").body).to.deep.equal({
+            metadata: { name: "a", revision: 3, made: 1 },
+            spec: 2,
+            status: "on",
+        });
+        expect(store.get("things", "b").status).to.equal(404);
+        expect(store.replaceStatus("things", { name: "b", status: "on" }).status).to.equal(404);
+    });
+
     it("raises no revision for a write that changes nothing", () => {
         store.create("things", { name: "a", spec: 1 });
         store.replace("things", { name: "a", spec: 1 });
