--- /dev/null
+++ b/packages/box/src/rollouts/rollout-news.ts
@@ -0,0 +1,46 @@
+/**
+ * Decisions on roll-outs that this box made or heard of, before or besides the
+ * store.
+ *
+ * Owns them for as long as the process runs, the latest ones; relies on whoever
+ * asks to prefer what the store says.
+ */
+
+import { isSameRollout, type RolloutId, type RolloutNews } from "@chalkdale/decisions";
+import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
+
+/** Milliseconds for which news is repeated in gossip: 17 rounds reach every box of 740 several times. Not measured. */
+const repeatedFor = milliseconds(5000);
+/** Decisions that are remembered, some 400 bytes each. */
+const mostRemembered = 64;
+/** News in one datagram: each is at most 400 bytes, and gossip must stay below 8 KB. */
+const mostTold = 4;
+
+/** The decisions that a box knows. */
+export interface KnownNews {
+    /** Takes a decision; true if it is the first one on this order. */
+    readonly learn: (news: RolloutNews) => boolean;
+    readonly decisionOf: (rollout: RolloutId) => RolloutNews["decision"] | undefined;
+    readonly find: (rollout: RolloutId) => RolloutNews | undefined;
+    /** What is to be told on now. */
+    readonly recent: () => readonly RolloutNews[];
+}
+
+/** Creates it without any. */
+export function createKnownNews(clock: Clock): KnownNews {
+    let known: { readonly news: RolloutNews; readonly at: Milliseconds; }[] = [];
+    const find = (rollout: RolloutId) => known.find(({ news }) => isSameRollout(news.rollout, rollout))?.news;
+
+    return {
+        learn(news) {
+            if (find(news.rollout) !== undefined) {
+                return false;
+            }
+            known = [{ news, at: clock() }, ...known].slice(0, mostRemembered);
+            return true;
+        },
+        decisionOf: rollout => find(rollout)?.decision,
+        find,
+        recent: () => known.filter(({ at }) => clock() - at < repeatedFor).slice(0, mostTold).map(({ news }) => news),
+    };
+}
