Choice: servers of versions that may have the request

Cause: servers of a version that no order has proved would get requests as soon as they are listed. Change: the choice asks whether a server's version may have the request, and ranks only such servers, so that a doubled list keeps its rankings. A request that tries a version meets the servers without outlier detection.

--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -106,6 +106,7 @@
             tried: active.tried,
             timeLeft: milliseconds(active.endsAt - at),
             isReturning: active.isReturning,
+            isTrial: false,
             at,
         };
     }
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -104,6 +104,8 @@
                 return Math.max(own, evidence.severity(id, own, at));
             },
             admitsZone: state.admitsZone,
+            admitsVersion: () => true,
+            admissionVersion: () => 0,
         }),
         attempt: createAttempt({
             clock,
--- a/packages/box/src/state/state-messages.ts
+++ b/packages/box/src/state/state-messages.ts
@@ -86,7 +86,8 @@
     access: "object",
 };
 
-const serverTypes: Readonly<Record<keyof BackendServerRecord, TypeName>> = {
+/** Earlier releases tell neither the version nor the creation. */
+const serverTypes: Readonly<Record<Exclude<keyof BackendServerRecord, "version" | "createdAt">, TypeName>> = {
     id: "string",
     service: "string",
     address: "string",
--- a/packages/decisions/src/choose/choice.ts
+++ b/packages/decisions/src/choose/choice.ts
@@ -22,6 +22,8 @@
     readonly timeLeft: Milliseconds;
     /** The caller has asked before, so it waits longer before it is sent away again. */
     readonly isReturning: boolean;
+    /** The request tries a version that is not proven yet, and may only go to a server of its sample. */
+    readonly isTrial: boolean;
     readonly at: Milliseconds;
 }
 
--- a/packages/decisions/src/choose/eligible-servers.ts
+++ b/packages/decisions/src/choose/eligible-servers.ts
@@ -1,13 +1,16 @@
 /**
- * Which servers may take a request, in the order of its key's ranking: not tried
- * yet, in a zone that admits requests, in a home of the request, not excluded, and
- * no outliers.
+ * Which servers may take a request, in the order of its key's ranking: of a
+ * version that may have it, not tried yet, in a zone that admits requests, in a
+ * home of the request, not excluded, and no outliers.
+ *
+ * A request that tries a version meets its servers as they are: leaving out those
+ * that do badly would hide what the trial is to show.
  *
  * Owns the kept rankings of keys; relies on the catalog and on how badly each
  * server does.
  */
 
-import type { AvailabilityZoneId, Milliseconds } from "@chalkdale/kernel";
+import type { AvailabilityZoneId, Milliseconds, ServiceId } from "@chalkdale/kernel";
 import type { BackendServer, ServerCatalog } from "../servers/server-catalog.js";
 import type { ChoiceRequest } from "./choice.js";
 import { type BoxPlace, comparedCount, firstOfRanking } from "./compared-servers.js";
@@ -20,6 +23,10 @@
     readonly severity: (server: BackendServer, at: Milliseconds) => number;
     /** False for an availability zone that is to get no requests. */
     readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
+    /** False for a server whose version may not have such a request; see `ServedVersions`. */
+    readonly admitsVersion: (server: BackendServer, isTrial: boolean) => boolean;
+    /** Rises whenever `admitsVersion` may answer otherwise for the service's servers. */
+    readonly admissionVersion: (service: ServiceId) => number;
 }
 
 /** Servers for requests. */
@@ -33,7 +40,7 @@
 /** Creates the search for servers. */
 export function createEligibleServers(options: EligibleServersOptions): EligibleServers {
     const { catalog } = options;
-    const rankings = createKeyRankings(catalog, options);
+    const rankings = createKeyRankings(options);
 
     return {
         first,
@@ -43,6 +50,7 @@
     function isCandidate(server: BackendServer, request: ChoiceRequest): boolean {
         const { region, zone } = server.state.record();
         return !request.tried.has(server.id)
+            && options.admitsVersion(server, request.isTrial)
             && options.admitsZone(zone)
             && (request.homes === undefined || request.homes.has(region));
     }
@@ -52,14 +60,14 @@
     }
 
     function first(request: ChoiceRequest): readonly BackendServer[] {
-        const { keyHash, route, service } = request;
-        const all = catalog.ofService(service);
+        const { isTrial, keyHash, route, service } = request;
+        const all = rankings.admitted(service, isTrial);
         const ranked = route.sticky
-            ? rankings.first(service, { keyHash, kind: route.kind })
+            ? rankings.first(service, { keyHash, kind: route.kind }, isTrial)
             : firstOfRanking(all, { keyHash, kind: route.kind }, options, rankedCount);
         let outliers: ReadonlySet<BackendServer> | undefined;
         const isOutlier = (server: BackendServer) => {
-            if (!isSuspicious(options.severity(server, request.at))) {
+            if (isTrial || !isSuspicious(options.severity(server, request.at))) {
                 return false;
             }
             outliers ??= findOutliers(
--- a/packages/decisions/src/servers/server-catalog.ts
+++ b/packages/decisions/src/servers/server-catalog.ts
@@ -33,6 +33,8 @@
     readonly isAddressTaken: (server: BackendServer) => boolean;
     /** Rises whenever a server comes or goes, or what it can carry changes. */
     readonly version: () => number;
+    /** Rises with each list that is applied, and when servers are forgotten. */
+    readonly listing: () => number;
     /** Forgets servers that were unlisted long ago and are idle. */
     readonly sweep: (at: Milliseconds) => readonly BackendServerId[];
 }
@@ -50,6 +52,7 @@
     /** The server whose record is the newest, for each address. */
     let newestAt = new Map<string, BackendServer>();
     let version = 0;
+    let listing = 0;
 
     return {
         applyList,
@@ -61,6 +64,7 @@
             return newest !== undefined && newest.id !== server.id;
         },
         version: () => version,
+        listing: () => listing,
         sweep(at) {
             const forgotten: BackendServerId[] = [];
             for (const [id, since] of unlistedAt) {
@@ -72,6 +76,7 @@
             }
             if (forgotten.length > 0) {
                 version += 1;
+                listing += 1;
                 index();
             }
             return forgotten;
@@ -106,13 +111,15 @@
         if (added.length > 0 || isRankingChanged) {
             version += 1;
         }
+        listing += 1;
         index();
         return { added, removed, startedDraining };
     }
 
     /** True if keys may have another order of servers with the newer record. */
     function isRankedAnew(next: BackendServerRecord, known: BackendServerRecord): boolean {
-        return next.slots !== known.slots || next.zone !== known.zone || next.service !== known.service;
+        return next.slots !== known.slots || next.zone !== known.zone || next.service !== known.service
+            || next.version !== known.version;
     }
 
     function index(): void {
--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -24,6 +24,8 @@
     readonly applyRecord: (record: BackendServerRecord, at: Milliseconds) => void;
     /** Discovery no longer lists the server. */
     readonly onUnlisted: () => void;
+    /** True while discovery lists the server. */
+    readonly isListed: () => boolean;
     readonly onSent: (at: Milliseconds) => void;
     /** A request ended in any way; `report` if the answer had one. */
     readonly onEnded: (at: Milliseconds, report?: LoadReport) => void;
@@ -93,6 +95,7 @@
         onUnlisted() {
             unlisted = true;
         },
+        isListed: () => !unlisted,
         onSent(now) {
             load.onSent();
             if (isCold(now)) {
--- a/packages/decisions/test/choice-setup.ts
+++ b/packages/decisions/test/choice-setup.ts
@@ -86,6 +86,8 @@
         loadPerSlot: () => loadPerSlot,
         severity: (server, now) => server.state.severity(now),
         admitsZone: zone => !closedZones.includes(zone),
+        admitsVersion: () => true,
+        admissionVersion: () => 0,
     });
     const request = (changes: Partial<ChoiceRequest> = {}): ChoiceRequest => ({
         route: createRoute(),
@@ -95,6 +97,7 @@
         tried: new Set(),
         timeLeft: milliseconds(1500),
         isReturning: false,
+        isTrial: false,
         at,
         ...changes,
     });
--- a/packages/testing/src/emulator/emulated-attempts.ts
+++ b/packages/testing/src/emulator/emulated-attempts.ts
@@ -171,7 +171,7 @@
         const { endsAt, isReturning, keyHash, route, service, tried } = request;
         const at = events.now();
         const timeLeft = milliseconds(endsAt - at);
-        return { route, service, keyHash, homes: undefined, tried, isReturning, timeLeft, at };
+        return { route, service, keyHash, homes: undefined, tried, isReturning, isTrial: false, timeLeft, at };
     }
 
     function refuse(request: RequestInProgress, reason: string): void {
--- a/packages/testing/src/emulator/emulated-box.ts
+++ b/packages/testing/src/emulator/emulated-box.ts
@@ -61,6 +61,8 @@
         loadPerSlot: serviceLoad.perSlot,
         severity: (server, at) => server.state.severity(at),
         admitsZone: candidate => !closed.has(candidate),
+        admitsVersion: () => true,
+        admissionVersion: () => 0,
     }, options.random);
 
     return {
--- a/packages/testing/src/emulator/policies.ts
+++ b/packages/testing/src/emulator/policies.ts
@@ -45,6 +45,7 @@
     ): Choice {
         const servers = options.catalog.ofService(request.service).filter(server =>
             !request.tried.has(server.id)
+            && options.admitsVersion(server, request.isTrial)
             && options.admitsZone(server.state.record().zone)
             && server.state.exclusion(request.at) === undefined
         );
