--- a/packages/decisions/src/choose/work-estimate.ts
+++ b/packages/decisions/src/choose/work-estimate.ts
@@ -20,6 +20,13 @@
      * @returns how many times as long as expected the answer took.
      */
     readonly onMeasured: (route: Route, known: boolean, duration: Milliseconds) => number;
+    /**
+     * Compares an answer with what is expected, without learning from it; `wait` is the time that it was expected to wait for a
+     * slot. Whether a server knew a key that this box had not sent there is unknown: between warm and cold work nothing is out of the ordinary.
+     *
+     * @returns how many times as long as expected the answer took.
+     */
+    readonly compare: (route: Route, known: boolean, duration: Milliseconds, wait: Milliseconds) => number;
 }
 
 /** Weight of the newest answer; ten answers count for two thirds. Not measured. */
@@ -59,6 +66,12 @@
             }
             return duration / Math.max(1, known ? estimate.warm : estimate[key]);
         },
+        compare(route, known, duration, wait) {
+            const { cold, warm } = of(route);
+            const least = Math.max(1, warm + wait);
+            const most = known || !route.sticky ? least : Math.max(least, cold + wait);
+            return duration > most ? duration / most : Math.min(1, duration / least);
+        },
     };
 
     function of(route: Route): Learned {
--- /dev/null
+++ b/packages/decisions/src/rollouts/rollout-decider.ts
@@ -0,0 +1,312 @@
+/**
+ * Decides one order at the deciding box: watching -> moving -> completed or
+ * rolledBack.
+ *
+ * - `running` stands in the store before anything is granted: so a decider that
+ *   finds it there knows that others may have granted.
+ * - The version is watched until `moveAt` (`rollout-plan`); then all new requests go
+ *   to it, out of the account, until those in progress elsewhere have ended, and `completed` is written.
+ * - A bad verdict is told at once and then written; it is final. What is undecided
+ *   at the end is rolled back.
+ *
+ * Owns the account, the evidence of all boxes and the stage; all of it is rebuilt
+ * from reports when another box takes over.
+ */
+
+import { type BoxId, type Milliseconds, milliseconds } from "@chalkdale/kernel";
+import { createEvidenceHistory } from "./evidence-history.js";
+import { createExposureAccount } from "./exposure-account.js";
+import { createReportingBoxes, meanTime } from "./reporting-boxes.js";
+import { createRolloutGrants } from "./rollout-grants.js";
+import type { RolloutGrant, RolloutNews, RolloutReport, RolloutStage } from "./rollout-messages.js";
+import type { RolloutBounds, RolloutId, RolloutOrder } from "./rollout-order.js";
+import { planRollout, type RolloutPlan } from "./rollout-plan.js";
+import { describeVerdict, type EvidenceSpan, judgeTrial, type Verdict } from "./verdict.js";
+
+/** What the deciding box has to write. */
+export type RolloutAction =
+    | { readonly kind: "none"; }
+    | { readonly kind: "writeRunning"; }
+    | { readonly kind: "writeCompleted"; readonly reason: string; }
+    | { readonly kind: "writeRolledBack"; readonly reason: string; };
+
+/** A grant that a box is to have at once. */
+export interface AddressedGrant {
+    readonly box: BoxId;
+    readonly grant: RolloutGrant;
+}
+
+/** Where an order stands, for logs and operators. */
+export interface RolloutStatus {
+    readonly rollout: RolloutId;
+    readonly stage: RolloutStage;
+    readonly age: Milliseconds;
+    readonly plan: RolloutPlan;
+    /** Requests of the service since the order, of these to the target, sum of caps, and what that sum may be. */
+    readonly sent: number;
+    readonly sentToTrial: number;
+    readonly total: number;
+    readonly allowed: number;
+    readonly verdict: Verdict;
+    /** What decided; undefined before. */
+    readonly reason: string | undefined;
+}
+
+/** What a step goes by. */
+export interface StepInputs {
+    /** The newest copy of the order. */
+    readonly order: RolloutOrder;
+    /** The store answers this box. */
+    readonly isStoreReachable: boolean;
+    /** The target is proven already; see `ServedVersions`. */
+    readonly isTargetProven: boolean;
+}
+
+/** Decides one order. */
+export interface RolloutDecider {
+    /** Takes a box's report and answers with its grant. */
+    readonly onReport: (box: BoxId, report: RolloutReport, at: Milliseconds) => RolloutGrant;
+    /** Due some times a second. The same action is returned until the copy of the order shows its effect. */
+    readonly step: (at: Milliseconds, inputs: StepInputs) => RolloutAction;
+    /** Grants to push to boxes after a step that changed the stage; empty after others. */
+    readonly changedGrants: () => readonly AddressedGrant[];
+    /** What to tell all boxes: `rolledBack` as soon as it is decided, `completed` once the store has it. */
+    readonly news: () => RolloutNews | undefined;
+    readonly status: (at: Milliseconds) => RolloutStatus;
+}
+
+export interface RolloutDeciderOptions {
+    readonly order: RolloutOrder;
+    readonly bounds: RolloutBounds;
+    /** Servers of the target that are listed now. */
+    readonly serverCount: () => number;
+    /** Time since the order, as far as this box knows; undefined if it can't know. */
+    readonly age: Milliseconds | undefined;
+    readonly at: Milliseconds;
+}
+
+/** Milliseconds in which a decider that takes over hears of all boxes, before it grants anything. Not measured. */
+const settleTime = 1000;
+/** Milliseconds since the order where nobody knows: a loss of all memory takes as long at least. Not measured. */
+const unknownAge = 4000;
+/** Parts of the duration whose evidence is looked at besides the whole. */
+const spanParts = [0.2, 0.45];
+/** Milliseconds of evidence that a span has at least. */
+const shortestSpan = 2000;
+/** Part of the requests in progress elsewhere when the move began, which may be left when it counts as done. */
+const leftInProgress = 0.02;
+/** Milliseconds of work that is assumed before any is known. */
+const firstWorkTime = milliseconds(800);
+/** Milliseconds before the write is due in which no move begins: hardly a box would hear of it in time. Not measured. */
+const latestMove = 300;
+
+/** A move that has begun. */
+interface Move {
+    readonly at: Milliseconds;
+    readonly inProgress: number;
+    /** Sum of caps with which boxes heard of it. */
+    total: number;
+}
+
+/** Creates the decider of an order; it knows nothing of boxes yet. */
+export function createRolloutDecider(options: RolloutDeciderOptions): RolloutDecider {
+    const { bounds, order: { createdAt, duration, service, targetVersion } } = options;
+    const rollout: RolloutId = { createdAt, service, targetVersion };
+    const account = createExposureAccount(bounds);
+    const grants = createRolloutGrants({ rollout, account, serverCount: options.serverCount });
+    const boxes = createReportingBoxes();
+    const history = createEvidenceHistory();
+    const isTakeover = options.order.state === "running";
+    let order = options.order;
+    let stage: RolloutStage = "watching";
+    let reason: string | undefined;
+    let ageAtStart: number = options.age ?? 0;
+    let move: Move | undefined;
+    let knowsTotal = false;
+    let isSettled = !isTakeover;
+    let workTime = firstWorkTime;
+    let changed: readonly AddressedGrant[] = [];
+    let verdict = judgeTrial([{ table: history.whole(), isMoving: false }]);
+
+    return {
+        onReport(box, report, at) {
+            knowsTotal ||= report.knownTotal !== undefined;
+            ageAtStart = Math.max(ageAtStart, report.age - (at - options.at));
+            account.onReport(box, report);
+            boxes.onReport(box, report, at);
+            history.onReport(box, report);
+            return grantTo(box, report, at, leftInAccount());
+        },
+        step(at, inputs) {
+            order = inputs.order;
+            history.keep(at);
+            learnWorkTime(at);
+            settle(at);
+            const stageBefore = shownStage();
+            advance(at, inputs);
+            changed = shownStage() === stageBefore ? [] : grantAll(at);
+            return actionFor(inputs);
+        },
+        changedGrants: () => changed,
+        news() {
+            const decision = shownStage();
+            return decision === "completed" || decision === "rolledBack"
+                ? { rollout, decision, reason: reason ?? "" }
+                : undefined;
+        },
+        status: at => ({
+            rollout,
+            stage,
+            age: ageAt(at),
+            plan: planAt(at),
+            sent: account.sent(),
+            sentToTrial: account.sentToTrial(),
+            total: account.total(),
+            allowed: account.allowed(),
+            verdict,
+            reason,
+        }),
+    };
+
+    function advance(at: Milliseconds, inputs: StepInputs): void {
+        if (order.state === "completed" || order.state === "rolledBack") {
+            end(order.state, "found in the store");
+            return;
+        }
+        if (stage === "rolledBack" || !isSettled) {
+            return;
+        }
+        if (inputs.isTargetProven) {
+            end("completed", "target proven already");
+            return;
+        }
+        verdict = judgeTrial(spansAt(at));
+        if (verdict.kind === "bad") {
+            end("rolledBack", describeVerdict(verdict));
+            return;
+        }
+        if (stage !== "completed") {
+            advanceUndecided(at, inputs);
+        }
+    }
+
+    function advanceUndecided(at: Milliseconds, { isStoreReachable }: StepInputs): void {
+        const age = ageAt(at);
+        const { moveAt, writeAt } = planAt(at);
+        if (age >= writeAt) {
+            // Moved as far as the account allowed: what the version showed decides.
+            end(verdict.kind === "good" ? "completed" : "rolledBack", describeVerdict(verdict));
+            return;
+        }
+        if (move !== undefined) {
+            endMove(move, at);
+            return;
+        }
+        const mayMove = order.state === "running" && isStoreReachable && boxes.isWhole(at);
+        if (mayMove && verdict.kind === "good" && age >= moveAt && age < writeAt - latestMove) {
+            stage = "moving";
+            move = { at, inProgress: boxes.inProgressElsewhere(at), total: Infinity };
+        }
+    }
+
+    /** The move is done when all boxes have heard of it and hardly a request is left elsewhere; answers to it count first. */
+    function endMove({ at: beganAt, inProgress, total }: Move, at: Milliseconds): void {
+        const hasReached = boxes.fresh(at).every(({ report }) => (report.knownTotal ?? 0) >= total);
+        const hasEnded = boxes.inProgressElsewhere(at) <= inProgress * leftInProgress;
+        if (hasReached && hasEnded && at - beganAt >= workTime && verdict.kind === "good") {
+            end("completed", describeVerdict(verdict));
+        }
+    }
+
+    function end(outcome: "completed" | "rolledBack", why: string): void {
+        if (stage !== outcome) {
+            stage = outcome;
+            reason = why;
+        }
+    }
+
+    function actionFor({ isStoreReachable }: StepInputs): RolloutAction {
+        if (order.state === "completed" || order.state === "rolledBack") {
+            return { kind: "none" };
+        }
+        switch (stage) {
+            case "completed":
+                return { kind: "writeCompleted", reason: reason ?? "" };
+            case "rolledBack":
+                return { kind: "writeRolledBack", reason: reason ?? "" };
+            case "watching":
+            case "moving":
+                return order.state === undefined && isStoreReachable ? { kind: "writeRunning" } : { kind: "none" };
+        }
+    }
+
+    function grantTo(box: BoxId, report: RolloutReport, at: Milliseconds, left: number): RolloutGrant {
+        return grants.grantTo(box, report, {
+            stage: shownStage(),
+            age: ageAt(at),
+            plan: planAt(at),
+            rate: boxes.rate(at),
+            left,
+            isOpen: order.state === "running" && isSettled && stage !== "rolledBack",
+        });
+    }
+
+    function leftInAccount(): number {
+        return Math.max(0, account.allowed() - account.total());
+    }
+
+    function grantAll(at: Milliseconds): readonly AddressedGrant[] {
+        const left = leftInAccount();
+        const all = boxes.fresh(at).map(({ box, report }) => ({ box, grant: grantTo(box, report, at, left) }));
+        if (move?.total === Infinity) {
+            move.total = account.total();
+        }
+        return all.map(({ box, grant }) => ({ box, grant: { ...grant, total: account.total() } }));
+    }
+
+    /** Boxes go on moving until the store has the outcome: then the versions that are served follow it. */
+    function shownStage(): RolloutStage {
+        return stage === "completed" && order.state !== "completed" ? "moving" : stage;
+    }
+
+    function spansAt(at: Milliseconds): [EvidenceSpan, ...EvidenceSpan[]] {
+        const isMoving = stage === "moving" || stage === "completed";
+        const lengths = spanParts.map(part => Math.max(shortestSpan, duration * part));
+        return [
+            { table: history.whole(), isMoving },
+            ...lengths.map(length => ({ table: history.since(milliseconds(at - length)), isMoving })),
+        ];
+    }
+
+    function planAt(at: Milliseconds): RolloutPlan {
+        return planRollout({
+            bounds,
+            duration,
+            rate: boxes.rate(at),
+            workTime,
+            allowed: account.allowed(),
+            age: ageAt(at),
+        });
+    }
+
+    function learnWorkTime(at: Milliseconds): void {
+        if (stage === "watching") {
+            workTime = meanTime(boxes.inProgressElsewhere(at), boxes.rate(at)) ?? workTime;
+        }
+    }
+
+    function settle(at: Milliseconds): void {
+        if (isSettled || at - options.at < settleTime) {
+            return;
+        }
+        isSettled = true;
+        if (!knowsTotal) {
+            account.onMemoryLost();
+            ageAtStart = Math.max(ageAtStart, unknownAge);
+        }
+    }
+
+    function ageAt(at: Milliseconds): Milliseconds {
+        return milliseconds(ageAtStart + at - options.at);
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/rollouts/rollout-plan.ts
@@ -0,0 +1,67 @@
+/**
+ * When a roll-out moves, and how much its version may get before: it is watched
+ * to the last moment at which a decision still arrives in time, and the account keeps what the move needs.
+ *
+ * Owns nothing.
+ */
+
+import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
+import { usedPart } from "./exposure-account.js";
+import type { RolloutBounds } from "./rollout-order.js";
+
+/** What a plan goes by. */
+export interface PlanInputs {
+    readonly bounds: RolloutBounds;
+    readonly duration: Milliseconds;
+    /** Requests a second of the service at all boxes. */
+    readonly rate: number;
+    /** Mean time of a request at servers of other versions. */
+    readonly workTime: Milliseconds;
+    /** Requests that the order's account allows now, and the time since the order. */
+    readonly allowed: number;
+    readonly age: Milliseconds;
+}
+
+/** Times since the order, and requests. */
+export interface RolloutPlan {
+    /** When all new requests go to the target. */
+    readonly moveAt: Milliseconds;
+    /** When the outcome has to be written, whatever is known. */
+    readonly writeAt: Milliseconds;
+    /** Requests that the target may get before the move. */
+    readonly watched: number;
+}
+
+/** Milliseconds that are kept for the write at the end: a slow store and a second try. Not measured against others. */
+const writeReserve = 1200;
+/** Part of the duration that the reserve for the write takes at most. */
+const mostWritePart = 0.15;
+/** Times the mean work after which the requests in progress elsewhere have ended, nearly all: work is spread by a few times its mean. */
+const workTimes = 2;
+/** Milliseconds in which all boxes hear that the move has begun, and tell that it is done. */
+const moveMessages = 500;
+/** Part of the account that the move may take at most: the rest is what the version is judged by. */
+const mostMovePart = 0.65;
+/** Milliseconds of a second, the unit of the rate. */
+const second = 1000;
+
+/** Plans the rest of a roll-out. */
+export function planRollout(inputs: PlanInputs): RolloutPlan {
+    const { duration, rate, workTime } = inputs;
+    const writeAt = duration - Math.min(writeReserve, duration * mostWritePart);
+    const wantedMove = workTimes * workTime + moveMessages;
+    const account = allowedAt(inputs, writeAt);
+    const perMillisecond = Math.max(rate, 0.001) / second;
+    const moveTime = Math.min(wantedMove, account * mostMovePart / perMillisecond);
+    return {
+        moveAt: milliseconds(Math.max(0, writeAt - moveTime)),
+        writeAt: milliseconds(writeAt),
+        watched: Math.max(0, account - moveTime * perMillisecond),
+    };
+}
+
+/** What the account will allow at a later time, if requests go on as now. */
+function allowedAt({ age, allowed, bounds, rate }: PlanInputs, later: number): number {
+    const coming = Math.max(0, later - age) * rate / second;
+    return allowed + usedPart * bounds.exposedShare * coming;
+}
