--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -8,6 +8,7 @@
 
 import {
     copiedKinds,
+    createCountingBoxes,
     createMembership,
     createRelayRole,
     createSharedEvidence,
@@ -32,6 +33,9 @@
 import { createCustomerQuotas } from "./quotas/customer-quotas.js";
 import { quotaMetricLines } from "./quotas/quota-metrics.js";
 import { createRequestPath } from "./requests/request-path.js";
+import { rolloutMetricLines } from "./rollouts/rollout-metrics.js";
+import { createRollouts, type Rollouts } from "./rollouts/rollouts.js";
+import { noTrials } from "./rollouts/trials.js";
 import { createCatalog } from "./servers/catalog.js";
 import { createHealthChecker } from "./servers/health-checker.js";
 import type { BoxSettings } from "./settings.js";
@@ -68,6 +72,8 @@
 const linesOfEvent = { "request.served": 3, "request.refused": 30, "attempt.failed": 20 };
 /** Milliseconds between two rounds of the box's own upkeep: less than a round of gossip. */
 const upkeepInterval = 250;
+/** Milliseconds between two steps of the deciders of roll-outs; a bad version must get nothing within 5 s. Not measured. */
+const deciderInterval = 100;
 /** Milliseconds between two measurements of the load, and between two counts of left out lines. */
 const second = 1000;
 /** Milliseconds between two lines with the counts of all messages: few lines, and none of them older than a look at the log. */
@@ -105,6 +111,7 @@
         log,
         catalog,
         regionOfZone: settings.regionOfZone,
+        onRollouts: orders => rollouts?.onOrders(orders),
         onConfiguration: configuration => callerServer.setIdleTimeout(configuration.limits.idleTimeout),
     });
 
@@ -121,16 +128,36 @@
         },
         onClosing: () => callerServer.connections.endIdle(),
     });
+    const countingBoxes = createCountingBoxes();
     const quotas = createCustomerQuotas({
         clock,
         self: boxId(settings.box),
         membership,
+        countingBoxes,
         advertised: limits.advertised,
         tolerance: bounds.quotaTolerance,
         customerOf: id => state.keys()?.find(id),
         send: (box, message) => peerLink.sendQuota(box, message),
         uptime,
     });
+    const rollouts: Rollouts | undefined = bounds.rollouts && createRollouts({
+        clock,
+        random,
+        log,
+        self: boxId(settings.box),
+        incarnation: options.incarnation,
+        bounds: bounds.rollouts,
+        membership,
+        countingBoxes,
+        catalog,
+        store,
+        isCopyProven: () => replicator.isProven("rollouts"),
+        isStoreAnswering: () => !replicator.isFollowing() || replicator.storeLostFor() === 0,
+        isRunning: () => plannedStop.phase() === "running",
+        uptime,
+        send: (box, message) => peerLink.sendRollout(box, message),
+        signal,
+    });
     const isReady = () => state.isComplete() && plannedStop.phase() === "running";
     const requests = createRequestPath({
         clock,
@@ -144,6 +171,8 @@
         limits,
         quotas,
         evidence,
+        versions: rollouts?.versions ?? { admits: () => true, version: () => 0 },
+        trials: rollouts?.requests ?? noTrials,
         phase: plannedStop.phase,
         configurationAge: () => replicator.configurationAge(),
         copyAgeBounds: { changeInForce: bounds.changeInForce, revocation: bounds.strictRevocation },
@@ -165,6 +194,7 @@
             [
                 metrics.text(readGauges()).trimEnd(),
                 ...quotaMetricLines(quotas.counts()),
+                ...rolloutMetricLines(rollouts?.counts() ?? [], state.configuration()?.routes ?? []),
                 ...traffic.metricLines(),
                 "",
             ].join("\n"),
@@ -206,6 +236,8 @@
         isAdvertised: limits.isAdvertised,
         serverReports,
         onQuota: quotas.onMessage,
+        onRollout: (from, message) => rollouts?.onMessage(from, message),
+        rolloutNews: () => rollouts?.gossipPart(),
         countTraffic,
         readMembers: peerReads.readMembers,
         snapshot: kind => state.replica(kind).snapshot(),
@@ -227,7 +259,13 @@
         requests.sweep();
         runDueHealthChecks();
     });
-    void every(gossipInterval, signal).observe(quotas.round);
+    void every(gossipInterval, signal).observe(() => {
+        quotas.round();
+        rollouts?.round();
+    });
+    if (rollouts !== undefined) {
+        void every(deciderInterval, signal).observe(rollouts.step);
+    }
     void every(second, signal).observe(() => {
         loadMeter.measure();
         log.report();
--- a/packages/box/src/peers/peer-link.ts
+++ b/packages/box/src/peers/peer-link.ts
@@ -26,6 +26,7 @@
 import { createSocket } from "node:dgram";
 import { createServer } from "node:http";
 import type { QuotaMessage } from "../quotas/quota-messages.js";
+import type { RolloutMessage } from "../rollouts/rollout-parts.js";
 import type { StatePeer } from "../state/snapshot-catch-up.js";
 import type { StateDigest, StateUpdate } from "../state/state-messages.js";
 import type { TrafficPlace, TrafficPurpose } from "../traffic-meter.js";
@@ -67,6 +68,10 @@
     readonly countTraffic: (purpose: TrafficPurpose, place: TrafficPlace, bytes: number) => void;
     /** Another box told of customers' quotas. */
     readonly onQuota: (from: MemberRecord, message: QuotaMessage) => void;
+    /** Another box told of roll-outs. */
+    readonly onRollout: (from: MemberRecord, message: RolloutMessage) => void;
+    /** Decisions on roll-outs that gossip repeats now. */
+    readonly rolloutNews: () => RolloutMessage | undefined;
     readonly signal: AbortSignal;
 }
 
@@ -83,6 +88,8 @@
     readonly publish: (update: StateUpdate) => void;
     /** Sends a part about customers' quotas. */
     readonly sendQuota: (box: MemberRecord, message: QuotaMessage) => void;
+    /** Sends a part about roll-outs. */
+    readonly sendRollout: (box: MemberRecord, message: RolloutMessage) => void;
 }
 
 /** Listens and gossips until the signal aborts. */
@@ -121,6 +128,7 @@
         gossipToAll,
         publish: update => sendToRegion("update", createMessage([], update)),
         sendQuota: (box, quota) => send("quota", JSON.stringify({ ...createMessage([]), quota }), box),
+        sendRollout: (box, rollout) => send("rollout", JSON.stringify({ ...createMessage([]), rollout }), box),
     };
 
     function gossip(): void {
@@ -170,7 +178,8 @@
             [...membership.regionAges(clock())].map(([region, age]) => [region, Math.round(age)]),
         );
         const message = createMessage(membership.takeNews(mostBeats, clock()).map(beatOf));
-        send("gossip", JSON.stringify({ ...message, regions, ...parts }), peer);
+        const rollout = options.rolloutNews();
+        send("gossip", JSON.stringify({ ...message, regions, rollout, ...parts }), peer);
     }
 
     function createMessage(beats: readonly Beat[], update?: StateUpdate): PeerMessage {
--- a/packages/box/src/peers/peer-messages.ts
+++ b/packages/box/src/peers/peer-messages.ts
@@ -9,6 +9,7 @@
 import type { MemberRecord, Sighting } from "@chalkdale/decisions";
 import { incarnationId, type RegionId } from "@chalkdale/kernel";
 import { isQuotaMessage, type QuotaMessage } from "../quotas/quota-messages.js";
+import { isRolloutMessage, type RolloutMessage } from "../rollouts/rollout-parts.js";
 import { isStateDigest, isStateUpdate, type StateDigest, type StateUpdate } from "../state/state-messages.js";
 import { isReportMessage, type ReportMessage } from "./server-reports.js";
 
@@ -41,6 +42,8 @@
     readonly update?: StateUpdate;
     /** Reports and leases of customers' quotas. */
     readonly quota?: QuotaMessage;
+    /** Reports, grants and news of roll-outs; earlier releases, and deployments without them, have none. */
+    readonly rollout?: RolloutMessage;
     /** Servers that do badly, for boxes of the sender's region; earlier releases have none. */
     readonly reports?: readonly ReportMessage[];
 }
@@ -86,6 +89,7 @@
         && isStateDigest(message.digest) && (message.update === undefined || isStateUpdate(message.update))
         && (message.reports === undefined || areReports(message.reports))
         && (message.quota === undefined || isQuotaMessage(message.quota))
+        && (message.rollout === undefined || isRolloutMessage(message.rollout))
         && (message.regions === undefined || areAges(message.regions));
 }
 
--- a/packages/box/src/peers/peer-receiver.ts
+++ b/packages/box/src/peers/peer-receiver.ts
@@ -10,6 +10,7 @@
 import { boxId, type Clock, type RegionId, regionId } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { QuotaMessage } from "../quotas/quota-messages.js";
+import type { RolloutMessage } from "../rollouts/rollout-parts.js";
 import type { StatePeer } from "../state/snapshot-catch-up.js";
 import type { StateDigest, StateUpdate } from "../state/state-messages.js";
 import { type Beat, type PeerMessage, readBeat, readMessage } from "./peer-messages.js";
@@ -25,6 +26,7 @@
     readonly onUpdate: (update: StateUpdate) => void;
     readonly onReports: (reports: readonly ReportMessage[]) => void;
     readonly onQuota: (from: MemberRecord, message: QuotaMessage) => void;
+    readonly onRollout: (from: MemberRecord, message: RolloutMessage) => void;
     /** Answers a box that asks, or that was not known before. */
     readonly answer: (peer: MemberRecord) => void;
     /** Reads all members that another box knows. */
@@ -83,6 +85,9 @@
         if (message.quota !== undefined) {
             options.onQuota(message.from, message.quota);
         }
+        if (message.rollout !== undefined) {
+            options.onRollout(message.from, message.rollout);
+        }
         options.onDigest(message.from, message.digest);
     }
 
--- a/packages/box/src/quotas/customer-quotas.ts
+++ b/packages/box/src/quotas/customer-quotas.ts
@@ -10,7 +10,7 @@
 import {
     advertisedBoxes,
     countingBox,
-    createCountingBoxes,
+    type CountingBoxes,
     createQuotaCounter,
     createQuotaShare,
     type Customer,
@@ -31,6 +31,8 @@
     readonly clock: Clock;
     readonly self: BoxId;
     readonly membership: Membership;
+    /** Who counts, found anew by each round. */
+    readonly countingBoxes: CountingBoxes;
     /** Boxes that callers are named. */
     readonly advertised: () => readonly MemberRecord[];
     readonly tolerance: QuotaTolerance;
@@ -72,8 +74,7 @@
 
 /** Creates the quotas of a box; nothing is leased yet. */
 export function createCustomerQuotas(options: CustomerQuotasOptions): CustomerQuotas {
-    const { clock, membership, self } = options;
-    const countingBoxes = createCountingBoxes();
+    const { clock, countingBoxes, membership, self } = options;
     const shares = new Map<CustomerId, QuotaShare>();
     const counters = new Map<CustomerId, QuotaCounter>();
     let isReportPlanned = false;
--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -14,7 +14,14 @@
     type ReturningCallers,
     type Route,
 } from "@chalkdale/decisions";
-import { type BackendServerId, hashText, type Milliseconds, type RegionId, type ServiceId } from "@chalkdale/kernel";
+import {
+    type BackendServerId,
+    hashText,
+    type Milliseconds,
+    type RegionId,
+    type ServerVersion,
+    type ServiceId,
+} from "@chalkdale/kernel";
 import type { IncomingMessage } from "node:http";
 import type { HeaderNames } from "../callers/caller-protocol.js";
 import type { ServerAnswer } from "../servers/exchange.js";
@@ -51,6 +58,8 @@
     mayHaveRun: boolean;
     /** What the latest choice of a server went by, for the log. */
     latestChoice: ChosenServer | undefined;
+    /** Version of the server of the latest try, where versions are compared; for the log. */
+    latestVersion: ServerVersion | undefined;
 }
 
 /** The end of a request: a server's answer, or the box's own. */
@@ -98,6 +107,7 @@
         askedAgain: false,
         mayHaveRun: false,
         latestChoice: undefined,
+        latestVersion: undefined,
     };
 }
 
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -24,10 +24,12 @@
 } from "@chalkdale/decisions";
 import { type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/kernel";
 import type { BoxMetrics } from "../metrics.js";
+import type { TrialRequests } from "../rollouts/trials.js";
 import type { ServerAnswer } from "../servers/exchange.js";
 import type { ActiveRequest, Ending } from "./active-request.js";
 import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
 import type { RequestLog } from "./request-log.js";
+import { trialEvidence } from "./trial-evidence.js";
 
 export interface AttemptLoopOptions {
     readonly clock: Clock;
@@ -38,6 +40,7 @@
     readonly recentKeys: RecentKeys;
     readonly work: WorkEstimate;
     readonly roundTrip: (server: BackendServer) => Milliseconds;
+    readonly trials: TrialRequests;
 }
 
 /** The loop's other needs. */
@@ -52,7 +55,7 @@
 
 /** Creates the loop. */
 export function createAttemptLoop(options: AttemptLoopOptions & AttemptLoopContext): AttemptLoop {
-    const { clock, metrics, requestLog } = options;
+    const { clock, metrics, requestLog, trials } = options;
 
     return async function runAttempts(active, body, signal) {
         let lastAnswer: ServerAnswer | undefined;
@@ -60,11 +63,16 @@
             if (signal.aborted) {
                 return { kind: "callerLeft" };
             }
-            const choice = options.choose(choiceRequest(active));
+            const isFirstTry = active.sent + active.notSent === 0;
+            const trial = isFirstTry ? chooseForTrial(active) : undefined;
+            const choice = trial ?? options.choose(choiceRequest(active, false));
             if (choice.kind !== "chosen") {
                 return giveUp(active, lastAnswer, refusalOf(choice));
             }
             const outcome = await attemptOnce(active, choice, body, signal);
+            if (trial !== undefined && active.sent === 0) {
+                trials.onNotSent(active.service);
+            }
             if (outcome.kind === "cancelled") {
                 return { kind: "callerLeft" };
             }
@@ -96,7 +104,20 @@
         return active.tried.has(server.id);
     }
 
-    function choiceRequest(active: ActiveRequest): ChoiceRequest {
+    /** A trial's server for a request at its first try. One that finds none goes where other requests go, at once. */
+    function chooseForTrial(active: ActiveRequest): ChosenServer | undefined {
+        if (!trials.assign(active.service, active.route)) {
+            return undefined;
+        }
+        const choice = options.choose(choiceRequest(active, true));
+        if (choice.kind === "chosen") {
+            return choice;
+        }
+        trials.onNotSent(active.service);
+        return undefined;
+    }
+
+    function choiceRequest(active: ActiveRequest, isTrial: boolean): ChoiceRequest {
         const at = clock();
         return {
             route: active.route,
@@ -106,7 +127,7 @@
             tried: active.tried,
             timeLeft: milliseconds(active.endsAt - at),
             isReturning: active.isReturning,
-            isTrial: false,
+            isTrial,
             at,
         };
     }
@@ -139,8 +160,12 @@
     ): Promise<AttemptOutcome> {
         const { server } = choice;
         const sentBefore = active.sent;
+        const wasCold = server.state.isCold(clock());
+        let sentAt: Milliseconds | undefined;
+        let slowness: number | undefined;
         active.tried.add(server.id);
         active.latestChoice = choice;
+        active.latestVersion = trials.hasTrial(active.service) ? server.state.record().version : undefined;
         const outcome = await options.attempt({
             route: active.route,
             service: active.service,
@@ -156,9 +181,26 @@
             signal,
             onSend: () => {
                 active.sent += 1;
+                sentAt = clock();
+                trials.onSent(active.service, server);
+            },
+            onServed(duration) {
+                slowness = options.work.compare(active.route, choice.warm, duration, choice.wait);
+                learn(active, choice, duration);
             },
-            onServed: duration => learn(active, choice, duration),
         });
+        if (sentAt !== undefined) {
+            trials.onEnded(active.service, server);
+            const evidence = trialEvidence(outcome, {
+                slowness,
+                expected: choice.usual,
+                took: milliseconds(clock() - sentAt),
+                isVerified: options.isVerified,
+            });
+            if (evidence !== undefined) {
+                trials.onAnswer(active.service, { server, routeName: active.route.name, wasCold, ...evidence });
+            }
+        }
         if (active.sent === sentBefore) {
             active.notSent += 1;
         }
@@ -169,8 +211,11 @@
     function learn(active: ActiveRequest, choice: ChosenServer, duration: Milliseconds): void {
         const { id, state } = choice.server;
         metrics.onServed(duration);
-        state.onAnswerTime(clock(), options.work.onMeasured(active.route, choice.warm, duration));
         options.recentKeys.add(id, active.keyHash, clock());
+        if (trials.isOnTrial(active.service, choice.server)) {
+            return;
+        }
+        state.onAnswerTime(clock(), options.work.onMeasured(active.route, choice.warm, duration));
     }
 
     function logFailure(active: ActiveRequest, choice: ChosenServer, outcome: AttemptOutcome): void {
--- a/packages/box/src/requests/attempt-request.ts
+++ b/packages/box/src/requests/attempt-request.ts
@@ -15,8 +15,8 @@
     | { readonly kind: "notSent"; readonly reason: string; }
     /** The server says that it did not run the request. `hasRoom`: though it has free slots. */
     | { readonly kind: "notRun"; readonly status: number; readonly hasRoom: boolean; }
-    /** The request may have run; there is no whole answer. */
-    | { readonly kind: "broken"; readonly reason: string; }
+    /** The request may have run; there is no whole answer. `wasForgotten`: most likely as the connection had rested too long. */
+    | { readonly kind: "broken"; readonly reason: string; readonly wasForgotten: boolean; }
     | { readonly kind: "cancelled"; };
 
 /** What is sent. */
--- a/packages/box/src/requests/request-log.ts
+++ b/packages/box/src/requests/request-log.ts
@@ -49,6 +49,7 @@
                 request: active.requestId,
                 route: active.route.name,
                 server,
+                serverVersion: active.latestVersion,
                 sent: active.sent,
                 reason,
                 timeLeft: Math.round(active.endsAt - clock()),
@@ -63,6 +64,7 @@
                 status: answer.status,
                 tried: [...active.tried].join(","),
                 ...choiceFields(active.latestChoice),
+                serverVersion: active.latestVersion,
                 after: Math.round(ageOf(active)),
                 version: state.configuration()?.version,
             });
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -16,6 +16,7 @@
     createServerChoice,
     createServiceLoad,
     createWorkEstimate,
+    type ServedVersions,
     type ServerCatalog,
     type SharedEvidence,
     type SharedLimits,
@@ -26,6 +27,7 @@
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import type { BoxMetrics } from "../metrics.js";
 import type { CustomerQuotas } from "../quotas/customer-quotas.js";
+import type { TrialRequests } from "../rollouts/trials.js";
 import { createLivenessCheck } from "../servers/liveness-check.js";
 import { createServerConnections } from "../servers/server-connections.js";
 import type { BoxSettings } from "../settings.js";
@@ -46,6 +48,9 @@
     readonly limits: SharedLimits;
     readonly quotas: CustomerQuotas;
     readonly evidence: SharedEvidence;
+    /** Which versions may have which requests. */
+    readonly versions: Pick<ServedVersions, "admits" | "version">;
+    readonly trials: TrialRequests;
     readonly phase: () => StopPhase;
     readonly configurationAge: () => Milliseconds;
     readonly copyAgeBounds: CopyAgeBounds;
@@ -104,8 +109,8 @@
                 return Math.max(own, evidence.severity(id, own, at));
             },
             admitsZone: state.admitsZone,
-            admitsVersion: () => true,
-            admissionVersion: () => 0,
+            admitsVersion: options.versions.admits,
+            admissionVersion: options.versions.version,
         }),
         attempt: createAttempt({
             clock,
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -79,7 +79,7 @@
             else {
                 request.server.state.onFailure(clock(), "brokeOff");
             }
-            return { kind: "broken", reason };
+            return { kind: "broken", reason, wasForgotten };
         },
         onCancelled(request, sentAt) {
             const { state } = request.server;
@@ -88,7 +88,9 @@
                 state.onResult(clock(), false);
                 state.onAnswerTime(clock(), (clock() - sentAt) / Math.max(1, request.expected));
             }
-            return request.signal.aborted ? { kind: "cancelled" } : { kind: "broken", reason: "server silent" };
+            return request.signal.aborted
+                ? { kind: "cancelled" }
+                : { kind: "broken", reason: "server silent", wasForgotten: false };
         },
     };
 
--- a/packages/box/src/rollouts/rollout-parts.ts
+++ b/packages/box/src/rollouts/rollout-parts.ts
@@ -5,7 +5,14 @@
  * Owns nothing; what arrives is checked in full before it is used.
  */
 
-import type { EvidenceCell, RolloutGrant, RolloutId, RolloutNews, RolloutReport, RolloutStage } from "@chalkdale/decisions";
+import type {
+    EvidenceCell,
+    RolloutGrant,
+    RolloutId,
+    RolloutNews,
+    RolloutReport,
+    RolloutStage,
+} from "@chalkdale/decisions";
 import { incarnationId, milliseconds, serverVersion, serviceId } from "@chalkdale/kernel";
 
 type IdEntry = readonly [service: string, targetVersion: string, createdAt: number];
--- /dev/null
+++ b/packages/box/src/rollouts/rollouts.ts
@@ -0,0 +1,235 @@
+/**
+ * Carries out roll-outs on one box: takes part in the trials, reports to the
+ * box that decides on a service, decides for some services itself, and tells
+ * every decision it hears to others.
+ *
+ * Owns the parts below; all of it may be lost with the process. Relies on the
+ * members for who decides, and on the link between boxes for messages, any of
+ * which may be lost: each report says everything anew.
+ */
+
+import {
+    countingBox,
+    type CountingBoxes,
+    createServedVersions,
+    isSameRollout,
+    type MemberRecord,
+    type Membership,
+    type RolloutBounds,
+    type RolloutGrant,
+    type RolloutId,
+    type RolloutNews,
+    type RolloutOrder,
+    type RolloutReport,
+    type ServedVersions,
+    type ServerCatalog,
+} from "@chalkdale/decisions";
+import type { BoxId, Clock, IncarnationId, Milliseconds, ServiceId } from "@chalkdale/kernel";
+import type { Log } from "@chalkdale/runtime";
+import type { StateStore } from "../state/state-store.js";
+import { createDeciding } from "./deciding.js";
+import { createNewestOrders } from "./newest-orders.js";
+import { createKnownNews } from "./rollout-news.js";
+import {
+    grantEntry,
+    newsEntry,
+    readGrant,
+    readNews,
+    readReport,
+    reportEntry,
+    type RolloutMessage,
+} from "./rollout-parts.js";
+import { createRolloutWriter } from "./rollout-writer.js";
+import { createTrials, type Trial, type Trials } from "./trials.js";
+
+export interface RolloutsOptions {
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly log: Log;
+    readonly self: BoxId;
+    readonly incarnation: IncarnationId;
+    readonly bounds: RolloutBounds;
+    readonly membership: Membership;
+    readonly countingBoxes: Pick<CountingBoxes, "current">;
+    readonly catalog: ServerCatalog;
+    readonly store: Pick<StateStore, "writeRolloutState" | "readRollout">;
+    /** The store has confirmed the copy of the orders since this box started. */
+    readonly isCopyProven: () => boolean;
+    /** False while this box calls the store and it does not answer. */
+    readonly isStoreAnswering: () => boolean;
+    /** False once the box is stopping. */
+    readonly isRunning: () => boolean;
+    /** Time since this box started. */
+    readonly uptime: () => Milliseconds;
+    readonly send: (box: MemberRecord, message: RolloutMessage) => void;
+    readonly signal: AbortSignal;
+}
+
+/** What a box knows of one roll-out, for metrics. */
+export interface RolloutCounts extends Trial {
+    /** The last report on it; undefined before the first. */
+    readonly report: RolloutReport | undefined;
+    readonly provenVersion: string | undefined;
+    /** What this box decides on, if it does. */
+    readonly decider: ReturnType<ReturnType<typeof createDeciding>["status"]>;
+    readonly news: RolloutNews | undefined;
+}
+
+/** The roll-outs on one box. */
+export interface Rollouts {
+    readonly versions: ServedVersions;
+    readonly requests: Trials;
+    /** The copy of the orders has changed; these are all of them. */
+    readonly onOrders: (orders: readonly RolloutOrder[]) => void;
+    /** One round of reports. Due with each round of gossip. */
+    readonly round: () => void;
+    /** One step of the deciders. Due several times a second. */
+    readonly step: () => void;
+    readonly onMessage: (from: MemberRecord, message: RolloutMessage) => void;
+    /** What gossip repeats now; undefined if there is nothing. */
+    readonly gossipPart: () => RolloutMessage | undefined;
+    readonly counts: () => readonly RolloutCounts[];
+}
+
+/**
+ * Milliseconds after the start in which a box does not decide: it may not know yet who else runs, and take itself for the only
+ * one. Five rounds of gossip, as for quotas. Not measured.
+ */
+const settleTime = 1500;
+
+/** Creates the roll-outs of a box; no order is known yet. */
+export function createRollouts(options: RolloutsOptions): Rollouts {
+    const { clock, log, membership, self } = options;
+    const orders = createNewestOrders();
+    const knownNews = createKnownNews(clock);
+    const lastReports = new Map<ServiceId, RolloutReport>();
+    const versions: ServedVersions = createServedVersions({
+        catalog: options.catalog,
+        now: clock,
+        orderOf: orders.of,
+        decisionOf: knownNews.decisionOf,
+        sampledCount: service => trials.of(service)?.traffic.sampledServers() ?? 0,
+    });
+    const trials = createTrials({ ...options, orders, news: knownNews, versions });
+    const writer = createRolloutWriter({
+        ...options,
+        onOrder(service, order) {
+            orders.onStored(service, order);
+            trials.refresh();
+        },
+    });
+    const deciding = createDeciding({
+        ...options,
+        orders,
+        trials,
+        versions,
+        writer,
+        serverCount,
+        isDecider,
+        isStoreReachable: service => options.isStoreAnswering() && !writer.isFailing(service),
+        sendGrant,
+        tell,
+    });
+
+    return {
+        versions,
+        requests: trials,
+        onOrders(copied) {
+            orders.onCopy(copied);
+            trials.refresh();
+        },
+        round: () => trials.all().forEach(report),
+        step: deciding.step,
+        onMessage(from, message) {
+            if (message.report !== undefined) {
+                const grant = deciding.onReport(from.box, readReport(message.report));
+                if (grant !== undefined) {
+                    options.send(from, { grant: grantEntry(grant) });
+                }
+            }
+            if (message.grant !== undefined) {
+                trials.onGrant(readGrant(message.grant));
+            }
+            (message.news ?? []).map(readNews).forEach(news => learn(news, from.box));
+        },
+        gossipPart() {
+            const news = knownNews.recent();
+            return news.length === 0 ? undefined : { news: news.map(newsEntry) };
+        },
+        counts: () =>
+            trials.all().map(trial => ({
+                ...trial,
+                report: lastReports.get(trial.order.service),
+                provenVersion: versions.provenVersion(trial.order.service),
+                decider: deciding.status(trial.order.service),
+                news: knownNews.find(trial.order),
+            })),
+    };
+
+    function deciderOf(service: ServiceId): BoxId | undefined {
+        return countingBox(service, options.countingBoxes.current());
+    }
+
+    /** A box that has just started, or whose copy the store has not confirmed, may know an order as it was long ago. */
+    function isDecider(service: ServiceId): boolean {
+        return options.isRunning() && options.uptime() >= settleTime && options.isCopyProven()
+            && deciderOf(service) === self;
+    }
+
+    function report({ order, traffic }: Trial): void {
+        const told = traffic.report(clock());
+        const decider = deciderOf(order.service);
+        if (told === undefined || decider === undefined) {
+            return;
+        }
+        lastReports.set(order.service, told);
+        if (decider === self) {
+            const grant = deciding.onReport(self, told);
+            if (grant !== undefined) {
+                trials.onGrant(grant);
+            }
+            return;
+        }
+        const member = membership.find(decider);
+        if (member !== undefined) {
+            options.send(member, { report: reportEntry(told) });
+        }
+    }
+
+    function sendGrant(box: BoxId, grant: RolloutGrant): void {
+        const member = membership.find(box);
+        if (box === self) {
+            trials.onGrant(grant);
+        }
+        else if (member !== undefined) {
+            options.send(member, { grant: grantEntry(grant) });
+        }
+    }
+
+    /** Tells all boxes at once; gossip repeats it. */
+    function tell(news: RolloutNews): void {
+        learn(news, self);
+        const part = { news: [newsEntry(news)] };
+        membership.reachable(clock()).forEach(member => options.send(member, part));
+    }
+
+    function learn(news: RolloutNews, from: BoxId): void {
+        const { decision, reason, rollout } = news;
+        if (isDecidedInStore(rollout) || !knownNews.learn(news)) {
+            return;
+        }
+        trials.onNews(news);
+        log.info("rollout.decided", { ...rollout, decision, from, reason });
+    }
+
+    function isDecidedInStore(rollout: RolloutId): boolean {
+        const order = orders.of(rollout.service);
+        return order !== undefined && isSameRollout(order, rollout)
+            && (order.state === "completed" || order.state === "rolledBack");
+    }
+
+    function serverCount({ service, targetVersion }: RolloutOrder): number {
+        return options.catalog.ofService(service)
+            .filter(({ state }) => state.isListed() && state.record().version === targetVersion).length;
+    }
+}
--- a/packages/box/src/state/shared-state.ts
+++ b/packages/box/src/state/shared-state.ts
@@ -49,6 +49,8 @@
     readonly log: Log;
     readonly catalog: ServerCatalog;
     readonly regionOfZone: ReadonlyMap<AvailabilityZoneId, RegionId>;
+    /** Called with all orders of roll-outs whenever one changes. */
+    readonly onRollouts: (orders: readonly RolloutOrder[]) => void;
     /** Called with each configuration that comes into force. */
     readonly onConfiguration: (configuration: Configuration) => void;
 }
@@ -69,7 +71,7 @@
         configuration: createReplica<Configuration>(() => "main", applyConfiguration),
         servers: createReplica<BackendServerRecord>(record => record.id, applyServers),
         closedZones: createReplica<AvailabilityZoneId>(zone => zone, applyClosedZones),
-        rollouts: createReplica<RolloutOrder>(order => order.service, logRollouts),
+        rollouts: createReplica<RolloutOrder>(order => order.service, applyRollouts),
     };
 
     return {
@@ -126,7 +128,8 @@
         log.info("places.changed", { closed: zones.join(",") || "none" });
     }
 
-    function logRollouts(orders: readonly RolloutOrder[]): void {
+    function applyRollouts(orders: readonly RolloutOrder[]): void {
+        options.onRollouts(orders);
         log.info("rollouts.changed", {
             orders: orders.map(({ service, state, targetVersion }) => `${service}:${targetVersion}:${state ?? "new"}`)
                 .slice(0, 8).join(",") || "none",
--- a/packages/box/src/traffic-meter.ts
+++ b/packages/box/src/traffic-meter.ts
@@ -19,6 +19,8 @@
     | "update"
     /** Reports and leases of customers' quotas. */
     | "quota"
+    /** Reports, grants and news of roll-outs. */
+    | "rollout"
     /** Members that are read from another box. */
     | "members"
     /** A copy of shared state, or what was missing of it, from another box. */
--- a/packages/box/test/customer-quotas.test.ts
+++ b/packages/box/test/customer-quotas.test.ts
@@ -49,6 +49,7 @@
         createCustomerQuotas({
             clock: () => milliseconds(now),
             self: all[1].box,
+            countingBoxes: createCountingBoxes(),
             membership: {
                 find: (box: string) => all.find(record => record.box === box),
                 own: () => all[1],
--- a/packages/box/test/request-handler.test.ts
+++ b/packages/box/test/request-handler.test.ts
@@ -19,6 +19,7 @@
 import type { AddressInfo } from "node:net";
 import { createBoxMetrics } from "../src/metrics.js";
 import { createRequestHandler } from "../src/requests/request-handler.js";
+import { noTrials } from "../src/rollouts/trials.js";
 import type { SharedState } from "../src/state/shared-state.js";
 
 const openRoute: Route = {
@@ -89,6 +90,7 @@
             recentKeys: undefined as never,
             work: undefined as never,
             roundTrip: unused,
+            trials: noTrials,
         }));
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -7,6 +7,7 @@
 import type { Command } from "./context.js";
 import { customers } from "./customers.js";
 import { explain } from "./explain.js";
+import { rollouts } from "./rollouts.js";
 import { settingsCheck, settingsShow } from "./settings-file.js";
 import { settingsApply, settingsDiff, settingsEdit, settingsHistory } from "./settings-stored.js";
 
@@ -20,6 +21,7 @@
     settingsHistory,
     boxes,
     customers,
+    rollouts,
     burn,
     explain,
 ];
--- a/packages/cli/src/request-story.ts
+++ b/packages/cli/src/request-story.ts
@@ -65,7 +65,7 @@
 function tellLine(line: LogLine): string {
     switch (line.event) {
         case "attempt.failed":
-            return `attempt at ${line.server}: ${line.reason}; ${line.timeLeft} ms left`;
+            return `attempt at ${line.server}${versionOf(line)}: ${line.reason}; ${line.timeLeft} ms left`;
         case "request.served":
             return `answered ${line.status} after ${line.after} ms${choiceOf(line)}; configuration ${line.version}`;
         case "request.refused":
@@ -84,7 +84,8 @@
 }
 
 /** Why the last server and not another, as far as the line has it. */
-function choiceOf({ expected, rank, runnerUp, runnerUpExpected, tried, warm }: LogLine): string {
+function choiceOf(line: LogLine): string {
+    const { expected, rank, runnerUp, runnerUpExpected, tried, warm } = line;
     const server = tried?.split(",").at(-1);
     if (server === undefined || rank === undefined) {
         return "";
@@ -93,7 +94,14 @@
     const other = runnerUp === undefined
         ? "no other was compared"
         : `${runnerUp} came second with ${runnerUpExpected} ms`;
-    return ` by ${server}, rank ${rank} of its key, which was ${key}: ${expected} ms expected, ${other}`;
+    return ` by ${server}${
+        versionOf(line)
+    }, rank ${rank} of its key, which was ${key}: ${expected} ms expected, ${other}`;
+}
+
+/** The version of a server's software, where versions were compared. */
+function versionOf({ serverVersion }: LogLine): string {
+    return serverVersion === undefined ? "" : ` of version ${serverVersion}`;
 }
 
 function reasonOf({ refusal }: LogLine): string {
--- a/packages/decisions/src/limits/quota/counting-box.ts
+++ b/packages/decisions/src/limits/quota/counting-box.ts
@@ -10,7 +10,7 @@
  * Owns the most boxes of the last seconds; relies on the members.
  */
 
-import { type BoxId, type CustomerId, hashText, type Milliseconds } from "@chalkdale/kernel";
+import { type BoxId, type CustomerId, hashText, type Milliseconds, type ServiceId } from "@chalkdale/kernel";
 import { rendezvousScore } from "../../choose/rendezvous.js";
 import { leaseUsed } from "./quota-messages.js";
 
@@ -66,9 +66,9 @@
     }
 }
 
-/** Returns the box that counts for a customer; undefined if none does. */
-export function countingBox(customer: CustomerId, counters: readonly BoxId[]): BoxId | undefined {
-    return rank(hashText(customer), counters).at(0);
+/** Returns the box that counts for a customer, or decides on a service's roll-outs; undefined if none does. */
+export function countingBox(counted: CustomerId | ServiceId, counters: readonly BoxId[]): BoxId | undefined {
+    return rank(hashText(counted), counters).at(0);
 }
 
 function rank(hash: number, boxes: readonly BoxId[]): readonly BoxId[] {
--- a/packages/testing/src/standins/deployment.ts
+++ b/packages/testing/src/standins/deployment.ts
@@ -12,6 +12,7 @@
 import { createMetadataStore, type MetadataStore } from "./metadata-store.js";
 import {
     configurationObject,
+    rolloutObject,
     type RuleOptions,
     serverObject,
     type ServerPlace,
@@ -38,6 +39,10 @@
     /** Writes the record of a server again, with changes. */
     readonly recordServer: (backend: ServerStandIn, place: ServerPlace) => void;
     readonly configure: (version: number, rules: readonly RuleOptions[], tenants?: readonly TenantOptions[]) => void;
+    /** Orders a service onto servers of a version. */
+    readonly orderVersion: (service: string, version: string, over: string) => void;
+    /** State that boxes wrote for a service's order; undefined before they did. */
+    readonly rolloutState: (service: string) => string | undefined;
     readonly startBox: (options?: BoxOptions) => TestBox;
     readonly close: () => Promise<void>;
 }
@@ -54,15 +59,22 @@
     readonly sameAs?: TestBox;
 }
 
+/** What the whole deployment has in common. */
+interface DeploymentOptions {
+    /** Bounds of the settings besides those that every deployment of the tests has. */
+    readonly bounds?: readonly string[];
+}
+
 /** Host that all rules of the tests are for. */
 export const testHost = "app.example";
 
+const commonBounds = ["budget_ratio=0.2", "budget_window=10s", "budget_slack=58", "grace=500ms", "ttl_max=5s"];
 const zones: Readonly<Record<string, string>> = { "north-a": "north", "north-b": "north", "south-a": "south" };
 /** Ports of the boxes: below the range from which the kernel takes ports for outgoing connections. */
 let nextPort = 20_000 + (process.pid % 100) * 100;
 
 /** Starts the store; servers, boxes and configurations follow by calls. */
-export async function startDeployment(): Promise<Deployment> {
+export async function startDeployment(options: DeploymentOptions = {}): Promise<Deployment> {
     const clock = () => milliseconds(performance.now());
     const store = createMetadataStore({ clock });
     const storeServer = await serveMetadataStore(store);
@@ -72,18 +84,25 @@
     return {
         store,
         storeServer,
-        async addServer(options) {
-            const backend = await startServerStandIn(options);
+        async addServer(serverOptions) {
+            const backend = await startServerStandIn(serverOptions);
             backends.push(backend);
-            recordServer(backend, options);
+            recordServer(backend, serverOptions);
             return backend;
         },
         recordServer,
         configure(version, rules, tenants) {
             store.put("config", "main", configurationObject(version, testHost, rules, tenants));
         },
-        startBox(options = {}) {
-            const box = createBox(options.sameAs?.name ?? `box-${boxes.length + 1}`, options);
+        orderVersion(service, version, over) {
+            store.put("rollouts", service, rolloutObject(service, version, over));
+        },
+        rolloutState(service) {
+            const { body } = store.get("rollouts", service);
+            return (body as { readonly status?: { readonly state: string; }; } | undefined)?.status?.state;
+        },
+        startBox(boxOptions = {}) {
+            const box = createBox(boxOptions.sameAs?.name ?? `box-${boxes.length + 1}`, boxOptions);
             boxes.push(box);
             return box;
         },
@@ -98,11 +117,11 @@
         store.put("servers", backend.id, serverObject(backend.address(), place));
     }
 
-    function createBox(name: string, options: BoxOptions): TestBox {
-        const { host = "127.0.0.1", metricsPort, seeds = [], zone = "north-a" } = options;
-        const [callers, directory, readiness, peers] = options.sameAs === undefined
+    function createBox(name: string, { sameAs, ...boxOptions }: BoxOptions): TestBox {
+        const { host = "127.0.0.1", metricsPort, seeds = [], zone = "north-a" } = boxOptions;
+        const [callers, directory, readiness, peers] = sameAs === undefined
             ? [0, 1, 2, 3].map(() => `${host}:${nextPort++}`)
-            : [options.sameAs.callers, options.sameAs.directory, options.sameAs.readiness, options.sameAs.peers];
+            : [sameAs.callers, sameAs.directory, sameAs.readiness, sameAs.peers];
         const settings = readSettings(settingsText({ name, zone, callers, directory, readiness, peers, seeds }));
         if (settings.err) {
             throw new Error(settings.val.join("; "));
@@ -155,7 +174,7 @@
             `listen.directory=${box.directory}`,
             `listen.control=${box.peers}`,
             `seeds=${box.seeds.join(",")}`,
-            "bounds=budget_ratio=0.2,budget_window=10s,budget_slack=58,grace=500ms,ttl_max=5s",
+            `bounds=${[...commonBounds, ...options.bounds ?? []].join(",")}`,
             `platform.address=${storeServer.address()}`,
             "a.field.of.later=ignored",
         ].join("\n");
