--- a/packages/decisions/src/choose/work-estimate.ts
+++ b/packages/decisions/src/choose/work-estimate.ts
@@ -27,6 +27,8 @@
      * @returns how many times as long as expected the answer took.
      */
     readonly compare: (route: Route, known: boolean, duration: Milliseconds, wait: Milliseconds) => number;
+    /** Time after which `compare` gives `slowness` for an answer that has not come. */
+    readonly durationOf: (route: Route, known: boolean, slowness: number, wait: Milliseconds) => Milliseconds;
 }
 
 /** Weight of the newest answer; ten answers count for two thirds. Not measured. */
@@ -67,13 +69,18 @@
             return duration / Math.max(1, known ? estimate.warm : estimate[key]);
         },
         compare(route, known, duration, wait) {
-            const { cold, warm } = of(route);
-            const least = Math.max(1, warm + wait);
-            const most = known || !route.sticky ? least : Math.max(least, cold + wait);
+            const { least, most } = ordinaryTimes(route, known, wait);
             return duration > most ? duration / most : Math.min(1, duration / least);
         },
+        durationOf: (route, known, slowness, wait) => milliseconds(ordinaryTimes(route, known, wait).most * slowness),
     };
 
+    function ordinaryTimes(route: Route, known: boolean, wait: Milliseconds) {
+        const { cold, warm } = of(route);
+        const least = Math.max(1, warm + wait);
+        return { least, most: known || !route.sticky ? least : Math.max(least, cold + wait) };
+    }
+
     function of(route: Route): Learned {
         let estimate = learned.get(route.name);
         if (estimate === undefined) {
--- a/packages/decisions/src/rollouts/rollout-grants.ts
+++ b/packages/decisions/src/rollouts/rollout-grants.ts
@@ -48,8 +48,10 @@
 const greatestShare = 0.5;
 /** Part of the requests that try the target before the rate is known. */
 const firstShare = 0.1;
-/** Servers that a sample has at least, one for each group. */
-const fewestSampled = 8;
+/** Servers that a sample has at least while it is spread, one for each group. */
+const fewestSpread = 8;
+/** Servers that a sample has at least while it is concentrated: two might be bad at once, and their version good. */
+const fewestLoaded = 3;
 /** Stands for all servers of the target. */
 const allServers = 1_000_000;
 /** Milliseconds of a second, the unit of the rate. */
@@ -80,7 +82,7 @@
                 stage,
                 cap: account.capOf(box, report.incarnation),
                 share,
-                sampledServers: stage === "moving" ? allServers : sampledServers(share),
+                sampledServers: sampledServers(share, context),
                 total: account.total(),
                 age,
             };
@@ -104,27 +106,45 @@
     /** Requests that all boxes together may have sent to the target by now, since the watch began. */
     function plannedBy({ age, plan }: GrantContext): number {
         const start = watchStart ??= { age, total: account.total() };
-        const length = Math.max(1, plan.moveAt - start.age);
-        const passed = Math.min(1, (age + capLead - start.age) / length);
-        return Math.max(0, plan.watched - start.total) * passed;
+        const due = age + capLead;
+        const ahead = due < plan.loadAt
+            ? between(due, start.age, plan.loadAt) * (plan.spread - start.total)
+            : plan.spread - start.total + between(due, plan.loadAt, plan.moveAt) * (plan.watched - plan.spread);
+        return Math.max(0, ahead);
     }
 
-    function shareOf({ plan, rate, stage }: GrantContext): number {
+    function shareOf({ age, plan, rate, stage }: GrantContext): number {
         if (stage === "moving") {
             return 1;
         }
         const start = watchStart ?? { age: 0, total: 0 };
-        const requests = rate * Math.max(0, plan.moveAt - start.age) / second;
-        const planned = Math.max(0, plan.watched - start.total);
-        return requests <= 0 ? firstShare : Math.min(greatestShare, shareLead * planned / requests);
+        const [time, planned] = isLoading(age, plan)
+            ? [plan.moveAt - plan.loadAt, plan.watched - plan.spread]
+            : [plan.loadAt - start.age, plan.spread - start.total];
+        const requests = rate * Math.max(0, time) / second;
+        return requests <= 0 ? firstShare : Math.min(greatestShare, shareLead * Math.max(0, planned) / requests);
     }
 
-    /** As many as bear the load of a full day by the share, since some versions fail under load only. */
-    function sampledServers(share: number): number {
-        return Math.max(fewestSampled, Math.ceil(share / shareLead * serverCount()));
+    /** While the sample is concentrated, as many as bear the load of a full day by the share: some versions fail under load only. */
+    function sampledServers(share: number, { age, plan, stage }: GrantContext): number {
+        if (stage === "moving") {
+            return allServers;
+        }
+        const loaded = Math.floor(share / shareLead * serverCount());
+        return Math.max(isLoading(age, plan) ? fewestLoaded : fewestSpread, loaded);
     }
 }
 
+/** Boxes hear of it a round later. */
+function isLoading(age: Milliseconds, plan: RolloutPlan): boolean {
+    return age >= plan.loadAt;
+}
+
+/** Part of the way from one time to another, from 0 to 1. */
+function between(at: number, from: number, to: number): number {
+    return Math.min(1, Math.max(0, (at - from) / Math.max(1, to - from)));
+}
+
 function roundingOf(box: BoxId): number {
     return hashText(box) / twoToThe32;
 }
--- a/packages/decisions/src/rollouts/rollout-plan.ts
+++ b/packages/decisions/src/rollouts/rollout-plan.ts
@@ -2,6 +2,9 @@
  * When a roll-out moves, and how much its version may get before: it is watched
  * to the last moment at which a decision still arrives in time, and the account keeps what the move needs.
  *
+ * The watch has two parts. First the sample is spread over many servers, so that a
+ * few bad ones are no bad version; then what is left goes to few, which so bear the load of a full day.
+ *
  * Owns nothing.
  */
 
@@ -24,10 +27,14 @@
 
 /** Times since the order, and requests. */
 export interface RolloutPlan {
+    /** When the sample is concentrated on few servers. */
+    readonly loadAt: Milliseconds;
     /** When all new requests go to the target. */
     readonly moveAt: Milliseconds;
     /** When the outcome has to be written, whatever is known. */
     readonly writeAt: Milliseconds;
+    /** Requests that the target may get before the sample is concentrated. */
+    readonly spread: number;
     /** Requests that the target may get before the move. */
     readonly watched: number;
 }
@@ -42,6 +49,12 @@
 const moveMessages = 500;
 /** Part of the account that the move may take at most: the rest is what the version is judged by. */
 const mostMovePart = 0.65;
+/** Milliseconds for which the sample is concentrated: load builds up, and the answers come back. */
+const loadTime = 2000;
+/** Part of the watch that this takes at most. */
+const mostLoadPart = 0.3;
+/** Part of what the watch may send that is kept for it. */
+const loadBudgetPart = 0.6;
 /** Milliseconds of a second, the unit of the rate. */
 const second = 1000;
 
@@ -53,10 +66,14 @@
     const account = allowedAt(inputs, writeAt);
     const perMillisecond = Math.max(rate, 0.001) / second;
     const moveTime = Math.min(wantedMove, account * mostMovePart / perMillisecond);
+    const moveAt = Math.max(0, writeAt - moveTime);
+    const watched = Math.max(0, account - moveTime * perMillisecond);
     return {
-        moveAt: milliseconds(Math.max(0, writeAt - moveTime)),
+        loadAt: milliseconds(moveAt - Math.min(loadTime, moveAt * mostLoadPart)),
+        moveAt: milliseconds(moveAt),
         writeAt: milliseconds(writeAt),
-        watched: Math.max(0, account - moveTime * perMillisecond),
+        spread: watched * (1 - loadBudgetPart),
+        watched,
     };
 }
 
--- a/packages/decisions/src/rollouts/route-sampling.ts
+++ b/packages/decisions/src/rollouts/route-sampling.ts
@@ -7,20 +7,27 @@
 
 /** Sampling of one box. */
 export interface RouteSampling {
-    /** A request of the route came while this share of all is to be sampled; a token grows by the share. */
+    /** A request of the route came while this share of all is to be sampled: a token grows by the share. */
     readonly onRequest: (routeName: string, share: number) => void;
-    /** True if the request is one of the sample; it is counted as such. */
-    readonly take: (routeName: string, share: number) => boolean;
+    /**
+     * True if the request is one of the sample; it is counted as such.
+     *
+     * @param left what the box may still send; 1 at least.
+     * @param reserve part of it that is kept for rare routes.
+     */
+    readonly take: (routeName: string, share: number, left: number, reserve: number) => boolean;
 }
 
 /** Tokens that are saved up at most: a box whose callers come in bursts samples no burst. Not measured. */
 const mostTokens = 2;
 /** Tokens that a rare route may take ahead. Not measured against others. */
 const mostAhead = 3;
-/** Part of a route's requests that are sampled at most while the version is watched: the others are what it is compared with. */
+/** Part of a rare route's requests that are sampled at most while the version is watched: the others are what it is compared with. */
 const greatestPart = 0.5;
 /** Share from which all requests are to go, and no pace is kept. */
 const wholeShare = 1;
+/** A route with less than this part of the requests of the most frequent one is rare. Not measured against others. */
+const rarePart = 0.5;
 
 interface RouteCounts {
     requests: number;
@@ -31,16 +38,19 @@
 export function createRouteSampling(): RouteSampling {
     const routes = new Map<string, RouteCounts>();
     let tokens = 0;
+    let mostRequests = 0;
     let mostSampled = 0;
 
     return {
         onRequest(routeName, share) {
-            countsOf(routeName).requests += 1;
+            const counts = countsOf(routeName);
+            counts.requests += 1;
+            mostRequests = Math.max(mostRequests, counts.requests);
             tokens = Math.min(mostTokens, tokens + share);
         },
-        take(routeName, share) {
+        take(routeName, share, left, reserve) {
             const counts = countsOf(routeName);
-            if (share < wholeShare && !isDue(counts)) {
+            if (share < wholeShare && !isDue(counts, left, reserve)) {
                 return false;
             }
             tokens = Math.max(-mostAhead, tokens - 1);
@@ -50,13 +60,13 @@
         },
     };
 
-    /** The fewer samples a route has against the one with the most, the further ahead it may take. */
-    function isDue(counts: RouteCounts): boolean {
-        if (counts.sampled + 1 > Math.max(1, counts.requests * greatestPart)) {
-            return false;
+    /** A rare route takes ahead of the pace until it has as many samples as the others. */
+    function isDue({ requests, sampled }: RouteCounts, left: number, reserve: number): boolean {
+        const isRare = requests < mostRequests * rarePart;
+        if (!isRare || sampled >= Math.max(1, mostSampled)) {
+            return tokens >= 1 && left > reserve;
         }
-        const lag = mostSampled === 0 ? 0 : 1 - counts.sampled / mostSampled;
-        return tokens >= 1 - lag * (mostAhead + 1);
+        return tokens > -mostAhead && sampled < Math.max(1, requests * greatestPart);
     }
 
     function countsOf(routeName: string): RouteCounts {
--- a/packages/decisions/src/rollouts/trial-evidence.ts
+++ b/packages/decisions/src/rollouts/trial-evidence.ts
@@ -32,9 +32,17 @@
 
 /** Routes that are counted apart; the others count together. 8 groups on two sides and 9 routes are 144 cells at most. */
 const mostRoutes = 8;
-/** Bounds of one answer's slowness: no single answer decides on a group. Not measured against others. */
-const leastSlowness = 0.25;
-/** Times the expected time that one answer counts for at most. */
+/**
+ * Slowness that an answer counts for at least: what is quicker is as ordinary as this. Servers that know no keys and boxes that
+ * expect too much of them are slower by a quarter at every answer, a bad version is several times slower.
+ */
+const leastSlowness = 1.5;
+/**
+ * Slowness from which an answer that has not come is told as one that took so long, and not again when it comes: the answers of
+ * a slow version come late, and those that have come are the quick ones.
+ */
+export const toldSlowness = 2.2;
+/** Slowness that one answer counts for at most: no single one decides on a group. Not measured against others. */
 const greatestSlowness = 20;
 
 /** Creates evidence without answers. */
--- a/packages/decisions/src/rollouts/trial-traffic.ts
+++ b/packages/decisions/src/rollouts/trial-traffic.ts
@@ -9,7 +9,7 @@
  * on grants of the deciding box and on `ServedVersions` for what a server takes part in.
  */
 
-import { type IncarnationId, type Milliseconds, milliseconds } from "@chalkdale/kernel";
+import { hashText, type IncarnationId, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import type { BackendServer } from "../servers/server-catalog.js";
 import { versionOf } from "./proven-versions.js";
 import type { RolloutGrant, RolloutNews, RolloutReport, RolloutStage } from "./rollout-messages.js";
@@ -59,11 +59,17 @@
 /** Answers of a trial by this box between two looks at its own evidence. Not measured. */
 const answersBetweenLooks = 8;
 
+/** Cap from which a box keeps one of it for rare routes until the move. Not measured. */
+const capOfReserve = 3;
+/** One in so many boxes keeps one of a smaller cap: of many boxes with little traffic some must have one left when a rare route comes. */
+const reservingBoxes = 6;
+
 /** Creates the traffic of an order that this box has just learned of; nothing is granted yet. */
 export function createTrialTraffic(options: TrialTrafficOptions): TrialTraffic {
     const { order, versions } = options;
     const evidence = createTrialEvidence();
     const sampling = createRouteSampling();
+    const isReserving = hashText(options.incarnation) % reservingBoxes === 0;
     let ageAtStart: number = options.age;
     let sent = 0;
     let sentToTrial = 0;
@@ -78,9 +84,12 @@
     return {
         assign(routeName) {
             sampling.onRequest(routeName, share());
-            const isAllowed = share() > 0 && sentToTrial + assigned < (grant?.cap ?? 0)
-                && versions.trialVersion(order.service) === order.targetVersion;
-            if (!isAllowed || !sampling.take(routeName, share())) {
+            const cap = grant?.cap ?? 0;
+            const left = cap - sentToTrial - assigned;
+            if (share() <= 0 || left < 1 || versions.trialVersion(order.service) !== order.targetVersion) {
+                return false;
+            }
+            if (!sampling.take(routeName, share(), left, isReserving || cap >= capOfReserve ? 1 : 0)) {
                 return false;
             }
             assigned += 1;
--- a/packages/decisions/src/rollouts/verdict.ts
+++ b/packages/decisions/src/rollouts/verdict.ts
@@ -67,19 +67,19 @@
 const ofAll: TestBounds = {
     score: 2.9,
     leastFailures: 0.02,
-    leastSlowness: Math.log(1.25),
+    leastSlowness: 0.15,
     enoughAnswers: 20,
     toleratedFailures: 0.06,
-    toleratedSlowness: Math.log(1.5),
+    toleratedSlowness: 0.25,
 };
 /** For one route: there are up to nine of them, so chance has nine times as many. */
 const ofRoute: TestBounds = {
     score: 3.1,
     leastFailures: 0.05,
-    leastSlowness: Math.log(1.5),
-    enoughAnswers: 5,
+    leastSlowness: 0.25,
+    enoughAnswers: 3,
     toleratedFailures: 0.2,
-    toleratedSlowness: Math.log(2),
+    toleratedSlowness: 0.4,
 };
 /** Times the logarithms that slowness must reach while all requests move. */
 const movingFactor = 2;
@@ -89,6 +89,8 @@
 const fewestFailures = 3;
 /** Answers of the version on trial that a verdict by slowness needs. */
 const fewestAnswers = 8;
+/** Groups that each side needs: two of two may be bad by chance. */
+const fewestGroups = 3;
 /** Part of the groups, the worst ones, that trimmed estimates leave out: 16 in 100 servers may do badly at once. */
 const trimmedPart = 0.375;
 /** Part of the score of perfectly separated groups that suffices where there are too few groups for the bound. */
@@ -168,6 +170,7 @@
     const control = sides.control.filter(group => countOf(test, group) > 0);
     const summaryOf = (group: GroupEvidence) => sumOf(test, group) / countOf(test, group);
     const separated = Math.sqrt(3 * trial.length * control.length / (trial.length + control.length + 1));
+    const isComparable = Math.min(trial.length, control.length) >= fewestGroups;
     return {
         test,
         route,
@@ -177,7 +180,7 @@
         difference: pooled(test, trial) - pooled(test, control),
         trimmed: pooled(test, withoutWorst(trial, summaryOf)) - pooled(test, withoutWorst(control, summaryOf)),
         score: rankSumScore(trial.map(summaryOf), control.map(summaryOf)),
-        bound: Math.min(boundsOf({ route }).score, separated * separatedPart),
+        bound: isComparable ? Math.min(boundsOf({ route }).score, separated * separatedPart) : Infinity,
     };
 }
 
--- a/packages/decisions/test/emulated-rollout.ts
+++ b/packages/decisions/test/emulated-rollout.ts
@@ -26,6 +26,7 @@
     type RolloutGrant,
     type RolloutOrder,
     type ServedVersions,
+    toldSlowness,
     type TrialTraffic,
 } from "../src/index.js";
 import { createRoute } from "./choice-setup.js";
@@ -38,8 +39,10 @@
     /** Only where a server gets more than this part of a full day's rate. */
     readonly underLoad?: number;
     readonly route?: number;
-    /** Servers are cold for so many milliseconds, and know no keys. */
+    /** Servers are cold for so many milliseconds. */
     readonly coldFor?: number;
+    /** Part of the requests whose keys its servers don't know. */
+    readonly unknownShare?: number;
 }
 
 export type Fault = "none" | "lostMessages" | "deciderLost" | "burst" | "badServers" | "lostAnswers";
@@ -59,7 +62,7 @@
     /** Milliseconds since the order. */
     readonly decidedAt: number;
     readonly reason: string;
-    /** Requests to the new version until the end, over what the bound allows. */
+    /** Requests to the new version before `completed`, over what the bound allows for the requests until then: the greatest. */
     readonly exposure: number;
     /** Milliseconds from the 50th bad answer to the last request sent to the new version; 0 if none was sent. */
     readonly sentAfterBad: number;
@@ -113,6 +116,7 @@
     let isWriting = false;
     let total = 0;
     let exposed = 0;
+    let exposure = 0;
     let badAnswers = 0;
     let fiftiethBadAt: number | undefined;
     let lastTrialAt = 0;
@@ -144,7 +148,7 @@
         state: order.state,
         decidedAt,
         reason,
-        exposure: exposed / (bounds.exposedShare * total + bounds.exposedAllowance),
+        exposure,
         sentAfterBad: fiftiethBadAt === undefined ? 0 : Math.max(0, lastTrialAt - fiftiethBadAt),
         cutOff,
         tried: exposed,
@@ -231,19 +235,33 @@
     function send(box: EmulatedBox, server: BackendServer, routeIndex: number): void {
         const isNew = server.state.record().version === order.targetVersion;
         box.traffic.onSent(server);
-        exposed += isNew ? 1 : 0;
-        lastTrialAt = isNew ? now : lastTrialAt;
+        if (isNew && order.state !== "completed") {
+            exposed += 1;
+            lastTrialAt = now;
+            exposure = Math.max(exposure, exposed / (bounds.exposedShare * total + bounds.exposedAllowance));
+        }
         inProgressAtOld += isNew ? 0 : 1;
         const wasCold = server.state.isCold(now);
         const known = !isNew && random() < 0.7;
         const { duration: time, isBad, isFailure } = draw(server, isNew, routeIndex, known);
+        const route = routes[routeIndex];
+        const slowness = work.compare(route, known, milliseconds(time), milliseconds(0));
+        const toldAfter = slowness < toldSlowness ? time : work.durationOf(route, known, toldSlowness, milliseconds(0));
+        after(toldAfter, () => {
+            const isSeen = toldAfter >= time;
+            box.traffic.onAnswer({
+                server,
+                routeName: route.name,
+                isFailure: isFailure && isSeen,
+                slowness: Math.min(slowness, toldSlowness),
+                wasCold,
+            });
+        });
         after(time, () => {
             inProgressAtOld -= isNew ? 0 : 1;
             badAnswers += isBad ? 1 : 0;
             fiftiethBadAt ??= badAnswers >= 50 ? now : undefined;
-            const slowness = work.compare(routes[routeIndex], known, milliseconds(time), milliseconds(0));
             box.traffic.onEnded(server);
-            box.traffic.onAnswer({ server, routeName: routes[routeIndex].name, isFailure, slowness, wasCold });
         });
     }
 
@@ -253,7 +271,7 @@
             && loadOf(server) >= (kind.underLoad ?? 0);
         const fails = applies && random() < (kind.failShare ?? 0);
         const slow = applies ? kind.slowFactor ?? 1 : 1;
-        const isCold = !known && (kind.coldFor !== undefined && isNew || random() < 0.2);
+        const isCold = !known && random() < (isNew ? kind.unknownShare ?? 0.85 : 0.2);
         const struck = isStruck.has(server);
         const isLost = fault === "lostAnswers" && struck && random() < 0.15;
         const isGrey = fault === "badServers" && isGreyDay && struck && random() < 0.4;
@@ -381,7 +399,7 @@
 /** Kinds of versions by name; the first two are good. */
 export const versionKinds: Readonly<Record<string, VersionKind>> = {
     "good": {},
-    "good, cold, unknown keys": { coldFor: 3000 },
+    "good, cold, unknown keys": { coldFor: 3000, unknownShare: 1 },
     "fails 5 %": { failShare: 0.05 },
     "fails 10 %": { failShare: 0.1 },
     "fails 30 %": { failShare: 0.3 },
