--- a/packages/decisions/src/rollouts/rollout-grants.ts
+++ b/packages/decisions/src/rollouts/rollout-grants.ts
@@ -109,7 +109,7 @@
         const due = age + capLead;
         const ahead = due < plan.loadAt
             ? between(due, start.age, plan.loadAt) * (plan.spread - start.total)
-            : plan.spread - start.total + between(due, plan.loadAt, plan.moveAt) * (plan.watched - plan.spread);
+            : plan.spread - start.total + between(due, plan.loadAt, plan.sentBy) * (plan.watched - plan.spread);
         return Math.max(0, ahead);
     }
 
@@ -119,7 +119,7 @@
         }
         const start = watchStart ?? { age: 0, total: 0 };
         const [time, planned] = isLoading(age, plan)
-            ? [plan.moveAt - plan.loadAt, plan.watched - plan.spread]
+            ? [plan.sentBy - plan.loadAt, plan.watched - plan.spread]
             : [plan.loadAt - start.age, plan.spread - start.total];
         const requests = rate * Math.max(0, time) / second;
         return requests <= 0 ? firstShare : Math.min(greatestShare, shareLead * Math.max(0, planned) / requests);
--- a/packages/decisions/src/rollouts/rollout-plan.ts
+++ b/packages/decisions/src/rollouts/rollout-plan.ts
@@ -29,6 +29,8 @@
 export interface RolloutPlan {
     /** When the sample is concentrated on few servers. */
     readonly loadAt: Milliseconds;
+    /** When what the watch may send has been sent: the answers come until the move. */
+    readonly sentBy: Milliseconds;
     /** When all new requests go to the target. */
     readonly moveAt: Milliseconds;
     /** When the outcome has to be written, whatever is known. */
@@ -48,13 +50,15 @@
 /** Milliseconds in which all boxes hear that the move has begun, and tell that it is done. */
 const moveMessages = 500;
 /** Part of the account that the move may take at most: the rest is what the version is judged by. */
-const mostMovePart = 0.65;
-/** Milliseconds for which the sample is concentrated: load builds up, and the answers come back. */
+const mostMovePart = 0.5;
+/** Part of the watch that is kept at most for the last answers to come. */
+const mostAnswerPart = 0.15;
+/** Milliseconds for which the sample is concentrated: load builds up. */
 const loadTime = 2000;
 /** Part of the watch that this takes at most. */
 const mostLoadPart = 0.3;
 /** Part of what the watch may send that is kept for it. */
-const loadBudgetPart = 0.6;
+const loadBudgetPart = 0.55;
 /** Milliseconds of a second, the unit of the rate. */
 const second = 1000;
 
@@ -68,8 +72,10 @@
     const moveTime = Math.min(wantedMove, account * mostMovePart / perMillisecond);
     const moveAt = Math.max(0, writeAt - moveTime);
     const watched = Math.max(0, account - moveTime * perMillisecond);
+    const sentBy = moveAt - Math.min(workTimes * workTime, moveAt * mostAnswerPart);
     return {
-        loadAt: milliseconds(moveAt - Math.min(loadTime, moveAt * mostLoadPart)),
+        loadAt: milliseconds(sentBy - Math.min(loadTime, sentBy * mostLoadPart)),
+        sentBy: milliseconds(sentBy),
         moveAt: milliseconds(moveAt),
         writeAt: milliseconds(writeAt),
         spread: watched * (1 - loadBudgetPart),
--- a/packages/decisions/src/rollouts/verdict.ts
+++ b/packages/decisions/src/rollouts/verdict.ts
@@ -70,16 +70,16 @@
     leastSlowness: 0.15,
     enoughAnswers: 20,
     toleratedFailures: 0.06,
-    toleratedSlowness: 0.25,
+    toleratedSlowness: 0.15,
 };
 /** For one route: there are up to nine of them, so chance has nine times as many. */
 const ofRoute: TestBounds = {
-    score: 3.1,
+    score: 2.9,
     leastFailures: 0.05,
-    leastSlowness: 0.25,
+    leastSlowness: 0.2,
     enoughAnswers: 3,
     toleratedFailures: 0.2,
-    toleratedSlowness: 0.4,
+    toleratedSlowness: 0.2,
 };
 /** Times the logarithms that slowness must reach while all requests move. */
 const movingFactor = 2;
