Roll-outs: tries are watched, and told as slow before they end

Cause: answers of a slow version come late, so its quick ones counted alone; and trials of decided orders went on to be watched. Change: a try of a service with an undecided order is told once it takes several times as long as expected.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -73,7 +73,7 @@
 /** Milliseconds between two rounds of the box's own upkeep: less than a round of gossip. */
 const upkeepInterval = 250;
 /** Milliseconds between two steps of the deciders of roll-outs; a bad version must get nothing within 5 s. Not measured. */
-const deciderInterval = 100;
+const deciderInterval = 250;
 /** Milliseconds between two measurements of the load, and between two counts of left out lines. */
 const second = 1000;
 /** Milliseconds between two lines with the counts of all messages: few lines, and none of them older than a look at the log. */
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -29,7 +29,7 @@
 import type { ActiveRequest, Ending } from "./active-request.js";
 import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
 import type { RequestLog } from "./request-log.js";
-import { trialEvidence } from "./trial-evidence.js";
+import { createTryWatch } from "./watched-try.js";
 
 export interface AttemptLoopOptions {
     readonly clock: Clock;
@@ -56,6 +56,7 @@
 /** Creates the loop. */
 export function createAttemptLoop(options: AttemptLoopOptions & AttemptLoopContext): AttemptLoop {
     const { clock, metrics, requestLog, trials } = options;
+    const watchTry = createTryWatch(options);
 
     return async function runAttempts(active, body, signal) {
         let lastAnswer: ServerAnswer | undefined;
@@ -160,9 +161,7 @@
     ): Promise<AttemptOutcome> {
         const { server } = choice;
         const sentBefore = active.sent;
-        const wasCold = server.state.isCold(clock());
-        let sentAt: Milliseconds | undefined;
-        let slowness: number | undefined;
+        const watched = watchTry(active, choice);
         active.tried.add(server.id);
         active.latestChoice = choice;
         active.latestVersion = trials.hasTrial(active.service) ? server.state.record().version : undefined;
@@ -181,26 +180,14 @@
             signal,
             onSend: () => {
                 active.sent += 1;
-                sentAt = clock();
-                trials.onSent(active.service, server);
+                watched.onSent();
             },
             onServed(duration) {
-                slowness = options.work.compare(active.route, choice.warm, duration, choice.wait);
+                watched.onServed(duration);
                 learn(active, choice, duration);
             },
         });
-        if (sentAt !== undefined) {
-            trials.onEnded(active.service, server);
-            const evidence = trialEvidence(outcome, {
-                slowness,
-                expected: choice.usual,
-                took: milliseconds(clock() - sentAt),
-                isVerified: options.isVerified,
-            });
-            if (evidence !== undefined) {
-                trials.onAnswer(active.service, { server, routeName: active.route.name, wasCold, ...evidence });
-            }
-        }
+        watched.onEnded(outcome);
         if (active.sent === sentBefore) {
             active.notSent += 1;
         }
--- a/packages/box/src/rollouts/trials.ts
+++ b/packages/box/src/rollouts/trials.ts
@@ -112,18 +112,23 @@
         onNews(news) {
             sameTrial(news)?.traffic.onNews(news);
         },
-        assign: (service, route) => trials.get(service)?.traffic.assign(route.name) ?? false,
+        assign: (service, route) => undecided(service)?.assign(route.name) ?? false,
         onNotSent: service => trials.get(service)?.traffic.onNotSent(),
         onSent: (service, server) => trials.get(service)?.traffic.onSent(server),
         onEnded: (service, server) => trials.get(service)?.traffic.onEnded(server),
         onAnswer: (service, answer) => trials.get(service)?.traffic.onAnswer(answer),
         isOnTrial(service, server) {
-            const version = trials.has(service) ? versions.trialVersion(service) : undefined;
+            const version = undecided(service) === undefined ? undefined : versions.trialVersion(service);
             return version !== undefined && server.state.record().version === version;
         },
-        hasTrial: service => trials.has(service),
+        hasTrial: service => undecided(service) !== undefined,
     };
 
+    function undecided(service: ServiceId): TrialTraffic | undefined {
+        const traffic = trials.get(service)?.traffic;
+        return traffic?.decision() === undefined ? traffic : undefined;
+    }
+
     /** What the store says ends a trial like news, and after news of another decision. */
     function onState(traffic: TrialTraffic, rollout: RolloutOrder): void {
         const { state: decision } = rollout;
