--- a/packages/decisions/src/rollouts/verdict.ts
+++ b/packages/decisions/src/rollouts/verdict.ts
@@ -61,6 +61,8 @@
     readonly enoughAnswers: number;
     readonly toleratedFailures: number;
     readonly toleratedSlowness: number;
+    /** Groups that each side needs. */
+    readonly fewestGroups: number;
 }
 
 /** For all routes together. The least differences are ones that no test finds in few answers, or that no caller would mind. */
@@ -71,6 +73,7 @@
     enoughAnswers: 20,
     toleratedFailures: 0.06,
     toleratedSlowness: 0.15,
+    fewestGroups: 3,
 };
 /** For one route: there are up to nine of them, so chance has nine times as many. */
 const ofRoute: TestBounds = {
@@ -80,17 +83,22 @@
     enoughAnswers: 3,
     toleratedFailures: 0.2,
     toleratedSlowness: 0.2,
+    fewestGroups: 4,
 };
 /** Times the logarithms that slowness must reach while all requests move. */
 const movingFactor = 2;
 /** Standard score from which a difference is a reason to doubt. */
-const doubtfulScore = 2.3;
+const doubtfulScore = 2.6;
+/** Standard score below which a difference is taken for chance, however great it is. */
+const chanceScore = 1.8;
+/** Share of failures above the proven version's that so few groups must show that the bound on the score is out of reach. */
+const leastFailuresOfFew = 0.2;
+/** The same for slowness. */
+const leastSlownessOfFew = 0.3;
 /** Failures of the version on trial that a verdict by failures needs. */
 const fewestFailures = 3;
 /** Answers of the version on trial that a verdict by slowness needs. */
 const fewestAnswers = 8;
-/** Groups that each side needs: two of two may be bad by chance. */
-const fewestGroups = 3;
 /** Part of the groups, the worst ones, that trimmed estimates leave out: 16 in 100 servers may do badly at once. */
 const trimmedPart = 0.375;
 /** Part of the score of perfectly separated groups that suffices where there are too few groups for the bound. */
@@ -135,11 +143,14 @@
     if (figures.score < figures.bound) {
         return false;
     }
-    const { leastFailures, leastSlowness } = boundsOf(figures);
+    const { leastFailures, leastSlowness, score } = boundsOf(figures);
+    const isOfFewGroups = figures.bound < score;
     if (figures.test === "failures") {
-        return figures.failures >= fewestFailures && figures.difference >= leastFailures;
+        const least = isOfFewGroups ? leastFailuresOfFew : leastFailures;
+        return figures.failures >= fewestFailures && figures.difference >= least;
     }
-    return figures.answers >= fewestAnswers && figures.difference >= leastSlowness * (isMoving ? movingFactor : 1);
+    const least = isOfFewGroups ? leastSlownessOfFew : leastSlowness;
+    return figures.answers >= fewestAnswers && figures.difference >= least * (isMoving ? movingFactor : 1);
 }
 
 /** True if the estimates don't yet allow to call the version good. */
@@ -150,7 +161,8 @@
         ? [leastFailures, toleratedFailures]
         : [leastSlowness, toleratedSlowness];
     const isDoubtful = figures.score >= Math.min(doubtfulScore, figures.bound) && figures.difference >= least * factor;
-    return isDoubtful || figures.trimmed > tolerated * factor;
+    const isHardlyChance = figures.score >= chanceScore || figures.bound === Infinity;
+    return isDoubtful || figures.trimmed > tolerated * factor && isHardlyChance;
 }
 
 function boundsOf({ route }: Pick<VerdictFigures, "route">): TestBounds {
@@ -170,7 +182,7 @@
     const control = sides.control.filter(group => countOf(test, group) > 0);
     const summaryOf = (group: GroupEvidence) => sumOf(test, group) / countOf(test, group);
     const separated = Math.sqrt(3 * trial.length * control.length / (trial.length + control.length + 1));
-    const isComparable = Math.min(trial.length, control.length) >= fewestGroups;
+    const isComparable = Math.min(trial.length, control.length) >= boundsOf({ route }).fewestGroups;
     return {
         test,
         route,
