--- a/packages/testing/src/promises/decision-mechanisms.ts
+++ b/packages/testing/src/promises/decision-mechanisms.ts
@@ -278,4 +278,28 @@
         replace: "credit[index] += 1;",
         specs: [decisionTest("weighted-split")],
     },
+    {
+        promise: "P23",
+        name: "the cap of each box",
+        file: decision("rollouts/trial-traffic"),
+        find: "const left = cap - sentToTrial - assigned;",
+        replace: "const left = Infinity;",
+        specs: [boxTest("rollouts")],
+    },
+    {
+        promise: "P23",
+        name: "the state in the store before anything is granted",
+        file: decision("rollouts/rollout-decider"),
+        find: "isOpen: order.state === \"running\" && ",
+        replace: "isOpen: ",
+        specs: [boxTest("rollouts")],
+    },
+    {
+        promise: "P25",
+        name: "the verdict on a bad version",
+        file: decision("rollouts/rollout-decider"),
+        find: "verdict.kind === \"bad\"",
+        replace: "false",
+        specs: [boxTest("rollouts")],
+    },
 ];
--- a/packages/testing/src/promises/promise-texts.ts
+++ b/packages/testing/src/promises/promise-texts.ts
@@ -29,4 +29,7 @@
     P20: "a route's parts get their weights' shares",
     P21: "a request runs for the customer of its key, and the key reaches no server and no log",
     P22: "a customer's requests stay within its quota over all boxes together",
+    P23: "a version that is not proven gets no more than its bound from all boxes together",
+    P24: "a roll-out has one outcome, whoever decides and however often",
+    P25: "a version that turns out bad gets nothing more within its bound, and a good one gets everything",
 };
