Soak: orders of good and bad versions during its faults

Checks: exposure of bad versions, one outcome, nothing to a bad version soon after its end. Orders are drawn from a random source of their own, so that the faults of a seed stay as they were.

--- a/packages/testing/src/demo/main.ts
+++ b/packages/testing/src/demo/main.ts
@@ -63,6 +63,7 @@
         evacuated,
         destinations,
         keyEndsAt: world.customers.endOf,
+        rollouts: [],
         recoveredFrom: 0,
     });
     breaches.forEach(breach => process.stdout.write(`      ${breach.promise}: ${breach.detail}\n`));
--- a/packages/testing/src/soak/box-process.ts
+++ b/packages/testing/src/soak/box-process.ts
@@ -6,6 +6,7 @@
 import { createWriteStream, writeFileSync, type WriteStream } from "node:fs";
 import { join, resolve } from "node:path";
 import { workspace } from "../workspace.js";
+import { exposedAllowance, exposedShare } from "./checks.js";
 
 /** Where a box listens, and where its settings and log lie. */
 export interface BoxPlace {
@@ -35,6 +36,7 @@
 }
 
 const grace = "2s";
+const exposureBounds = `expose_share=${exposedShare},expose_slack=${exposedAllowance},rollback=5s`;
 
 /** Writes the settings of a box; it isn't started yet. */
 export function createBoxProcess(place: BoxPlace): BoxProcess {
@@ -85,7 +87,7 @@
         `listen.directory=${listen.directory}`,
         `listen.control=${listen.peers}`,
         `seeds=${place.seeds.join(",")}`,
-        `bounds=budget_ratio=0.2,budget_window=10s,budget_slack=58,grace=${grace},ttl_max=5s`,
+        `bounds=budget_ratio=0.2,budget_window=10s,budget_slack=58,grace=${grace},ttl_max=5s,${exposureBounds}`,
         `platform.address=${place.store}`,
     ].join("\n");
 }
--- a/packages/testing/src/soak/checks.ts
+++ b/packages/testing/src/soak/checks.ts
@@ -16,7 +16,10 @@
         | "customer"
         | "drain"
         | "evacuation"
-        | "recovery";
+        | "recovery"
+        | "exposure"
+        | "one outcome"
+        | "roll-back";
     readonly at: number;
     readonly detail: string;
 }
@@ -46,6 +49,16 @@
     readonly to: number;
 }
 
+/** An order to move a service onto servers of a version, and the states that were seen in the store. */
+export interface ObservedRollout extends Interval {
+    readonly service: string;
+    readonly version: string;
+    readonly isBad: boolean;
+    /** Servers of the version. */
+    readonly servers: ReadonlySet<string>;
+    readonly states: { readonly state: string; readonly at: number; }[];
+}
+
 /** All that a run of the soak saw. Times are milliseconds since its start. */
 export interface Observations {
     readonly attempts: readonly ObservedAttempt[];
@@ -58,6 +71,7 @@
     readonly destinations: readonly (Interval & { readonly path: string; readonly service: string; })[];
     /** From when on a key must not be honoured; undefined for one that stands. */
     readonly keyEndsAt: (key: string) => number | undefined;
+    readonly rollouts: readonly ObservedRollout[];
     /** From here on all faults are over, and enough time has passed to recover. */
     readonly recoveredFrom: number;
 }
@@ -65,6 +79,13 @@
 /** Part of the requests that must be served once all faults are over. */
 const servedAfterRecovery = 0.9;
 
+/** Bound of the boxes' settings on what a version may get that turns out bad: part of the service's requests, and requests besides. */
+export const exposedShare = 0.1;
+/** Requests besides. */
+export const exposedAllowance = 50;
+/** Milliseconds after the state in the store in which a box may still send to a version, as for any other change. */
+const stoppedWithin = 7000;
+
 /** Returns all breaches. */
 export function findBreaches(seen: Observations): Breach[] {
     return [
@@ -74,6 +95,7 @@
         ...routed(seen),
         ...ofTheirCustomer(seen),
         ...drained(seen),
+        ...rolledOut(seen),
         ...recovered(seen),
     ];
 }
@@ -171,6 +193,35 @@
     });
 }
 
+/** A bad version stays within its bound, is never completed, and gets nothing more soon after; a state once final stays. */
+function rolledOut({ rollouts, runs }: Observations): Breach[] {
+    return rollouts.flatMap((rollout): Breach[] => {
+        const { from, isBad, servers, service, states, to, version } = rollout;
+        const breaches: Breach[] = [];
+        const final = states.findIndex(({ state }) => state !== "running");
+        const told = states.map(({ at, state }) => `${state} at ${Math.round(at)}`).join(", ");
+        const isCompletedBad = isBad && states[final]?.state === "completed";
+        if (final >= 0 && final < states.length - 1 || isCompletedBad) {
+            const detail = `${isBad ? "bad" : "good"} ${version} of ${service}: ${told}`;
+            breaches.push({ promise: "one outcome", at: states[final].at, detail });
+        }
+        const during = runs.filter(run => run.service === service && run.at >= from && run.at <= to);
+        const exposed = during.filter(run => servers.has(run.server)).length;
+        const allowed = exposedShare * during.length + exposedAllowance;
+        if (isBad && exposed > allowed) {
+            const detail = `${version} of ${service} had ${exposed} of ${during.length}, ${allowed} allowed; ${told}`;
+            breaches.push({ promise: "exposure", at: from, detail });
+        }
+        const endsAt = states[final]?.at ?? to;
+        const late = runs.filter(run => servers.has(run.server) && run.at > endsAt + stoppedWithin);
+        if (isBad && late.length > 0) {
+            const detail = `${version} of ${service} had ${late.length} more, the last at ${late.at(-1)!.at}; ${told}`;
+            breaches.push({ promise: "roll-back", at: endsAt, detail });
+        }
+        return breaches;
+    });
+}
+
 function recovered({ attempts, recoveredFrom }: Observations): Breach[] {
     const late = attempts.filter(attempt => attempt.at >= recoveredFrom);
     const served = late.filter(attempt => attempt.answer.status === 200).length;
--- a/packages/testing/src/soak/faults.ts
+++ b/packages/testing/src/soak/faults.ts
@@ -11,6 +11,7 @@
 import { allLinks, createLinkHarm, createLinkReset } from "./link-faults.js";
 import { createPlannedChanges, type PlannedChanges } from "./planned-changes.js";
 import { createMisbehaviour, createStoreFailure } from "./service-faults.js";
+import type { SoakRollouts } from "./soak-rollouts.js";
 import type { SoakWorld } from "./soak-world.js";
 
 /** What was done, as far as the checks must know. */
@@ -20,6 +21,7 @@
     readonly drained: ReadonlyMap<string, Interval>;
     /** When a zone's servers must get nothing. */
     readonly evacuated: ReadonlyMap<string, readonly Interval[]>;
+    readonly rollouts: SoakRollouts;
 }
 
 /** Least time between the beginnings of two faults, in milliseconds. */
@@ -34,14 +36,16 @@
     const faults = everyFault(world, changes);
     const ends: Promise<void>[] = [];
     const end = now() + length;
+    const rollouts = changes.rollouts.orderUntil(end);
     while (now() < end) {
         ends.push(pick(faults, random)());
         await pause(milliseconds(shortestPause + random() * longestAddition));
     }
     await Promise.all(ends);
     makeWhole(world);
+    await rollouts;
     const { drained, evacuated } = changes;
-    return { count: ends.length, drained, evacuated };
+    return { count: ends.length, drained, evacuated, rollouts: changes.rollouts };
 }
 
 /** All that may happen, each as likely as the others. */
--- a/packages/testing/src/soak/main.ts
+++ b/packages/testing/src/soak/main.ts
@@ -45,10 +45,15 @@
                 }
             },
         });
-        const { attempts, breaches, faults, folder, served } = result;
+        const { attempts, breaches, faults, folder, rollouts, served } = result;
+        const outcomes = rollouts.map(({ isBad, states }) =>
+            `${isBad ? "bad" : "good"}:${states.at(-1)?.state ?? "none"}`
+        );
         failed += breaches.length > 0 ? 1 : 0;
         process.stdout.write(
-            `seed=${seed} attempts=${attempts} served=${served} faults=${faults} breaches=${breaches.length} logs=${folder}\n`,
+            `seed=${seed} attempts=${attempts} served=${served} faults=${faults} rollouts=${
+                outcomes.join(",")
+            } breaches=${breaches.length} logs=${folder}\n`,
         );
     }
     process.stdout.write(`${last - first + 1 - failed} seeds without a breach, ${failed} with one\n`);
--- a/packages/testing/src/soak/planned-changes.ts
+++ b/packages/testing/src/soak/planned-changes.ts
@@ -9,6 +9,7 @@
 import { pause } from "../standins/deployment.js";
 import type { Interval } from "./checks.js";
 import { type Fault, pick } from "./fault-tools.js";
+import { createSoakRollouts, type SoakRollouts } from "./soak-rollouts.js";
 import { inForceWithin, type SoakWorld, zoneNames } from "./soak-world.js";
 
 /** The changes of one run. */
@@ -22,6 +23,7 @@
     /** A zone is closed for a while. */
     readonly evacuate: Fault;
     readonly changeConfiguration: Fault;
+    readonly rollouts: SoakRollouts;
 }
 
 /** Servers beyond which none is replaced, since each release adds a process' worth of sockets. */
@@ -38,10 +40,11 @@
     const evacuated = new Map<string, Interval[]>();
     const closedZones = new Set<string>();
 
-    return { drained, evacuated, release, evacuate, changeConfiguration };
+    const rollouts = createSoakRollouts(world, drained);
+    return { drained, evacuated, release, evacuate, changeConfiguration, rollouts };
 
     async function release(): Promise<void> {
-        const server = servers.find(candidate => !candidate.gone);
+        const server = servers.find(candidate => !candidate.gone && !candidate.isScripted);
         if (server === undefined || servers.length > mostServers) {
             return;
         }
--- a/packages/testing/src/soak/service-faults.ts
+++ b/packages/testing/src/soak/service-faults.ts
@@ -51,7 +51,7 @@
     const { random, servers } = world;
 
     return async function misbehave() {
-        const { backend } = pick(servers, random);
+        const { backend } = pick(servers.filter(server => !server.isScripted), random);
         const behaviour = pick(serverFaults, random);
         const share = leastShare + random() * addedShare;
         await lasting(
--- a/packages/testing/src/soak/soak-world.ts
+++ b/packages/testing/src/soak/soak-world.ts
@@ -32,12 +32,15 @@
 const serverWork = 40;
 
 /** One server behind its link. */
-interface SoakServer {
+export interface SoakServer {
     readonly backend: ServerStandIn;
     readonly proxy: Proxy;
     readonly service: string;
     readonly zone: string;
+    readonly version: string;
     gone: boolean;
+    /** Its behaviour is part of a bad version, and other faults leave it alone. */
+    isScripted: boolean;
 }
 
 /** When which service may run the requests of a path. */
@@ -45,6 +48,7 @@
 
 /** The parts of a run. */
 export interface SoakWorld {
+    readonly seed: number;
     readonly random: RandomSource;
     /** Milliseconds since the run began. */
     readonly now: () => number;
@@ -59,7 +63,10 @@
     readonly runs: readonly ObservedRun[];
     readonly destinations: readonly Destination[];
     readonly customers: SoakCustomers;
-    readonly addServer: (service: string, zone: string) => Promise<void>;
+    /** Adds a server; without a version it is of the one that the service runs. */
+    readonly addServer: (service: string, zone: string, version?: string) => Promise<SoakServer>;
+    /** The service runs another version from now on. */
+    readonly setVersion: (service: string, version: string) => void;
     readonly record: (server: SoakServer, state: "ready" | "draining") => void;
     /** Writes the next version: each customer has a new key, and the lookups' service changes with every other one. */
     readonly configure: () => void;
@@ -87,12 +94,14 @@
     const destinations: Destination[] = [];
     const customers = createSoakCustomers(now, inForceWithin);
     const storeLinks: Proxy[] = [];
+    const versions = new Map<string, string>();
     let version = 1;
 
     await startServers();
     configure();
     const boxes = await startBoxes();
     return {
+        seed: options.seed,
         random,
         now,
         say,
@@ -106,6 +115,7 @@
         destinations,
         customers,
         addServer,
+        setVersion: (service, next) => versions.set(service, next),
         record,
         configure,
         stopAll,
@@ -119,14 +129,19 @@
         }
     }
 
-    async function addServer(service: string, zone: string): Promise<void> {
+    async function addServer(
+        service: string,
+        zone: string,
+        serverVersion = versions.get(service) ?? "v1",
+    ): Promise<SoakServer> {
         const backend = await startServerStandIn({ id: `i-${service}-${servers.length}` });
         backend.setWork(serverWork);
         const proxy = await startProxy(backend.address());
-        const server = { backend, proxy, service, zone, gone: false };
+        const server = { backend, proxy, service, zone, version: serverVersion, gone: false, isScripted: false };
         servers.push(server);
         observeRuns(server);
         record(server, "ready");
+        return server;
     }
 
     /** Notes each run when it begins. */
@@ -142,8 +157,9 @@
     }
 
     function record(server: SoakServer, state: "ready" | "draining"): void {
-        const { service, zone } = server;
-        store.put("servers", server.backend.id, serverObject(server.proxy.address(), { service, zone, state }));
+        const { proxy, service, version: serverVersion, zone } = server;
+        const place = { service, zone, state, version: serverVersion };
+        store.put("servers", server.backend.id, serverObject(proxy.address(), place));
     }
 
     function configure(): void {
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -7,7 +7,7 @@
 import { createSeededRandom, milliseconds } from "@chalkdale/kernel";
 import { pause } from "../standins/deployment.js";
 import { startCallers } from "./callers.js";
-import { type Breach, findBreaches } from "./checks.js";
+import { type Breach, findBreaches, type ObservedRollout } from "./checks.js";
 import { injectFaults } from "./faults.js";
 import { createSoakWorld } from "./soak-world.js";
 
@@ -27,6 +27,7 @@
     readonly attempts: number;
     readonly served: number;
     readonly faults: number;
+    readonly rollouts: readonly ObservedRollout[];
     readonly breaches: readonly Breach[];
     /** Where the logs of the boxes lie. */
     readonly folder: string;
@@ -47,17 +48,28 @@
     const { now, say } = world;
 
     const callers = await startCallers(world, { count, prefix: `s${seed}`, leavingShare });
-    const { count: faults, drained, evacuated } = await injectFaults(world, options.length);
+    const { count: faults, drained, evacuated, rollouts } = await injectFaults(world, options.length);
     const recoveredFrom = now() + recoverWithin;
     await pause(milliseconds(recoverWithin + observedAfterRecovery));
     await callers.stop();
+    rollouts.stop();
     await world.stopAll();
 
     const { attempts } = callers;
     const { destinations, folder, runs } = world;
     const keyEndsAt = world.customers.endOf;
-    const breaches = findBreaches({ attempts, runs, drained, evacuated, destinations, keyEndsAt, recoveredFrom });
+    const breaches = findBreaches({
+        attempts,
+        runs,
+        drained,
+        evacuated,
+        destinations,
+        keyEndsAt,
+        rollouts: rollouts.observed,
+        recoveredFrom,
+    });
     breaches.forEach(breach => say(`breach="${breach.promise}" at=${Math.round(breach.at)} ${breach.detail}`));
     const served = attempts.filter(attempt => attempt.answer.status === 200).length;
-    return { seed, attempts: attempts.length, served, faults, breaches, folder };
+    const { observed } = rollouts;
+    return { seed, attempts: attempts.length, served, faults, rollouts: observed, breaches, folder };
 }
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -3,7 +3,7 @@
  */
 
 import { expect } from "chai";
-import { findBreaches, type Observations, type ObservedRun } from "../src/soak/checks.js";
+import { findBreaches, type Observations, type ObservedRollout, type ObservedRun } from "../src/soak/checks.js";
 import { runSoak } from "../src/soak/soak.js";
 
 /** Seeds that ever failed stay here, each with its cause. */
@@ -50,6 +50,7 @@
         evacuated: new Map(),
         destinations: [{ path: "/save/", service: "profiles", from: 0, to: Infinity }],
         keyEndsAt: () => undefined,
+        rollouts: [],
         recoveredFrom: 0,
         ...changes,
     });
@@ -71,4 +72,35 @@
         expect(found({ evacuated: new Map([["north-a", [{ from: 50, to: 150 }]]]) })).to.deep.equal(["evacuation"]);
         expect(found({ attempts: [] })).to.deep.equal(["recovery"]);
     });
+
+    describe("of roll-outs", () => {
+        const rollout = (...states: (readonly [state: string, at: number])[]): ObservedRollout => ({
+            service: "profiles",
+            version: "v2",
+            isBad: true,
+            from: 0,
+            to: 8000,
+            servers: new Set(["i-new"]),
+            states: states.map(([state, at]) => ({ state, at })),
+        });
+        const runsOfTarget = (count: number, at = 100) =>
+            Array.from({ length: count }, (_, index) => run({ requestId: `x-${index}`, server: "i-new", at }));
+        const rolledBack = rollout(["running", 100], ["rolled_back", 900]);
+
+        it("find nothing where the version had little and was rolled back", () => {
+            expect(found({ rollouts: [rolledBack], runs: runsOfTarget(40) })).to.deep.equal([]);
+        });
+
+        it("find too much of a bad version, and what it got afterwards", () => {
+            expect(found({ rollouts: [rolledBack], runs: runsOfTarget(60) })).to.deep.equal(["exposure"]);
+            expect(found({ rollouts: [{ ...rolledBack, isBad: false }], runs: runsOfTarget(60) })).to.deep.equal([]);
+            expect(found({ rollouts: [rolledBack], runs: runsOfTarget(3, 12_000) })).to.deep.equal(["roll-back"]);
+        });
+
+        it("find two outcomes, and a bad version that was completed", () => {
+            const twice = rollout(["rolled_back", 900], ["completed", 950]);
+            expect(found({ rollouts: [{ ...twice, isBad: false }] })).to.deep.equal(["one outcome"]);
+            expect(found({ rollouts: [rollout(["running", 100], ["completed", 900])] })).to.deep.equal(["one outcome"]);
+        });
+    });
 });
