--- a/packages/decisions/src/rollouts/rollout-decider.ts
+++ b/packages/decisions/src/rollouts/rollout-decider.ts
@@ -97,8 +97,8 @@
 const leftInProgress = 0.02;
 /** Milliseconds of work that is assumed before any is known. */
 const firstWorkTime = milliseconds(800);
-/** Milliseconds before the write is due in which no move begins: hardly a box would hear of it in time. Not measured. */
-const latestMove = 300;
+/** Milliseconds before the write is due in which no move begins: no box would hear of it in time. */
+const latestMove = 100;
 
 /** A move that has begun. */
 interface Move {
--- a/packages/decisions/src/rollouts/rollout-plan.ts
+++ b/packages/decisions/src/rollouts/rollout-plan.ts
@@ -49,8 +49,12 @@
 const workTimes = 2;
 /** Milliseconds in which all boxes hear that the move has begun, and tell that it is done. */
 const moveMessages = 500;
-/** Part of the account that the move may take at most: the rest is what the version is judged by. */
-const mostMovePart = 0.5;
+/** Requests that the version is judged by, if the account has as many to spare. */
+const enoughJudged = 120;
+/** Part of the account that the version is judged by at least, */
+const leastJudgedPart = 0.3;
+/** and that the move may take in any case. */
+const leastMovePart = 0.5;
 /** Part of the watch that is kept at most for the last answers to come. */
 const mostAnswerPart = 0.15;
 /** Milliseconds for which the sample is concentrated: load builds up. */
@@ -69,7 +73,7 @@
     const wantedMove = workTimes * workTime + moveMessages;
     const account = allowedAt(inputs, writeAt);
     const perMillisecond = Math.max(rate, 0.001) / second;
-    const moveTime = Math.min(wantedMove, account * mostMovePart / perMillisecond);
+    const moveTime = Math.min(wantedMove, mostForMove(account) / perMillisecond);
     const moveAt = Math.max(0, writeAt - moveTime);
     const watched = Math.max(0, account - moveTime * perMillisecond);
     const sentBy = moveAt - Math.min(workTimes * workTime, moveAt * mostAnswerPart);
@@ -83,6 +87,12 @@
     };
 }
 
+/** Requests that the move may take: the version is judged by the others. */
+function mostForMove(account: number): number {
+    const judged = Math.max(enoughJudged, account * leastJudgedPart);
+    return Math.max(account - judged, account * leastMovePart);
+}
+
 /** What the account will allow at a later time, if requests go on as now. */
 function allowedAt({ age, allowed, bounds, rate }: PlanInputs, later: number): number {
     const coming = Math.max(0, later - age) * rate / second;
