Roll-outs: a state is written though the deciding box is lost or turned away

Cause: a decider that ended between its news and its write left the order at `running`: boxes report no more then, so its successor knew nothing; and one that the store alone turned away could write nothing.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -151,7 +151,7 @@
         countingBoxes,
         catalog,
         store,
-        isCopyProven: () => replicator.isProven("rollouts"),
+        copyAge: () => replicator.provenAge("rollouts"),
         isStoreAnswering: () => !replicator.isFollowing() || replicator.storeLostFor() === 0,
         isRunning: () => plannedStop.phase() === "running",
         uptime,
--- a/packages/box/src/rollouts/deciding.ts
+++ b/packages/box/src/rollouts/deciding.ts
@@ -17,6 +17,7 @@
     type RolloutNews,
     type RolloutOrder,
     type RolloutReport,
+    type RolloutState,
     type RolloutStatus,
     type ServedVersions,
 } from "@chalkdale/decisions";
@@ -40,6 +41,8 @@
     readonly isDecider: (service: ServiceId) => boolean;
     readonly isStoreReachable: (service: ServiceId) => boolean;
     readonly sendGrant: (box: BoxId, grant: RolloutGrant) => void;
+    /** Other boxes are to write a state that this one can't. */
+    readonly askDeputies: (order: RolloutOrder, state: RolloutState) => void;
     /** A decision is to be told to all boxes at once. */
     readonly tell: (news: RolloutNews) => void;
 }
@@ -62,10 +65,14 @@
     isTold: boolean;
 }
 
+/** Milliseconds between two requests to other boxes to write what this one can't: the longest pause of their writes. Not measured. */
+const askInterval = 1200;
+
 /** Creates it; nothing is decided here yet. */
 export function createDeciding(options: DecidingOptions): Deciding {
     const { clock, log, orders, trials } = options;
     const deciders = new Map<ServiceId, Decided>();
+    let askAgainAt = -Infinity;
 
     return {
         onReport(box, report) {
@@ -148,17 +155,26 @@
             case "none":
                 return;
             case "writeRunning":
-                options.writer.write(order, "running");
+                write(order, "running");
                 return;
             case "writeCompleted":
-                options.writer.write(order, "completed");
+                write(order, "completed");
                 return;
             case "writeRolledBack":
-                options.writer.write(order, "rolledBack");
+                write(order, "rolledBack");
                 return;
         }
     }
 
+    function write(order: RolloutOrder, state: RolloutState): void {
+        const { writer } = options;
+        writer.write(order, state);
+        if (writer.isFailing(order.service) && clock() >= askAgainAt) {
+            askAgainAt = clock() + askInterval;
+            options.askDeputies(order, state);
+        }
+    }
+
     /** One line for each stage, with the figures that decided. */
     function logStage(entry: Decided, { service, state, targetVersion }: RolloutOrder): void {
         const status = entry.decider.status(clock());
--- a/packages/box/src/rollouts/rollout-parts.ts
+++ b/packages/box/src/rollouts/rollout-parts.ts
@@ -12,6 +12,7 @@
     RolloutNews,
     RolloutReport,
     RolloutStage,
+    RolloutState,
 } from "@chalkdale/decisions";
 import { incarnationId, milliseconds, serverVersion, serviceId } from "@chalkdale/kernel";
 
@@ -45,6 +46,7 @@
     total: number,
     age: number,
 ];
+export type WantedEntry = readonly [id: IdEntry, state: RolloutState];
 type NewsEntry = readonly [id: IdEntry, decision: RolloutNews["decision"], reason: string];
 
 /** The part of a datagram that is about roll-outs. */
@@ -53,6 +55,8 @@
     readonly report?: ReportEntry;
     /** Its answer. */
     readonly grant?: GrantEntry;
+    /** A state that the deciding box can't write, and the one that gets this may. */
+    readonly wanted?: WantedEntry;
     /** Decisions, from whoever knows them. */
     readonly news?: readonly NewsEntry[];
 }
@@ -65,6 +69,7 @@
 const groupCount = 8;
 /** Stands for a sum that is not known. */
 const unknownTotal = -1;
+const states: readonly RolloutState[] = ["running", "completed", "rolledBack"];
 const stages: readonly RolloutStage[] = ["watching", "moving", "completed", "rolledBack"];
 
 /** Shortens a report. */
@@ -91,6 +96,16 @@
     return [idEntry(rollout), stage, cap, round(share), sampledServers, total, Math.round(age)];
 }
 
+/** Shortens the wish that another box writes a state. */
+export function wantedEntry(rollout: RolloutId, state: RolloutState): WantedEntry {
+    return [idEntry(rollout), state];
+}
+
+/** Returns the wish of an entry. */
+export function readWanted([id, state]: WantedEntry): { readonly rollout: RolloutId; readonly state: RolloutState; } {
+    return { rollout: readId(id), state };
+}
+
 /** Shortens news. */
 export function newsEntry({ decision, reason, rollout }: RolloutNews): NewsEntry {
     return [idEntry(rollout), decision, reason.slice(0, longestReason)];
@@ -124,10 +139,11 @@
 
 /** True for a part as boxes send it. */
 export function isRolloutMessage(value: unknown): value is RolloutMessage {
-    const { grant, news, report } = (value ?? {}) as Partial<Record<keyof RolloutMessage, unknown>>;
+    const { grant, news, report, wanted } = (value ?? {}) as Partial<Record<keyof RolloutMessage, unknown>>;
     return typeof value === "object" && value !== null
         && (report === undefined || isReport(report))
         && (grant === undefined || isGrant(grant))
+        && (wanted === undefined || isWanted(wanted))
         && (news === undefined || Array.isArray(news) && news.every(isNews));
 }
 
@@ -176,6 +192,10 @@
     return isId(id) && stages.some(name => name === stage) && figures.every(isCount);
 }
 
+function isWanted(value: unknown): boolean {
+    return Array.isArray(value) && value.length === 2 && isId(value[0]) && states.some(state => state === value[1]);
+}
+
 function isNews(value: unknown): boolean {
     if (!Array.isArray(value) || value.length !== 3) {
         return false;
--- a/packages/box/src/rollouts/rollouts.ts
+++ b/packages/box/src/rollouts/rollouts.ts
@@ -9,7 +9,6 @@
  */
 
 import {
-    countingBox,
     type CountingBoxes,
     createServedVersions,
     isSameRollout,
@@ -28,6 +27,7 @@
 import type { Log } from "@chalkdale/runtime";
 import type { StateStore } from "../state/state-store.js";
 import { createWholeReports } from "./cell-changes.js";
+import { createDecidingBox } from "./deciding-box.js";
 import { createDeciding } from "./deciding.js";
 import { createNewestOrders } from "./newest-orders.js";
 import { createKnownNews } from "./rollout-news.js";
@@ -37,8 +37,11 @@
     readGrant,
     readNews,
     readReport,
+    readWanted,
     reportEntry,
     type RolloutMessage,
+    type WantedEntry,
+    wantedEntry,
 } from "./rollout-parts.js";
 import { createRolloutWriter } from "./rollout-writer.js";
 import { createTrials, type Trial, type Trials } from "./trials.js";
@@ -54,8 +57,8 @@
     readonly countingBoxes: Pick<CountingBoxes, "current">;
     readonly catalog: ServerCatalog;
     readonly store: Pick<StateStore, "writeRolloutState" | "readRollout">;
-    /** The store has confirmed the copy of the orders since this box started. */
-    readonly isCopyProven: () => boolean;
+    /** Time since the store confirmed the copy of the orders, to this box or through another; undefined if it never did. */
+    readonly copyAge: () => Milliseconds | undefined;
     /** False while this box calls the store and it does not answer. */
     readonly isStoreAnswering: () => boolean;
     /** False once the box is stopping. */
@@ -93,12 +96,10 @@
 }
 
 /**
- * Milliseconds after the start in which a box does not decide: it may not know yet who else runs, and take itself for the only
- * one. Five rounds of gossip, as for quotas. Not measured.
+ * Age in milliseconds up to which a copy that others confirmed shows that the store answers them, while it turns this box away.
+ * Not measured.
  */
-const settleTime = 1500;
-/** Part of the greatest capacity from which a box may decide: with 70 boxes some 0.15 MB/s of reports come in. Computed. */
-const strongPart = 0.5;
+const freshCopy = 2000;
 
 /** Creates the roll-outs of a box; no order is known yet. */
 export function createRollouts(options: RolloutsOptions): Rollouts {
@@ -122,6 +123,7 @@
             trials.refresh();
         },
     });
+    const decidingBox = createDecidingBox({ ...options, isCopyProven: () => options.copyAge() !== undefined });
     const deciding = createDeciding({
         ...options,
         orders,
@@ -129,8 +131,12 @@
         versions,
         writer,
         serverCount,
-        isDecider,
-        isStoreReachable: service => options.isStoreAnswering() && !writer.isFailing(service),
+        isDecider: decidingBox.isSelf,
+        isStoreReachable,
+        askDeputies(order, state) {
+            const wanted = wantedEntry(order, state);
+            decidingBox.deputies(order.service).forEach(box => sendTo(box, { wanted }));
+        },
         sendGrant,
         tell,
     });
@@ -143,7 +149,10 @@
             trials.refresh();
         },
         round: () => trials.all().forEach(report),
-        step: deciding.step,
+        step() {
+            deciding.step();
+            trials.all().forEach(writeByNews);
+        },
         onMessage(from, message) {
             if (message.report !== undefined) {
                 const grant = deciding.onReport(from.box, wholeReports(from.box, readReport(message.report)));
@@ -154,6 +163,9 @@
             if (message.grant !== undefined) {
                 trials.onGrant(readGrant(message.grant));
             }
+            if (message.wanted !== undefined) {
+                writeFor(message.wanted);
+            }
             (message.news ?? []).map(readNews).forEach(news => learn(news, from.box));
         },
         gossipPart() {
@@ -170,27 +182,9 @@
             })),
     };
 
-    /** One of the strong boxes among those that count: it takes a report of each box each 300 ms. */
-    function deciderOf(service: ServiceId): BoxId | undefined {
-        const candidates = options.countingBoxes.current();
-        const capacityOf = (box: BoxId) => capacityOfBox(box) ?? 0;
-        const most = Math.max(0, ...candidates.map(capacityOf));
-        return countingBox(service, candidates.filter(box => capacityOf(box) >= most * strongPart));
-    }
-
-    function capacityOfBox(box: BoxId): number | undefined {
-        return box === self ? membership.own().capacity : membership.find(box)?.capacity;
-    }
-
-    /** A box that has just started, or whose copy the store has not confirmed, may know an order as it was long ago. */
-    function isDecider(service: ServiceId): boolean {
-        return options.isRunning() && options.uptime() >= settleTime && options.isCopyProven()
-            && deciderOf(service) === self;
-    }
-
     function report({ changedCells, order, traffic }: Trial): void {
         const told = traffic.report(clock());
-        const decider = deciderOf(order.service);
+        const decider = decidingBox.of(order.service);
         if (told === undefined || decider === undefined) {
             return;
         }
@@ -202,19 +196,22 @@
             }
             return;
         }
-        const member = membership.find(decider);
+        sendTo(decider, { report: reportEntry({ ...told, cells: changedCells(told.cells, decider) }) });
+    }
+
+    function sendTo(box: BoxId, message: RolloutMessage): void {
+        const member = membership.find(box);
         if (member !== undefined) {
-            options.send(member, { report: reportEntry({ ...told, cells: changedCells(told.cells, decider) }) });
+            options.send(member, message);
         }
     }
 
     function sendGrant(box: BoxId, grant: RolloutGrant): void {
-        const member = membership.find(box);
         if (box === self) {
             trials.onGrant(grant);
         }
-        else if (member !== undefined) {
-            options.send(member, { grant: grantEntry(grant) });
+        else {
+            sendTo(box, { grant: grantEntry(grant) });
         }
     }
 
@@ -234,6 +231,28 @@
         log.info("rollout.decided", { ...rollout, decision, from, reason });
     }
 
+    /** The store may turn only some boxes away. */
+    function isStoreReachable(service: ServiceId): boolean {
+        return options.isStoreAnswering() && !writer.isFailing(service) || (options.copyAge() ?? Infinity) < freshCopy;
+    }
+
+    /** Writes what the deciding box can't, as long as the order is as it knew it. */
+    function writeFor(entry: WantedEntry): void {
+        const { rollout, state } = readWanted(entry);
+        const order = orders.of(rollout.service);
+        if (order !== undefined && isSameRollout(order, rollout) && !isDecidedInStore(rollout)) {
+            writer.write(order, state);
+        }
+    }
+
+    /** A decider may end between its news and its write; then boxes report no more, and its successor goes by the news. */
+    function writeByNews({ order }: Trial): void {
+        const isToWrite = knownNews.decisionOf(order) === "rolledBack" && !isDecidedInStore(order);
+        if (isToWrite && decidingBox.isSelf(order.service)) {
+            writer.write(order, "rolledBack");
+        }
+    }
+
     function isDecidedInStore(rollout: RolloutId): boolean {
         const order = orders.of(rollout.service);
         return order !== undefined && isSameRollout(order, rollout)
--- a/packages/box/src/state/replicator.ts
+++ b/packages/box/src/state/replicator.ts
@@ -39,8 +39,8 @@
     readonly storeLostFor: () => number;
     /** Time since the store confirmed the copy of the configuration, to this box or through another. */
     readonly configurationAge: () => Milliseconds;
-    /** True once the store confirmed the copy of a kind, to this box or through another, since this box started. */
-    readonly isProven: (kind: SharedKind) => boolean;
+    /** Time since the store confirmed the copy of a kind, to this box or through another; undefined if it never did. */
+    readonly provenAge: (kind: SharedKind) => Milliseconds | undefined;
     /** True while this box follows the store, so that others depend on what it says. */
     readonly isFollowing: () => boolean;
     /** Another box said how far its copies reach. */
@@ -70,7 +70,10 @@
         }),
         storeLostFor: follower.storeLostFor,
         configurationAge: () => provenAge("configuration"),
-        isProven: kind => provenAge(kind) < unconfirmedAge,
+        provenAge(kind) {
+            const age = provenAge(kind);
+            return age < unconfirmedAge ? age : undefined;
+        },
         isFollowing: () => relayRole.alwaysFollows() || options.kinds.some(kind => statuses[kind].watch !== undefined),
         onDigest(peer, digest) {
             for (const kind of options.kinds) {
--- a/packages/box/test/rollout-parts.test.ts
+++ b/packages/box/test/rollout-parts.test.ts
@@ -14,8 +14,10 @@
     readGrant,
     readNews,
     readReport,
+    readWanted,
     reportEntry,
     type RolloutMessage,
+    wantedEntry,
 } from "../src/rollouts/rollout-parts.js";
 
 const rollout = { service: serviceId("profiles"), targetVersion: serverVersion("v2"), createdAt: 17 };
@@ -52,6 +54,9 @@
         expect(readReport(got.report!)).to.deep.equal(report);
         expect(readGrant(got.grant!)).to.deep.equal(grant);
         expect(got.news!.map(readNews)).to.deep.equal([news]);
+        const wanted = sent({ wanted: wantedEntry(rollout, "completed") });
+        expect(isRolloutMessage(wanted)).to.equal(true);
+        expect(readWanted(wanted.wanted!)).to.deep.equal({ rollout, state: "completed" });
         const later = { ...report, knownTotal: 0 };
         expect(readReport(sent({ report: reportEntry(later) }).report!)).to.deep.equal(later);
     });
@@ -94,6 +99,8 @@
             { news: [["profiles", "completed", ""]] },
             { news: [[["profiles", "v2", 17], "running", ""]] },
             { news: {} },
+            { wanted: [["profiles", "v2", 17], "done"] },
+            { wanted: ["profiles", "completed"] },
         ];
         wrong.forEach(message => expect(isRolloutMessage(message), JSON.stringify(message)).to.equal(false));
     });
--- a/packages/box/test/rollouts.test.ts
+++ b/packages/box/test/rollouts.test.ts
@@ -49,6 +49,12 @@
         expect(world.counts.all - all).to.equal(world.counts.toTrial - toTrial);
     });
 
+    it("complete a good version though the store turns the deciding box away, and serves others [P24]", async () => {
+        world.boxes[0].hasStore = false;
+        expect(await world.runUntil("completed", duration)).to.equal(true);
+        expectOneOutcome("running", "completed");
+    });
+
     describe("of a version that fails", () => {
         beforeEach(async () => {
             await begin();
@@ -107,11 +113,22 @@
             await expectRolledBack();
         });
 
+        it("write it though the deciding box is lost after its news, and no box reports any more [P24]", async () => {
+            world.boxes.forEach(box => box.hasStore = false);
+            await world.runUntil("rolledBack", 6000);
+            world.boxes[0].isFrozen = true;
+            takeOver(3);
+            world.boxes.forEach(box => box.hasStore = true);
+            expect(await world.runUntil("rolledBack", 2000)).to.equal(true);
+            expectOneOutcome("running", "rolledBack");
+        });
+
         it("stop a box that gets no grants any more, by the news alone [P25]", async () => {
             const other = world.boxes[5];
             other.decider = 4;
             world.boxes[4].isFrozen = true;
             other.hasStore = false;
+            other.hearsCopies = false;
             expect(await world.runUntil("rolledBack", duration)).to.equal(true);
             world.run(100);
             expect(other.rollouts.requests.of(service)?.traffic.decision()).to.equal("rolledBack");
--- a/packages/testing/src/promises/box-mechanisms.ts
+++ b/packages/testing/src/promises/box-mechanisms.ts
@@ -182,4 +182,20 @@
         replace: "",
         specs: [boxTest("rollouts")],
     },
+    {
+        promise: "P24",
+        name: "the write by news of a deciding box that is lost",
+        file: box("rollouts/rollouts"),
+        find: "trials.all().forEach(writeByNews);",
+        replace: "",
+        specs: [boxTest("rollouts")],
+    },
+    {
+        promise: "P24",
+        name: "the boxes that write what the deciding one can't",
+        file: box("rollouts/deciding"),
+        find: "options.askDeputies(order, state);",
+        replace: "",
+        specs: [boxTest("rollouts")],
+    },
 ];
--- a/packages/testing/src/soak/soak-rollouts.ts
+++ b/packages/testing/src/soak/soak-rollouts.ts
@@ -31,12 +31,14 @@
 const pollInterval = milliseconds(20);
 /** Longest pause between two orders, in milliseconds. */
 const longestPause = 3000;
+/** Draws of seeds that follow on each other would begin alike. */
+const seedSpread = 7919;
 
 /** Creates it; nothing is ordered yet. `drained`: from when on a server must get nothing, by its id. */
 export function createSoakRollouts(world: SoakWorld, drained: Map<string, Interval>): SoakRollouts {
     const { now, say, servers, store } = world;
     // Its own, so that what else is drawn from a seed stays as it is.
-    const random = createSeededRandom(world.seed);
+    const random = createSeededRandom(world.seed * seedSpread);
     const observed: ObservedRollout[] = [];
     const moving = new Set<string>();
     let isOver = false;
