--- a/packages/decisions/src/rollouts/trial-evidence.ts
+++ b/packages/decisions/src/rollouts/trial-evidence.ts
@@ -41,7 +41,7 @@
  * Slowness from which an answer that has not come is told as one that took so long, and not again when it comes: the answers of
  * a slow version come late, and those that have come are the quick ones.
  */
-export const toldSlowness = 2.2;
+export const toldSlowness = 2;
 /** Slowness that one answer counts for at most: no single one decides on a group. Not measured against others. */
 const greatestSlowness = 20;
 
--- a/packages/decisions/src/rollouts/verdict.ts
+++ b/packages/decisions/src/rollouts/verdict.ts
@@ -90,7 +90,7 @@
     fewestGroups: 5,
 };
 /** Times the logarithms that slowness must reach while all requests move. */
-const movingFactor = 2;
+const movingFactor = 1.25;
 /** Standard score from which a difference is a reason to doubt. */
 const doubtfulScore = 2.6;
 /** Standard score below which a difference is taken for chance, however great it is. */
