--- a/packages/decisions/src/rollouts/evidence.ts
+++ b/packages/decisions/src/rollouts/evidence.ts
@@ -25,7 +25,7 @@
 export type EvidenceTable = ReadonlyMap<string, EvidenceCell>;
 
 /** Nothing answered yet. */
-export const noEvidence: GroupEvidence = { answers: 0, failures: 0, slownessSum: 0 };
+const noEvidence: GroupEvidence = { answers: 0, failures: 0, slownessSum: 0 };
 
 /** Returns a table with the cells added, `sign` -1 takes them away. */
 export function addCells(table: EvidenceTable, cells: Iterable<EvidenceCell>, sign = 1): EvidenceTable {
--- a/packages/decisions/src/rollouts/reporting-boxes.ts
+++ b/packages/decisions/src/rollouts/reporting-boxes.ts
@@ -9,7 +9,7 @@
 import type { RolloutReport } from "./rollout-messages.js";
 
 /** A box with its latest report. */
-export interface ReportingBox {
+interface ReportingBox {
     readonly box: BoxId;
     readonly report: RolloutReport;
     readonly at: Milliseconds;
--- a/packages/decisions/src/rollouts/rollout-decider.ts
+++ b/packages/decisions/src/rollouts/rollout-decider.ts
@@ -14,53 +14,16 @@
  */
 
 import { type BoxId, type Milliseconds, milliseconds } from "@chalkdale/kernel";
+import type { EvidenceSpan } from "./compared-versions.js";
 import { createEvidenceHistory } from "./evidence-history.js";
 import { createExposureAccount } from "./exposure-account.js";
 import { createReportingBoxes, meanTime } from "./reporting-boxes.js";
+import type { AddressedGrant, RolloutAction, RolloutStatus, StepInputs } from "./rollout-action.js";
 import { createRolloutGrants } from "./rollout-grants.js";
 import type { RolloutGrant, RolloutNews, RolloutReport, RolloutStage } from "./rollout-messages.js";
 import type { RolloutBounds, RolloutId, RolloutOrder } from "./rollout-order.js";
 import { planRollout, type RolloutPlan } from "./rollout-plan.js";
-import { describeVerdict, type EvidenceSpan, judgeTrial, type Verdict } from "./verdict.js";
-
-/** What the deciding box has to write. */
-export type RolloutAction =
-    | { readonly kind: "none"; }
-    | { readonly kind: "writeRunning"; }
-    | { readonly kind: "writeCompleted"; readonly reason: string; }
-    | { readonly kind: "writeRolledBack"; readonly reason: string; };
-
-/** A grant that a box is to have at once. */
-export interface AddressedGrant {
-    readonly box: BoxId;
-    readonly grant: RolloutGrant;
-}
-
-/** Where an order stands, for logs and operators. */
-export interface RolloutStatus {
-    readonly rollout: RolloutId;
-    readonly stage: RolloutStage;
-    readonly age: Milliseconds;
-    readonly plan: RolloutPlan;
-    /** Requests of the service since the order, of these to the target, sum of caps, and what that sum may be. */
-    readonly sent: number;
-    readonly sentToTrial: number;
-    readonly total: number;
-    readonly allowed: number;
-    readonly verdict: Verdict;
-    /** What decided; undefined before. */
-    readonly reason: string | undefined;
-}
-
-/** What a step goes by. */
-export interface StepInputs {
-    /** The newest copy of the order. */
-    readonly order: RolloutOrder;
-    /** The store answers this box. */
-    readonly isStoreReachable: boolean;
-    /** The target is proven already; see `ServedVersions`. */
-    readonly isTargetProven: boolean;
-}
+import { describeVerdict, judgeTrial } from "./verdict.js";
 
 /** Decides one order. */
 export interface RolloutDecider {
--- a/packages/decisions/src/rollouts/rollout-grants.ts
+++ b/packages/decisions/src/rollouts/rollout-grants.ts
@@ -21,7 +21,7 @@
 }
 
 /** What a grant goes by, besides the report. */
-export interface GrantContext {
+interface GrantContext {
     readonly stage: RolloutStage;
     readonly age: Milliseconds;
     readonly plan: RolloutPlan;
--- a/packages/decisions/test/choice-setup.ts
+++ b/packages/decisions/test/choice-setup.ts
@@ -2,7 +2,15 @@
  * A choice of servers with its catalog, as tests of the choice need it.
  */
 
-import { availabilityZoneId, backendServerId, boxId, milliseconds, regionId, serviceId } from "@chalkdale/kernel";
+import {
+    availabilityZoneId,
+    backendServerId,
+    boxId,
+    milliseconds,
+    regionId,
+    serverVersion,
+    serviceId,
+} from "@chalkdale/kernel";
 import {
     type BackendServerRecord,
     type ChoiceRequest,
@@ -21,6 +29,9 @@
 /** The time of all choices. */
 export const at = milliseconds(1000);
 
+/** Servers of this version are for trial requests, all others for ordinary ones. */
+export const trialVersion = serverVersion("v2");
+
 /** Returns a sticky route of idempotent requests, with changes. */
 export function createRoute(changes: Partial<Route> = {}): Route {
     return {
@@ -86,7 +97,7 @@
         loadPerSlot: () => loadPerSlot,
         severity: (server, now) => server.state.severity(now),
         admitsZone: zone => !closedZones.includes(zone),
-        admitsVersion: () => true,
+        admitsVersion: (server, isTrial) => (server.state.record().version === trialVersion) === isTrial,
         admissionVersion: () => 0,
     });
     const request = (changes: Partial<ChoiceRequest> = {}): ChoiceRequest => ({
--- a/packages/decisions/test/server-choice.test.ts
+++ b/packages/decisions/test/server-choice.test.ts
@@ -1,6 +1,6 @@
 import { availabilityZoneId, backendServerId, hashText, milliseconds, regionId } from "@chalkdale/kernel";
 import { expect } from "chai";
-import { at, createRecord, createRoute, createSetup } from "./choice-setup.js";
+import { at, createRecord, createRoute, createSetup, trialVersion } from "./choice-setup.js";
 
 /** Many servers in two regions and six zones. */
 const manyServers = Array.from({ length: 120 }, (_, index) =>
@@ -246,6 +246,42 @@
         });
     });
 
+    describe("versions", () => {
+        const twoVersions = manyServers.flatMap(record => [
+            record,
+            createRecord(`${record.id}-new`, { zone: record.zone, region: record.region, version: trialVersion }),
+        ]);
+        const keys = Array.from({ length: 60 }, (_, key) => hashText(`key-${key}`));
+
+        it("have their own requests only, and keep the keys' servers as without the other version", () => {
+            const alone = createSetup(manyServers);
+            const beside = createSetup(twoVersions);
+            const expected = keys.map(keyHash => alone.chosen({ keyHash }));
+            expect(keys.map(keyHash => beside.chosen({ keyHash }))).to.deep.equal(expected);
+            const isNew = (keyHash: number) => String(beside.chosen({ keyHash, isTrial: true })).endsWith("-new");
+            expect(keys.every(isNew)).to.equal(true);
+            expect(keys.map(keyHash => beside.chosen({ keyHash }))).to.deep.equal(expected);
+        });
+
+        it("are tried at servers that do badly as well, whose failures move no other request", () => {
+            const [old, fresh] = [createRecord("old"), createRecord("old-2")];
+            const tried = createRecord("new", { version: trialVersion });
+            const { catalog, chosen } = createSetup([old, fresh, tried]);
+            for (let failure = 0; failure < 20; failure++) {
+                catalog.get(tried.id)!.state.onResult(at, false);
+            }
+            expect(chosen({ isTrial: true })).to.equal("new");
+            catalog.get(old.id)!.state.onResult(at, false);
+            catalog.get(old.id)!.state.onResult(at, false);
+            expect(keys.every(keyHash => chosen({ keyHash }) === "old-2")).to.equal(true);
+        });
+
+        it("are not tried where no server of theirs may take the request", () => {
+            const { chosen } = createSetup(manyServers);
+            expect(chosen({ isTrial: true })).to.equal("noServer");
+        });
+    });
+
     describe("cold servers", () => {
         it("get no more than their rate [P14]", () => {
             const { catalog, choose, request } = createSetup([createRecord("s-1", { coldFor: milliseconds(3000) })]);
