--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -30,11 +30,13 @@
 } from "@chalkdale/decisions";
 import { type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/kernel";
 import type { BoxMetrics } from "../metrics.js";
+import type { TrialRequests } from "../rollouts/trials.js";
 import type { ServerAnswer } from "../servers/exchange.js";
 import type { ActiveRequest, Ending } from "./active-request.js";
 import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
 import { attemptHedged, type EndedAttempt } from "./hedged-attempt.js";
 import type { RequestLog } from "./request-log.js";
+import { createTryWatch } from "./watched-try.js";
 
 export interface AttemptLoopOptions {
     readonly clock: Clock;
@@ -48,6 +50,7 @@
     readonly roundTrip: (server: BackendServer) => Milliseconds;
     /** Requests at the service's servers for each of their slots; see `ServiceLoad`. */
     readonly loadPerSlot: (service: ServiceId) => number;
+    readonly trials: TrialRequests;
 }
 
 /** The loop's other needs. */
@@ -62,14 +65,17 @@
 
 /** Creates the loop. */
 export function createAttemptLoop(options: AttemptLoopOptions & AttemptLoopContext): AttemptLoop {
-    const { clock, metrics, requestLog } = options;
+    const { clock, metrics, requestLog, trials } = options;
+    const watchTry = createTryWatch(options);
 
     return async function runAttempts(active, body, signal) {
         for (;;) {
             if (signal.aborted) {
                 return { kind: "callerLeft" };
             }
-            const choice = options.choose(choiceRequest(active));
+            const isFirstTry = active.sent + active.notSent === 0;
+            const choice = (isFirstTry ? chooseForTrial(active) : undefined)
+                ?? options.choose(choiceRequest(active, false));
             if (choice.kind !== "chosen") {
                 return giveUp(active, refusalOf(choice));
             }
@@ -104,7 +110,20 @@
         return active.tried.has(server.id);
     }
 
-    function choiceRequest(active: ActiveRequest): ChoiceRequest {
+    /** A trial's server for a request at its first try. One that finds none goes where other requests go, at once. */
+    function chooseForTrial(active: ActiveRequest): ChosenServer | undefined {
+        if (!trials.assign(active.service, active.route)) {
+            return undefined;
+        }
+        const choice = options.choose(choiceRequest(active, true));
+        if (choice.kind === "chosen") {
+            return choice;
+        }
+        trials.onNotSent(active.service);
+        return undefined;
+    }
+
+    function choiceRequest(active: ActiveRequest, isTrial: boolean): ChoiceRequest {
         const at = clock();
         return {
             route: active.route,
@@ -114,6 +133,7 @@
             tried: active.tried,
             timeLeft: milliseconds(active.endsAt - at),
             isReturning: active.isReturning,
+            isTrial,
             at,
         };
     }
@@ -137,7 +157,7 @@
             ...inputs,
             sent: beforeFirst ? inputs.sent + 1 : inputs.sent,
             loadPerSlot: options.loadPerSlot(active.service),
-            chooseSecond: () => options.choose(choiceRequest(active)),
+            chooseSecond: () => options.choose(choiceRequest(active, false)),
         };
     }
 
@@ -189,9 +209,12 @@
         signal: AbortSignal,
     ): Promise<AttemptOutcome> {
         const { server } = choice;
-        const sentBefore = active.sent;
+        const isTrial = trials.isOnTrial(active.service, server);
+        let isSent = false;
+        const watched = watchTry(active, choice);
         active.tried.add(server.id);
         active.latestChoice = choice;
+        active.latestVersion = trials.hasTrial(active.service) ? server.state.record().version : undefined;
         const outcome = await options.attempt({
             route: active.route,
             service: active.service,
@@ -207,12 +230,21 @@
             signal,
             onSend: () => {
                 active.sent += 1;
+                isSent = true;
                 options.work.onSent(active.service, active.route);
+                watched.onSent();
+            },
+            onServed(duration) {
+                watched.onServed(duration);
+                learn(active, choice, duration);
             },
-            onServed: duration => learn(active, choice, duration),
         });
-        if (active.sent === sentBefore) {
+        watched.onEnded(outcome);
+        if (!isSent) {
             active.notSent += 1;
+            if (isTrial) {
+                trials.onNotSent(active.service);
+            }
         }
         metrics.onAttempt(outcome.kind);
         if (outcome.kind === "answered" && isSuccessStatus(outcome.answer.status)) {
@@ -224,8 +256,11 @@
     function learn(active: ActiveRequest, choice: ChosenServer, duration: Milliseconds): void {
         const { id, state } = choice.server;
         metrics.onServed(duration);
-        state.onAnswerTime(clock(), options.work.onMeasured(active.route, choice.warm, duration));
         options.recentKeys.add(id, active.keyHash, clock());
+        if (trials.isOnTrial(active.service, choice.server)) {
+            return;
+        }
+        state.onAnswerTime(clock(), options.work.onMeasured(active.route, choice.warm, duration));
     }
 
     function logFailure(active: ActiveRequest, choice: ChosenServer, outcome: AttemptOutcome): void {
--- a/packages/box/src/state/replicator.ts
+++ b/packages/box/src/state/replicator.ts
@@ -10,7 +10,6 @@
     type RelayRole,
     type SharedItems,
     type SharedKind,
-    sharedKinds,
     type TurnedAwayBoxes,
 } from "@chalkdale/decisions";
 import { type BoxId, type Clock, type Milliseconds, milliseconds, type RegionId } from "@chalkdale/kernel";
@@ -33,6 +32,8 @@
     readonly relayRole: RelayRole;
     readonly turnedAway: TurnedAwayBoxes;
     readonly self: BoxId;
+    /** Kinds that the box copies. */
+    readonly kinds: readonly SharedKind[];
     readonly readState: StateReader;
     /** Passes changes on to the boxes of the region. */
     readonly publish: (update: StateUpdate) => void;
@@ -48,6 +49,8 @@
     readonly storeLostFor: () => number;
     /** Time since the store confirmed the copy of the configuration, to this box or through another. */
     readonly configurationAge: () => Milliseconds;
+    /** Time since the store confirmed the copy of a kind, to this box or through another; undefined if it never did. */
+    readonly provenAge: (kind: SharedKind) => Milliseconds | undefined;
     /** True while this box follows the store, so that others depend on what it says. */
     readonly isFollowing: () => boolean;
     /** Another box said how far its copies reach. */
@@ -73,17 +76,27 @@
 
     return {
         digest: () => ({
-            configuration: { ...copyState("configuration"), provenAge: Math.round(configurationAge()) },
+            configuration: provenCopyState("configuration"),
             servers: copyState("servers"),
             closedZones: copyState("closedZones"),
             ...turnedAway.has(self, clock()) ? { turnedAway: true } : {},
+            ...options.kinds.includes("rollouts") ? { rollouts: provenCopyState("rollouts") } : {},
         }),
         storeLostFor: follower.storeLostFor,
-        configurationAge,
-        isFollowing: () => relayRole.alwaysFollows() || sharedKinds.some(kind => statuses[kind].watch !== undefined),
+        configurationAge: () => provenAge("configuration"),
+        provenAge(kind) {
+            const age = provenAge(kind);
+            return age < unconfirmedAge ? age : undefined;
+        },
+        isFollowing: () => relayRole.alwaysFollows() || options.kinds.some(kind => statuses[kind].watch !== undefined),
         onDigest(peer, digest) {
             const isNews = turnedAway.onTold(peer.box, digest.turnedAway === true, clock());
-            sharedKinds.forEach(kind => onCopyState(kind, peer, digest[kind]));
+            for (const kind of options.kinds) {
+                const told = digest[kind];
+                if (told !== undefined) {
+                    onCopyState(kind, peer, told);
+                }
+            }
             if (isNews && peer.region === options.region) {
                 follower.wake();
             }
@@ -100,8 +113,12 @@
         };
     }
 
-    function configurationAge(): Milliseconds {
-        return milliseconds(Math.min(unconfirmedAge, clock() - statuses.configuration.provenAt));
+    function provenCopyState(kind: SharedKind): CopyState {
+        return { ...copyState(kind), provenAge: Math.round(provenAge(kind)) };
+    }
+
+    function provenAge(kind: SharedKind): Milliseconds {
+        return milliseconds(Math.min(unconfirmedAge, clock() - statuses[kind].provenAt));
     }
 
     function applyUpdate<Kind extends SharedKind>(kind: Kind, update: StateUpdate): void {
--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -16,7 +16,6 @@
     pauseAfterChange,
     type RelayRole,
     type SharedKind,
-    sharedKinds,
     spreadBackoff,
     type TurnedAwayBoxes,
 } from "@chalkdale/decisions";
@@ -41,6 +40,8 @@
     readonly store: StateStore;
     readonly relayRole: RelayRole;
     readonly turnedAway: TurnedAwayBoxes;
+    /** Kinds that the box copies. */
+    readonly kinds: readonly SharedKind[];
     /** Passes changes on to the boxes of the region. */
     readonly publish: (update: StateUpdate) => void;
     /** Tells the boxes of the region how far the copies reach, and whether this box is turned away. */
@@ -68,7 +69,7 @@
     const sleepers = new Set<AbortController>();
     signal.addEventListener("abort", wake, { once: true });
 
-    for (const kind of sharedKinds) {
+    for (const kind of options.kinds) {
         void follow(kind);
     }
 
@@ -121,7 +122,7 @@
 
     /** Milliseconds until this box has to follow the store itself for a kind. */
     function notDueFor(kind: SharedKind): number {
-        return relayRole.alwaysFollows() ? 0 : relayRole.followAfterAge() - (clock() - statuses[kind].confirmedAt);
+        return relayRole.alwaysFollows() ? 0 : relayRole.followAfterAge(kind) - (clock() - statuses[kind].confirmedAt);
     }
 
     /**
@@ -148,7 +149,7 @@
             return false;
         }
         const dueAt = askedAt + relayRole.settleTime;
-        statuses[kind].confirmedAt = Math.max(statuses[kind].confirmedAt, dueAt - relayRole.followAfterAge());
+        statuses[kind].confirmedAt = Math.max(statuses[kind].confirmedAt, dueAt - relayRole.followAfterAge(kind));
         isConfirmed.delete(kind);
         return false;
     }
@@ -182,7 +183,7 @@
         watchSignal: AbortSignal,
     ): Promise<boolean> {
         const replica = state.replica(kind);
-        const wait = isProofUrgent(kind) ? noWait : relayRole.watchWait(needsProof(kind));
+        const wait = isProofUrgent(kind) ? noWait : relayRole.watchWait(kind, needsProof(kind));
         const outcome = await timed(store.watch(kind, since, watchSignal, wait), (wait ?? Infinity) + overdueAfter);
         isConfirmed.add(kind);
         if (outcome.kind === "historyLost") {
@@ -208,7 +209,7 @@
     /** True for a first watch, and for one that others wait for since the copies of the region are overdue. */
     function isProofUrgent(kind: SharedKind): boolean {
         const age = clock() - statuses[kind].confirmedAt;
-        return !isConfirmed.has(kind) || relayRole.isOverdue(age);
+        return !isConfirmed.has(kind) || relayRole.isOverdue(kind, age);
     }
 
     /** Takes this box as turned away once a call is overdue, without an end of the call. */
--- a/packages/box/test/attempt-loop.test.ts
+++ b/packages/box/test/attempt-loop.test.ts
@@ -9,6 +9,7 @@
 import type { ActiveRequest } from "../src/requests/active-request.js";
 import { createAttemptLoop } from "../src/requests/attempt-loop.js";
 import type { AttemptOutcome } from "../src/requests/attempt-request.js";
+import { noTrials } from "../src/rollouts/trials.js";
 
 const route = { name: "photos", kind: "safe", maxAttempts: 1 } as Route;
 
@@ -30,6 +31,7 @@
         movedBytes: { ...createMovedBytes(), onMoved: (_route, bytes) => learned.push(bytes) },
         roundTrip: () => milliseconds(1),
         loadPerSlot: () => 0,
+        trials: noTrials,
         requestLog: {
             attemptFailed: unused,
             hedged: unused,
@@ -57,7 +59,7 @@
 
     it("learns nothing of failures, whose answers are short", async () => {
         expect(await learnedFrom(answerOf(500))).to.deep.equal([]);
-        expect(await learnedFrom({ kind: "broken", reason: "reset" })).to.deep.equal([]);
+        expect(await learnedFrom({ kind: "broken", reason: "reset", wasForgotten: false })).to.deep.equal([]);
         expect(await learnedFrom({ kind: "notRun", status: 503, hasRoom: false })).to.deep.equal([]);
     });
 });
--- a/packages/decisions/src/choose/work-estimate.ts
+++ b/packages/decisions/src/choose/work-estimate.ts
@@ -28,6 +28,15 @@
      * taken as long as none was sent.
      */
     readonly ofQueue: (service: ServiceId, route: Route) => Milliseconds;
+    /**
+     * Compares an answer with what is expected, without learning from it; `wait` is the time that it was expected to wait for a
+     * slot. Whether a server knew a key that this box had not sent there is unknown: between warm and cold work nothing is out of the ordinary.
+     *
+     * @returns how many times as long as expected the answer took.
+     */
+    readonly compare: (route: Route, known: boolean, duration: Milliseconds, wait: Milliseconds) => number;
+    /** Time after which `compare` gives `slowness` for an answer that has not come. */
+    readonly durationOf: (route: Route, known: boolean, slowness: number, wait: Milliseconds) => Milliseconds;
 }
 
 /** Weight of the newest answer; ten answers count for two thirds. Not measured. */
@@ -76,8 +85,19 @@
             queued.set(service, before + (warm - before) * mixSmoothing);
         },
         ofQueue: (service, route) => milliseconds(queued.get(service) ?? of(route).warm),
+        compare(route, known, duration, wait) {
+            const { least, most } = ordinaryTimes(route, known, wait);
+            return duration > most ? duration / most : Math.min(1, duration / least);
+        },
+        durationOf: (route, known, slowness, wait) => milliseconds(ordinaryTimes(route, known, wait).most * slowness),
     };
 
+    function ordinaryTimes(route: Route, known: boolean, wait: Milliseconds) {
+        const { cold, warm } = of(route);
+        const least = Math.max(1, warm + wait);
+        return { least, most: known || !route.sticky ? least : Math.max(least, cold + wait) };
+    }
+
     function of(route: Route): Learned {
         let estimate = learned.get(route.name);
         if (estimate === undefined) {
--- a/packages/decisions/src/shared-state/relay-role.ts
+++ b/packages/decisions/src/shared-state/relay-role.ts
@@ -21,6 +21,7 @@
 import { type BoxId, type Clock, type Milliseconds, milliseconds, type RegionId } from "@chalkdale/kernel";
 import { type MemberRecord, sortStrongestFirst } from "../membership/member-record.js";
 import { gossipInterval } from "../membership/membership-times.js";
+import type { SharedKind } from "./kinds.js";
 import { mostTelling, type TurnedAwayBoxes } from "./turned-away.js";
 
 /**
@@ -33,6 +34,11 @@
  * box follows the store itself. A relay that is lost costs 0.55 to 0.73 of the bound; the rest is for a list or snapshot.
  */
 const watchPart = 0.3;
+/**
+ * The same for orders of roll-outs: a third of the calls of another kind. A change ends a watch at once, and outcomes reach boxes
+ * as news before the store has them, so a lost relay only makes an order begin later. Not measured against other waits.
+ */
+const rolloutWatchPart = 0.9;
 /** Part of the bound on changes: age of a copy from which the next box follows the store. Measured with the relay as a whole. */
 const patiencePart = 0.55;
 /**
@@ -78,10 +84,10 @@
     readonly isRelayed: () => boolean;
     /** True if this box is the relay of its region, or the region has none. */
     readonly alwaysFollows: () => boolean;
-    /** Age of a copy from which this box follows the store itself; 0 for a box that always does. */
-    readonly followAfterAge: () => Milliseconds;
-    /** True for an age that the copies of a region with a relay do not reach while a box of it follows the store. */
-    readonly isOverdue: (age: number) => boolean;
+    /** Age of a copy of a kind from which this box follows the store itself; 0 for a box that always does. */
+    readonly followAfterAge: (kind: SharedKind) => Milliseconds;
+    /** True for an age that a copy of the kind does not reach, in a region with a relay, while a box of it follows the store. */
+    readonly isOverdue: (kind: SharedKind, age: number) => boolean;
     /** True if this box should tell its whole region at once that it is turned away: few others have. */
     readonly tellsTurnedAway: () => boolean;
     /** True while the store turns a box of the region away, as far as this box knows. */
@@ -89,10 +95,10 @@
     /** Time after the start in which the box does not follow the store yet. */
     readonly settleTime: Milliseconds;
     /**
-     * How long a watch may wait without a change, or undefined if nobody depends on this box. `needsProof`: decisions of
-     * this box go by the age of the copy.
+     * How long a watch of a kind may wait without a change, or undefined if nobody depends on this box. `needsProof`: decisions
+     * of this box go by the age of the copy.
      */
-    readonly watchWait: (needsProof: boolean) => Milliseconds | undefined;
+    readonly watchWait: (kind: SharedKind, needsProof: boolean) => Milliseconds | undefined;
 }
 
 export interface RelayRoleOptions {
@@ -116,22 +122,27 @@
 
     return {
         isRelayed,
-        alwaysFollows: () => followAfterAge() === 0,
+        alwaysFollows: () => followAfterAge("configuration") === 0,
         followAfterAge,
-        isOverdue: age => isRelayed() && age >= changeBound * (isAnyTurnedAway() ? standInPart : patiencePart),
+        isOverdue,
         tellsTurnedAway: () => isRelayed() && boxesOfRegion().filter(isTurnedAway).length <= mostTelling,
         isAnyTurnedAway,
         settleTime,
         watchWait,
     };
 
-    function watchWait(needsProof: boolean): Milliseconds | undefined {
+    function watchWait(kind: SharedKind, needsProof: boolean): Milliseconds | undefined {
         if (isRelayed()) {
-            return milliseconds(changeBound * watchPart);
+            return milliseconds(changeBound * watchPartOf(kind));
         }
         return needsProof ? milliseconds(changeBound * proofPart) : undefined;
     }
 
+    function isOverdue(kind: SharedKind, age: number): boolean {
+        const part = isAnyTurnedAway() ? standInPart : patiencePart;
+        return isRelayed() && age >= changeBound * (part + longerWatchOf(kind));
+    }
+
     function isAnyTurnedAway(): boolean {
         return boxesOfRegion().some(isTurnedAway);
     }
@@ -140,7 +151,7 @@
         return boxesOfRegion().length >= leastRelayedBoxes;
     }
 
-    function followAfterAge(): Milliseconds {
+    function followAfterAge(kind: SharedKind): Milliseconds {
         const ranked = sortStrongestFirst(boxesOfRegion());
         const rank = rankOf(ranked);
         if (ranked.length < leastRelayedBoxes || rank < 0) {
@@ -148,10 +159,10 @@
         }
         const open = ranked.filter(record => !isTurnedAway(record));
         if (open.length === ranked.length || rankOf(open) < 0) {
-            return afterSettling(patienceOf(rank, open.length < ranked.length));
+            return afterSettling(patienceOf(kind, rank, open.length < ranked.length));
         }
         const isReplacement = rankOf(open) === 0 && ranked.length - open.length <= mostTelling;
-        return afterSettling(isReplacement ? milliseconds(0) : standInAge(rankOf(open)));
+        return afterSettling(isReplacement ? milliseconds(0) : standInAge(kind, rankOf(open)));
     }
 
     /** A box that has just started takes no relay's part. */
@@ -160,13 +171,16 @@
     }
 
     /** The relay itself waits too while it is turned away. */
-    function patienceOf(rank: number, isAnyTurnedAway: boolean): Milliseconds {
-        return milliseconds(rank === 0 && !isAnyTurnedAway ? 0 : changeBound * (patiencePart + rankPart * rank));
+    function patienceOf(kind: SharedKind, rank: number, isAnyTurnedAway: boolean): Milliseconds {
+        if (rank === 0 && !isAnyTurnedAway) {
+            return milliseconds(0);
+        }
+        return milliseconds(changeBound * (patiencePart + longerWatchOf(kind) + rankPart * rank));
     }
 
-    function standInAge(rank: number): Milliseconds {
+    function standInAge(kind: SharedKind, rank: number): Milliseconds {
         const step = Math.floor(Math.log(rank + 1) / Math.log(stepGrowth));
-        return milliseconds(changeBound * (standInPart + stepPart * step));
+        return milliseconds(changeBound * (standInPart + longerWatchOf(kind) + stepPart * step));
     }
 
     function rankOf(records: readonly MemberRecord[]): number {
@@ -181,3 +195,12 @@
         return options.alive().filter(record => record.region === options.region && !record.leaving);
     }
 }
+
+function watchPartOf(kind: SharedKind): number {
+    return kind === "rollouts" ? rolloutWatchPart : watchPart;
+}
+
+/** Part of the bound by which a relay's watch of the kind may wait longer than others. */
+function longerWatchOf(kind: SharedKind): number {
+    return watchPartOf(kind) - watchPart;
+}
