--- a/packages/box/src/peers/peer-messages.ts
+++ b/packages/box/src/peers/peer-messages.ts
@@ -9,6 +9,7 @@
 import type { MemberRecord, Sighting } from "@chalkdale/decisions";
 import { incarnationId, type RegionId } from "@chalkdale/kernel";
 import { isQuotaMessage, type QuotaMessage } from "../quotas/quota-messages.js";
+import { isRolloutMessage, type RolloutMessage } from "../rollouts/rollout-parts.js";
 import { isStateDigest, isStateUpdate, type StateDigest, type StateUpdate } from "../state/state-messages.js";
 import { isReportMessage, type ReportMessage } from "./server-reports.js";
 
@@ -33,7 +34,8 @@
     readonly from: MemberRecord;
     /** Other members that the sender knows. */
     readonly beats: readonly Beat[];
-    readonly digest: StateDigest;
+    /** Missing in messages about roll-outs, of which there are several a second. */
+    readonly digest?: StateDigest;
     /** True if the sender wants an answer, as a sign of life. */
     readonly asks?: boolean;
     /** Milliseconds since anyone heard from a box of each region. */
@@ -41,6 +43,8 @@
     readonly update?: StateUpdate;
     /** Reports and leases of customers' quotas. */
     readonly quota?: QuotaMessage;
+    /** Reports, grants and news of roll-outs; earlier releases, and deployments without them, have none. */
+    readonly rollout?: RolloutMessage;
     /** Servers that do badly, for boxes of the sender's region; earlier releases have none. */
     readonly reports?: readonly ReportMessage[];
 }
@@ -83,9 +87,11 @@
 function isWhole(message: PeerMessage): boolean {
     return typeof message === "object" && message !== null
         && isMember(message.from) && Array.isArray(message.beats) && message.beats.every(isBeat)
-        && isStateDigest(message.digest) && (message.update === undefined || isStateUpdate(message.update))
+        && (message.digest === undefined ? message.rollout !== undefined : isStateDigest(message.digest))
+        && (message.update === undefined || isStateUpdate(message.update))
         && (message.reports === undefined || areReports(message.reports))
         && (message.quota === undefined || isQuotaMessage(message.quota))
+        && (message.rollout === undefined || isRolloutMessage(message.rollout))
         && (message.regions === undefined || areAges(message.regions));
 }
 
--- a/packages/box/src/state/snapshot-catch-up.ts
+++ b/packages/box/src/state/snapshot-catch-up.ts
@@ -31,7 +31,7 @@
     readonly alwaysFollows: () => boolean;
     readonly isStoreLost: () => boolean;
     /** True for an age that a copy does not reach while a box of the region follows the store. */
-    readonly isOverdue: (age: number) => boolean;
+    readonly isOverdue: (kind: SharedKind, age: number) => boolean;
     readonly readState: StateReader;
     /** Tells the boxes of the region how far the copies reach. */
     readonly tellRegion: () => void;
@@ -65,7 +65,7 @@
             hasCopy: state.replica(kind).revision() !== undefined,
             alwaysFollows: options.alwaysFollows(),
             isStoreLost: options.isStoreLost(),
-            isOverdue: options.isOverdue(clock() - statuses[kind].confirmedAt),
+            isOverdue: options.isOverdue(kind, clock() - statuses[kind].confirmedAt),
             isSameRegion: peer.region === options.region,
         });
     }
--- a/packages/box/test/emulated-fleet.ts
+++ b/packages/box/test/emulated-fleet.ts
@@ -5,6 +5,7 @@
  */
 
 import {
+    copiedKinds,
     createMembership,
     createProbing,
     createRelayRole,
@@ -131,6 +132,7 @@
             configuration: createReplica<never>(() => "main", () => undefined),
             servers: createReplica<never>(() => "s", () => undefined),
             closedZones: createReplica<never>(() => "z", () => undefined),
+            rollouts: createReplica<never>(() => "r", () => undefined),
         };
         let roundsSinceTold = 0;
         const turnedAway = createTurnedAwayBoxes(record.box, milliseconds(changeBound));
@@ -156,6 +158,7 @@
             relayRole,
             turnedAway,
             self: record.box,
+            kinds: copiedKinds(false),
             readState: (peer, kind, since) => readState(record, peer.peerAddress, kind, since ?? 0),
             publish: tellRegion,
             tellRegion,
@@ -214,6 +217,8 @@
                 watch(box, kind, since, signal, wait) as Promise<WatchOutcome<never>>,
             announce: () => new Promise(() => undefined),
             listBoxes: () => new Promise(() => undefined),
+            writeRolloutState: () => new Promise(() => undefined),
+            readRollout: () => new Promise(() => undefined),
         };
     }
 
@@ -271,7 +276,7 @@
         const peer = [...boxes.values()].find(box => box.record.peerAddress === address)!;
         const roundTrip = 2 * wayBetween(reader.region, peer.record.region);
         await answerAfter(roundTrip, undefined);
-        const known = peer.replicator.digest()[kind].complete;
+        const known = peer.replicator.digest()[kind]!.complete;
         await answerAfter(roundTrip, undefined);
         return {
             kind: "missing" as const,
--- a/packages/box/test/peer-link.test.ts
+++ b/packages/box/test/peer-link.test.ts
@@ -54,6 +54,8 @@
             readMembers: () => Promise.resolve([]),
             countTraffic: () => undefined,
             onQuota: () => undefined,
+            onRollout: () => undefined,
+            rolloutNews: () => undefined,
             signal: lifetime.signal,
         });
     });
--- a/packages/box/test/request-handler.test.ts
+++ b/packages/box/test/request-handler.test.ts
@@ -21,6 +21,7 @@
 import { serveCallers } from "../src/callers/caller-connections.js";
 import { createBoxMetrics } from "../src/metrics.js";
 import { createRequestHandler } from "../src/requests/request-handler.js";
+import { noTrials } from "../src/rollouts/trials.js";
 import type { SharedState } from "../src/state/shared-state.js";
 
 const openRoute: Route = {
@@ -96,6 +97,7 @@
             movedBytes: undefined as never,
             roundTrip: unused,
             loadPerSlot: unused,
+            trials: noTrials,
         });
         serveCallers(server, { ...handler, clock, isLeaving: () => phase !== "running" });
         server.listen(0, "127.0.0.1");
