--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -8,7 +8,6 @@
 
 import {
     type AttemptEnd,
-    type BackendServer,
     type Choice,
     type ChoiceRequest,
     type ChosenServer,
@@ -17,47 +16,30 @@
     type HedgeInputs,
     isFailureStatus,
     isIdempotent,
-    isSuccessStatus,
     mayBeHedged,
-    type MovedBytes,
-    type RecentKeys,
     refusalAfterRun,
     type RefusalKind,
     type RetryBudget,
     type RetryInputs,
     urgencyOf,
-    type WorkEstimate,
 } from "@chalkdale/decisions";
-import { type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/kernel";
-import type { BoxMetrics } from "../metrics.js";
-import type { TrialRequests } from "../rollouts/trials.js";
-import type { ServerAnswer } from "../servers/exchange.js";
+import { milliseconds, type ServiceId } from "@chalkdale/kernel";
 import type { ActiveRequest, Ending } from "./active-request.js";
-import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
+import type { AttemptOutcome } from "./attempt-request.js";
 import { attemptHedged, type EndedAttempt } from "./hedged-attempt.js";
 import type { RequestLog } from "./request-log.js";
-import { createTryWatch } from "./watched-try.js";
+import { createSingleAttempt, type SingleAttemptOptions } from "./single-attempt.js";
 
-export interface AttemptLoopOptions {
-    readonly clock: Clock;
-    readonly metrics: BoxMetrics;
+export interface AttemptLoopOptions extends Omit<SingleAttemptOptions, "isVerified"> {
     readonly choose: (request: ChoiceRequest) => Choice;
-    readonly attempt: (request: AttemptRequest) => Promise<AttemptOutcome>;
     readonly budgetOf: (service: ServiceId) => RetryBudget;
-    readonly recentKeys: RecentKeys;
-    readonly work: WorkEstimate;
-    readonly movedBytes: Pick<MovedBytes, "onMoved">;
-    readonly roundTrip: (server: BackendServer) => Milliseconds;
     /** Requests at the service's servers for each of their slots; see `ServiceLoad`. */
     readonly loadPerSlot: (service: ServiceId) => number;
-    readonly trials: TrialRequests;
 }
 
 /** The loop's other needs. */
-export interface AttemptLoopContext {
+export interface AttemptLoopContext extends Pick<SingleAttemptOptions, "isVerified"> {
     readonly requestLog: RequestLog;
-    /** True if an answer is the server's own and in the coding that was asked for. */
-    readonly isVerified: (answer: ServerAnswer) => boolean;
 }
 
 /** Runs the attempts of one request. Never rejects. */
@@ -65,8 +47,8 @@
 
 /** Creates the loop. */
 export function createAttemptLoop(options: AttemptLoopOptions & AttemptLoopContext): AttemptLoop {
-    const { clock, metrics, requestLog, trials } = options;
-    const watchTry = createTryWatch(options);
+    const { clock, requestLog, trials } = options;
+    const attemptOnce = createSingleAttempt(options);
 
     return async function runAttempts(active, body, signal) {
         for (;;) {
@@ -198,71 +180,12 @@
     function noteEnd(active: ActiveRequest, { choice, outcome }: EndedAttempt): void {
         logFailure(active, choice, outcome);
         active.latestChoice = choice;
+        // Of two attempts the one that ends the request may not be the one that was made last.
+        active.latestVersion &&= choice.server.state.record().version;
         active.mayHaveRun ||= outcome.kind === "broken";
         active.lastAnswer = outcome.kind === "answered" ? outcome.answer : active.lastAnswer;
     }
 
-    async function attemptOnce(
-        active: ActiveRequest,
-        choice: ChosenServer,
-        body: Buffer,
-        signal: AbortSignal,
-    ): Promise<AttemptOutcome> {
-        const { server } = choice;
-        const isTrial = trials.isOnTrial(active.service, server);
-        let isSent = false;
-        const watched = watchTry(active, choice);
-        active.tried.add(server.id);
-        active.latestChoice = choice;
-        active.latestVersion = trials.hasTrial(active.service) ? server.state.record().version : undefined;
-        const outcome = await options.attempt({
-            route: active.route,
-            service: active.service,
-            server,
-            method: active.method,
-            path: active.path,
-            rawHeaders: active.rawHeaders,
-            body,
-            requestId: active.requestId,
-            timeLeft: () => milliseconds(active.endsAt - clock()),
-            roundTrip: options.roundTrip(server),
-            expected: choice.usual,
-            signal,
-            onSend: () => {
-                active.sent += 1;
-                isSent = true;
-                options.work.onSent(active.service, active.route);
-                watched.onSent();
-            },
-            onServed(duration) {
-                watched.onServed(duration);
-                learn(active, choice, duration);
-            },
-        });
-        watched.onEnded(outcome);
-        if (!isSent) {
-            active.notSent += 1;
-            if (isTrial) {
-                trials.onNotSent(active.service);
-            }
-        }
-        metrics.onAttempt(outcome.kind);
-        if (outcome.kind === "answered" && isSuccessStatus(outcome.answer.status)) {
-            options.movedBytes.onMoved(active.route, body.length + outcome.answer.body.length);
-        }
-        return outcome;
-    }
-
-    function learn(active: ActiveRequest, choice: ChosenServer, duration: Milliseconds): void {
-        const { id, state } = choice.server;
-        metrics.onServed(duration);
-        options.recentKeys.add(id, active.keyHash, clock());
-        if (trials.isOnTrial(active.service, choice.server)) {
-            return;
-        }
-        state.onAnswerTime(clock(), options.work.onMeasured(active.route, choice.warm, duration));
-    }
-
     function logFailure(active: ActiveRequest, choice: ChosenServer, outcome: AttemptOutcome): void {
         switch (outcome.kind) {
             case "answered":
--- /dev/null
+++ b/packages/box/src/requests/single-attempt.ts
@@ -0,0 +1,106 @@
+/**
+ * One attempt of a request at the server that was chosen for it: what is counted
+ * for the request, and what this box learns from how it ends.
+ *
+ * Owns nothing; relies on `attempt` for the connection and on the watch of tries
+ * for what an end says of the server's version.
+ */
+
+import {
+    type BackendServer,
+    type ChosenServer,
+    isSuccessStatus,
+    type MovedBytes,
+    type RecentKeys,
+    type WorkEstimate,
+} from "@chalkdale/decisions";
+import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
+import type { BoxMetrics } from "../metrics.js";
+import type { TrialRequests } from "../rollouts/trials.js";
+import type { ServerAnswer } from "../servers/exchange.js";
+import type { ActiveRequest } from "./active-request.js";
+import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
+import { createTryWatch } from "./watched-try.js";
+
+export interface SingleAttemptOptions {
+    readonly clock: Clock;
+    readonly metrics: BoxMetrics;
+    readonly attempt: (request: AttemptRequest) => Promise<AttemptOutcome>;
+    readonly recentKeys: RecentKeys;
+    readonly work: WorkEstimate;
+    readonly movedBytes: Pick<MovedBytes, "onMoved">;
+    readonly roundTrip: (server: BackendServer) => Milliseconds;
+    readonly trials: TrialRequests;
+    /** True if an answer is the server's own and in the coding that was asked for. */
+    readonly isVerified: (answer: ServerAnswer) => boolean;
+}
+
+/** Makes one attempt. Two of one request may run at once. Never rejects. */
+export type SingleAttempt = (
+    active: ActiveRequest,
+    choice: ChosenServer,
+    body: Buffer,
+    signal: AbortSignal,
+) => Promise<AttemptOutcome>;
+
+/** Returns the function that makes single attempts. */
+export function createSingleAttempt(options: SingleAttemptOptions): SingleAttempt {
+    const { clock, metrics, trials } = options;
+    const watchTry = createTryWatch(options);
+
+    return async function attemptOnce(active, choice, body, signal) {
+        const { server } = choice;
+        const isTrial = trials.isOnTrial(active.service, server);
+        let isSent = false;
+        const watched = watchTry(active, choice);
+        active.tried.add(server.id);
+        active.latestChoice = choice;
+        active.latestVersion = trials.hasTrial(active.service) ? server.state.record().version : undefined;
+        const outcome = await options.attempt({
+            route: active.route,
+            service: active.service,
+            server,
+            method: active.method,
+            path: active.path,
+            rawHeaders: active.rawHeaders,
+            body,
+            requestId: active.requestId,
+            timeLeft: () => milliseconds(active.endsAt - clock()),
+            roundTrip: options.roundTrip(server),
+            expected: choice.usual,
+            signal,
+            onSend: () => {
+                active.sent += 1;
+                isSent = true;
+                options.work.onSent(active.service, active.route);
+                watched.onSent();
+            },
+            onServed(duration) {
+                watched.onServed(duration);
+                learn(active, choice, duration);
+            },
+        });
+        watched.onEnded(outcome);
+        if (!isSent) {
+            active.notSent += 1;
+            if (isTrial) {
+                trials.onNotSent(active.service);
+            }
+        }
+        metrics.onAttempt(outcome.kind);
+        if (outcome.kind === "answered" && isSuccessStatus(outcome.answer.status)) {
+            options.movedBytes.onMoved(active.route, body.length + outcome.answer.body.length);
+        }
+        return outcome;
+    };
+
+    function learn(active: ActiveRequest, choice: ChosenServer, duration: Milliseconds): void {
+        const { id, state } = choice.server;
+        metrics.onServed(duration);
+        options.recentKeys.add(id, active.keyHash, clock());
+        if (trials.isOnTrial(active.service, choice.server)) {
+            return;
+        }
+        state.onAnswerTime(clock(), options.work.onMeasured(active.route, choice.warm, duration));
+    }
+}
