--- a/packages/box/src/peers/peer-messages.ts
+++ b/packages/box/src/peers/peer-messages.ts
@@ -9,7 +9,8 @@
 import type { MemberRecord, Sighting } from "@chalkdale/decisions";
 import { incarnationId, type RegionId } from "@chalkdale/kernel";
 import { isQuotaMessage, type QuotaMessage } from "../quotas/quota-messages.js";
-import { isRolloutMessage, type RolloutMessage } from "../rollouts/rollout-parts.js";
+import { isRolloutMessage } from "../rollouts/rollout-checks.js";
+import type { RolloutMessage } from "../rollouts/rollout-parts.js";
 import { isStateDigest, isStateUpdate, type StateDigest, type StateUpdate } from "../state/state-messages.js";
 import { isReportMessage, type ReportMessage } from "./server-reports.js";
 
--- /dev/null
+++ b/packages/box/src/rollouts/outcome-writes.ts
@@ -0,0 +1,74 @@
+/**
+ * Who writes an order's state besides its decider: a box that the decider asks,
+ * as the store turns the decider away, and the decider's successor, when news of a
+ * roll-back was told and not written.
+ *
+ * Owns no state; relies on the writer, and on the store's revision for one outcome.
+ */
+
+import { isSameRollout, type RolloutId, type RolloutOrder } from "@chalkdale/decisions";
+import type { Milliseconds, ServiceId } from "@chalkdale/kernel";
+import type { DecidingBox } from "./deciding-box.js";
+import type { NewestOrders } from "./newest-orders.js";
+import type { KnownNews } from "./rollout-news.js";
+import { readWanted, type WantedEntry } from "./rollout-parts.js";
+import type { RolloutWriter } from "./rollout-writer.js";
+
+export interface OutcomeWritesOptions {
+    readonly writer: RolloutWriter;
+    readonly orders: Pick<NewestOrders, "of">;
+    readonly news: Pick<KnownNews, "decisionOf">;
+    readonly decidingBox: Pick<DecidingBox, "isSelf">;
+    /** Time since the store confirmed the copy of the orders, to this box or through another; undefined if it never did. */
+    readonly copyAge: () => Milliseconds | undefined;
+    /** False while this box calls the store and it does not answer. */
+    readonly isStoreAnswering: () => boolean;
+}
+
+/** The writes of one box that its deciders do not ask for. */
+export interface OutcomeWrites {
+    /** True while some box can write, this one or others. */
+    readonly isStoreReachable: (service: ServiceId) => boolean;
+    /** True for an order whose outcome the store has. */
+    readonly isDecidedInStore: (rollout: RolloutId) => boolean;
+    /** Writes what the deciding box can't, as long as the order is the one that it knew. */
+    readonly writeFor: (entry: WantedEntry) => void;
+    /** A decider may end between its news and its write; then boxes report no more, and its successor goes by the news. */
+    readonly writeByNews: (order: RolloutOrder) => void;
+}
+
+/**
+ * Age in milliseconds up to which a copy that others confirmed shows that the store answers them, while it turns this box away.
+ * Not measured.
+ */
+const freshCopy = 2000;
+
+/** Creates the writes. */
+export function createOutcomeWrites(options: OutcomeWritesOptions): OutcomeWrites {
+    const { decidingBox, news, orders, writer } = options;
+
+    return {
+        isStoreReachable: service =>
+            options.isStoreAnswering() && !writer.isFailing(service) || (options.copyAge() ?? Infinity) < freshCopy,
+        isDecidedInStore,
+        writeFor(entry) {
+            const { rollout, state } = readWanted(entry);
+            const order = orders.of(rollout.service);
+            if (order !== undefined && isSameRollout(order, rollout) && !isDecidedInStore(rollout)) {
+                writer.write(order, state);
+            }
+        },
+        writeByNews(order) {
+            const isToWrite = news.decisionOf(order) === "rolledBack" && !isDecidedInStore(order);
+            if (isToWrite && decidingBox.isSelf(order.service)) {
+                writer.write(order, "rolledBack");
+            }
+        },
+    };
+
+    function isDecidedInStore(rollout: RolloutId): boolean {
+        const order = orders.of(rollout.service);
+        return order !== undefined && isSameRollout(order, rollout)
+            && (order.state === "completed" || order.state === "rolledBack");
+    }
+}
--- a/packages/box/src/rollouts/rollouts.ts
+++ b/packages/box/src/rollouts/rollouts.ts
@@ -11,12 +11,10 @@
 import {
     type CountingBoxes,
     createServedVersions,
-    isSameRollout,
     type MemberRecord,
     type Membership,
     type RolloutBounds,
     type RolloutGrant,
-    type RolloutId,
     type RolloutNews,
     type RolloutOrder,
     type RolloutReport,
@@ -30,6 +28,7 @@
 import { createDecidingBox } from "./deciding-box.js";
 import { createDeciding } from "./deciding.js";
 import { createNewestOrders } from "./newest-orders.js";
+import { createOutcomeWrites } from "./outcome-writes.js";
 import { createKnownNews } from "./rollout-news.js";
 import {
     grantEntry,
@@ -37,10 +36,8 @@
     readGrant,
     readNews,
     readReport,
-    readWanted,
     reportEntry,
     type RolloutMessage,
-    type WantedEntry,
     wantedEntry,
 } from "./rollout-parts.js";
 import { createRolloutWriter } from "./rollout-writer.js";
@@ -95,12 +92,6 @@
     readonly counts: () => readonly RolloutCounts[];
 }
 
-/**
- * Age in milliseconds up to which a copy that others confirmed shows that the store answers them, while it turns this box away.
- * Not measured.
- */
-const freshCopy = 2000;
-
 /** Creates the roll-outs of a box; no order is known yet. */
 export function createRollouts(options: RolloutsOptions): Rollouts {
     const { clock, log, membership, self } = options;
@@ -124,6 +115,7 @@
         },
     });
     const decidingBox = createDecidingBox({ ...options, isCopyProven: () => options.copyAge() !== undefined });
+    const outcomes = createOutcomeWrites({ ...options, writer, orders, news: knownNews, decidingBox });
     const deciding = createDeciding({
         ...options,
         orders,
@@ -132,7 +124,7 @@
         writer,
         serverCount,
         isDecider: decidingBox.isSelf,
-        isStoreReachable,
+        isStoreReachable: outcomes.isStoreReachable,
         askDeputies(order, state) {
             const wanted = wantedEntry(order, state);
             decidingBox.deputies(order.service).forEach(box => sendTo(box, { wanted }));
@@ -151,7 +143,7 @@
         round: () => trials.all().forEach(report),
         step() {
             deciding.step();
-            trials.all().forEach(writeByNews);
+            trials.all().forEach(({ order }) => outcomes.writeByNews(order));
         },
         onMessage(from, message) {
             if (message.report !== undefined) {
@@ -164,7 +156,7 @@
                 trials.onGrant(readGrant(message.grant));
             }
             if (message.wanted !== undefined) {
-                writeFor(message.wanted);
+                outcomes.writeFor(message.wanted);
             }
             (message.news ?? []).map(readNews).forEach(news => learn(news, from.box));
         },
@@ -224,41 +216,13 @@
 
     function learn(news: RolloutNews, from: BoxId): void {
         const { decision, reason, rollout } = news;
-        if (isDecidedInStore(rollout) || !knownNews.learn(news)) {
+        if (outcomes.isDecidedInStore(rollout) || !knownNews.learn(news)) {
             return;
         }
         trials.onNews(news);
         log.info("rollout.decided", { ...rollout, decision, from, reason });
     }
 
-    /** The store may turn only some boxes away. */
-    function isStoreReachable(service: ServiceId): boolean {
-        return options.isStoreAnswering() && !writer.isFailing(service) || (options.copyAge() ?? Infinity) < freshCopy;
-    }
-
-    /** Writes what the deciding box can't, as long as the order is as it knew it. */
-    function writeFor(entry: WantedEntry): void {
-        const { rollout, state } = readWanted(entry);
-        const order = orders.of(rollout.service);
-        if (order !== undefined && isSameRollout(order, rollout) && !isDecidedInStore(rollout)) {
-            writer.write(order, state);
-        }
-    }
-
-    /** A decider may end between its news and its write; then boxes report no more, and its successor goes by the news. */
-    function writeByNews({ order }: Trial): void {
-        const isToWrite = knownNews.decisionOf(order) === "rolledBack" && !isDecidedInStore(order);
-        if (isToWrite && decidingBox.isSelf(order.service)) {
-            writer.write(order, "rolledBack");
-        }
-    }
-
-    function isDecidedInStore(rollout: RolloutId): boolean {
-        const order = orders.of(rollout.service);
-        return order !== undefined && isSameRollout(order, rollout)
-            && (order.state === "completed" || order.state === "rolledBack");
-    }
-
     function serverCount({ service, targetVersion }: RolloutOrder): number {
         return options.catalog.ofService(service)
             .filter(({ state }) => state.isListed() && state.record().version === targetVersion).length;
--- a/packages/testing/src/promises/box-mechanisms.ts
+++ b/packages/testing/src/promises/box-mechanisms.ts
@@ -186,7 +186,7 @@
         promise: "P24",
         name: "the write by news of a deciding box that is lost",
         file: box("rollouts/rollouts"),
-        find: "trials.all().forEach(writeByNews);",
+        find: "trials.all().forEach(({ order }) => outcomes.writeByNews(order));",
         replace: "",
         specs: [boxTest("rollouts")],
     },
