--- a/packages/decisions/src/rollouts/verdict.ts
+++ b/packages/decisions/src/rollouts/verdict.ts
@@ -47,6 +47,10 @@
 const leastGroupPart = 0.5;
 /** and their share of the answers at least, from 0 to 1. */
 const leastAgainstNone = 0.03;
+/** Bad answers, by the estimates, from which doubt suffices: half of the 50 after which a bad version must soon get nothing. */
+const mostInDoubt = 25;
+/** Slowness that one slow answer adds to the sum at least: twice the expected time against 1.5 times. */
+const slownessOfOne = Math.log(2 / 1.5);
 /** Failures of the version on trial that a verdict by failures needs. */
 const fewestFailures = 3;
 /** Answers of the version on trial that a verdict by slowness needs. */
@@ -88,7 +92,7 @@
 }
 
 function isBad(figures: VerdictFigures, isMoving: boolean): boolean {
-    if (failuresAgainstNone(figures) >= decidingAgainstNone) {
+    if (failuresAgainstNone(figures) >= decidingAgainstNone || isTooManyInDoubt(figures, isMoving)) {
         return true;
     }
     if (figures.score < figures.bound) {
@@ -116,6 +120,18 @@
     return isComparable && isSpread && difference >= leastAgainstNone ? failures : 0;
 }
 
+/**
+ * True if so many answers are bad by the estimates that no more may be waited for, though the score is short of its bound: a bad
+ * version must get nothing soon after its 50th bad answer, and eight groups that a fault strikes as well never reach the bound.
+ */
+function isTooManyInDoubt(figures: VerdictFigures, isMoving: boolean): boolean {
+    const { answers, difference, score, test, trimmed } = figures;
+    const { toleratedFailures, toleratedSlowness } = boundsOf(figures);
+    const bad = answers * difference / (test === "failures" ? 1 : slownessOfOne);
+    const tolerated = test === "failures" ? toleratedFailures : toleratedSlowness * (isMoving ? movingFactor : 1);
+    return bad >= mostInDoubt && trimmed > tolerated && score >= chanceScore;
+}
+
 /** True if the estimates don't yet allow to call the version good. */
 function isUnclear(figures: VerdictFigures, isMoving: boolean): boolean {
     const { leastFailures, leastSlowness, toleratedFailures, toleratedSlowness } = boundsOf(figures);
