--- a/packages/box/test/rollout-boxes.ts
+++ b/packages/box/test/rollout-boxes.ts
@@ -32,7 +32,7 @@
 export const bounds = { exposedShare: 0.1, exposedAllowance: 50, rollbackTime: milliseconds(5000) };
 
 /** One box, and how it fares. */
-export interface RolloutBox {
+interface RolloutBox {
     readonly index: number;
     readonly rollouts: Rollouts;
     readonly startedAt: number;
