Roll-outs: lapsed records, overtaken grants and other deciders open nothing

Found in review, each with a test that failed first: - a box without memory took the target of a running order as proven where its record stood first, since the others had lapsed and come back later; a running order's target is not proven by that, nor completed for it; - the three seconds for records to come back ran while no server was listed at all; they begin when any is back; - without an order another version had everything at once when the proven one's records lapsed; it waits now, unless the servers had drained; - a decider that began before the order ran granted at once though another box had let it run; it waits like one that takes over; - a grant that was overtaken on its way opened again what a later one had closed. 115 tests of versions, deciders and outcomes pass.

--- a/packages/decisions/src/rollouts/proven-versions.ts
+++ b/packages/decisions/src/rollouts/proven-versions.ts
@@ -10,7 +10,7 @@
  * server as this box saw it first.
  */
 
-import type { BackendServerId, Milliseconds, ServerVersion } from "@chalkdale/kernel";
+import { type BackendServerId, type Milliseconds, milliseconds, type ServerVersion } from "@chalkdale/kernel";
 import type { BackendServer } from "../servers/server-catalog.js";
 import type { RolloutNews } from "./rollout-messages.js";
 import type { RolloutOrder } from "./rollout-order.js";
@@ -39,9 +39,22 @@
  */
 const lapseTime = 3000;
 
+/** The proven version, and how it was listed last. */
+interface ProvenVersion {
+    readonly name: VersionName;
+    readonly lastListedAt: Milliseconds;
+    /** No server of the service was listed then: its records have lapsed, and the time for them begins when any is back. */
+    readonly isListEmpty?: boolean;
+    /** Servers of other versions are listed, and none of it. */
+    readonly isMissing?: boolean;
+    /** All its servers were draining then: they do not come back. */
+    readonly isDrained?: boolean;
+}
+
 /** Creates the versions of a service of which nothing is known. */
 export function createProvenVersions(): ProvenVersions {
-    let proven: { readonly name: VersionName; readonly lastListedAt: Milliseconds; } | undefined;
+    let proven: ProvenVersion | undefined;
+    let updatedAt = milliseconds(0);
     let createdAt: ReadonlyMap<BackendServerId, number> = new Map();
     /** Creation of the order that rolled a version back. */
     const rejected = new Map<VersionName, number>();
@@ -51,12 +64,15 @@
             createdAt = earliestCreation(servers, createdAt);
             applyDecision(order, decision, at);
             const listed = servers.filter(server => server.state.isListed());
-            const openTarget = decision === undefined ? order?.targetVersion : undefined;
-            proven = provenAmong(listed, openTarget, at);
+            const openOrder = decision === undefined ? order : undefined;
+            proven = provenAmong(listed, openOrder, at);
+            updatedAt = at;
         },
         proven: () => proven?.name,
         isRejected: version => rejected.has(version),
-        isLapsing: at => proven !== undefined && proven.lastListedAt < at && at - proven.lastListedAt < lapseTime,
+        isLapsing: at =>
+            proven !== undefined && proven.isDrained !== true && proven.lastListedAt < at
+            && at - proven.lastListedAt < lapseTime,
     };
 
     function applyDecision(
@@ -79,25 +95,46 @@
         }
     }
 
-    function provenAmong(listed: readonly BackendServer[], openTarget: VersionName, at: Milliseconds) {
+    function provenAmong(
+        listed: readonly BackendServer[],
+        openOrder: RolloutOrder | undefined,
+        at: Milliseconds,
+    ): ProvenVersion | undefined {
         const known = proven !== undefined && rejected.has(proven.name) ? undefined : proven;
         if (known !== undefined && listed.length === 0) {
-            return { name: known.name, lastListedAt: at };
+            return { ...known, lastListedAt: at, isListEmpty: true, isMissing: false };
         }
         if (known !== undefined && listed.some(server => versionOf(server) === known.name)) {
-            return { name: known.name, lastListedAt: at };
+            return provenAs(known.name, listed, at);
+        }
+        if (known !== undefined && known.isMissing !== true && known.isDrained !== true) {
+            return { ...known, isMissing: true, lastListedAt: lapsingSince(known, at) };
         }
         if (known !== undefined && at - known.lastListedAt < lapseTime) {
             return known;
         }
-        const first = firstCreated(listed.filter(server => !rejected.has(versionOf(server))), openTarget);
-        return first === undefined ? known : { name: versionOf(first), lastListedAt: at };
+        const first = firstCreated(listed.filter(server => !rejected.has(versionOf(server))), openOrder);
+        return first === undefined ? known : provenAs(versionOf(first), listed, at);
     }
 
-    /** An order's target is not proven by being the last that is left; it is only where no other version was ever seen. */
-    function firstCreated(usable: readonly BackendServer[], openTarget: VersionName): BackendServer | undefined {
-        const others = usable.filter(server => openTarget === undefined || versionOf(server) !== openTarget);
-        const candidates = proven === undefined ? usable : others;
+    /** The time for a version's records to come back begins anew where none of any version was listed, or nobody has looked for so long. */
+    function lapsingSince(known: ProvenVersion, at: Milliseconds): Milliseconds {
+        const isSeenLate = known.isListEmpty === true || at - updatedAt >= lapseTime;
+        return isSeenLate ? milliseconds(at - 1) : known.lastListedAt;
+    }
+
+    /**
+     * An order's target is not proven by being the last that is left, nor by being recorded first while the order runs: records that
+     * lapsed come back later. It is only where no other version was ever seen before the order ran.
+     */
+    function firstCreated(
+        usable: readonly BackendServer[],
+        openOrder: RolloutOrder | undefined,
+    ): BackendServer | undefined {
+        const others = usable.filter(server =>
+            openOrder === undefined || versionOf(server) !== openOrder.targetVersion
+        );
+        const candidates = proven === undefined && openOrder?.state !== "running" ? usable : others;
         return candidates.toSorted((a, b) => creationOf(a) - creationOf(b)).at(0);
     }
 
@@ -106,6 +143,11 @@
     }
 }
 
+function provenAs(name: VersionName, listed: readonly BackendServer[], at: Milliseconds): ProvenVersion {
+    const servers = listed.filter(server => versionOf(server) === name);
+    return { name, lastListedAt: at, isDrained: servers.every(server => server.state.record().draining) };
+}
+
 /** Returns the version of a server as it is recorded. */
 export function versionOf(server: BackendServer): VersionName {
     return server.state.record().version;
--- a/packages/decisions/src/rollouts/rollout-decider.ts
+++ b/packages/decisions/src/rollouts/rollout-decider.ts
@@ -79,14 +79,16 @@
     const grants = createRolloutGrants({ rollout, account, serverCount: options.serverCount });
     const boxes = createReportingBoxes();
     const history = createEvidenceHistory();
-    const isTakeover = options.order.state === "running";
     let order = options.order;
     let stage: RolloutStage = "watching";
     let reason: string | undefined;
     let ageAtStart: number = options.age ?? 0;
     let move: Move | undefined;
     let knowsTotal = false;
-    let isSettled = !isTakeover;
+    /** Since when this box waits to hear what boxes were granted before: another box let the order run. */
+    let takenOverAt = options.order.state === "running" ? options.at : undefined;
+    let isSettled = takenOverAt === undefined;
+    let hasAskedToRun = false;
     let workTime = firstWorkTime;
     let changed: readonly AddressedGrant[] = [];
     let verdict = judgeTrial([{ table: history.whole(), isMoving: false }]);
@@ -101,6 +103,7 @@
             return grantTo(box, report, at, leftInAccount());
         },
         step(at, inputs) {
+            noteTakeover(inputs.order, at);
             order = inputs.order;
             history.keep(at);
             learnWorkTime(at);
@@ -139,7 +142,7 @@
         if (stage === "rolledBack" || !isSettled) {
             return;
         }
-        if (inputs.isTargetProven) {
+        if (inputs.isTargetProven && order.state === undefined) {
             end("completed", "target proven already");
             return;
         }
@@ -199,7 +202,20 @@
                 return { kind: "writeRolledBack", reason: reason ?? "" };
             case "watching":
             case "moving":
-                return order.state === undefined && isStoreReachable ? { kind: "writeRunning" } : { kind: "none" };
+                return order.state === undefined && isStoreReachable ? askToRun() : { kind: "none" };
+        }
+    }
+
+    function askToRun(): RolloutAction {
+        hasAskedToRun = true;
+        return { kind: "writeRunning" };
+    }
+
+    /** An order that runs though this box has not asked for it was granted from by another box. */
+    function noteTakeover({ state }: RolloutOrder, at: Milliseconds): void {
+        if (state === "running" && order.state === undefined && !hasAskedToRun) {
+            takenOverAt ??= at;
+            isSettled = false;
         }
     }
 
@@ -259,7 +275,7 @@
     }
 
     function settle(at: Milliseconds): void {
-        if (isSettled || at - options.at < settleTime) {
+        if (takenOverAt === undefined || isSettled || at - takenOverAt < settleTime) {
             return;
         }
         isSettled = true;
--- a/packages/decisions/src/rollouts/served-versions.ts
+++ b/packages/decisions/src/rollouts/served-versions.ts
@@ -145,7 +145,7 @@
         const isOnTrial = openTarget !== undefined && openTarget !== proven && !memory.isLapsing(at)
             && servers.some(server => isOf(server, openTarget) && server.state.isListed());
         const trialVersion = isOnTrial ? openTarget : undefined;
-        const admitted = memory.isLapsing(at) && openTarget !== undefined
+        const admitted = memory.isLapsing(at)
             ? new Set([proven])
             : admittedVersions(servers, proven, openTarget, memory.isRejected);
         const sampling = trialVersion === undefined || order === undefined
--- a/packages/decisions/src/rollouts/trial-traffic.ts
+++ b/packages/decisions/src/rollouts/trial-traffic.ts
@@ -128,7 +128,8 @@
                 return;
             }
             const cap = Math.max(next.cap, grant?.cap ?? 0);
-            grant = { ...next, cap };
+            // A grant that was overtaken on its way must not open again what a later one closed.
+            grant = { ...(grant !== undefined && isFinal(grant.stage) ? grant : next), cap };
             knownTotal = Math.max(next.total, knownTotal ?? 0);
             ageAtStart = Math.max(ageAtStart, next.age - (at - options.at));
         },
@@ -181,3 +182,8 @@
         return milliseconds(ageAtStart + at - options.at);
     }
 }
+
+/** True for a stage on which nothing follows. */
+function isFinal(stage: RolloutStage): boolean {
+    return stage === "completed" || stage === "rolledBack";
+}
--- a/packages/decisions/test/rollouts.test.ts
+++ b/packages/decisions/test/rollouts.test.ts
@@ -309,6 +309,14 @@
             expect(traffic.report(start)).to.equal(undefined);
         });
 
+        it("never leaves the decision that a grant told, whatever comes late", () => {
+            const traffic = createTraffic();
+            traffic.onGrant({ ...grant, stage: "rolledBack", share: 0 }, start);
+            traffic.onGrant({ ...grant, stage: "watching", share: 0.3, cap: 9 }, start);
+            expect(traffic.stage()).to.equal("rolledBack");
+            expect(traffic.share()).to.equal(0);
+        });
+
         it("stops by its own evidence, and counts no answers of cold servers", () => {
             let place: TrialPlace = { isTrial: false, group: 0 };
             const traffic = createTraffic(() => place);
@@ -498,6 +506,20 @@
             expect(decider.status(milliseconds(1300)).age).to.be.closeTo(10_200, 1);
         });
 
+        it("waits before it grants where another box wrote running after it had begun", () => {
+            const decider = createDecider();
+            const away = { ...inputs, isStoreReachable: false };
+            decider.step(milliseconds(100), { ...away, order: orderIn(undefined) });
+            const capAt = (at: number) => {
+                decider.step(milliseconds(at), { ...away, order: orderIn("running") });
+                return decider.onReport(boxId("a"), reportOf({ sent: 100, age: milliseconds(at) }), milliseconds(at))
+                    .cap;
+            };
+            expect(capAt(300)).to.equal(0);
+            expect(capAt(600)).to.equal(0);
+            expect(capAt(900)).to.equal(0);
+        });
+
         it("has no allowance where the store says running and nobody knows a sum", () => {
             const decider = createDecider("running");
             const { grants } = play(decider, { until: 2000, knows: false });
--- a/packages/decisions/test/served-versions.test.ts
+++ b/packages/decisions/test/served-versions.test.ts
@@ -218,6 +218,42 @@
         });
     });
 
+    describe("while records of servers lapse", () => {
+        it("are not the target of a running order on a box without memory, though its server is recorded as the first", () => {
+            setup.order(orderTo("v2", "running"));
+            setup.list(["v2-5", "v1-9"]);
+            expect(setup.admitted()).to.deep.equal(["v1-9"]);
+            expect(setup.versions.isTargetProven(service)).to.equal(false);
+            setup.list(["v2-5"]);
+            expect(setup.versions.isTargetProven(service)).to.equal(false);
+        });
+
+        it("wait for the proven one from the moment at which any record is back", () => {
+            setup.order(orderTo("v2", "running"));
+            setup.list(["v1-1", "v2-5"]);
+            expect(setup.admitted()).to.deep.equal(["v1-1"]);
+            setup.at(1000);
+            setup.list([]);
+            expect(setup.admitted()).to.deep.equal([]);
+            setup.at(6000);
+            setup.list(["v2-5"]);
+            expect(setup.admitted()).to.deep.equal([]);
+            setup.at(7000);
+            setup.list(["v2-5", "v1-1"]);
+            expect(setup.admitted()).to.deep.equal(["v1-1"]);
+        });
+
+        it("wait without an order as well, unless the servers drained", () => {
+            setup.list(["v1-1", "v2-5"]);
+            expect(setup.admitted()).to.deep.equal(["v1-1"]);
+            setup.at(1000);
+            setup.list(["v2-5"]);
+            expect(setup.admitted()).to.deep.equal([]);
+            setup.at(4100);
+            expect(setup.admitted()).to.deep.equal(["v2-5"]);
+        });
+    });
+
     describe("with news", () => {
         beforeEach(() => {
             setup.list(["v1-1", "v2-5"]);
