Roll-outs: what was decided is told until the store has it, and opens no other trial

Found in review, shown there at the decider by a script: news was repeated for 5 s only, and a box that took over ignored news that it knew, so while the store was down a box that came back late was granted from an account opened anew. Change: news is repeated while the store has no outcome; a report on a decided order is answered with the news; no decider begins on one; a late message does not complete what was rolled back. Cells of boxes are kept for open orders on which this box decides only (3.7 MB at 740 boxes before, counted in the review).

--- a/packages/box/src/rollouts/cell-changes.ts
+++ b/packages/box/src/rollouts/cell-changes.ts
@@ -6,7 +6,7 @@
  * Owns what was told last, and what each box told.
  */
 
-import type { EvidenceCell, RolloutReport } from "@chalkdale/decisions";
+import type { EvidenceCell, RolloutId, RolloutReport } from "@chalkdale/decisions";
 import type { BoxId } from "@chalkdale/kernel";
 
 /** Reports in which a changed cell is told, so that a lost datagram costs a report's time. Not measured. */
@@ -34,26 +34,50 @@
     };
 }
 
-/** Returns the function that puts a box's reports together again; a new life of a box begins anew. */
-export function createWholeReports(): (box: BoxId, report: RolloutReport) => RolloutReport {
+/** Puts the reports of boxes together again. */
+export interface WholeReports {
+    /** Returns a report with all cells that the box has told; a new life of a box begins anew. */
+    readonly complete: (box: BoxId, report: RolloutReport) => RolloutReport;
+    /** Forgets what was told of other orders: 740 boxes with 64 cells each take 3.7 MB (counted on the heap). */
+    readonly keepOnly: (isOpen: (rollout: RolloutId) => boolean) => void;
+}
+
+/** What one box told of one order. */
+interface ToldReport {
+    readonly life: string;
+    readonly rollout: RolloutId;
+    readonly cells: Map<string, EvidenceCell>;
+}
+
+/** Creates it; nothing was told yet. */
+export function createWholeReports(): WholeReports {
     /** By box and service. */
-    const known = new Map<string, { readonly life: string; readonly cells: Map<string, EvidenceCell>; }>();
+    const known = new Map<string, ToldReport>();
 
-    return function complete(box, report) {
-        const { createdAt, service, targetVersion } = report.rollout;
-        const name = `${box} ${service}`;
-        const life = `${report.incarnation} ${targetVersion} ${createdAt}`;
-        const last = known.get(name);
-        const cells = last?.life === life ? last.cells : new Map<string, EvidenceCell>();
-        known.set(name, { life, cells });
-        for (const cell of report.cells) {
-            const cellName = nameOf(cell);
-            // Datagrams may overtake each other.
-            if (cell.answers >= (cells.get(cellName)?.answers ?? 0)) {
-                cells.set(cellName, cell);
+    return {
+        complete(box, report) {
+            const { createdAt, service, targetVersion } = report.rollout;
+            const name = `${box} ${service}`;
+            const life = `${report.incarnation} ${targetVersion} ${createdAt}`;
+            const last = known.get(name);
+            const cells = last?.life === life ? last.cells : new Map<string, EvidenceCell>();
+            known.set(name, { life, rollout: report.rollout, cells });
+            for (const cell of report.cells) {
+                const cellName = nameOf(cell);
+                // Datagrams may overtake each other.
+                if (cell.answers >= (cells.get(cellName)?.answers ?? 0)) {
+                    cells.set(cellName, cell);
+                }
+            }
+            return { ...report, cells: [...cells.values()] };
+        },
+        keepOnly(isOpen) {
+            for (const [name, { rollout }] of known) {
+                if (!isOpen(rollout)) {
+                    known.delete(name);
+                }
             }
-        }
-        return { ...report, cells: [...cells.values()] };
+        },
     };
 }
 
--- a/packages/box/src/rollouts/deciding.ts
+++ b/packages/box/src/rollouts/deciding.ts
@@ -14,6 +14,7 @@
     type RolloutBounds,
     type RolloutDecider,
     type RolloutGrant,
+    type RolloutId,
     type RolloutNews,
     type RolloutOrder,
     type RolloutReport,
@@ -39,6 +40,8 @@
     readonly serverCount: (order: RolloutOrder) => number;
     /** True while this box decides for a service. */
     readonly isDecider: (service: ServiceId) => boolean;
+    /** A decision on the order is known already; whoever made it has it written. */
+    readonly isDecided: (order: RolloutOrder) => boolean;
     readonly isStoreReachable: (service: ServiceId) => boolean;
     readonly sendGrant: (box: BoxId, grant: RolloutGrant) => void;
     /** Other boxes are to write a state that this one can't. */
@@ -49,6 +52,8 @@
 
 /** The deciders of a box. */
 export interface Deciding {
+    /** True if this box decides on the order. */
+    readonly decidesOn: (rollout: RolloutId) => boolean;
     /** Returns the part of the box that reported; undefined if this box does not decide on the order. */
     readonly onReport: (box: BoxId, report: RolloutReport) => RolloutGrant | undefined;
     /** Carries out what is due. Due several times a second. */
@@ -75,13 +80,8 @@
     let askAgainAt = -Infinity;
 
     return {
-        onReport(box, report) {
-            const entry = entryFor(report.rollout.service);
-            if (entry === undefined || !isSameRollout(entry.order, report.rollout)) {
-                return undefined;
-            }
-            return entry.decider.onReport(box, report, clock());
-        },
+        decidesOn: rollout => entryOn(rollout) !== undefined,
+        onReport: (box, report) => entryOn(report.rollout)?.decider.onReport(box, report, clock()),
         step() {
             for (const service of [...deciders.keys()]) {
                 const entry = entryFor(service);
@@ -93,6 +93,11 @@
         status: service => deciders.get(service)?.decider.status(clock()),
     };
 
+    function entryOn(rollout: RolloutId): Decided | undefined {
+        const entry = entryFor(rollout.service);
+        return entry !== undefined && isSameRollout(entry.order, rollout) ? entry : undefined;
+    }
+
     /** A decider that is not asked for a while, or on another order, starts anew: another box may have decided meanwhile. */
     function entryFor(service: ServiceId): Decided | undefined {
         const order = orders.of(service);
@@ -104,6 +109,10 @@
         if (known !== undefined && isSameRollout(known.order, order)) {
             return known;
         }
+        if (options.isDecided(order)) {
+            deciders.delete(service);
+            return undefined;
+        }
         const entry = createEntry(order);
         deciders.set(service, entry);
         return entry;
--- a/packages/box/src/rollouts/outcome-writes.ts
+++ b/packages/box/src/rollouts/outcome-writes.ts
@@ -54,7 +54,11 @@
         writeFor(entry) {
             const { rollout, state } = readWanted(entry);
             const order = orders.of(rollout.service);
-            if (order !== undefined && isSameRollout(order, rollout) && !isDecidedInStore(rollout)) {
+            if (order === undefined || !isSameRollout(order, rollout) || isDecidedInStore(rollout)) {
+                return;
+            }
+            // A message that was overtaken by the news of a roll-back must not complete the order.
+            if (state !== "completed" || news.decisionOf(order) !== "rolledBack") {
                 writer.write(order, state);
             }
         },
--- a/packages/box/src/rollouts/rollout-news.ts
+++ b/packages/box/src/rollouts/rollout-news.ts
@@ -9,7 +9,10 @@
 import { isSameRollout, type RolloutId, type RolloutNews } from "@chalkdale/decisions";
 import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 
-/** Milliseconds for which news is repeated in gossip: 17 rounds reach every box of 740 several times. Not measured. */
+/**
+ * Milliseconds for which news is repeated in gossip: 17 rounds reach every box of 740 several times. While the store does not
+ * have the outcome it goes on: a box that was cut off, or has just started, would else take part in a trial that is over. Not measured.
+ */
 const repeatedFor = milliseconds(5000);
 /** Decisions that are remembered, some 400 bytes each. */
 const mostRemembered = 64;
@@ -26,8 +29,8 @@
     readonly recent: () => readonly RolloutNews[];
 }
 
-/** Creates it without any. */
-export function createKnownNews(clock: Clock): KnownNews {
+/** Creates it without any. `isOpen`: the store has no outcome of the order. */
+export function createKnownNews(clock: Clock, isOpen: (rollout: RolloutId) => boolean): KnownNews {
     let known: { readonly news: RolloutNews; readonly at: Milliseconds; }[] = [];
     const find = (rollout: RolloutId) => known.find(({ news }) => isSameRollout(news.rollout, rollout))?.news;
 
@@ -41,6 +44,9 @@
         },
         decisionOf: rollout => find(rollout)?.decision,
         find,
-        recent: () => known.filter(({ at }) => clock() - at < repeatedFor).slice(0, mostTold).map(({ news }) => news),
+        recent: () =>
+            known.filter(({ at, news }) => clock() - at < repeatedFor || isOpen(news.rollout))
+                .slice(0, mostTold)
+                .map(({ news }) => news),
     };
 }
--- a/packages/box/src/rollouts/rollouts.ts
+++ b/packages/box/src/rollouts/rollouts.ts
@@ -11,10 +11,12 @@
 import {
     type CountingBoxes,
     createServedVersions,
+    isSameRollout,
     type MemberRecord,
     type Membership,
     type RolloutBounds,
     type RolloutGrant,
+    type RolloutId,
     type RolloutNews,
     type RolloutOrder,
     type RolloutReport,
@@ -96,7 +98,7 @@
 export function createRollouts(options: RolloutsOptions): Rollouts {
     const { clock, log, membership, self } = options;
     const orders = createNewestOrders();
-    const knownNews = createKnownNews(clock);
+    const knownNews = createKnownNews(clock, isOpen);
     const wholeReports = createWholeReports();
     const lastReports = new Map<ServiceId, RolloutReport>();
     const versions: ServedVersions = createServedVersions({
@@ -122,6 +124,7 @@
         trials,
         versions,
         writer,
+        isDecided: order => knownNews.find(order) !== undefined,
         serverCount,
         isDecider: decidingBox.isSelf,
         isStoreReachable: outcomes.isStoreReachable,
@@ -138,6 +141,7 @@
         requests: trials,
         onOrders(copied) {
             orders.onCopy(copied);
+            wholeReports.keepOnly(isOpen);
             trials.refresh();
         },
         round: () => trials.all().forEach(report),
@@ -147,10 +151,7 @@
         },
         onMessage(from, message) {
             if (message.report !== undefined) {
-                const grant = deciding.onReport(from.box, wholeReports(from.box, readReport(message.report)));
-                if (grant !== undefined) {
-                    options.send(from, { grant: grantEntry(grant) });
-                }
+                onReport(from, readReport(message.report));
             }
             if (message.grant !== undefined) {
                 trials.onGrant(readGrant(message.grant));
@@ -174,6 +175,28 @@
             })),
     };
 
+    /** A box that reports on what is decided is told so: it was cut off, or has just started. */
+    function onReport(from: MemberRecord, told: RolloutReport): void {
+        const news = knownNews.find(told.rollout);
+        if (news !== undefined) {
+            options.send(from, { news: [newsEntry(news)] });
+            return;
+        }
+        if (!deciding.decidesOn(told.rollout)) {
+            return;
+        }
+        const grant = deciding.onReport(from.box, wholeReports.complete(from.box, told));
+        if (grant !== undefined) {
+            options.send(from, { grant: grantEntry(grant) });
+        }
+    }
+
+    function isOpen(rollout: RolloutId): boolean {
+        const order = orders.of(rollout.service);
+        return order !== undefined && isSameRollout(order, rollout)
+            && order.state !== "completed" && order.state !== "rolledBack";
+    }
+
     function report({ changedCells, order, traffic }: Trial): void {
         const told = traffic.report(clock());
         const decider = decidingBox.of(order.service);
--- a/packages/box/test/cell-changes.test.ts
+++ b/packages/box/test/cell-changes.test.ts
@@ -48,7 +48,7 @@
     it("is whole again where it arrives, some reports after the last that was lost or overtaken", () => {
         fc.assert(fc.property(fc.array(fc.constantFrom("lost", "arrives", "late"), { maxLength: 40 }), fates => {
             const pick = createChangedCells();
-            const complete = createWholeReports();
+            const { complete } = createWholeReports();
             const late: RolloutReport[] = [];
             const deliver = (report: RolloutReport) => complete(sender, report).cells;
             const send = (answers: number, fate: string) => {
@@ -67,7 +67,7 @@
     });
 
     it("begins anew with a new life of the box", () => {
-        const complete = createWholeReports();
+        const { complete } = createWholeReports();
         complete(sender, reportOf(cellsAfter(160)));
         expect(complete(sender, reportOf(cellsAfter(16).slice(0, 2), "2")).cells).to.have.length(2);
     });
--- a/packages/box/test/rollouts.test.ts
+++ b/packages/box/test/rollouts.test.ts
@@ -145,6 +145,21 @@
             expect(late.rollouts.requests.of(service)?.traffic.share()).to.equal(0);
         });
 
+        it("open no other trial on a box that was cut off while the store was down, whoever decides then [P23] [P25]", async () => {
+            const late = world.boxes[5];
+            world.boxes.forEach(box => box.hasStore = false);
+            late.isCutOff = true;
+            await world.runUntil("rolledBack", 8000);
+            expect(world.boxes[3].rollouts.requests.of(service)?.traffic.decision()).to.equal("rolledBack");
+            takeOver(3);
+            late.isCutOff = false;
+            world.run(3000);
+            expect(late.rollouts.requests.of(service)?.traffic.decision()).to.equal("rolledBack");
+            const { toTrial } = world.counts;
+            world.run(2000);
+            expect(world.counts.toTrial, "sent after its return").to.equal(toTrial);
+        });
+
         it("send nothing more than new requests allow after all boxes lost their memory [P23]", async () => {
             world.boxes.forEach(({ index }) => world.restart(index));
             await expectRolledBack();
--- a/packages/testing/test/command-line-deployment.test.ts
+++ b/packages/testing/test/command-line-deployment.test.ts
@@ -105,9 +105,12 @@
             return /profiles +v1 +v2 +running +watching +\d+ +[1-9]\d* .*\d+\/\d+/.test(output)
                 && /profiles +lookup +trial +\d+ +0 +/.test(output);
         }, "the version is tried, and the table says so");
-        // Lines of served requests are few a second, so that which of them are written is a matter of time.
+        // Lines of served requests are few a second, so one of the version on trial may take some rounds.
+        await eventually(async () => {
+            await Promise.all(Array.from({ length: 20 }, (_, count) => ask(`w-${count}`)));
+            return boxes[0].logged.some(line => /event=request\.served .* tried=i-2 .*serverVersion=v2 /.test(line));
+        }, "a line names the version on trial with its server");
         const served = boxes[0].logged.filter(line => /event=request\.served .*serverVersion=/.test(line));
-        expect(served).to.have.length.greaterThan(0);
         served.forEach(line => expect(line).to.match(/tried=i-1 .*serverVersion=v1 |tried=i-2 .*serverVersion=v2 /));
         deployment.store.delete("rollouts", "profiles");
     });
