--- a/packages/testing/test/box-rollouts.test.ts
+++ b/packages/testing/test/box-rollouts.test.ts
@@ -120,6 +120,16 @@
             await expectStopped(before);
         });
 
+        it("is rolled back when its work takes 400 ms instead of 60", async () => {
+            await world.addTarget();
+            world.target.forEach(server => server.setWork(400));
+            const before = world.allRuns();
+            world.order("12s");
+            await world.written("rolled_back");
+            await expectStopped(before);
+            expect(logged("rollout.rolledBack").join()).to.include("bad by slowness");
+        });
+
         it("is rolled back when it fails on one route only", async () => {
             await world.addTarget();
             world.target.forEach(server =>
