--- a/packages/box/src/callers/caller-connections.ts
+++ b/packages/box/src/callers/caller-connections.ts
@@ -40,9 +40,9 @@
             open.delete(socket);
         });
     });
-    server.on("request", (request: IncomingMessage, response: ServerResponse) => {
-        withPipeline(request.socket, pipeline => pipelines.onRequest(pipeline, request, response));
-    });
+    server.on("request", onRequest);
+    // Node would tell a caller to send its body before anyone has looked at the head.
+    server.on("checkContinue", onRequest);
     // Without this listener Node ends the connection at once, whatever is in progress on it.
     server.on("connect", (_request, socket) => {
         withPipeline(socket, pipeline => pipelines.onUnreadable(pipeline, badRequest));
@@ -65,6 +65,10 @@
         count: () => open.size,
     };
 
+    function onRequest(request: IncomingMessage, response: ServerResponse): void {
+        withPipeline(request.socket, pipeline => pipelines.onRequest(pipeline, request, response));
+    }
+
     function withPipeline(socket: Duplex, act: (pipeline: CallerPipeline) => void): void {
         const pipeline = open.get(socket);
         if (pipeline !== undefined) {
--- a/packages/box/src/callers/caller-pipeline.ts
+++ b/packages/box/src/callers/caller-pipeline.ts
@@ -101,11 +101,12 @@
             controller: new AbortController(),
             isIdempotent: undefined,
             ready: undefined,
+            sendContinue: () => response.writeContinue(),
             isFollowed: () => pipeline.turns.indexOf(turn) < pipeline.begun - 1,
             answer(answer) {
                 if (turn.ready === undefined) {
                     turn.ready = answer;
-                    pipeline.isEnding ||= !answer.isFramed;
+                    pipeline.isEnding ||= answer.endsConnection;
                     goOn(pipeline);
                 }
             },
@@ -122,6 +123,8 @@
         }
         pipeline.isEnding = true;
         turn.answer(unreadableAnswer(status));
+        // Whoever waits for the rest of the body would hold its memory until the request's time is over.
+        turn.controller.abort();
     }
 
     /** Begins what may be begun and writes what is due. */
--- a/packages/box/src/callers/caller-turn.ts
+++ b/packages/box/src/callers/caller-turn.ts
@@ -13,8 +13,8 @@
 export interface CallerAnswer {
     /** Bytes of its body. */
     readonly bytes: number;
-    /** False: the connection must end with it. */
-    readonly isFramed: boolean;
+    /** The connection must end with it. */
+    readonly endsConnection: boolean;
     /** Called once, in its turn. `isLast`: the connection ends with it. Never throws. */
     readonly write: (response: ServerResponse, isLast: boolean) => void;
 }
@@ -26,6 +26,8 @@
     readonly arrivedAt: Milliseconds;
     /** Aborted when the connection ends; who serves the request may abort it as well. */
     readonly controller: AbortController;
+    /** Tells a caller that asked first to send its body. */
+    readonly sendContinue: () => void;
     /** True if requests behind it were begun: an answer to it that ends the connection would lose theirs. */
     readonly isFollowed: () => boolean;
     /** Takes the answer; only the first counts. */
--- a/packages/box/src/peers/peer-link.ts
+++ b/packages/box/src/peers/peer-link.ts
@@ -26,6 +26,7 @@
 import { createSocket } from "node:dgram";
 import { createServer } from "node:http";
 import type { QuotaMessage } from "../quotas/quota-messages.js";
+import type { RolloutMessage } from "../rollouts/rollout-parts.js";
 import type { StatePeer } from "../state/snapshot-catch-up.js";
 import type { StateDigest, StateUpdate } from "../state/state-messages.js";
 import type { TrafficPlace, TrafficPurpose } from "../traffic-meter.js";
@@ -67,6 +68,10 @@
     readonly countTraffic: (purpose: TrafficPurpose, place: TrafficPlace, bytes: number) => void;
     /** Another box told of customers' quotas. */
     readonly onQuota: (from: MemberRecord, message: QuotaMessage) => void;
+    /** Another box told of roll-outs. */
+    readonly onRollout: (from: MemberRecord, message: RolloutMessage) => void;
+    /** Decisions on roll-outs that gossip repeats now. */
+    readonly rolloutNews: () => RolloutMessage | undefined;
     readonly signal: AbortSignal;
 }
 
@@ -79,17 +84,21 @@
     readonly sendGossip: (peer: PeerTarget) => void;
     /** The same to all known boxes at once, for instance that this one is leaving. */
     readonly gossipToAll: () => void;
-    /** Passes changes on to the boxes of the region; they read those that are too large for a datagram themselves. */
+    /** Passes changes on to the boxes of the region; they are told of those that are too large for a datagram, and read them. */
     readonly publish: (update: StateUpdate) => void;
+    /** Tells the boxes of the region how far the copies reach, at once. */
+    readonly tellRegion: () => void;
     /** Sends a part about customers' quotas. */
     readonly sendQuota: (box: MemberRecord, message: QuotaMessage) => void;
+    /** Sends a part about roll-outs. */
+    readonly sendRollout: (box: MemberRecord, message: RolloutMessage) => void;
 }
 
 /** Listens and gossips until the signal aborts. */
 export function startPeerLink(options: PeerLinkOptions): PeerLink {
     const { clock, log, membership, random, signal } = options;
     const probing = createProbing({ membership, random, isAdvertised: options.isAdvertised });
-    let round = 0;
+    let roundsSinceTold = 0;
     const socket = createSocket("udp4");
     socket.on("error", error => log.warn("peer.socketFailed", { reason: error.message }));
     socket.on(
@@ -119,8 +128,11 @@
     return {
         sendGossip: peer => sendGossip(peer),
         gossipToAll,
-        publish: update => sendToRegion("update", createMessage([], update)),
+        publish,
+        tellRegion,
         sendQuota: (box, quota) => send("quota", JSON.stringify({ ...createMessage([]), quota }), box),
+        sendRollout: (box, rollout) =>
+            send("rollout", JSON.stringify({ ...createMessage([]), digest: undefined, rollout }), box),
     };
 
     function gossip(): void {
@@ -133,12 +145,31 @@
             log.info("peer.suspected", { box: membership.own().box });
             someMembers(refutationTargets).forEach(member => sendGossip(member));
         }
-        round += 1;
-        if (options.isFollowing() && round % options.digestRounds === 0) {
-            sendToRegion("digest", createMessage([]));
+        roundsSinceTold += 1;
+        if (options.isFollowing() && roundsSinceTold >= options.digestRounds) {
+            tellRegion();
         }
     }
 
+    /**
+     * The boxes of the region learn of the copies at once, and again after as many rounds. Left to the next round, a whole
+     * configuration, too large for a datagram, reached them up to 600 ms later, or by chance if this box follows no more.
+     */
+    function tellRegion(): void {
+        roundsSinceTold = 0;
+        sendToRegion("digest", JSON.stringify(createMessage([])));
+    }
+
+    function publish(update: StateUpdate): void {
+        const data = JSON.stringify(createMessage([], update));
+        if (data.length > largestDatagram) {
+            log.info("peer.updateTooLarge", { bytes: data.length });
+            tellRegion();
+            return;
+        }
+        sendToRegion("update", data);
+    }
+
     function someMembers(count: number): readonly MemberRecord[] {
         const members = [...membership.reachable(clock())];
         const chosen: MemberRecord[] = [];
@@ -148,13 +179,8 @@
         return chosen;
     }
 
-    function sendToRegion(purpose: TrafficPurpose, message: PeerMessage): void {
-        const data = JSON.stringify(message);
-        if (data.length > largestDatagram) {
-            log.info("peer.updateTooLarge", { bytes: data.length });
-            return;
-        }
-        const { box, region } = message.from;
+    function sendToRegion(purpose: TrafficPurpose, data: string): void {
+        const { box, region } = membership.own();
         membership.alive(clock())
             .filter(member => member.region === region && member.box !== box)
             .forEach(member => send(purpose, data, member));
@@ -170,7 +196,8 @@
             [...membership.regionAges(clock())].map(([region, age]) => [region, Math.round(age)]),
         );
         const message = createMessage(membership.takeNews(mostBeats, clock()).map(beatOf));
-        send("gossip", JSON.stringify({ ...message, regions, ...parts }), peer);
+        const rollout = options.rolloutNews();
+        send("gossip", JSON.stringify({ ...message, regions, rollout, ...parts }), peer);
     }
 
     function createMessage(beats: readonly Beat[], update?: StateUpdate): PeerMessage {
--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -14,7 +14,14 @@
     type ReturningCallers,
     type Route,
 } from "@chalkdale/decisions";
-import { type BackendServerId, hashText, type Milliseconds, type RegionId, type ServiceId } from "@chalkdale/kernel";
+import {
+    type BackendServerId,
+    hashText,
+    type Milliseconds,
+    type RegionId,
+    type ServerVersion,
+    type ServiceId,
+} from "@chalkdale/kernel";
 import type { IncomingMessage } from "node:http";
 import type { HeaderNames } from "../callers/caller-protocol.js";
 import type { ServerAnswer } from "../servers/exchange.js";
@@ -49,8 +56,12 @@
     askedAgain: boolean;
     /** An attempt broke off after it had reached a server. */
     mayHaveRun: boolean;
+    /** The latest answer of a server, a failure as long as the request goes on. */
+    lastAnswer: ServerAnswer | undefined;
     /** What the latest choice of a server went by, for the log. */
     latestChoice: ChosenServer | undefined;
+    /** Version of the server of the latest try, where versions are compared; for the log. */
+    latestVersion: ServerVersion | undefined;
 }
 
 /** The end of a request: a server's answer, or the box's own. */
@@ -97,7 +108,9 @@
         notSent: 0,
         askedAgain: false,
         mayHaveRun: false,
+        lastAnswer: undefined,
         latestChoice: undefined,
+        latestVersion: undefined,
     };
 }
 
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -8,43 +8,38 @@
 
 import {
     type AttemptEnd,
-    type BackendServer,
     type Choice,
     type ChoiceRequest,
     type ChosenServer,
+    decideHedge,
     decideRetry,
+    type HedgeInputs,
+    isFailureStatus,
     isIdempotent,
-    type RecentKeys,
+    mayBeHedged,
     refusalAfterRun,
     type RefusalKind,
     type RetryBudget,
     type RetryInputs,
     urgencyOf,
-    type WorkEstimate,
 } from "@chalkdale/decisions";
-import { type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/kernel";
-import type { BoxMetrics } from "../metrics.js";
-import type { ServerAnswer } from "../servers/exchange.js";
+import { milliseconds, type ServiceId } from "@chalkdale/kernel";
 import type { ActiveRequest, Ending } from "./active-request.js";
-import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
+import type { AttemptOutcome } from "./attempt-request.js";
+import { attemptHedged, type EndedAttempt } from "./hedged-attempt.js";
 import type { RequestLog } from "./request-log.js";
+import { createSingleAttempt, type SingleAttemptOptions } from "./single-attempt.js";
 
-export interface AttemptLoopOptions {
-    readonly clock: Clock;
-    readonly metrics: BoxMetrics;
+export interface AttemptLoopOptions extends Omit<SingleAttemptOptions, "isVerified"> {
     readonly choose: (request: ChoiceRequest) => Choice;
-    readonly attempt: (request: AttemptRequest) => Promise<AttemptOutcome>;
     readonly budgetOf: (service: ServiceId) => RetryBudget;
-    readonly recentKeys: RecentKeys;
-    readonly work: WorkEstimate;
-    readonly roundTrip: (server: BackendServer) => Milliseconds;
+    /** Requests at the service's servers for each of their slots; see `ServiceLoad`. */
+    readonly loadPerSlot: (service: ServiceId) => number;
 }
 
 /** The loop's other needs. */
-export interface AttemptLoopContext {
+export interface AttemptLoopContext extends Pick<SingleAttemptOptions, "isVerified"> {
     readonly requestLog: RequestLog;
-    /** True if an answer is the server's own and in the coding that was asked for. */
-    readonly isVerified: (answer: ServerAnswer) => boolean;
 }
 
 /** Runs the attempts of one request. Never rejects. */
@@ -52,31 +47,32 @@
 
 /** Creates the loop. */
 export function createAttemptLoop(options: AttemptLoopOptions & AttemptLoopContext): AttemptLoop {
-    const { clock, metrics, requestLog } = options;
+    const { clock, requestLog, trials } = options;
+    const attemptOnce = createSingleAttempt(options);
 
     return async function runAttempts(active, body, signal) {
-        let lastAnswer: ServerAnswer | undefined;
         for (;;) {
             if (signal.aborted) {
                 return { kind: "callerLeft" };
             }
-            const choice = options.choose(choiceRequest(active));
+            const isFirstTry = active.sent + active.notSent === 0;
+            const choice = (isFirstTry ? chooseForTrial(active) : undefined)
+                ?? options.choose(choiceRequest(active, false));
             if (choice.kind !== "chosen") {
-                return giveUp(active, lastAnswer, refusalOf(choice));
+                return giveUp(active, refusalOf(choice));
             }
-            const outcome = await attemptOnce(active, choice, body, signal);
+            const ended = await attemptOnceOrTwice(active, choice, body, signal);
+            const { outcome } = ended;
             if (outcome.kind === "cancelled") {
                 return { kind: "callerLeft" };
             }
-            logFailure(active, choice, outcome);
-            active.mayHaveRun ||= outcome.kind === "broken";
-            if (mayAskAgain(active, choice, outcome)) {
-                active.tried.delete(choice.server.id);
+            noteEnd(active, ended);
+            if (mayAskAgain(active, ended.choice, outcome)) {
+                active.tried.delete(ended.choice.server.id);
             }
-            lastAnswer = outcome.kind === "answered" ? outcome.answer : lastAnswer;
             const decision = decideRetry(endOf(outcome), retryInputs(active));
             if (decision.kind === "giveUp") {
-                return giveUp(active, lastAnswer, decision.refusal);
+                return giveUp(active, decision.refusal);
             }
             if (decision.kind === "finalAnswer" && outcome.kind === "answered") {
                 return { kind: "answer", answer: outcome.answer };
@@ -96,7 +92,20 @@
         return active.tried.has(server.id);
     }
 
-    function choiceRequest(active: ActiveRequest): ChoiceRequest {
+    /** A trial's server for a request at its first try. One that finds none goes where other requests go, at once. */
+    function chooseForTrial(active: ActiveRequest): ChosenServer | undefined {
+        if (!trials.assign(active.service, active.route)) {
+            return undefined;
+        }
+        const choice = options.choose(choiceRequest(active, true));
+        if (choice.kind === "chosen") {
+            return choice;
+        }
+        trials.onNotSent(active.service);
+        return undefined;
+    }
+
+    function choiceRequest(active: ActiveRequest, isTrial: boolean): ChoiceRequest {
         const at = clock();
         return {
             route: active.route,
@@ -106,6 +115,7 @@
             tried: active.tried,
             timeLeft: milliseconds(active.endsAt - at),
             isReturning: active.isReturning,
+            isTrial,
             at,
         };
     }
@@ -122,6 +132,17 @@
         };
     }
 
+    /** `beforeFirst`: the attempt that is about to be made counts as sent. */
+    function hedgeInputs(active: ActiveRequest, { beforeFirst = false } = {}): HedgeInputs {
+        const inputs = retryInputs(active);
+        return {
+            ...inputs,
+            sent: beforeFirst ? inputs.sent + 1 : inputs.sent,
+            loadPerSlot: options.loadPerSlot(active.service),
+            chooseSecond: () => options.choose(choiceRequest(active, false)),
+        };
+    }
+
     function endOf(outcome: Exclude<AttemptOutcome, { readonly kind: "cancelled"; }>): AttemptEnd {
         if (outcome.kind !== "answered") {
             return { kind: outcome.kind };
@@ -130,46 +151,39 @@
         return { kind: "answered", status: answer.status, isVerified: options.isVerified(answer) };
     }
 
-    async function attemptOnce(
+    /** A request that may be repeated gets a second server beside one that is overdue, where that helps. */
+    async function attemptOnceOrTwice(
         active: ActiveRequest,
         choice: ChosenServer,
         body: Buffer,
         signal: AbortSignal,
-    ): Promise<AttemptOutcome> {
-        const { server } = choice;
-        const sentBefore = active.sent;
-        active.tried.add(server.id);
-        active.latestChoice = choice;
-        const outcome = await options.attempt({
-            route: active.route,
-            service: active.service,
-            server,
-            method: active.method,
-            path: active.path,
-            rawHeaders: active.rawHeaders,
-            body,
-            requestId: active.requestId,
-            timeLeft: () => milliseconds(active.endsAt - clock()),
-            roundTrip: options.roundTrip(server),
-            expected: choice.usual,
-            signal,
-            onSend: () => {
-                active.sent += 1;
+    ): Promise<EndedAttempt> {
+        if (!mayBeHedged(hedgeInputs(active, { beforeFirst: true }))) {
+            return { choice, outcome: await attemptOnce(active, choice, body, signal) };
+        }
+        return attemptHedged(choice, signal, {
+            attemptOnce: (at, attemptSignal) => attemptOnce(active, at, body, attemptSignal),
+            secondChoice: () => {
+                const second = decideHedge(hedgeInputs(active));
+                if (second !== undefined) {
+                    requestLog.hedged(active, choice.server.id, second.server.id);
+                }
+                return second;
             },
-            onServed: duration => learn(active, choice, duration),
+            isFinal: outcome =>
+                outcome.kind === "answered" && !isFailureStatus(outcome.answer.status)
+                && options.isVerified(outcome.answer),
+            onFailedBeside: ended => noteEnd(active, ended),
         });
-        if (active.sent === sentBefore) {
-            active.notSent += 1;
-        }
-        metrics.onAttempt(outcome.kind);
-        return outcome;
     }
 
-    function learn(active: ActiveRequest, choice: ChosenServer, duration: Milliseconds): void {
-        const { id, state } = choice.server;
-        metrics.onServed(duration);
-        state.onAnswerTime(clock(), options.work.onMeasured(active.route, choice.warm, duration));
-        options.recentKeys.add(id, active.keyHash, clock());
+    function noteEnd(active: ActiveRequest, { choice, outcome }: EndedAttempt): void {
+        logFailure(active, choice, outcome);
+        active.latestChoice = choice;
+        // Of two attempts the one that ends the request may not be the one that was made last.
+        active.latestVersion &&= choice.server.state.record().version;
+        active.mayHaveRun ||= outcome.kind === "broken";
+        active.lastAnswer = outcome.kind === "answered" ? outcome.answer : active.lastAnswer;
     }
 
     function logFailure(active: ActiveRequest, choice: ChosenServer, outcome: AttemptOutcome): void {
@@ -189,9 +203,9 @@
 }
 
 /** A failure that a server gave goes back before a refusal of the box's own, which must not promise what isn't known. */
-function giveUp(active: ActiveRequest, lastAnswer: ServerAnswer | undefined, refusal: RefusalKind): Ending {
-    if (lastAnswer !== undefined) {
-        return { kind: "answer", answer: lastAnswer };
+function giveUp(active: ActiveRequest, refusal: RefusalKind): Ending {
+    if (active.lastAnswer !== undefined) {
+        return { kind: "answer", answer: active.lastAnswer };
     }
     return { kind: "refusal", refusal: active.mayHaveRun ? refusalAfterRun(refusal) : refusal };
 }
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -10,12 +10,16 @@
     comeBackAfter,
     connectTimeout,
     type CopyAgeBounds,
+    createBodyMemory,
     createIdleLife,
+    createMovedBytes,
     createRecentKeys,
     createRoundTrips,
     createServerChoice,
     createServiceLoad,
     createWorkEstimate,
+    memoryForBodies,
+    type ServedVersions,
     type ServerCatalog,
     type SharedEvidence,
     type SharedLimits,
@@ -26,6 +30,7 @@
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import type { BoxMetrics } from "../metrics.js";
 import type { CustomerQuotas } from "../quotas/customer-quotas.js";
+import type { TrialRequests } from "../rollouts/trials.js";
 import { createLivenessCheck } from "../servers/liveness-check.js";
 import { createServerConnections } from "../servers/server-connections.js";
 import type { BoxSettings } from "../settings.js";
@@ -46,6 +51,9 @@
     readonly limits: SharedLimits;
     readonly quotas: CustomerQuotas;
     readonly evidence: SharedEvidence;
+    /** Which versions may have which requests. */
+    readonly versions: Pick<ServedVersions, "admits" | "version">;
+    readonly trials: TrialRequests;
     readonly phase: () => StopPhase;
     readonly configurationAge: () => Milliseconds;
     readonly copyAgeBounds: CopyAgeBounds;
@@ -60,14 +68,18 @@
     readonly sweep: () => void;
     /** Connections to servers that are open. */
     readonly connectionCount: () => number;
+    /** Bytes of request bodies that are held. */
+    readonly bodyBytes: () => number;
 }
 
 /** Creates the way of requests; nothing is learned yet. */
 export function createRequestPath(options: RequestPathOptions): RequestPath {
     const { catalog, clock, evidence, limits, log, protocol, settings, state } = options;
+    const bodyMemory = createBodyMemory(memoryForBodies(settings.memoryLimit));
     const recentKeys = createRecentKeys();
     const serviceLoad = createServiceLoad();
     const work = createWorkEstimate();
+    const movedBytes = createMovedBytes();
     const roundTrips = createRoundTrips(settings.region, settings.zone);
     const connections = createServerConnections({
         clock,
@@ -97,6 +109,7 @@
             catalog,
             recentKeys,
             work,
+            movedBytes,
             roundTrip: roundTrips.estimate,
             loadPerSlot: serviceLoad.perSlot,
             severity: ({ id, state: server }, at) => {
@@ -104,6 +117,8 @@
                 return Math.max(own, evidence.severity(id, own, at));
             },
             admitsZone: state.admitsZone,
+            admitsVersion: options.versions.admits,
+            admissionVersion: options.versions.version,
         }),
         attempt: createAttempt({
             clock,
@@ -117,23 +132,28 @@
             countBytes: (server, bytes) => options.countTraffic("request", server.state.record(), bytes),
         }),
         budgetOf: limits.budgetOf,
+        loadPerSlot: serviceLoad.perSlot,
         comeBackAfter: ({ route, service }, refusal) =>
             comeBackAfter(refusal, {
                 loadPerSlot: serviceLoad.perSlot(service),
-                warmWork: work.expected(route, true),
+                queuedWork: work.ofQueue(service, route),
             }),
         recentKeys,
         work,
+        movedBytes,
         roundTrip: roundTripTo,
+        bodyMemory,
     });
 
     return {
         handler,
         sweep() {
             connections.sweep();
+            bodyMemory.sweep(clock());
             catalog.sweep(clock()).forEach(server => recentKeys.forget(server));
         },
         connectionCount: connections.count,
+        bodyBytes: bodyMemory.held,
     };
 
     function roundTripTo(server: BackendServer): Milliseconds {
--- a/packages/box/src/settings.ts
+++ b/packages/box/src/settings.ts
@@ -5,7 +5,7 @@
  * Owns nothing; read once, at the start.
  */
 
-import type { QuotaTolerance } from "@chalkdale/decisions";
+import type { QuotaTolerance, RolloutBounds } from "@chalkdale/decisions";
 import type { AvailabilityZoneId, BoxId, Milliseconds, RegionId } from "@chalkdale/kernel";
 import type { Address } from "@chalkdale/runtime";
 
@@ -29,6 +29,8 @@
     readonly strictRevocation: Milliseconds | undefined;
     /** What may be admitted beyond a customer's quota in one window, from all boxes together. */
     readonly quotaTolerance: QuotaTolerance;
+    /** Bounds on what a version that is not proven may get; undefined where versions are not rolled out by order. */
+    readonly rollouts: RolloutBounds | undefined;
 }
 
 /** Settings of one box. */
@@ -42,6 +44,8 @@
     readonly directory: Address;
     /** What the box can carry, as a number of processor cores. */
     readonly capacity: number;
+    /** Bytes of memory that the box may use; undefined if it has no limit. */
+    readonly memoryLimit: number | undefined;
     /** Other boxes reach this one here, over TCP and UDP. */
     readonly peers: Address;
     /** Where the box serves its metrics, if it does. */
--- a/packages/box/src/state/replicator.ts
+++ b/packages/box/src/state/replicator.ts
@@ -5,8 +5,14 @@
  * Owns the age of each copy; the copies themselves belong to the shared state.
  */
 
-import { type ItemChange, type RelayRole, type SharedItems, type SharedKind, sharedKinds } from "@chalkdale/decisions";
-import { type Clock, type Milliseconds, milliseconds, type RegionId } from "@chalkdale/kernel";
+import {
+    type ItemChange,
+    type RelayRole,
+    type SharedItems,
+    type SharedKind,
+    type TurnedAwayBoxes,
+} from "@chalkdale/decisions";
+import { type BoxId, type Clock, type Milliseconds, milliseconds, type RegionId } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { StateReader } from "../peers/peer-reads.js";
 import { createCopyStatuses, unconfirmedAge } from "./copy-status.js";
@@ -24,9 +30,15 @@
     readonly state: SharedState;
     readonly store: StateStore;
     readonly relayRole: RelayRole;
+    readonly turnedAway: TurnedAwayBoxes;
+    readonly self: BoxId;
+    /** Kinds that the box copies. */
+    readonly kinds: readonly SharedKind[];
     readonly readState: StateReader;
     /** Passes changes on to the boxes of the region. */
     readonly publish: (update: StateUpdate) => void;
+    /** Tells the boxes of the region how far the copies reach, at once. */
+    readonly tellRegion: () => void;
     readonly signal: AbortSignal;
 }
 
@@ -37,6 +49,8 @@
     readonly storeLostFor: () => number;
     /** Time since the store confirmed the copy of the configuration, to this box or through another. */
     readonly configurationAge: () => Milliseconds;
+    /** Time since the store confirmed the copy of a kind, to this box or through another; undefined if it never did. */
+    readonly provenAge: (kind: SharedKind) => Milliseconds | undefined;
     /** True while this box follows the store, so that others depend on what it says. */
     readonly isFollowing: () => boolean;
     /** Another box said how far its copies reach. */
@@ -47,27 +61,45 @@
 
 /** Starts to follow the store; ends when the signal aborts. */
 export function startReplicator(options: ReplicatorOptions): Replicator {
-    const { clock, relayRole, state } = options;
+    const { clock, relayRole, self, state, turnedAway } = options;
     const statuses = createCopyStatuses();
-    const follower = startStoreFollower({ ...options, statuses });
+    const tellRegion = () => relayRole.isRelayed() && options.tellRegion();
+    const follower = startStoreFollower({ ...options, statuses, tellRegion });
     const onCopyState = createSnapshotCatchUp({
         ...options,
         statuses,
         alwaysFollows: relayRole.alwaysFollows,
-        isStoreLost: follower.isStoreLost,
+        isStoreLost: () => follower.isStoreLost() || turnedAway.has(self, clock()),
+        isOverdue: relayRole.isOverdue,
+        tellRegion,
     });
 
     return {
         digest: () => ({
-            configuration: { ...copyState("configuration"), provenAge: Math.round(configurationAge()) },
+            configuration: provenCopyState("configuration"),
             servers: copyState("servers"),
             closedZones: copyState("closedZones"),
+            ...turnedAway.has(self, clock()) ? { turnedAway: true } : {},
+            ...options.kinds.includes("rollouts") ? { rollouts: provenCopyState("rollouts") } : {},
         }),
         storeLostFor: follower.storeLostFor,
-        configurationAge,
-        isFollowing: () => relayRole.alwaysFollows() || sharedKinds.some(kind => statuses[kind].watch !== undefined),
+        configurationAge: () => provenAge("configuration"),
+        provenAge(kind) {
+            const age = provenAge(kind);
+            return age < unconfirmedAge ? age : undefined;
+        },
+        isFollowing: () => relayRole.alwaysFollows() || options.kinds.some(kind => statuses[kind].watch !== undefined),
         onDigest(peer, digest) {
-            sharedKinds.forEach(kind => onCopyState(kind, peer, digest[kind]));
+            const isNews = turnedAway.onTold(peer.box, digest.turnedAway === true, clock());
+            for (const kind of options.kinds) {
+                const told = digest[kind];
+                if (told !== undefined) {
+                    onCopyState(kind, peer, told);
+                }
+            }
+            if (isNews && peer.region === options.region) {
+                follower.wake();
+            }
         },
         onUpdate: update => applyUpdate(update.kind, update),
     };
@@ -81,8 +113,12 @@
         };
     }
 
-    function configurationAge(): Milliseconds {
-        return milliseconds(Math.min(unconfirmedAge, clock() - statuses.configuration.provenAt));
+    function provenCopyState(kind: SharedKind): CopyState {
+        return { ...copyState(kind), provenAge: Math.round(provenAge(kind)) };
+    }
+
+    function provenAge(kind: SharedKind): Milliseconds {
+        return milliseconds(Math.min(unconfirmedAge, clock() - statuses[kind].provenAt));
     }
 
     function applyUpdate<Kind extends SharedKind>(kind: Kind, update: StateUpdate): void {
--- a/packages/box/test/request-handler.test.ts
+++ b/packages/box/test/request-handler.test.ts
@@ -6,6 +6,7 @@
 import {
     type CallerAccess,
     type Configuration,
+    createBodyMemory,
     createKeyTable,
     createRouteTable,
     type Route,
@@ -20,6 +21,7 @@
 import { serveCallers } from "../src/callers/caller-connections.js";
 import { createBoxMetrics } from "../src/metrics.js";
 import { createRequestHandler } from "../src/requests/request-handler.js";
+import { noTrials } from "../src/rollouts/trials.js";
 import type { SharedState } from "../src/state/shared-state.js";
 
 const openRoute: Route = {
@@ -84,6 +86,7 @@
             phase: () => phase,
             configurationAge: () => age,
             comeBackAfter: unused,
+            bodyMemory: createBodyMemory(1_000_000),
             quotas: { take: () => undefined, giveBack: () => undefined },
             copyAgeBounds: { changeInForce: milliseconds(2000), revocation: undefined },
             choose: unused,
@@ -91,7 +94,10 @@
             budgetOf: unused,
             recentKeys: undefined as never,
             work: undefined as never,
+            movedBytes: undefined as never,
             roundTrip: unused,
+            loadPerSlot: unused,
+            trials: noTrials,
         });
         serveCallers(server, { ...handler, clock, isLeaving: () => phase !== "running" });
         server.listen(0, "127.0.0.1");
--- a/packages/cli/src/request-story.ts
+++ b/packages/cli/src/request-story.ts
@@ -30,6 +30,8 @@
     copyTooOld: "the box's copy of the configuration is too old to know whether this key exists or still stands",
     quotaSpent: "the customer's quota over all boxes had no room",
     bodyTooLarge: "the body is beyond the configuration's limit",
+    bodyStalled: "the body hardly came on while the memory for bodies was spent and others waited",
+    bodiesFull: "the memory for bodies was spent, and as many as may wait were waiting",
     noServer: "no server may take the request",
     serversCold: "the servers that are left are in slow start and had their share",
     tooLate: "no server could answer in the time that was left",
@@ -67,7 +69,9 @@
 function tellLine(line: LogLine): string {
     switch (line.event) {
         case "attempt.failed":
-            return `attempt at ${line.server}: ${line.reason}; ${line.timeLeft} ms left`;
+            return `attempt at ${line.server}${versionOf(line)}: ${line.reason}; ${line.timeLeft} ms left`;
+        case "attempt.hedged":
+            return `${line.overdue} overdue after ${line.after} ms: ${line.second} has it too`;
         case "request.served":
             return `answered ${line.status} after ${line.after} ms${choiceOf(line)}; configuration ${line.version}`;
         case "request.refused":
@@ -86,7 +90,8 @@
 }
 
 /** Why the last server and not another, as far as the line has it. */
-function choiceOf({ expected, rank, runnerUp, runnerUpExpected, tried, warm }: LogLine): string {
+function choiceOf(line: LogLine): string {
+    const { expected, rank, runnerUp, runnerUpExpected, tried, warm } = line;
     const server = tried?.split(",").at(-1);
     if (server === undefined || rank === undefined) {
         return "";
@@ -95,7 +100,14 @@
     const other = runnerUp === undefined
         ? "no other was compared"
         : `${runnerUp} came second with ${runnerUpExpected} ms`;
-    return ` by ${server}, rank ${rank} of its key, which was ${key}: ${expected} ms expected, ${other}`;
+    return ` by ${server}${
+        versionOf(line)
+    }, rank ${rank} of its key, which was ${key}: ${expected} ms expected, ${other}`;
+}
+
+/** The version of a server's software, where versions were compared. */
+function versionOf({ serverVersion }: LogLine): string {
+    return serverVersion === undefined ? "" : ` of version ${serverVersion}`;
 }
 
 function reasonOf({ refusal }: LogLine): string {
--- a/packages/decisions/test/choice-setup.ts
+++ b/packages/decisions/test/choice-setup.ts
@@ -2,10 +2,19 @@
  * A choice of servers with its catalog, as tests of the choice need it.
  */
 
-import { availabilityZoneId, backendServerId, boxId, milliseconds, regionId, serviceId } from "@chalkdale/kernel";
+import {
+    availabilityZoneId,
+    backendServerId,
+    boxId,
+    milliseconds,
+    regionId,
+    serverVersion,
+    serviceId,
+} from "@chalkdale/kernel";
 import {
     type BackendServerRecord,
     type ChoiceRequest,
+    createMovedBytes,
     createRecentKeys,
     createServerCatalog,
     createServerChoice,
@@ -21,6 +30,9 @@
 /** The time of all choices. */
 export const at = milliseconds(1000);
 
+/** Servers of this version are for trial requests, all others for ordinary ones. */
+export const trialVersion = serverVersion("v2");
+
 /** Returns a sticky route of idempotent requests, with changes. */
 export function createRoute(changes: Partial<Route> = {}): Route {
     return {
@@ -76,16 +88,20 @@
     catalog.applyList(records, at);
     const recentKeys = createRecentKeys();
     const work = createWorkEstimate();
+    const movedBytes = createMovedBytes();
     const choose = createServerChoice({
         region: regionId("north"),
         zone: availabilityZoneId("north-a"),
         catalog,
         recentKeys,
         work,
+        movedBytes,
         roundTrip: region => milliseconds(region === "north" ? 1 : 70),
         loadPerSlot: () => loadPerSlot,
         severity: (server, now) => server.state.severity(now),
         admitsZone: zone => !closedZones.includes(zone),
+        admitsVersion: (server, isTrial) => (server.state.record().version === trialVersion) === isTrial,
+        admissionVersion: () => 0,
     });
     const request = (changes: Partial<ChoiceRequest> = {}): ChoiceRequest => ({
         route: createRoute(),
@@ -95,6 +111,7 @@
         tried: new Set(),
         timeLeft: milliseconds(1500),
         isReturning: false,
+        isTrial: false,
         at,
         ...changes,
     });
@@ -102,5 +119,5 @@
         const choice = choose(request(changes));
         return choice.kind === "chosen" ? choice.server.id : choice.kind;
     };
-    return { catalog, choose, chosen, request, work };
+    return { catalog, choose, chosen, movedBytes, request, work };
 }
--- a/packages/testing/src/soak/soak-world.ts
+++ b/packages/testing/src/soak/soak-world.ts
@@ -20,11 +20,33 @@
 const zones: Readonly<Record<string, string>> = { "north-a": "north", "north-b": "north", "south-a": "south" };
 export const zoneNames = Object.keys(zones);
 /** Routes and the services that they begin with. */
-export const servicesByPath: Readonly<Record<string, string>> = {
+const servicesByPath: Readonly<Record<string, string>> = {
     "/lookup/": "profiles",
     "/save/": "profiles",
     "/pack/": "packs",
+    "/photos/": "packs",
 };
+/** Routes and their kinds; those that are not here are for requests that may be repeated. */
+const kindsByPath: Readonly<Record<string, RuleOptions["kind"]>> = {
+    "/save/": "unsafe",
+    "/pack/": "download",
+    "/photos/": "upload",
+};
+/** Bytes of an upload. */
+const uploadSize = 60_000;
+/** What callers ask for, in turn; `body` is there for what may run only once. */
+export const soakRequests = Object.keys(servicesByPath).map(path => ({ path, body: bodyOf(path) }));
+
+function bodyOf(path: string): string | undefined {
+    switch (kindsByPath[path]) {
+        case "unsafe":
+            return "work";
+        case "upload":
+            return "x".repeat(uploadSize);
+        default:
+            return undefined;
+    }
+}
 export const host = "app.example";
 /** A change must be in force after this long once the store answers again; the boxes' own bounds are 2 to 3 s. */
 export const inForceWithin = 7000;
@@ -32,12 +54,15 @@
 const serverWork = 40;
 
 /** One server behind its link. */
-interface SoakServer {
+export interface SoakServer {
     readonly backend: ServerStandIn;
     readonly proxy: Proxy;
     readonly service: string;
     readonly zone: string;
+    readonly version: string;
     gone: boolean;
+    /** Its behaviour is part of a bad version, and other faults leave it alone. */
+    isScripted: boolean;
 }
 
 /** When which service may run the requests of a path. */
@@ -45,6 +70,7 @@
 
 /** The parts of a run. */
 export interface SoakWorld {
+    readonly seed: number;
     readonly random: RandomSource;
     /** Milliseconds since the run began. */
     readonly now: () => number;
@@ -59,7 +85,10 @@
     readonly runs: readonly ObservedRun[];
     readonly destinations: readonly Destination[];
     readonly customers: SoakCustomers;
-    readonly addServer: (service: string, zone: string) => Promise<void>;
+    /** Adds a server; without a version it is of the one that the service runs. */
+    readonly addServer: (service: string, zone: string, version?: string) => Promise<SoakServer>;
+    /** The service runs another version from now on. */
+    readonly setVersion: (service: string, version: string) => void;
     readonly record: (server: SoakServer, state: "ready" | "draining") => void;
     /** Writes the next version: each customer has a new key, and the lookups' service changes with every other one. */
     readonly configure: () => void;
@@ -87,12 +116,14 @@
     const destinations: Destination[] = [];
     const customers = createSoakCustomers(now, inForceWithin);
     const storeLinks: Proxy[] = [];
+    const versions = new Map<string, string>();
     let version = 1;
 
     await startServers();
     configure();
     const boxes = await startBoxes();
     return {
+        seed: options.seed,
         random,
         now,
         say,
@@ -106,6 +137,7 @@
         destinations,
         customers,
         addServer,
+        setVersion: (service, next) => versions.set(service, next),
         record,
         configure,
         stopAll,
@@ -119,14 +151,19 @@
         }
     }
 
-    async function addServer(service: string, zone: string): Promise<void> {
+    async function addServer(
+        service: string,
+        zone: string,
+        serverVersion = versions.get(service) ?? "v1",
+    ): Promise<SoakServer> {
         const backend = await startServerStandIn({ id: `i-${service}-${servers.length}` });
         backend.setWork(serverWork);
         const proxy = await startProxy(backend.address());
-        const server = { backend, proxy, service, zone, gone: false };
+        const server = { backend, proxy, service, zone, version: serverVersion, gone: false, isScripted: false };
         servers.push(server);
         observeRuns(server);
         record(server, "ready");
+        return server;
     }
 
     /** Notes each run when it begins. */
@@ -142,8 +179,9 @@
     }
 
     function record(server: SoakServer, state: "ready" | "draining"): void {
-        const { service, zone } = server;
-        store.put("servers", server.backend.id, serverObject(server.proxy.address(), { service, zone, state }));
+        const { proxy, service, version: serverVersion, zone } = server;
+        const place = { service, zone, state, version: serverVersion };
+        store.put("servers", server.backend.id, serverObject(proxy.address(), place));
     }
 
     function configure(): void {
@@ -152,7 +190,7 @@
         const rules = Object.entries(servicesByPath).map(([path, service]): RuleOptions => ({
             name: path,
             path,
-            kind: path === "/save/" ? "unsafe" : path === "/pack/" ? "download" : "safe",
+            kind: kindsByPath[path] ?? "safe",
             service: path === "/lookup/" ? lookups : service,
         }));
         rules.forEach(noteDestination);
@@ -174,7 +212,8 @@
         const created: BoxProcess[] = [];
         const firstPort = 20_000 + (process.pid % 50) * 200;
         for (let index = 0; index < options.boxes; index++) {
-            const link = await startProxy(storeServer.address());
+            // So the store can tell the boxes apart.
+            const link = await startProxy(storeServer.address(), `127.0.2.${index + 1}`);
             storeLinks.push(link);
             const box = createBoxProcess({
                 name: `box-${index}`,
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -7,7 +7,7 @@
 import { createSeededRandom, milliseconds } from "@chalkdale/kernel";
 import { pause } from "../standins/deployment.js";
 import { startCallers } from "./callers.js";
-import { type Breach, findBreaches } from "./checks.js";
+import { type Breach, findBreaches, type ObservedRollout } from "./checks.js";
 import { injectFaults } from "./faults.js";
 import { startPipeliningCallers } from "./pipelining-callers.js";
 import { createSoakWorld } from "./soak-world.js";
@@ -28,6 +28,7 @@
     readonly attempts: number;
     readonly served: number;
     readonly faults: number;
+    readonly rollouts: readonly ObservedRollout[];
     readonly breaches: readonly Breach[];
     /** Where the logs of the boxes lie. */
     readonly folder: string;
@@ -50,18 +51,29 @@
 
     const callers = await startCallers(world, { count, prefix: `s${seed}`, leavingShare });
     const pipelining = startPipeliningCallers(world, { count: pipeliningCallers, seed, leavingShare });
-    const { count: faults, ...injected } = await injectFaults(world, options.length);
+    const { count: faults, rollouts, ...injected } = await injectFaults(world, options.length);
     const recoveredFrom = now() + recoverWithin;
     await pause(milliseconds(recoverWithin + observedAfterRecovery));
     await Promise.all([callers.stop(), pipelining.stop()]);
+    rollouts.stop();
     await world.stopAll();
 
     const attempts = [...callers.attempts, ...pipelining.attempts];
     const { destinations, folder, runs } = world;
     const keyEndsAt = world.customers.endOf;
     const { surplus } = pipelining;
-    const breaches = findBreaches({ attempts, runs, surplus, ...injected, destinations, keyEndsAt, recoveredFrom });
+    const breaches = findBreaches({
+        attempts,
+        runs,
+        surplus,
+        ...injected,
+        destinations,
+        keyEndsAt,
+        rollouts: rollouts.observed,
+        recoveredFrom,
+    });
     breaches.forEach(breach => say(`breach="${breach.promise}" at=${Math.round(breach.at)} ${breach.detail}`));
     const served = attempts.filter(attempt => attempt.answer.status === 200).length;
-    return { seed, attempts: attempts.length, served, faults, breaches, folder };
+    const { observed } = rollouts;
+    return { seed, attempts: attempts.length, served, faults, rollouts: observed, breaches, folder };
 }
--- a/packages/testing/src/standins/deployment.ts
+++ b/packages/testing/src/standins/deployment.ts
@@ -12,6 +12,7 @@
 import { createMetadataStore, type MetadataStore } from "./metadata-store.js";
 import {
     configurationObject,
+    rolloutObject,
     type RuleOptions,
     serverObject,
     type ServerPlace,
@@ -26,6 +27,8 @@
     readonly directory: string;
     readonly readiness: string;
     readonly peers: string;
+    /** Where its figures are read; nothing listens there unless a port was given. */
+    readonly metrics: string;
     /** Lines that the box has logged. */
     readonly logged: readonly string[];
 }
@@ -38,31 +41,44 @@
     /** Writes the record of a server again, with changes. */
     readonly recordServer: (backend: ServerStandIn, place: ServerPlace) => void;
     readonly configure: (version: number, rules: readonly RuleOptions[], tenants?: readonly TenantOptions[]) => void;
+    /** Orders a service onto servers of a version. */
+    readonly orderVersion: (service: string, version: string, over: string) => void;
+    /** State that boxes wrote for a service's order; undefined before they did. */
+    readonly rolloutState: (service: string) => string | undefined;
     readonly startBox: (options?: BoxOptions) => TestBox;
     readonly close: () => Promise<void>;
 }
 
 /** How a box is started. */
-interface BoxOptions {
+export interface BoxOptions {
     readonly zone?: string;
     readonly seeds?: readonly string[];
     /** Loopback address of the box, so that the store can tell boxes apart. */
     readonly host?: string;
+    /** Memory limit of the box in megabytes; none without it. */
+    readonly memoryMb?: number;
     /** Port of the box's figures on its host; none are told without it. */
     readonly metricsPort?: number;
     /** A stopped box whose name and addresses the new one takes over. */
     readonly sameAs?: TestBox;
 }
 
+/** What the whole deployment has in common. */
+interface DeploymentOptions {
+    /** Bounds of the settings besides those that every deployment of the tests has. */
+    readonly bounds?: readonly string[];
+}
+
 /** Host that all rules of the tests are for. */
 export const testHost = "app.example";
 
+const commonBounds = ["budget_ratio=0.2", "budget_window=10s", "budget_slack=58", "grace=500ms", "ttl_max=5s"];
 const zones: Readonly<Record<string, string>> = { "north-a": "north", "north-b": "north", "south-a": "south" };
 /** Ports of the boxes: below the range from which the kernel takes ports for outgoing connections. */
 let nextPort = 20_000 + (process.pid % 100) * 100;
 
 /** Starts the store; servers, boxes and configurations follow by calls. */
-export async function startDeployment(): Promise<Deployment> {
+export async function startDeployment(options: DeploymentOptions = {}): Promise<Deployment> {
     const clock = () => milliseconds(performance.now());
     const store = createMetadataStore({ clock });
     const storeServer = await serveMetadataStore(store);
@@ -72,18 +88,25 @@
     return {
         store,
         storeServer,
-        async addServer(options) {
-            const backend = await startServerStandIn(options);
+        async addServer(serverOptions) {
+            const backend = await startServerStandIn(serverOptions);
             backends.push(backend);
-            recordServer(backend, options);
+            recordServer(backend, serverOptions);
             return backend;
         },
         recordServer,
         configure(version, rules, tenants) {
             store.put("config", "main", configurationObject(version, testHost, rules, tenants));
         },
-        startBox(options = {}) {
-            const box = createBox(options.sameAs?.name ?? `box-${boxes.length + 1}`, options);
+        orderVersion(service, version, over) {
+            store.put("rollouts", service, rolloutObject(service, version, over));
+        },
+        rolloutState(service) {
+            const { body } = store.get("rollouts", service);
+            return (body as { readonly status?: { readonly state: string; }; } | undefined)?.status?.state;
+        },
+        startBox(boxOptions = {}) {
+            const box = createBox(boxOptions.sameAs?.name ?? `box-${boxes.length + 1}`, boxOptions);
             boxes.push(box);
             return box;
         },
@@ -98,12 +121,14 @@
         store.put("servers", backend.id, serverObject(backend.address(), place));
     }
 
-    function createBox(name: string, options: BoxOptions): TestBox {
-        const { host = "127.0.0.1", metricsPort, seeds = [], zone = "north-a" } = options;
-        const [callers, directory, readiness, peers] = options.sameAs === undefined
+    function createBox(name: string, { sameAs, ...boxOptions }: BoxOptions): TestBox {
+        const { host = "127.0.0.1", memoryMb, metricsPort, seeds = [], zone = "north-a" } = boxOptions;
+        const [callers, directory, readiness, peers] = sameAs === undefined
             ? [0, 1, 2, 3].map(() => `${host}:${nextPort++}`)
-            : [options.sameAs.callers, options.sameAs.directory, options.sameAs.readiness, options.sameAs.peers];
-        const settings = readSettings(settingsText({ name, zone, callers, directory, readiness, peers, seeds }));
+            : [sameAs.callers, sameAs.directory, sameAs.readiness, sameAs.peers];
+        const settings = readSettings(
+            settingsText({ name, zone, callers, directory, readiness, peers, seeds, memoryMb }),
+        );
         if (settings.err) {
             throw new Error(settings.val.join("; "));
         }
@@ -133,7 +158,7 @@
             traffic,
             incarnation: incarnationId(`${Date.now().toString(36)}-${nextPort}`),
         });
-        return { name, running, callers, directory, readiness, peers, logged };
+        return { name, running, callers, directory, readiness, peers, metrics: `${host}:${metricsPort}`, logged };
     }
 
     function settingsText(box: {
@@ -144,6 +169,7 @@
         readonly readiness: string;
         readonly peers: string;
         readonly seeds: readonly string[];
+        readonly memoryMb: number | undefined;
     }): string {
         return [
             `node_name=${box.name}`,
@@ -155,7 +181,8 @@
             `listen.directory=${box.directory}`,
             `listen.control=${box.peers}`,
             `seeds=${box.seeds.join(",")}`,
-            "bounds=budget_ratio=0.2,budget_window=10s,budget_slack=58,grace=500ms,ttl_max=5s",
+            ...box.memoryMb === undefined ? [] : [`limits.memory_mb=${box.memoryMb}`],
+            `bounds=${[...commonBounds, ...options.bounds ?? []].join(",")}`,
             `platform.address=${storeServer.address()}`,
             "a.field.of.later=ignored",
         ].join("\n");
