The pipeline knows every end of a connection that Node decides

Node takes its listeners off a socket that asks for a tunnel: a caller that then reset it ended the process (read ECONNRESET, write EPIPE), and its leaving went unseen. Such a socket is followed now.

Node ends a connection by itself after an answer to a caller that asked to be told to send its body and was not, after a request without a host, and loses what it has read behind a request for another protocol. An unsafe request behind the first two was begun, though its caller sends it again; one behind the third was lost. The pipeline ends the connection with these itself now; an unknown expectation is served.

--- a/packages/box/src/callers/caller-connections.ts
+++ b/packages/box/src/callers/caller-connections.ts
@@ -23,7 +23,7 @@
     readonly count: () => number;
 }
 
-/** Status for a method that no server can serve. */
+/** Status for a method that no server can serve, and for a request without a host. */
 const badRequest = 400;
 /** The caller ended its side within a request. */
 const endWithinRequest = "HPE_INVALID_EOF_STATE";
@@ -40,11 +40,14 @@
             open.delete(socket);
         });
     });
-    server.on("request", onRequest);
+    server.on("request", (request, response) => onRequest(request, response, false));
     // Node would tell a caller to send its body before anyone has looked at the head.
-    server.on("checkContinue", onRequest);
+    server.on("checkContinue", (request, response) => onRequest(request, response, true));
+    // Node would answer without the pipeline's knowledge.
+    server.on("checkExpectation", (request, response) => onRequest(request, response, false));
     // Without this listener Node ends the connection at once, whatever is in progress on it.
     server.on("connect", (_request, socket) => {
+        follow(socket);
         withPipeline(socket, pipeline => pipelines.onUnreadable(pipeline, badRequest));
     });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
@@ -65,8 +68,15 @@
         count: () => open.size,
     };
 
-    function onRequest(request: IncomingMessage, response: ServerResponse): void {
-        withPipeline(request.socket, pipeline => pipelines.onRequest(pipeline, request, response));
+    function onRequest(request: IncomingMessage, response: ServerResponse, awaitsContinue: boolean): void {
+        withPipeline(request.socket, pipeline => {
+            if (lacksHost(request)) {
+                request.resume();
+                pipelines.onUnreadable(pipeline, badRequest);
+                return;
+            }
+            pipelines.onRequest(pipeline, request, response, awaitsContinue);
+        });
     }
 
     function withPipeline(socket: Duplex, act: (pipeline: CallerPipeline) => void): void {
@@ -76,3 +86,15 @@
         }
     }
 }
+
+/** Node would answer such a request by itself, and end the connection without the pipeline's knowledge. */
+function lacksHost({ headers, httpVersion }: IncomingMessage): boolean {
+    return httpVersion === "1.1" && headers.host === undefined;
+}
+
+/** Node takes its own listeners off a socket that asks for a tunnel: a reset would end the process, and no end be seen. */
+function follow(socket: Duplex): void {
+    socket.on("error", () => socket.destroy());
+    socket.on("end", () => socket.end());
+    socket.resume();
+}
--- a/packages/box/src/callers/caller-pipeline.ts
+++ b/packages/box/src/callers/caller-pipeline.ts
@@ -30,7 +30,13 @@
 /** What happens on connections. */
 export interface CallerPipelines {
     readonly open: (socket: Socket) => CallerPipeline;
-    readonly onRequest: (pipeline: CallerPipeline, request: IncomingMessage, response: ServerResponse) => void;
+    /** `awaitsContinue`: the caller asks to be told to send its body. */
+    readonly onRequest: (
+        pipeline: CallerPipeline,
+        request: IncomingMessage,
+        response: ServerResponse,
+        awaitsContinue: boolean,
+    ) => void;
     /** What came can't be read; the status is given behind all answers, and ends the connection. */
     readonly onUnreadable: (pipeline: CallerPipeline, status: number) => void;
     /** The connection has ended, and with it all that is in progress. */
@@ -56,12 +62,12 @@
                 lastBytes: undefined,
             };
         },
-        onRequest(pipeline, request, response) {
+        onRequest(pipeline, request, response, awaitsContinue) {
             if (pipeline.isOver || pipeline.lastBytes !== undefined) {
                 request.resume();
                 return;
             }
-            const turn = createTurn(pipeline, request, response);
+            const turn = createTurn(pipeline, request, response, awaitsContinue);
             pipeline.latest = turn;
             pipeline.turns.push(turn);
             if (stopsReading(pipeline.turns.length)) {
@@ -93,7 +99,12 @@
         },
     };
 
-    function createTurn(pipeline: CallerPipeline, request: IncomingMessage, response: ServerResponse): QueuedTurn {
+    function createTurn(
+        pipeline: CallerPipeline,
+        request: IncomingMessage,
+        response: ServerResponse,
+        awaitsContinue: boolean,
+    ): QueuedTurn {
         const turn: QueuedTurn = {
             request,
             response,
@@ -101,7 +112,12 @@
             controller: new AbortController(),
             isIdempotent: undefined,
             ready: undefined,
-            sendContinue: () => response.writeContinue(),
+            awaitsContinue,
+            sendContinue() {
+                turn.awaitsContinue = false;
+                response.writeContinue();
+                goOn(pipeline);
+            },
             isFollowed: () => pipeline.turns.indexOf(turn) < pipeline.begun - 1,
             answer(answer) {
                 if (turn.ready === undefined) {
@@ -137,7 +153,8 @@
         }
     }
 
-    function mayBeginNext({ begun, isEnding, turns }: CallerPipeline): boolean {
+    function mayBeginNext(pipeline: CallerPipeline): boolean {
+        const { begun, turns } = pipeline;
         if (begun === turns.length) {
             return false;
         }
@@ -145,10 +162,15 @@
             inProgress: begun,
             isIdempotent: turns.slice(0, begun + 1).every(isIdempotent),
             waitingBytes: turns.reduce((bytes, { ready }) => bytes + (ready?.bytes ?? 0), 0),
-            isEnding: isEnding || options.isLeaving(),
+            isEnding: endsWithBegun(pipeline),
         });
     }
 
+    /** True if the last answer of what is in progress ends the connection. */
+    function endsWithBegun({ begun, isEnding, turns }: CallerPipeline): boolean {
+        return isEnding || options.isLeaving() || (begun > 0 && turns[begun - 1].awaitsContinue);
+    }
+
     function isIdempotent(turn: QueuedTurn): boolean {
         return turn.isIdempotent ??= options.isIdempotent(turn.request);
     }
@@ -156,12 +178,12 @@
     function begin(pipeline: CallerPipeline, turn: QueuedTurn): void {
         pipeline.begun += 1;
         // Its caller says that it sends no other.
-        pipeline.isEnding ||= !turn.response.shouldKeepAlive;
+        pipeline.isEnding ||= !turn.response.shouldKeepAlive || asksForUpgrade(turn.request);
         options.serve(turn);
     }
 
     function writeNext(pipeline: CallerPipeline): void {
-        const { begun, isEnding, turns } = pipeline;
+        const { begun, turns } = pipeline;
         if (turns.length === 0) {
             endIfDue(pipeline);
             return;
@@ -171,7 +193,7 @@
             return;
         }
         pipeline.isWriting = true;
-        pipeline.isOver = begun === 1 && (isEnding || options.isLeaving());
+        pipeline.isOver = begun === 1 && endsWithBegun(pipeline);
         turn.response.once("close", () => onLeft(pipeline, turn));
         turn.ready.write(turn.response, pipeline.isOver);
     }
@@ -198,6 +220,11 @@
     }
 }
 
+/** Node's parser drops what it has read behind such a request, so the caller must know that it was not read. */
+function asksForUpgrade({ headers }: IncomingMessage): boolean {
+    return headers.upgrade !== undefined && /\bupgrade\b/i.test(headers.connection ?? "");
+}
+
 function endIfDue(pipeline: CallerPipeline): void {
     if (pipeline.lastBytes !== undefined) {
         pipeline.socket.write(pipeline.lastBytes);
--- a/packages/box/src/callers/caller-server.ts
+++ b/packages/box/src/callers/caller-server.ts
@@ -46,7 +46,13 @@
 /** Starts to listen. */
 export function startCallerServer(options: CallerServerOptions): CallerServer {
     const { protocol, settings } = options;
-    const callers = createServer({ maxHeaderSize: largestHead, requestTimeout: 0, noDelay: true });
+    const callers = createServer({
+        maxHeaderSize: largestHead,
+        requestTimeout: 0,
+        noDelay: true,
+        // The pipeline answers such requests itself.
+        requireHostHeader: false,
+    });
     const connections = serveCallers(callers, options.pipelines);
     const directory = createDirectoryListener({
         protocol,
--- a/packages/box/src/callers/caller-turn.ts
+++ b/packages/box/src/callers/caller-turn.ts
@@ -57,4 +57,6 @@
     /** Undefined until it matters. */
     isIdempotent: boolean | undefined;
     ready: CallerAnswer | undefined;
+    /** Its caller asked to be told to send its body and was not: Node ends the connection with the answer. */
+    awaitsContinue: boolean;
 }
--- a/packages/testing/test/box-pipelining.test.ts
+++ b/packages/testing/test/box-pipelining.test.ts
@@ -248,6 +248,66 @@
         }
     });
 
+    describe("a caller that asks for a tunnel behind a request [P12]", () => {
+        const tunnel = `CONNECT ${testHost}:1 HTTP/1.1\r\nHost: ${testHost}\r\n\r\n`;
+
+        for (const by of ["close", "reset"] as const) {
+            it(`and leaves by a ${by} ends its request, and the box serves on`, async () => {
+                slow.setWork(15_000);
+                void send(request("/slow/", "1"));
+                connection.sendBytes(tunnel);
+                await eventually(() => slow.runs.length === 1, "it runs");
+                connection.leave(by);
+                await eventually(() => slow.abandoned() === 1, "the work has ended");
+                const other = { address: box.callers, host: testHost, path: "/fast/", requestId: "other" };
+                expect((await sendRequest(other)).status).to.equal(200);
+            });
+        }
+    });
+
+    describe("a head that Node would answer by itself", () => {
+        const save = request("/save/", "3", { method: "POST", body: "3" });
+
+        it("expects to be told to go on, has no body, and ends the connection: nothing behind it runs [P5]", async () => {
+            const asks = request("/slow/", "2", { headers: { Expect: "100-continue" } });
+            const outcomes = send(request("/slow/", "1"), asks, save);
+            await expectServed(outcomes[0], "1");
+            expect((await expectServed(outcomes[1], "2")).headers.connection).to.equal("close");
+            expect((await outcomes[2]).kind).to.equal("unread");
+            await connection.ended;
+            expect(idsOf(fast)).to.deep.equal([]);
+        });
+
+        it("names no host, and ends the connection: nothing behind it runs [P5]", async () => {
+            const [first] = send(request("/slow/", "1"));
+            connection.sendBytes("GET /slow/ HTTP/1.1\r\nRequest-Id: 2\r\n\r\n");
+            const [behind] = send(save);
+            await expectServed(first, "1");
+            await expectRefused(behind, 400);
+            await connection.ended;
+            expect(idsOf(fast)).to.deep.equal([]);
+            expect(idsOf(slow)).to.deep.equal(["1"]);
+        });
+
+        it("expects what no one knows, and is served as others are", async () => {
+            const odd = request("/slow/", "2", { headers: { Expect: "other" } });
+            const outcomes = send(request("/slow/", "1"), odd, save);
+            await expectServed(outcomes[0], "1");
+            await expectServed(outcomes[1], "2");
+            await expectServed(outcomes[2], "3");
+            expect(idsOf(fast)).to.deep.equal(["3"]);
+        });
+
+        it("asks for another protocol, is served, and ends the connection: nothing behind it is lost [P5]", async () => {
+            const odd = request("/slow/", "2", { headers: { Upgrade: "other", Connection: "upgrade" } });
+            const outcomes = send(request("/slow/", "1"), odd, save);
+            await expectServed(outcomes[0], "1");
+            expect((await expectServed(outcomes[1], "2")).headers.connection).to.equal("close");
+            expect((await outcomes[2]).kind).to.equal("unread");
+            expect(idsOf(fast)).to.deep.equal([]);
+        });
+    });
+
     describe("a planned stop [P7]", () => {
         it("answers all that is in progress, and closes with the last answer", async () => {
             const outcomes = send(...["1", "2", "3"].map(id => request("/slow/", id)));
