--- a/packages/testing/src/promises/box-mechanisms.ts
+++ b/packages/testing/src/promises/box-mechanisms.ts
@@ -34,8 +34,8 @@
         promise: "P7",
         name: "the close on the last answer of a connection only",
         file: box("callers/caller-pipeline"),
-        find: "begun === 1 && (isEnding || options.isLeaving())",
-        replace: "(isEnding || options.isLeaving())",
+        find: "begun === 1 && endsWithBegun(pipeline)",
+        replace: "endsWithBegun(pipeline)",
         specs: [wholeTest("box-pipelining")],
     },
     {
