A caller that asks is told to send its body only once it is wanted

It was told also when its body had been refused for want of room, and while it had to wait: it sent the body in vain, or into the box's sockets.

--- a/packages/box/src/requests/request-body.ts
+++ b/packages/box/src/requests/request-body.ts
@@ -56,7 +56,9 @@
         const buffer = createGrowingBuffer(length);
         const account = memory.open(clock());
         const release = () => account.close(clock());
+        let isTold = !awaitsContinue(request);
         account.onTurn = () => {
+            tellToSend();
             request.resume();
             request.socket.resume();
         };
@@ -67,9 +69,6 @@
         request.on("close", onCut);
         signal.addEventListener("abort", onCut, { once: true });
         waitForTurn();
-        if (awaitsContinue(request)) {
-            sendContinue();
-        }
 
         function onData(part: Buffer): void {
             if (buffer.size() + part.length > mostBytes) {
@@ -83,6 +82,7 @@
 
         function waitForTurn(): void {
             if (buffer.size() === length || account.mayRead(length)) {
+                tellToSend();
                 return;
             }
             if (!memory.mayWait()) {
@@ -94,6 +94,14 @@
             request.socket.pause();
         }
 
+        /** Not before: a caller that sends a body that is refused, or has to wait, sends it in vain. */
+        function tellToSend(): void {
+            if (!isTold) {
+                isTold = true;
+                sendContinue();
+            }
+        }
+
         function onEnd(): void {
             account.finish();
             settle({ kind: "whole", body: buffer.take(), release });
--- a/packages/testing/test/box-uploads.test.ts
+++ b/packages/testing/test/box-uploads.test.ts
@@ -226,6 +226,38 @@
         stalled.forEach(caller => caller.socket.destroy());
         await eventually(async () => await gauge(box, "bodies_bytes") === 0, "the memory is given back");
     });
+
+    it("tells a caller that asks to send its body only once the stalled ones have lost their place", async () => {
+        const stalled = await Promise.all(Array.from({ length: stalledCallers }, () => connectRaw(box)));
+        stalled.forEach((caller, index) => {
+            caller.sendHead("/patient-save/", `stalled-${index}`, ["Content-Length: 900000"]);
+            caller.send("x".repeat(899_000));
+        });
+        await eventually(async () => await gauge(box, "bodies_bytes") >= 1_000_000, "the memory is spent");
+        const asks = await connectRaw(box);
+        let wasFreed: boolean | undefined;
+        asks.socket.once("data", () => {
+            wasFreed = box.logged.some(line => line.includes("refusal=bodyStalled"));
+        });
+        asks.sendHead("/patient-save/", "asks", [`Content-Length: ${large}`, "Expect: 100-continue"]);
+        await asks.receives("HTTP/1.1 100 Continue");
+        expect(wasFreed).to.equal(true);
+        asks.send("x".repeat(large));
+        await asks.receives("HTTP/1.1 200 ");
+        expect(world.runs().map(run => run.requestId)).to.deep.equal(["asks"]);
+        [...stalled, asks].forEach(caller => caller.socket.destroy());
+    });
+
+    it("tells no caller to send a body that is refused for want of room", async () => {
+        const callers = await Promise.all(Array.from({ length: 40 }, () => connectRaw(box)));
+        callers.forEach((caller, index) => {
+            caller.sendHead("/patient-save/", `asks-${index}`, ["Content-Length: 900000", "Expect: 100-continue"]);
+        });
+        const refused = () => callers.filter(caller => caller.received().includes("HTTP/1.1 503 "));
+        await eventually(() => refused().length > 0, "some are refused");
+        expect(refused().map(caller => caller.received()).join("")).not.to.include("100 Continue");
+        callers.forEach(caller => caller.socket.destroy());
+    });
 });
 
 /** Reads one figure of a box. */
