--- a/packages/box/src/requests/hedged-attempt.ts
+++ b/packages/box/src/requests/hedged-attempt.ts
@@ -31,7 +31,7 @@
     readonly cancel: () => void;
 }
 
-/** Attempts a request at a server, and at a second one where that helps. Never rejects. */
+/** Attempts a request at a server, and at a second one where that helps. Rejects only if the choice of the second one throws. */
 export async function attemptHedged(
     choice: ChosenServer,
     signal: AbortSignal,
@@ -42,7 +42,7 @@
     if (early !== undefined) {
         return early;
     }
-    const secondChoice = options.secondChoice();
+    const secondChoice = chooseSecond(first, options);
     if (secondChoice === undefined) {
         return first.ended;
     }
@@ -59,6 +59,17 @@
     };
 }
 
+/** An attempt whose outcome nobody takes must not run on. */
+function chooseSecond(first: RunningAttempt, options: HedgedAttemptOptions): ChosenServer | undefined {
+    try {
+        return options.secondChoice();
+    }
+    catch (error) {
+        first.cancel();
+        throw error;
+    }
+}
+
 /** Returns how the attempt ended, or undefined if it goes on for longer than `duration` milliseconds. */
 async function endedWithin({ ended }: RunningAttempt, duration: number): Promise<EndedAttempt | undefined> {
     let timer: NodeJS.Timeout | undefined;
--- a/packages/testing/test/box-servers.test.ts
+++ b/packages/testing/test/box-servers.test.ts
@@ -6,9 +6,10 @@
 import { milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
 import type { ServerStandIn } from "../src/standins/backend-server.js";
-import { type Deployment, eventually, pause, type TestBox } from "../src/standins/deployment.js";
+import { type Deployment, eventually, pause, type TestBox, testHost } from "../src/standins/deployment.js";
 import type { ServerBehaviour } from "../src/standins/server-answers.js";
 import { type OneBox, rules, startOneBox } from "./one-box.js";
+import { connectRaw } from "./raw-caller.js";
 
 describe("a box and its servers", () => {
     let world: OneBox;
@@ -180,6 +181,41 @@
             await eventually(() => first.abandoned() + second.abandoned() === 1, "the work is abandoned");
         });
 
+        /** The first request breaks off once its work is done; what comes of those after it is given. */
+        const breakFirst = (later: ServerBehaviour) => {
+            let count = 0;
+            for (const backend of [first, second]) {
+                backend.setWork(3000);
+                backend.setBehaviour(() => {
+                    count += 1;
+                    return count === 1 ? { kind: "loseAnswer", by: "reset" } : later;
+                });
+            }
+        };
+
+        it("fails beside one that did not run the request, which may have run all the same", async () => {
+            breakFirst({ kind: "shed" });
+            expect((await ask("/patient/", { deadlineMs: 60_000 })).status).to.equal(502);
+            expect(hedged()).to.equal(1);
+        });
+
+        it("fails as the second one does, and so does the request", async () => {
+            breakFirst({ kind: "loseAnswer", by: "reset" });
+            expect((await ask("/patient/", { deadlineMs: 60_000 })).status).to.equal(502);
+            expect(hedged()).to.equal(1);
+            expect(runs()).to.have.length(2);
+        });
+
+        it("ends its work with the second one, once their caller leaves [P12]", async () => {
+            first.setWork(60_000);
+            second.setWork(60_000);
+            const caller = await connectRaw(box);
+            caller.send(`GET /patient/ HTTP/1.1\r\nHost: ${testHost}\r\nDeadline-Ms: 60000\r\n\r\n`);
+            await eventually(() => runs().length === 2, "both have the request");
+            caller.socket.destroy();
+            await eventually(() => first.abandoned() + second.abandoned() === 2, "the work of both is abandoned");
+        });
+
         it("keeps a request that may not run twice to itself [P5]", async () => {
             loseFirstAnswer();
             expect((await ask("/save/", { method: "POST", body: "b" })).status).to.equal(504);
