The timer of an unread body ends with its socket

It was cleared on the request's events only, and the socket may close without one once the answer has left. No test shows it: a timer that fires late destroys a socket that is gone.

--- a/packages/box/src/requests/unread-body.ts
+++ b/packages/box/src/requests/unread-body.ts
@@ -13,8 +13,8 @@
 import { announcedLength, awaitsContinue } from "./request-body.js";
 
 /**
- * Bytes of an unread body up to which its connection is kept, and with it the requests behind: a little beyond the limits of
- * bodies that deployments set. Not measured.
+ * Bytes of an unread body up to which its connection is kept: a body somewhat beyond the limit that deployments set leaves
+ * the requests behind it alone. Not measured.
  */
 const longestKept = 1024 * 1024;
 /** Milliseconds for which the rest of a body may come on a connection that is kept, then it ends. Not measured. */
@@ -54,4 +54,6 @@
     const stop = () => clearTimeout(timer);
     request.once("end", stop);
     request.once("close", stop);
+    // Node does not tell a request that its socket has closed once its answer has left.
+    request.socket.once("close", stop);
 }
