--- a/packages/testing/test/emulator.test.ts
+++ b/packages/testing/test/emulator.test.ts
@@ -57,6 +57,12 @@
             });
         }
 
+        it("earns more than plain rendezvous while servers are slow", () => {
+            const troubles = [{ kind: "slowServers", at: 3000, lasts: 5000, share: 0.2, factor: 5 }] as const;
+            const own = playDay({ ...day, troubles });
+            expect(own.worth).to.be.greaterThan(playDay({ ...day, troubles, policy: "rendezvous" }).worth);
+        });
+
         it("earns more than plain rendezvous while servers are slow, over ten days", () => {
             const troubles = [{ kind: "slowServers", at: 3000, lasts: 5000, share: 0.2, factor: 5 }] as const;
             const worthOf = (policy: PolicyName) =>
--- a/scripts/reporter.cjs
+++ b/scripts/reporter.cjs
@@ -1,12 +1,48 @@
-// Mocha's spec reporter with a plain closing line for CI.
+// Mocha's spec reporter with a plain closing line for CI. Passes over the failures that KNOWN-RED.txt lists by the full title of
+// their test, and prints them: a line is "TITLE | command and seed | what was seen | cause | open issue".
+const { existsSync, readFileSync } = require("node:fs");
+const { join } = require("node:path");
 const Mocha = require("mocha");
 
+const knownRedFile = join(__dirname, "..", "KNOWN-RED.txt");
+/** Tests that may be listed at most. */
+const mostKnownRed = 3;
+
+function readKnownRed() {
+    if (!existsSync(knownRedFile)) {
+        return [];
+    }
+    const lines = readFileSync(knownRedFile, "utf8").split("\n").filter(line => line.trim() !== "");
+    if (lines.length > mostKnownRed) {
+        throw new Error(`KNOWN-RED.txt lists ${lines.length} tests, ${mostKnownRed} at most`);
+    }
+    return lines.map(line => line.split(" | ")[0].trim());
+}
+
 module.exports = class PlainReporter extends Mocha.reporters.Spec {
     constructor(runner, options) {
         super(runner, options);
+        const knownRed = readKnownRed();
+        this.passedOver = 0;
+        runner.on("fail", test => {
+            if (knownRed.includes(test.fullTitle())) {
+                this.passedOver += 1;
+                process.stdout.write(`KNOWN RED, failed: ${test.fullTitle()}\n`);
+            }
+        });
+        runner.on("pass", test => {
+            if (knownRed.includes(test.fullTitle())) {
+                process.stdout.write(`KNOWN RED, but passed: ${test.fullTitle()}\n`);
+            }
+        });
         runner.once("end", () => {
             const { passes, failures } = runner.stats;
-            process.stdout.write(`${passes} passed, ${failures} failed\n`);
+            process.stdout.write(`${passes} passed, ${failures - this.passedOver} failed\n`);
         });
     }
+
+    /** Called by Mocha with the number of failures, which sets the exit status. */
+    done(failures, end) {
+        end(failures - this.passedOver);
+    }
 };
