--- a/packages/box/src/callers/unreadable-requests.ts
+++ b/packages/box/src/callers/unreadable-requests.ts
@@ -7,6 +7,7 @@
 import { STATUS_CODES } from "node:http";
 import type { CallerAnswer } from "./caller-turn.js";
 
+/** HTTP's status for what is no request. */
 const badRequest = 400;
 const statusOfCode: Readonly<Record<string, number>> = {
     HPE_HEADER_OVERFLOW: 431,
--- a/packages/decisions/src/choose/place-cost.ts
+++ b/packages/decisions/src/choose/place-cost.ts
@@ -72,6 +72,7 @@
 const freeBytes = 2000;
 /** Bytes beyond which no more is charged, a little more than downloads move: a request for more may still be served elsewhere. Not measured. */
 const mostBytes = 100_000;
+/** Bytes of a kilobyte. */
 const bytesOfKilobyte = 1000;
 
 /** Returns what a request that moves so many bytes costs at a reach, as milliseconds of expected time. */
--- a/packages/decisions/src/retry/answer-verdict.ts
+++ b/packages/decisions/src/retry/answer-verdict.ts
@@ -55,8 +55,9 @@
     };
 }
 
-/** Statuses of successes, from the first to before the second. */
+/** Least of HTTP's statuses of successes. */
 const leastSuccess = 200;
+/** Least of HTTP's statuses of redirections, which follow on those of successes. */
 const leastRedirection = 300;
 
 /** True for a status by which a server says that it has done what was asked. */
