Sight: lines that tell an old list, a late request and an unread change apart

Cause: `servers=` of a refusal was the revision of the list, read as a number of servers, and no line said how old the list was, when a request was chosen and when it was written; at three `request.served` a second most requests leave no line.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -39,7 +39,9 @@
 import { noTrials } from "./rollouts/trials.js";
 import { createCatalog } from "./servers/catalog.js";
 import { createHealthChecker } from "./servers/health-checker.js";
+import { createRecentSends } from "./servers/recent-sends.js";
 import type { BoxSettings } from "./settings.js";
+import { createStallWatch } from "./stall-watch.js";
 import { startReplicator } from "./state/replicator.js";
 import { createSharedState, type SharedState } from "./state/shared-state.js";
 import type { StateStore } from "./state/state-store.js";
@@ -70,7 +72,7 @@
  * cost 1.6 MB and 0.003 of a core a box, over a calm play of 42 s with nine boxes and without either.
  */
 const linesPerSecond = 10;
-const linesOfEvent = { "request.served": 3, "request.refused": 30, "attempt.failed": 20 };
+const linesOfEvent = { "request.served": 3, "request.refused": 30, "attempt.failed": 20, "server.leaving": 40 };
 /** Milliseconds between two rounds of the box's own upkeep: less than a round of gossip. */
 const upkeepInterval = 250;
 /** Milliseconds between two steps of the deciders of roll-outs; a bad version must get nothing within 5 s. Not measured. */
@@ -107,11 +109,14 @@
     const catalog = createCatalog(settings, limits, service => state.service(service)?.coldRate ?? 0);
     const evidence = createSharedEvidence(boxId(settings.box));
     const serverReports = createServerReports({ clock, self: boxId(settings.box), catalog, evidence });
+    const recentSends = createRecentSends(clock);
     const state: SharedState = createSharedState({
         clock,
         log,
         catalog,
         regionOfZone: settings.regionOfZone,
+        confirmedAge: kind => replicator.confirmedAge(kind),
+        describeRecentSends: recentSends.describe,
         onRollouts: orders => rollouts?.onOrders(orders),
         onConfiguration: configuration => callerServer.setIdleTimeout(configuration.limits.idleTimeout),
     });
@@ -176,6 +181,8 @@
         trials: rollouts?.requests ?? noTrials,
         phase: plannedStop.phase,
         configurationAge: () => replicator.configurationAge(),
+        serversAge: () => replicator.confirmedAge("servers"),
+        recentSends,
         copyAgeBounds: { changeInForce: bounds.changeInForce, revocation: bounds.strictRevocation },
         countTraffic,
     });
@@ -266,7 +273,9 @@
         healthPathOf: server => state.service(server.state.record().service)?.healthPath,
         signal,
     });
+    const noticeStall = createStallWatch(clock, log, upkeepInterval);
     void every(upkeepInterval, signal).observe(() => {
+        noticeStall();
         updateOwnRecord();
         requests.sweep();
         runDueHealthChecks();
@@ -328,6 +337,7 @@
         return {
             configuration_version: state.configuration()?.version,
             servers_revision: state.replica("servers").revision(),
+            servers_age_milliseconds: Math.round(replicator.confirmedAge("servers")),
             store_lost_milliseconds: replicator.storeLostFor(),
             boxes_alive: membership.alive(clock()).length,
             boxes_carrying: limits.advertised().length,
--- a/packages/box/src/requests/request-log.ts
+++ b/packages/box/src/requests/request-log.ts
@@ -39,6 +39,8 @@
     readonly log: Log;
     readonly metrics: BoxMetrics;
     readonly state: SharedState;
+    /** Time since the store confirmed the list of servers. */
+    readonly serversAge: () => Milliseconds;
 }
 
 /** Creates the log of a box's requests. */
@@ -80,6 +82,7 @@
                 serverVersion: active.latestVersion,
                 after: Math.round(ageOf(active)),
                 version: state.configuration()?.version,
+                ...serversFields(),
             });
         },
         refused(active, refusal) {
@@ -94,7 +97,7 @@
                 after: Math.round(ageOf(active)),
                 timeLeft: Math.round(active.endsAt - clock()),
                 version: state.configuration()?.version,
-                servers: state.replica("servers").revision(),
+                ...serversFields(),
             });
         },
         notAdmitted({ copyAge, customer, host, path, requestId }, refusal) {
@@ -103,9 +106,14 @@
                 log.info("request.noRoute", { request: requestId, host, path, version });
                 return;
             }
-            const servers = state.replica("servers").revision();
-            const age = Math.round(copyAge);
-            log.info("request.refused", { request: requestId, customer, refusal, version, copyAge: age, servers });
+            log.info("request.refused", {
+                request: requestId,
+                customer,
+                refusal,
+                version,
+                copyAge: Math.round(copyAge),
+                ...serversFields(),
+            });
         },
         callerLeft(active) {
             metrics.onEnding(active.route.name, "callerLeft", ageOf(active));
@@ -118,6 +126,14 @@
         },
     };
 
+    /** How far the copy of the servers reaches, and how long ago the store confirmed that. */
+    function serversFields(): LogFields {
+        return {
+            serversRevision: state.replica("servers").revision(),
+            serversAge: Math.round(options.serversAge()),
+        };
+    }
+
     function ageOf(active: ActiveRequest): number {
         return clock() - active.startedAt;
     }
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -32,6 +32,7 @@
 import type { CustomerQuotas } from "../quotas/customer-quotas.js";
 import type { TrialRequests } from "../rollouts/trials.js";
 import { createLivenessCheck } from "../servers/liveness-check.js";
+import type { RecentSends } from "../servers/recent-sends.js";
 import { createServerConnections } from "../servers/server-connections.js";
 import type { BoxSettings } from "../settings.js";
 import type { SharedState } from "../state/shared-state.js";
@@ -56,6 +57,9 @@
     readonly trials: TrialRequests;
     readonly phase: () => StopPhase;
     readonly configurationAge: () => Milliseconds;
+    /** Time since the store confirmed the list of servers. */
+    readonly serversAge: () => Milliseconds;
+    readonly recentSends: RecentSends;
     readonly copyAgeBounds: CopyAgeBounds;
     readonly countTraffic: (purpose: TrafficPurpose, place: TrafficPlace, bytes: number) => void;
 }
@@ -150,7 +154,10 @@
         sweep() {
             connections.sweep();
             bodyMemory.sweep(clock());
-            catalog.sweep(clock()).forEach(server => recentKeys.forget(server));
+            catalog.sweep(clock()).forEach(server => {
+                recentKeys.forget(server);
+                options.recentSends.forget(server);
+            });
         },
         connectionCount: connections.count,
         bodyBytes: bodyMemory.held,
--- a/packages/box/src/requests/single-attempt.ts
+++ b/packages/box/src/requests/single-attempt.ts
@@ -18,6 +18,7 @@
 import type { BoxMetrics } from "../metrics.js";
 import type { TrialRequests } from "../rollouts/trials.js";
 import type { ServerAnswer } from "../servers/exchange.js";
+import type { RecentSends } from "../servers/recent-sends.js";
 import type { ActiveRequest } from "./active-request.js";
 import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
 import { createTryWatch } from "./watched-try.js";
@@ -31,6 +32,9 @@
     readonly movedBytes: Pick<MovedBytes, "onMoved">;
     readonly roundTrip: (server: BackendServer) => Milliseconds;
     readonly trials: TrialRequests;
+    readonly recentSends: RecentSends;
+    /** Time since the store confirmed the list of servers. */
+    readonly serversAge: () => Milliseconds;
     /** True if an answer is the server's own and in the coding that was asked for. */
     readonly isVerified: (answer: ServerAnswer) => boolean;
 }
@@ -51,6 +55,8 @@
     return async function attemptOnce(active, choice, body, signal) {
         const { server } = choice;
         const isTrial = trials.isOnTrial(active.service, server);
+        const chosenAt = clock();
+        const listAge = options.serversAge();
         let isSent = false;
         const watched = watchTry(active, choice);
         active.tried.add(server.id);
@@ -74,6 +80,12 @@
                 isSent = true;
                 options.work.onSent(active.service, active.route);
                 watched.onSent();
+                options.recentSends.add(server.id, {
+                    requestId: active.requestId,
+                    chosenAt,
+                    sentAt: clock(),
+                    listAge,
+                });
             },
             onServed(duration) {
                 watched.onServed(duration);
--- a/packages/box/src/state/replicator.ts
+++ b/packages/box/src/state/replicator.ts
@@ -51,6 +51,8 @@
     readonly configurationAge: () => Milliseconds;
     /** Time since the store confirmed the copy of a kind, to this box or through another; undefined if it never did. */
     readonly provenAge: (kind: SharedKind) => Milliseconds | undefined;
+    /** The same with the credit that a first list has, as the boxes tell each other; very large if there is no copy. */
+    readonly confirmedAge: (kind: SharedKind) => Milliseconds;
     /** True while this box follows the store, so that others depend on what it says. */
     readonly isFollowing: () => boolean;
     /** Another box said how far its copies reach. */
@@ -88,6 +90,7 @@
             const age = provenAge(kind);
             return age < unconfirmedAge ? age : undefined;
         },
+        confirmedAge,
         isFollowing: () => relayRole.alwaysFollows() || options.kinds.some(kind => statuses[kind].watch !== undefined),
         onDigest(peer, digest) {
             const isNews = turnedAway.onTold(peer.box, digest.turnedAway === true, clock());
@@ -109,10 +112,14 @@
         return {
             changed: replica.changedRevision(),
             complete: replica.revision() ?? -1,
-            age: Math.round(Math.min(unconfirmedAge, clock() - statuses[kind].confirmedAt)),
+            age: Math.round(confirmedAge(kind)),
         };
     }
 
+    function confirmedAge(kind: SharedKind): Milliseconds {
+        return milliseconds(Math.min(unconfirmedAge, clock() - statuses[kind].confirmedAt));
+    }
+
     function provenCopyState(kind: SharedKind): CopyState {
         return { ...copyState(kind), provenAge: Math.round(provenAge(kind)) };
     }
--- a/packages/box/src/state/shared-state.ts
+++ b/packages/box/src/state/shared-state.ts
@@ -27,7 +27,7 @@
     type SharedKind,
     type WeightedSplit,
 } from "@chalkdale/decisions";
-import { type AvailabilityZoneId, type Clock, type RegionId, type ServiceId } from "@chalkdale/kernel";
+import type { AvailabilityZoneId, BackendServerId, Clock, Milliseconds, RegionId, ServiceId } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 
 /** The copies and their use. */
@@ -49,6 +49,10 @@
     readonly log: Log;
     readonly catalog: ServerCatalog;
     readonly regionOfZone: ReadonlyMap<AvailabilityZoneId, RegionId>;
+    /** Time since the store confirmed the copy of a kind. While a copy takes a change, that of the confirmation before. */
+    readonly confirmedAge: (kind: SharedKind) => Milliseconds;
+    /** The latest requests to a server, for the line that tells of its leaving. */
+    readonly describeRecentSends: (server: BackendServerId) => string | undefined;
     /** Called with all orders of roll-outs whenever one changes. */
     readonly onRollouts: (orders: readonly RolloutOrder[]) => void;
     /** Called with each configuration that comes into force. */
@@ -118,8 +122,25 @@
                 removed: change.removed.slice(0, 8).join(","),
                 draining: change.startedDraining.slice(0, 8).join(","),
                 revision: replicas.servers.revision(),
+                unconfirmedFor: Math.round(options.confirmedAge("servers")),
             });
         }
+        change.startedDraining.forEach(server => logLeaving(server, "draining"));
+        change.removed.forEach(server => logLeaving(server, "unlisted"));
+    }
+
+    /** One line for each server, as its requests are looked for by its id. */
+    function logLeaving(server: BackendServerId, as: "draining" | "unlisted"): void {
+        const known = options.catalog.get(server)?.state;
+        log.info("server.leaving", {
+            server,
+            as,
+            recordRevision: known?.record().revision,
+            revision: replicas.servers.revision(),
+            unconfirmedFor: Math.round(options.confirmedAge("servers")),
+            inFlight: known?.inFlight(),
+            sends: options.describeRecentSends(server),
+        });
     }
 
     function applyClosedZones(zones: readonly AvailabilityZoneId[]): void {
--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -140,7 +140,7 @@
     async function readList(kind: SharedKind): Promise<boolean> {
         const askedAt = clock();
         const isFirst = state.replica(kind).revision() === undefined;
-        const listed = await timed(store.list(kind, isFirst ? "mayBeOld" : "newest", signal), listOverdueAfter);
+        const listed = await timed(kind, store.list(kind, isFirst ? "mayBeOld" : "newest", signal), listOverdueAfter);
         state.replica(kind).applySnapshot(listed);
         if (!isFirst) {
             statuses[kind].confirmedAt = askedAt;
@@ -184,7 +184,11 @@
     ): Promise<boolean> {
         const replica = state.replica(kind);
         const wait = isProofUrgent(kind) ? noWait : relayRole.watchWait(kind, needsProof(kind));
-        const outcome = await timed(store.watch(kind, since, watchSignal, wait), (wait ?? Infinity) + overdueAfter);
+        const outcome = await timed(
+            kind,
+            store.watch(kind, since, watchSignal, wait),
+            (wait ?? Infinity) + overdueAfter,
+        );
         isConfirmed.add(kind);
         if (outcome.kind === "historyLost") {
             log.info("store.historyLost", { kind, since });
@@ -213,8 +217,8 @@
     }
 
     /** Takes this box as turned away once a call is overdue, without an end of the call. */
-    async function timed<Answer>(call: Promise<Answer>, after: number): Promise<Answer> {
-        const timer = Number.isFinite(after) ? setTimeout(onTurnedAway, after) : undefined;
+    async function timed<Answer>(kind: SharedKind, call: Promise<Answer>, after: number): Promise<Answer> {
+        const timer = Number.isFinite(after) ? setTimeout(() => onOverdue(kind, after), after) : undefined;
         try {
             return await call;
         }
@@ -234,6 +238,11 @@
         }
     }
 
+    function onOverdue(kind: SharedKind, after: number): void {
+        log.info("store.overdue", { kind, after: Math.round(after), revision: state.replica(kind).revision() });
+        onTurnedAway();
+    }
+
     /** The first of a region tell the others at once, so that the next ones call. */
     function onTurnedAway(): void {
         if (turnedAway.onTurnedAway(clock()) && relayRole.tellsTurnedAway()) {
--- a/packages/box/test/attempt-loop.test.ts
+++ b/packages/box/test/attempt-loop.test.ts
@@ -10,6 +10,7 @@
 import { createAttemptLoop } from "../src/requests/attempt-loop.js";
 import type { AttemptOutcome } from "../src/requests/attempt-request.js";
 import { noTrials } from "../src/rollouts/trials.js";
+import { createRecentSends } from "../src/servers/recent-sends.js";
 
 const route = { name: "photos", kind: "safe", maxAttempts: 1 } as Route;
 
@@ -32,6 +33,8 @@
         roundTrip: () => milliseconds(1),
         loadPerSlot: () => 0,
         trials: noTrials,
+        recentSends: createRecentSends(() => milliseconds(0)),
+        serversAge: () => milliseconds(0),
         requestLog: {
             attemptFailed: unused,
             hedged: unused,
