Red: silent connections hide changes from regions without a relay

Cause: watches of the store wait 7 to 10 s where a region has fewer than six boxes, and 1.5 s more until they are given up; a connection that falls silent without an end is found out only then, and meanwhile nobody else knows.

--- a/packages/box/test/emulated-fleet.ts
+++ b/packages/box/test/emulated-fleet.ts
@@ -47,7 +47,7 @@
 interface EmulatedBox {
     readonly record: MemberRecord;
     readonly replicator: Replicator;
-    readonly revision: () => number;
+    readonly revision: (kind: SharedKind) => number;
     readonly onMessage: (from: EmulatedBox, message: Message) => void;
 }
 
@@ -62,6 +62,8 @@
     readonly kind: SharedKind;
     readonly since: number;
     readonly end: (outcome: WatchOutcome<never> | StoreError) => void;
+    /** Its connection falls silent for good: it is never answered, and not ended either. */
+    readonly fallSilent: () => void;
 }
 
 const regions = ["north", "east", "south"].map(regionId);
@@ -84,6 +86,7 @@
     setMaxListeners(0, lifetime.signal);
     const pending = new Set<Watch>();
     let revision = firstRevision;
+    const changedAt = new Map<SharedKind, number>();
     let turnedAway: (box: MemberRecord) => TurnedAwayBy | undefined = () => undefined;
     let calls = 0;
     const records = regions.flatMap(region =>
@@ -106,18 +109,24 @@
                 }
             }
         },
-        /** A change of the configuration is acknowledged now. */
-        change() {
+        /** Open connections to the store fall silent for good, without an end; new ones work. */
+        silence(isSilent: (box: MemberRecord) => boolean) {
+            [...pending].filter(watch => isSilent(watch.box)).forEach(watch => watch.fallSilent());
+        },
+        /** A change is acknowledged now. */
+        change(kind: SharedKind = "configuration") {
             revision += 1;
+            changedAt.set(kind, revision);
             for (const watch of pending) {
-                if (turnedAway(watch.box) === undefined && watch.kind === "configuration") {
+                if (turnedAway(watch.box) === undefined && watch.kind === kind) {
                     clock.after(wayTo(watch.box), () => watch.end(changesSince(watch)));
                 }
             }
             return revision;
         },
         /** Boxes whose copy does not hold a revision yet. */
-        behind: (wanted: number) => records.filter(({ box }) => boxes.get(box)!.revision() < wanted),
+        behind: (wanted: number, kind: SharedKind = "configuration") =>
+            records.filter(({ box }) => boxes.get(box)!.revision(kind) < wanted),
         end() {
             lifetime.abort();
             clock.end();
@@ -167,7 +176,7 @@
         const box: EmulatedBox = {
             record,
             replicator,
-            revision: () => replicas.configuration.revision() ?? 0,
+            revision: kind => replicas[kind].revision() ?? 0,
             onMessage(from, message) {
                 membership.onHeard(from.record, clock.now());
                 if (message.asks === true) {
@@ -232,7 +241,8 @@
         calls += 1;
         return new Promise((resolve, reject) => {
             const ends: (() => void)[] = [];
-            const entry: Watch = { box, kind, since, end };
+            let cancelAnswer: () => void = () => undefined;
+            const entry: Watch = { box, kind, since, end, fallSilent };
             signal.addEventListener("abort", () => end(new StoreError("unreachable", "aborted")), { once: true });
             ends.push(clock.after(wait + callTimeout, () => end(new StoreError("silent", "no answer"))));
             ends.push(clock.after(wayTo(box), arrive));
@@ -244,8 +254,13 @@
                     return;
                 }
                 pending.add(entry);
-                const isChanged = kind === "configuration" && revision > since;
-                ends.push(clock.after(isChanged ? 0 : wait, answer));
+                cancelAnswer = clock.after(isChangedSince(kind, since) ? 0 : wait, answer);
+                ends.push(cancelAnswer);
+            }
+
+            function fallSilent(): void {
+                pending.delete(entry);
+                cancelAnswer();
             }
 
             function answer(): void {
@@ -268,8 +283,11 @@
 
     /** A whole configuration is too large for a datagram. */
     function changesSince({ kind, since }: Watch): WatchOutcome<never> {
-        const changes = kind === "configuration" && revision > since ? [change] : [];
-        return { kind: "changes", changes, revision };
+        return { kind: "changes", changes: isChangedSince(kind, since) ? [change] : [], revision };
+    }
+
+    function isChangedSince(kind: SharedKind, since: number): boolean {
+        return (changedAt.get(kind) ?? 0) > since;
     }
 
     async function readState(reader: MemberRecord, address: string, kind: SharedKind, since: number) {
