Red: a request is written to a server that left while its connection came up

Cause: nothing looks at the list between the choice of a server and the first byte, and a request that is given up is closed in order, so the kernel goes on sending it.

--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -14,7 +14,13 @@
     overdueTime,
     type ServiceLoad,
 } from "@chalkdale/decisions";
-import { type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/kernel";
+import {
+    type AvailabilityZoneId,
+    type Clock,
+    type Milliseconds,
+    milliseconds,
+    type ServiceId,
+} from "@chalkdale/kernel";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import { exchange } from "../servers/exchange.js";
 import type { ServerConnection } from "../servers/idle-connections.js";
@@ -32,6 +38,8 @@
     readonly livenessCheck: LivenessCheck;
     /** True once a later server is listed at the address of this one. */
     readonly isAddressTaken: (server: BackendServer) => boolean;
+    /** False for an availability zone that is to get no requests. */
+    readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
     readonly serviceLoad: ServiceLoad;
     readonly idleLife: IdleLife;
     /** Counts the bodies of a request and its answer. */
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -131,6 +131,7 @@
             mostConnections: limits.mostConnections,
             livenessCheck,
             isAddressTaken: catalog.isAddressTaken,
+            admitsZone: state.admitsZone,
             serviceLoad,
             idleLife: createIdleLife(),
             countBytes: (server, bytes) => options.countTraffic("request", server.state.record(), bytes),
--- /dev/null
+++ b/packages/box/test/attempt.test.ts
@@ -0,0 +1,174 @@
+/**
+ * A request was written to a server that had said it was leaving, though the box
+ * knew: the server was chosen, its connection took a second to come up, and the list
+ * changed meanwhile. Nothing looked at the list between the choice and the first
+ * byte, while a lost packet of a connection's opening costs 1 s and a second one 2 s
+ * more, against a bound of 2 s in all. A request that was given up could still arrive
+ * later, out of the buffer of a connection that had stood still, since it was closed in
+ * order, which has the kernel go on sending.
+ */
+
+import {
+    type BackendServer,
+    type BackendServerRecord,
+    createIdleLife,
+    createServerState,
+    createServiceLoad,
+    type Route,
+} from "@chalkdale/decisions";
+import {
+    availabilityZoneId,
+    backendServerId,
+    type Milliseconds,
+    milliseconds,
+    Ok,
+    regionId,
+    serviceId,
+} from "@chalkdale/kernel";
+import { expect } from "chai";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+import type { AttemptOutcome, AttemptRequest } from "../src/requests/attempt-request.js";
+import { createAttempt } from "../src/requests/attempt.js";
+import type { ServerConnection } from "../src/servers/idle-connections.js";
+
+const record: BackendServerRecord = {
+    id: backendServerId("i-1"),
+    service: serviceId("profiles"),
+    address: "127.0.0.1:1",
+    zone: availabilityZoneId("north-a"),
+    region: regionId("north"),
+    slots: 4,
+    draining: false,
+    coldFor: milliseconds(0),
+    revision: 7,
+};
+
+describe("one attempt at a server", () => {
+    let listener: Server;
+    let received: string;
+    let accepted: Promise<Socket>;
+    let server: BackendServer;
+    let closedZones: Set<string>;
+    let sends: number;
+    let giveUp: AbortController;
+    let sockets: Socket[];
+
+    beforeEach(async () => {
+        sockets = [];
+        listener = createServer();
+        listener.listen(0, "127.0.0.1");
+        await once(listener, "listening");
+    });
+
+    function startOver(): void {
+        received = "";
+        sends = 0;
+        closedZones = new Set();
+        giveUp = new AbortController();
+        accepted = once(listener, "connection").then(([socket]: Socket[]) => {
+            sockets.push(socket);
+            socket.on("data", (data: Buffer) => {
+                received += data.toString();
+            });
+            return socket;
+        });
+        const state = createServerState(record, milliseconds(0), {
+            recordDelay: milliseconds(0),
+            slowStart: { allows: () => true, onSent: () => undefined } as never,
+        });
+        server = { id: record.id, idHash: 1, state };
+    }
+
+    afterEach(() => {
+        giveUp.abort();
+        sockets.forEach(socket => socket.destroy());
+        listener.close();
+    });
+
+    async function openConnection(): Promise<ServerConnection> {
+        const socket = connect((listener.address() as AddressInfo).port, "127.0.0.1");
+        sockets.push(socket);
+        await once(socket, "connect");
+        return { socket, rested: milliseconds(0) };
+    }
+
+    /** Attempts a read; `whileConnecting` happens between the choice of the server and its connection. */
+    async function attemptRead(whileConnecting: () => void): Promise<AttemptOutcome> {
+        const clock = () => milliseconds(performance.now());
+        const attempt = createAttempt({
+            clock,
+            protocol: {
+                headers: { requestId: "request-id", deadline: "deadline", expectedServer: "expected" },
+            } as never,
+            connections: {
+                acquire: async () => {
+                    const connection = await openConnection();
+                    whileConnecting();
+                    return Ok(connection);
+                },
+                release: () => undefined,
+                closeIdle: () => undefined,
+                sweep: () => undefined,
+                count: () => 0,
+            },
+            mostConnections: () => 10,
+            livenessCheck: () => Promise.resolve(true),
+            isAddressTaken: () => false,
+            admitsZone: zone => !closedZones.has(zone),
+            serviceLoad: createServiceLoad(),
+            idleLife: createIdleLife(),
+            countBytes: () => undefined,
+        });
+        const request: AttemptRequest = {
+            route: { kind: "safe" } as Route,
+            service: record.service,
+            server,
+            method: "GET",
+            path: "/lookup/",
+            rawHeaders: ["Request-Id", "r-1"],
+            body: Buffer.alloc(0),
+            requestId: "r-1",
+            timeLeft: () => milliseconds(1500),
+            roundTrip: milliseconds(1),
+            expected: milliseconds(400) as Milliseconds,
+            signal: giveUp.signal,
+            onSend: () => {
+                sends += 1;
+            },
+            onServed: () => undefined,
+        };
+        return attempt(request);
+    }
+
+    it("sends nothing to a server that leaves while its connection comes up", async () => {
+        const changes: readonly (() => void)[] = [
+            () => server.state.applyRecord({ ...record, draining: true }, milliseconds(0)),
+            () => server.state.onUnlisted(),
+            () => server.state.onReplaced(),
+            () => closedZones.add(record.zone),
+        ];
+        for (const change of changes) {
+            startOver();
+            const attempted = attemptRead(change);
+            const socket = await accepted;
+            await Promise.race([once(socket, "close"), once(socket, "data")]);
+            giveUp.abort();
+            expect([(await attempted).kind, sends, received]).to.deep.equal(["notSent", 0, ""]);
+        }
+    });
+
+    it("resets the connection of a request that is given up, so that nothing of it arrives later", async () => {
+        startOver();
+        const ended = attemptRead(() => undefined);
+        const socket = await accepted;
+        const end = Promise.race([
+            once(socket, "error").then(([error]: NodeJS.ErrnoException[]) => error.code),
+            once(socket, "end").then(() => "closed in order"),
+        ]);
+        await once(socket, "data");
+        giveUp.abort();
+        expect(await end).to.equal("ECONNRESET");
+        await ended;
+    });
+});
