The list is looked at again before the first byte, and a request given up is reset

Cause: a server was chosen, its connection took its time, the list changed, and the request was written all the same; one that was given up could still arrive. Change: an attempt whose server drains, is unlisted, replaced or in a closed zone once the connection is there ends unsent, and the loop chooses another; a cancelled exchange resets its connection.

--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -71,9 +71,19 @@
             connected.val.socket.destroy();
             return { kind: "cancelled" };
         }
+        // A connection takes seconds to come up if packets are lost, and the list may have changed since the choice.
+        if (hasLeft(request.server)) {
+            connected.val.socket.destroy();
+            return { kind: "notSent", reason: "left while its connection came up" };
+        }
         return send(request, connected.val);
     };
 
+    /** True for a server that must get nothing more, whatever it was when it was chosen. */
+    function hasLeft({ state }: BackendServer): boolean {
+        return state.hasLeft() || !options.admitsZone(state.record().zone);
+    }
+
     async function send(request: AttemptRequest, { rested, socket }: ServerConnection): Promise<AttemptOutcome> {
         const sentAt = clock();
         request.onSend();
--- a/packages/box/src/servers/exchange.ts
+++ b/packages/box/src/servers/exchange.ts
@@ -133,10 +133,19 @@
             if (outcome.kind !== "answer" || !outcome.answer.reusable) {
                 socket.on("error", () => undefined);
                 request?.on("error", () => undefined);
-                socket.destroy();
+                end(outcome);
             }
             resolve(outcome);
         }
+
+        /** Of a request that is given up nothing may arrive later: after an end in order the kernel would go on sending it. */
+        function end(outcome: ExchangeOutcome): void {
+            if (outcome.kind === "cancelled") {
+                socket.resetAndDestroy();
+                return;
+            }
+            socket.destroy();
+        }
     });
 }
 
--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -45,6 +45,8 @@
     readonly onCold: (at: Milliseconds, duration: Milliseconds) => void;
     /** Why the server gets nothing now, or undefined if it may. Outliers are not among them: see `severity`. */
     readonly exclusion: (at: Milliseconds) => ExclusionReason | undefined;
+    /** True if the server must get nothing more: it drains, is not listed, or has lost its address. */
+    readonly hasLeft: () => boolean;
     readonly isCold: (at: Milliseconds) => boolean;
     /** Requests at the server, running and waiting, as far as this box knows. */
     readonly load: (at: Milliseconds) => number;
@@ -118,6 +120,7 @@
             coldUntil = Math.max(coldUntil, now + duration);
         },
         exclusion,
+        hasLeft: () => reasonOfLeaving() !== undefined,
         isCold,
         load: now => load.estimate(now, record.slots),
         slowness: speed.slowness,
@@ -133,15 +136,20 @@
         },
     };
 
-    function exclusion(now: Milliseconds): ExclusionReason | undefined {
+    function reasonOfLeaving(): "replaced" | "draining" | "unlisted" | undefined {
         if (replaced) {
             return "replaced";
         }
         if (record.draining) {
             return "draining";
         }
-        if (unlisted) {
-            return "unlisted";
+        return unlisted ? "unlisted" : undefined;
+    }
+
+    function exclusion(now: Milliseconds): ExclusionReason | undefined {
+        const leaving = reasonOfLeaving();
+        if (leaving !== undefined) {
+            return leaving;
         }
         if (ejection.isEjected()) {
             return "ejected";
