A server that leaves a request on a rested connection unanswered loses its other ones

Cause: connections that rest together may fall silent together, and each was found so by a request of its own. Change: once such a request is overdue at its end, the other resting connections of that server are closed.

--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -109,7 +109,7 @@
             case "broken":
                 return feedback.onBroken(request, outcome.reason, wasForgotten(request, rested, sentAt));
             case "cancelled":
-                return feedback.onCancelled(request, sentAt);
+                return feedback.onCancelled(request, sentAt, rested);
         }
     }
 
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -6,7 +6,7 @@
  */
 
 import { type AnswerVerdict, judgeAnswer, overdueTime, restAfterAnswer, type ServiceLoad } from "@chalkdale/decisions";
-import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
+import { type BackendServerId, type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import type { Socket } from "node:net";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import { readKeepAlive, type ServerAnswer } from "../servers/exchange.js";
@@ -31,8 +31,8 @@
     ) => AttemptOutcome;
     /** `wasForgotten`: the server forgot a connection that rested, which says nothing of its health; a lost one refuses the next. */
     readonly onBroken: (request: AttemptRequest, reason: string, wasForgotten: boolean) => AttemptOutcome;
-    /** The caller left, the request's time is over, or its server is silent. */
-    readonly onCancelled: (request: AttemptRequest, sentAt: Milliseconds) => AttemptOutcome;
+    /** The caller left, the request's time is over, or its server is silent. `rested`: its connection's rest before; 0 for a new one. */
+    readonly onCancelled: (request: AttemptRequest, sentAt: Milliseconds, rested: Milliseconds) => AttemptOutcome;
 }
 
 /** Creates the feedback of one box. */
@@ -81,12 +81,13 @@
             }
             return { kind: "broken", reason, wasForgotten };
         },
-        onCancelled(request, sentAt) {
-            const { state } = request.server;
+        onCancelled(request, sentAt, rested) {
+            const { id, state } = request.server;
             state.onEnded(clock());
             if (isOverdue(request, sentAt)) {
                 state.onResult(clock(), false);
                 state.onAnswerTime(clock(), (clock() - sentAt) / Math.max(1, request.expected));
+                closeOthersAtRest(id, rested);
             }
             return request.signal.aborted
                 ? { kind: "cancelled" }
@@ -94,6 +95,16 @@
         },
     };
 
+    /**
+     * Connections that rested fall silent together. Left open, each would cost a request its whole limit: three of four reads in
+     * a row got 504 over four that had rested, one of them so.
+     */
+    function closeOthersAtRest(server: BackendServerId, rested: Milliseconds): void {
+        if (rested > 0) {
+            connections.closeIdle(server);
+        }
+    }
+
     /** True if the server has had the request for far longer than expected. */
     function isOverdue(request: AttemptRequest, sentAt: Milliseconds): boolean {
         return clock() - sentAt >= overdueTime(request.expected);
--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -77,7 +77,7 @@
             const sentAt = clock();
             state.onSent(sentAt);
             now += duration;
-            feedback.onCancelled(request, sentAt);
+            feedback.onCancelled(request, sentAt, milliseconds(0));
         },
         clock,
     };
