--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -17,6 +17,7 @@
     digestRounds,
     gossipInterval,
     type MemberRecord,
+    type RestartedServer,
 } from "@chalkdale/decisions";
 import { boxId, type Clock, milliseconds } from "@chalkdale/kernel";
 import { createBudgetedLog, every, type Log } from "@chalkdale/runtime";
@@ -72,7 +73,13 @@
  * cost 1.6 MB and 0.003 of a core a box, over a calm play of 42 s with nine boxes and without either.
  */
 const linesPerSecond = 10;
-const linesOfEvent = { "request.served": 3, "request.refused": 30, "attempt.failed": 20, "server.leaving": 40 };
+const linesOfEvent = {
+    "request.served": 3,
+    "request.refused": 30,
+    "attempt.failed": 20,
+    "server.leaving": 40,
+    "server.restarted": 40,
+};
 /** Milliseconds between two rounds of the box's own upkeep: less than a round of gossip. */
 const upkeepInterval = 250;
 /** Milliseconds between two steps of the deciders of roll-outs; a bad version must get nothing within 5 s. Not measured. */
@@ -117,6 +124,7 @@
         regionOfZone: settings.regionOfZone,
         confirmedAge: kind => replicator.confirmedAge(kind),
         describeRecentSends: recentSends.describe,
+        onRestarted: onServerRestarted,
         onRollouts: orders => rollouts?.onOrders(orders),
         onConfiguration: configuration => callerServer.setIdleTimeout(configuration.limits.idleTimeout),
     });
@@ -183,6 +191,7 @@
         configurationAge: () => replicator.configurationAge(),
         serversAge: () => replicator.confirmedAge("servers"),
         recentSends,
+        onRestarted: onServerRestarted,
         copyAgeBounds: { changeInForce: bounds.changeInForce, revocation: bounds.strictRevocation },
         countTraffic,
     });
@@ -318,6 +327,21 @@
         callerServer.close();
     }
 
+    /** Whatever was learned of the earlier life is forgotten, but for the requests that are still there. */
+    function onServerRestarted({ before, server }: RestartedServer): void {
+        log.info("server.restarted", {
+            server: server.id,
+            bornAt: server.state.record().bornAt,
+            previousBornAt: before.state.record().bornAt,
+            revision: server.state.record().revision,
+            inFlightBefore: before.state.inFlight(),
+            sends: recentSends.describe(server.id),
+        });
+        metrics.onServerRestarted();
+        evidence.forget(server.id, clock());
+        requests.onRestarted(server.id);
+    }
+
     function reportTraffic(): void {
         const counts = traffic.logFields();
         if (Object.keys(counts).length > 0) {
--- a/packages/box/src/metrics.ts
+++ b/packages/box/src/metrics.ts
@@ -16,6 +16,8 @@
     /** A server answered with a success after so many milliseconds there. */
     readonly onServed: (duration: number) => void;
     readonly onLookup: () => void;
+    /** A backend server has started again under its id. */
+    readonly onServerRestarted: () => void;
     /** Returns the text; gauges are read now. */
     readonly text: (gauges: Readonly<Record<string, number | undefined>>) => string;
 }
@@ -36,6 +38,7 @@
     const whole = createHistogram();
     const atServer = createHistogram();
     let lookups = 0;
+    let restarts = 0;
 
     return {
         onEnding(route, outcome, latency) {
@@ -47,11 +50,15 @@
         onLookup: () => {
             lookups += 1;
         },
+        onServerRestarted: () => {
+            restarts += 1;
+        },
         text(gauges) {
             return [
                 ...counterLines("requests_total", requests),
                 ...counterLines("attempts_total", attempts),
                 `${prefix}_lookups_total ${lookups}`,
+                `${prefix}_servers_restarted_total ${restarts}`,
                 ...histogramLines("request_milliseconds", whole),
                 ...histogramLines("server_milliseconds", atServer),
                 ...gaugeLines(gauges),
--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -36,8 +36,8 @@
     /** Connections to one server that this box may hold. */
     readonly mostConnections: (service: ServiceId) => number;
     readonly livenessCheck: LivenessCheck;
-    /** True once a later server is listed at the address of this one. */
-    readonly isAddressTaken: (server: BackendServer) => boolean;
+    /** True once this life of a server has ended, since another one is listed under its id or at its address. */
+    readonly hasSuccessor: (server: BackendServer) => boolean;
     /** False for an availability zone that is to get no requests. */
     readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
     readonly serviceLoad: ServiceLoad;
@@ -80,8 +80,9 @@
     };
 
     /** True for a server that must get nothing more, whatever it was when it was chosen. */
-    function hasLeft({ state }: BackendServer): boolean {
-        return state.hasLeft() || !options.admitsZone(state.record().zone);
+    function hasLeft(server: BackendServer): boolean {
+        const { state } = server;
+        return state.hasLeft() || options.hasSuccessor(server) || !options.admitsZone(state.record().zone);
     }
 
     async function send(request: AttemptRequest, { rested, socket }: ServerConnection): Promise<AttemptOutcome> {
@@ -120,7 +121,7 @@
     }
 
     /**
-     * Aborts a request once it is overdue and its server turns out to have ended: a later one has its address or, for an
+     * Aborts a request once it is overdue and its server turns out to have ended: it has started again, a later one has its address or, for an
      * idempotent request, which another server may run as well, it takes no connection. A test connection alone is answered by
      * whoever has the address; a request waited 12.5 s so, until its caller's deadline.
      */
@@ -148,7 +149,7 @@
 
     /** Never rejects. */
     async function hasEnded({ route, server }: AttemptRequest): Promise<boolean> {
-        if (options.isAddressTaken(server)) {
+        if (options.hasSuccessor(server)) {
             return true;
         }
         return isIdempotent(route) && !await options.livenessCheck(server);
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -19,13 +19,14 @@
     createServiceLoad,
     createWorkEstimate,
     memoryForBodies,
+    type RestartedServer,
     type ServedVersions,
     type ServerCatalog,
     type SharedEvidence,
     type SharedLimits,
     type StopPhase,
 } from "@chalkdale/decisions";
-import type { Clock, Milliseconds } from "@chalkdale/kernel";
+import type { BackendServerId, Clock, Milliseconds } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import type { BoxMetrics } from "../metrics.js";
@@ -60,6 +61,8 @@
     /** Time since the store confirmed the list of servers. */
     readonly serversAge: () => Milliseconds;
     readonly recentSends: RecentSends;
+    /** Called with a server whose new life was in doubt until now. */
+    readonly onRestarted: (restarted: RestartedServer) => void;
     readonly copyAgeBounds: CopyAgeBounds;
     readonly countTraffic: (purpose: TrafficPurpose, place: TrafficPlace, bytes: number) => void;
 }
@@ -68,6 +71,8 @@
 export interface RequestPath {
     /** Serves the requests of callers. */
     readonly handler: RequestHandler;
+    /** A server has started again: closes the connections to its earlier life, and forgets what that knew. */
+    readonly onRestarted: (server: BackendServerId) => void;
     /** Closes connections that have rested too long, and forgets servers that are gone. Due some times a second. */
     readonly sweep: () => void;
     /** Connections to servers that are open. */
@@ -130,7 +135,7 @@
             connections,
             mostConnections: limits.mostConnections,
             livenessCheck,
-            isAddressTaken: catalog.isAddressTaken,
+            hasSuccessor: catalog.hasSuccessor,
             admitsZone: state.admitsZone,
             serviceLoad,
             idleLife: createIdleLife(),
@@ -152,13 +157,20 @@
 
     return {
         handler,
+        onRestarted(server) {
+            connections.closeIdle(server);
+            recentKeys.forget(server);
+            options.recentSends.forget(server);
+        },
         sweep() {
             connections.sweep();
             bodyMemory.sweep(clock());
-            catalog.sweep(clock()).forEach(server => {
+            const { forgotten, restarted } = catalog.sweep(clock());
+            forgotten.forEach(server => {
                 recentKeys.forget(server);
                 options.recentSends.forget(server);
             });
+            restarted.forEach(options.onRestarted);
         },
         connectionCount: connections.count,
         bodyBytes: bodyMemory.held,
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -5,7 +5,14 @@
  * Carries out the verdict on an answer; owns no state.
  */
 
-import { type AnswerVerdict, judgeAnswer, overdueTime, restAfterAnswer, type ServiceLoad } from "@chalkdale/decisions";
+import {
+    type AnswerVerdict,
+    type BackendServer,
+    judgeAnswer,
+    overdueTime,
+    restAfterAnswer,
+    type ServiceLoad,
+} from "@chalkdale/decisions";
 import { type BackendServerId, type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import type { Socket } from "node:net";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
@@ -18,6 +25,8 @@
     readonly protocol: CallerProtocol;
     readonly connections: ServerConnections;
     readonly serviceLoad: ServiceLoad;
+    /** True once this life of a server has ended; see `ServerCatalog`. */
+    readonly hasSuccessor: (server: BackendServer) => boolean;
 }
 
 /** Takes each way in which an attempt can end, and returns its outcome. */
@@ -59,7 +68,11 @@
             if (load !== undefined) {
                 options.serviceLoad.onReport(request.service, load);
             }
-            if (answer.reusable) {
+            // A connection of an earlier life is gone with it, and a request on it would be lost.
+            if (answer.reusable && options.hasSuccessor(request.server)) {
+                socket.destroy();
+            }
+            else if (answer.reusable) {
                 connections.release(id, socket, restAfterAnswer(readKeepAlive(answer.headers)));
             }
             const verdict = judgeAnswer({
--- a/packages/box/src/state/shared-state.ts
+++ b/packages/box/src/state/shared-state.ts
@@ -18,6 +18,7 @@
     type PlaceSettings,
     type Replica,
     resolvePlace,
+    type RestartedServer,
     type RolloutOrder,
     type Route,
     type RouteTable,
@@ -53,6 +54,8 @@
     readonly confirmedAge: (kind: SharedKind) => Milliseconds;
     /** The latest requests to a server, for the line that tells of its leaving. */
     readonly describeRecentSends: (server: BackendServerId) => string | undefined;
+    /** Called with each server that has started again. */
+    readonly onRestarted: (restarted: RestartedServer) => void;
     /** Called with all orders of roll-outs whenever one changes. */
     readonly onRollouts: (orders: readonly RolloutOrder[]) => void;
     /** Called with each configuration that comes into force. */
@@ -114,19 +117,22 @@
 
     function applyServers(records: readonly BackendServerRecord[]): void {
         const change = options.catalog.applyList(records, clock());
-        const changed = change.added.length + change.removed.length + change.startedDraining.length;
+        const { added, removed, restarted, startedDraining } = change;
+        const changed = added.length + removed.length + startedDraining.length + restarted.length;
         if (changed > 0) {
             log.info("servers.changed", {
                 listed: records.length,
-                added: change.added.map(record => record.id).slice(0, 8).join(","),
-                removed: change.removed.slice(0, 8).join(","),
-                draining: change.startedDraining.slice(0, 8).join(","),
+                added: added.map(record => record.id).slice(0, 8).join(","),
+                removed: removed.slice(0, 8).join(","),
+                draining: startedDraining.slice(0, 8).join(","),
+                restarted: restarted.map(({ server }) => server.id).slice(0, 8).join(","),
                 revision: replicas.servers.revision(),
                 unconfirmedFor: Math.round(options.confirmedAge("servers")),
             });
         }
-        change.startedDraining.forEach(server => logLeaving(server, "draining"));
-        change.removed.forEach(server => logLeaving(server, "unlisted"));
+        restarted.forEach(options.onRestarted);
+        startedDraining.forEach(server => logLeaving(server, "draining"));
+        removed.forEach(server => logLeaving(server, "unlisted"));
     }
 
     /** One line for each server, as its requests are looked for by its id. */
--- a/packages/box/src/state/state-messages.ts
+++ b/packages/box/src/state/state-messages.ts
@@ -98,8 +98,10 @@
     access: "object",
 };
 
-/** Earlier releases tell neither the version nor the creation. */
-const serverTypes: Readonly<Record<Exclude<keyof BackendServerRecord, "version" | "createdAt">, TypeName>> = {
+/** Earlier releases tell neither the version nor the creation, nor when a server was born. */
+const serverTypes: Readonly<
+    Record<Exclude<keyof BackendServerRecord, "version" | "createdAt" | "bornAt">, TypeName>
+> = {
     id: "string",
     service: "string",
     address: "string",
@@ -111,7 +113,7 @@
     revision: "number",
 };
 
-const optionalServerTypes = { version: "string", createdAt: "number" } as const;
+const optionalServerTypes = { version: "string", createdAt: "number", bornAt: "number" } as const;
 
 const rolloutTypes: Readonly<Record<Exclude<keyof RolloutOrder, "state">, TypeName>> = {
     service: "string",
--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -111,7 +111,7 @@
                 if (signal.aborted) {
                     return;
                 }
-                onStoreFailed(kind, error);
+                isListNeeded = onFailed(kind, error, isListNeeded);
                 isConfirmed.delete(kind);
                 await sleep(spreadBackoff(backoff, options.random()), signal);
                 backoff = nextBackoff(backoff, relayRole.alwaysFollows());
@@ -119,6 +119,19 @@
         }
     }
 
+    /**
+     * Returns whether the list is asked next. A store whose answer makes no sense is not lost for the other kinds; its list is
+     * asked for in place of a watch and the other way round, since what can't be read may stand in one of them only.
+     */
+    function onFailed(kind: SharedKind, error: unknown, wasListNeeded: boolean): boolean {
+        if (error instanceof StoreError && error.failure === "unreadable") {
+            log.warn("store.unreadable", { kind, reason: error.message });
+            return !wasListNeeded || state.replica(kind).revision() === undefined;
+        }
+        onStoreFailed(kind, error);
+        return wasListNeeded;
+    }
+
     async function sleepUntilWoken(wait: number): Promise<void> {
         const sleeper = new AbortController();
         sleepers.add(sleeper);
@@ -149,8 +162,12 @@
     /** Reads the whole list; false, as no other is needed after it. The first one may be old: changes since come by a watch, or from others. */
     async function readList(kind: SharedKind): Promise<boolean> {
         const askedAt = clock();
-        const isFirst = state.replica(kind).revision() === undefined;
+        const known = state.replica(kind).revision();
+        const isFirst = known === undefined;
         const listed = await timed(kind, store.list(kind, isFirst ? "mayBeOld" : "newest", signal), listOverdueAfter);
+        if (listed.revision < (known ?? 0)) {
+            throw new StoreError("unreadable", `list of ${kind} goes back to ${listed.revision}`);
+        }
         state.replica(kind).applySnapshot(listed);
         if (!isFirst) {
             statuses[kind].confirmedAt = askedAt;
--- a/packages/box/src/traffic-meter.ts
+++ b/packages/box/src/traffic-meter.ts
@@ -1,7 +1,8 @@
 /**
  * Counts the messages and bytes that a box sends and takes, by what they are
  * for and how far they go: what control costs, and which part of it grows with
- * the number of boxes or servers.
+ * the number of boxes or servers. Entries of the store that made no sense are
+ * counted too, by kind.
  *
  * Owns the counts since the start; relies on whoever sends and reads to tell.
  */
@@ -44,6 +45,8 @@
 export interface TrafficMeter {
     /** Notes one message, or one call with its answer, of so many bytes without the heads of lower layers. */
     readonly add: (purpose: TrafficPurpose, reach: TrafficReach, bytes: number) => void;
+    /** An entry of the store could not be understood; `kind` as the store spells it. */
+    readonly onUnreadable: (kind: string) => void;
     /** All counts, as lines of the metrics. */
     readonly metricLines: () => readonly string[];
     /** All counts, as fields of a log line: `gossip.zone="messages/bytes"`. */
@@ -60,6 +63,7 @@
 /** Creates a meter at zero. */
 export function createTrafficMeter(): TrafficMeter {
     const counts = new Map<string, Count>();
+    const unreadable = new Map<string, number>();
 
     return {
         add(purpose, reach, bytes) {
@@ -72,11 +76,14 @@
             count.messages += 1;
             count.bytes += bytes;
         },
-        metricLines: () =>
-            [...counts.values()].flatMap(({ bytes, messages, purpose, reach }) => [
+        onUnreadable: kind => void unreadable.set(kind, (unreadable.get(kind) ?? 0) + 1),
+        metricLines: () => [
+            ...[...counts.values()].flatMap(({ bytes, messages, purpose, reach }) => [
                 `chalkdale_messages_total{purpose="${purpose}",reach="${reach}"} ${messages}`,
                 `chalkdale_message_bytes_total{purpose="${purpose}",reach="${reach}"} ${bytes}`,
             ]),
+            ...[...unreadable].map(([kind, count]) => `chalkdale_unreadable_objects_total{kind="${kind}"} ${count}`),
+        ],
         logFields: () =>
             Object.fromEntries([...counts].map(([key, { bytes, messages }]) => [key, `${messages}/${bytes}`])),
     };
--- a/packages/box/test/attempt.test.ts
+++ b/packages/box/test/attempt.test.ts
@@ -114,7 +114,7 @@
             },
             mostConnections: () => 10,
             livenessCheck: () => Promise.resolve(true),
-            isAddressTaken: () => false,
+            hasSuccessor: () => false,
             admitsZone: zone => !closedZones.has(zone),
             serviceLoad: createServiceLoad(),
             idleLife: createIdleLife(),
--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -57,7 +57,13 @@
         onSend: () => undefined,
         onServed: () => undefined,
     };
-    const feedback = createServerFeedback({ clock, protocol, connections, serviceLoad: createServiceLoad() });
+    const feedback = createServerFeedback({
+        clock,
+        protocol,
+        connections,
+        serviceLoad: createServiceLoad(),
+        hasSuccessor: () => false,
+    });
     return {
         state,
         refuseUnrun: (load: LoadReport) => {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -60,6 +60,7 @@
 export * from "./servers/idle-life.js";
 export * from "./servers/load-estimate.js";
 export * from "./servers/server-catalog.js";
+export * from "./servers/server-life.js";
 export * from "./servers/server-record.js";
 export * from "./servers/server-state.js";
 export * from "./servers/shared-evidence.js";
--- a/packages/decisions/src/servers/server-catalog.ts
+++ b/packages/decisions/src/servers/server-catalog.ts
@@ -1,14 +1,18 @@
 /**
- * All backend servers that discovery lists, with the state of each.
+ * All backend servers that discovery lists, with the state of each one's life.
+ * A server that has started again under its id is another server here: what was
+ * learned of its earlier life stays with the requests that are still at that one.
  *
- * Owns the servers and their states; relies on whole lists from the copy.
+ * Owns the servers and their states; relies on whole lists from the copy, and on
+ * `server-life` for which life a record speaks of.
  */
 
 import { type BackendServerId, hashText, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/kernel";
+import { lateWriteTime, lifeOfRecord, recordOfSameLife } from "./server-life.js";
 import type { BackendServerRecord } from "./server-record.js";
 import type { ServerState } from "./server-state.js";
 
-/** A listed server with what is computed once for it. */
+/** One life of a listed server with what is computed once for it. */
 export interface BackendServer {
     readonly id: BackendServerId;
     readonly idHash: number;
@@ -20,6 +24,20 @@
     readonly added: readonly BackendServerRecord[];
     readonly removed: readonly BackendServerId[];
     readonly startedDraining: readonly BackendServerId[];
+    /** Servers that have started again under their ids. */
+    readonly restarted: readonly RestartedServer[];
+}
+
+/** A server in its new life, and what is left of the life before. */
+export interface RestartedServer {
+    readonly server: BackendServer;
+    readonly before: BackendServer;
+}
+
+/** A record of an earlier life that came after one of a later life. */
+interface DoubtedRecord {
+    readonly record: BackendServerRecord;
+    readonly since: Milliseconds;
 }
 
 /** The servers by id and by service. */
@@ -29,14 +47,20 @@
     readonly ofService: (service: ServiceId) => readonly BackendServer[];
     readonly get: (id: BackendServerId) => BackendServer | undefined;
     readonly all: () => Iterable<BackendServer>;
-    /** True once a later server is listed at the address of this one, which has ended then. */
-    readonly isAddressTaken: (server: BackendServer) => boolean;
+    /** True once this life of a server has ended: another life or server is listed under its id, or later at its address. */
+    readonly hasSuccessor: (server: BackendServer) => boolean;
     /** Rises whenever a server comes or goes, or what it can carry changes. */
     readonly version: () => number;
     /** Rises with each list that is applied, and when servers are forgotten. */
     readonly listing: () => number;
-    /** Forgets servers that were unlisted long ago and are idle. */
-    readonly sweep: (at: Milliseconds) => readonly BackendServerId[];
+    /** Forgets servers that were unlisted long ago and are idle, and settles doubts about lives. Due some times a second. */
+    readonly sweep: (at: Milliseconds) => SweptServers;
+}
+
+/** What an upkeep of the catalog did. */
+export interface SweptServers {
+    readonly forgotten: readonly BackendServerId[];
+    readonly restarted: readonly RestartedServer[];
 }
 
 /** Time for which an unlisted server is remembered, in case its record comes back: records lapse while the store is away. Not measured. */
@@ -48,6 +72,7 @@
 ): ServerCatalog {
     const servers = new Map<BackendServerId, BackendServer>();
     const unlistedAt = new Map<BackendServerId, Milliseconds>();
+    const doubted = new Map<BackendServerId, DoubtedRecord>();
     let byService = new Map<ServiceId, BackendServer[]>();
     /** The server whose record is the newest, for each address. */
     let newestAt = new Map<string, BackendServer>();
@@ -59,61 +84,108 @@
         ofService: service => byService.get(service) ?? [],
         get: id => servers.get(id),
         all: () => servers.values(),
-        isAddressTaken(server) {
+        hasSuccessor(server) {
+            const current = servers.get(server.id);
             const newest = newestAt.get(server.state.record().address);
-            return newest !== undefined && newest.id !== server.id;
+            return current !== undefined && current !== server || newest !== undefined && newest !== server;
         },
         version: () => version,
         listing: () => listing,
         sweep(at) {
+            const restarted = settleDoubts(at);
             const forgotten: BackendServerId[] = [];
             for (const [id, since] of unlistedAt) {
                 if (at - since > unlistedLifetime && servers.get(id)?.state.inFlight() === 0) {
                     servers.delete(id);
                     unlistedAt.delete(id);
+                    doubted.delete(id);
                     forgotten.push(id);
                 }
             }
-            if (forgotten.length > 0) {
+            if (forgotten.length + restarted.length > 0) {
                 version += 1;
                 listing += 1;
                 index();
             }
-            return forgotten;
+            return { forgotten, restarted };
         },
     };
 
     function applyList(records: readonly BackendServerRecord[], at: Milliseconds): CatalogChange {
         const added: BackendServerRecord[] = [];
         const startedDraining: BackendServerId[] = [];
+        const restarted: RestartedServer[] = [];
         let isRankingChanged = false;
         const listed = new Set(records.map(record => record.id));
         for (const record of records) {
             const known = servers.get(record.id);
             if (known === undefined) {
                 added.push(record);
-                const state = createState(record, at);
-                servers.set(record.id, { id: record.id, idHash: hashText(record.id), state });
+                begin(record, at);
                 continue;
             }
-            if (record.draining && !known.state.record().draining) {
-                startedDraining.push(record.id);
+            const before = known.state.record();
+            switch (lifeOfRecord(record, before)) {
+                case "same": {
+                    const next = recordOfSameLife(record, before);
+                    if (next.draining && !before.draining) {
+                        startedDraining.push(record.id);
+                    }
+                    isRankingChanged ||= isRankedAnew(next, before);
+                    known.state.applyRecord(next, at);
+                    known.state.setDoubted(false);
+                    doubted.delete(record.id);
+                    unlistedAt.delete(record.id);
+                    break;
+                }
+                case "later":
+                    restarted.push(beginAgain(known, record, at));
+                    break;
+                case "earlier":
+                    doubt(known, record, at);
+                    break;
             }
-            isRankingChanged ||= isRankedAnew(record, known.state.record());
-            known.state.applyRecord(record, at);
-            unlistedAt.delete(record.id);
         }
+        restarted.push(...settleDoubts(at));
         const removed = [...servers.keys()].filter(id => !listed.has(id) && !unlistedAt.has(id));
         for (const id of removed) {
             unlistedAt.set(id, at);
+            doubted.delete(id);
             servers.get(id)?.state.onUnlisted();
         }
-        if (added.length > 0 || isRankingChanged) {
+        if (added.length + restarted.length > 0 || isRankingChanged) {
             version += 1;
         }
         listing += 1;
         index();
-        return { added, removed, startedDraining };
+        return { added, removed, startedDraining, restarted };
+    }
+
+    function begin(record: BackendServerRecord, at: Milliseconds): BackendServer {
+        const server = { id: record.id, idHash: hashText(record.id), state: createState(record, at) };
+        servers.set(record.id, server);
+        return server;
+    }
+
+    /** Nothing of the earlier life holds for the new one. */
+    function beginAgain(before: BackendServer, record: BackendServerRecord, at: Milliseconds): RestartedServer {
+        unlistedAt.delete(record.id);
+        doubted.delete(record.id);
+        return { server: begin(record, at), before };
+    }
+
+    /** Until it is known which of the two lives goes on, the server gets nothing. */
+    function doubt(known: BackendServer, record: BackendServerRecord, at: Milliseconds): void {
+        unlistedAt.delete(record.id);
+        const since = doubted.get(record.id)?.since ?? at;
+        doubted.set(record.id, { record, since });
+        known.state.setDoubted(true);
+    }
+
+    /** A record of an earlier birth that stands for long is of a new life, whose clock was set back. */
+    function settleDoubts(at: Milliseconds): RestartedServer[] {
+        const settled = [...doubted.values()].filter(({ since }) => at - since >= lateWriteTime);
+        return settled.map(({ record }) => beginAgain(servers.get(record.id)!, record, at));
     }
 
     /** True if keys may have another order of servers with the newer record. */
--- a/packages/decisions/src/servers/server-record.ts
+++ b/packages/decisions/src/servers/server-record.ts
@@ -12,9 +12,10 @@
     type RegionId,
     type ServerVersion,
     type ServiceId,
+    type UnixMilliseconds,
 } from "@chalkdale/kernel";
 
-/** One backend server as it was recorded. An id stands for one life of a server. */
+/** One backend server as it was recorded, in one of its lives: it may start again under its id. */
 export interface BackendServerRecord {
     readonly id: BackendServerId;
     readonly service: ServiceId;
@@ -29,6 +30,8 @@
     readonly version?: ServerVersion;
     /** Revision of the store when the server was recorded first; undefined in copies of earlier releases. */
     readonly createdAt?: number;
+    /** When this life began, by the server's own clock; undefined in copies of earlier releases, and where it isn't told. */
+    readonly bornAt?: UnixMilliseconds;
     /** How much longer the server was cold when it wrote the record. */
     readonly coldFor: Milliseconds;
     /** Revision of the record in the store. */
--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -15,13 +15,15 @@
 import type { SlowStart } from "./slow-start.js";
 
 /** Why a server may not take a request now. */
-type ExclusionReason = "draining" | "replaced" | "unlisted" | "ejected" | "cold";
+type ExclusionReason = "draining" | "replaced" | "unlisted" | "doubted" | "ejected" | "cold";
 
-/** State of one server as this box sees it. */
+/** State of one life of a server as this box sees it. */
 export interface ServerState {
     readonly record: () => BackendServerRecord;
-    /** Takes a newer record of the same server. */
+    /** Takes a newer record of the same life. */
     readonly applyRecord: (record: BackendServerRecord, at: Milliseconds) => void;
+    /** Discovery has a record of an earlier life, which may have been written late, or has one of this life again. */
+    readonly setDoubted: (isDoubted: boolean) => void;
     /** Discovery no longer lists the server. */
     readonly onUnlisted: () => void;
     /** True while discovery lists the server. */
@@ -45,7 +47,7 @@
     readonly onCold: (at: Milliseconds, duration: Milliseconds) => void;
     /** Why the server gets nothing now, or undefined if it may. Outliers are not among them: see `severity`. */
     readonly exclusion: (at: Milliseconds) => ExclusionReason | undefined;
-    /** True if the server must get nothing more: it drains, is not listed, or has lost its address. */
+    /** True if the server must get nothing more: it drains, is not listed, has lost its address, or its life is in doubt. */
     readonly hasLeft: () => boolean;
     readonly isCold: (at: Milliseconds) => boolean;
     /** Requests at the server, running and waiting, as far as this box knows. */
@@ -83,6 +85,7 @@
     let record = first;
     let unlisted = false;
     let replaced = false;
+    let doubted = false;
     let coldUntil = coldEnd(first, at);
 
     return {
@@ -94,6 +97,9 @@
             record = next;
             unlisted = false;
         },
+        setDoubted(isDoubted) {
+            doubted = isDoubted;
+        },
         onUnlisted() {
             unlisted = true;
         },
@@ -136,14 +142,17 @@
         },
     };
 
-    function reasonOfLeaving(): "replaced" | "draining" | "unlisted" | undefined {
+    function reasonOfLeaving(): "replaced" | "draining" | "unlisted" | "doubted" | undefined {
         if (replaced) {
             return "replaced";
         }
         if (record.draining) {
             return "draining";
         }
-        return unlisted ? "unlisted" : undefined;
+        if (unlisted) {
+            return "unlisted";
+        }
+        return doubted ? "doubted" : undefined;
     }
 
     function exclusion(now: Milliseconds): ExclusionReason | undefined {
--- a/packages/decisions/src/servers/shared-evidence.ts
+++ b/packages/decisions/src/servers/shared-evidence.ts
@@ -28,6 +28,8 @@
     readonly onReport: (report: ServerReport, now: Milliseconds) => void;
     /** How badly the server does by the lower one of two boxes' views; 0 unless two agree. `own` is this box's view. */
     readonly severity: (server: BackendServerId, own: number, now: Milliseconds) => number;
+    /** The server has started again: what was so before says nothing of its new life. */
+    readonly forget: (server: BackendServerId, now: Milliseconds) => void;
     /** Reports that are fresh enough to be passed on. */
     readonly reports: (now: Milliseconds) => readonly ServerReport[];
 }
@@ -40,10 +42,13 @@
 /** Creates the evidence of a box that has heard nothing. */
 export function createSharedEvidence(self: BoxId): SharedEvidence {
     const byServer = new Map<BackendServerId, readonly ServerReport[]>();
+    /** When this box learned of a server's new life, for as long as older reports may still come. */
+    const restartedAt = new Map<BackendServerId, Milliseconds>();
 
     return {
         onReport(report, now) {
-            if (report.origin === self || !isFresh(report, now)) {
+            const isOfEarlierLife = report.at <= (restartedAt.get(report.server) ?? -Infinity);
+            if (report.origin === self || isOfEarlierLife || !isFresh(report, now)) {
                 return;
             }
             const others = freshReports(report.server, now).filter(({ origin }) => origin !== report.origin);
@@ -57,6 +62,12 @@
             const [, second = 0] = [own, ...heard].sort((a, b) => b - a);
             return second;
         },
+        forget(server, now) {
+            const isOver = (at: Milliseconds) => now - at >= reportLifetime;
+            [...restartedAt].filter(([, at]) => isOver(at)).forEach(([earlier]) => restartedAt.delete(earlier));
+            restartedAt.set(server, now);
+            byServer.delete(server);
+        },
         reports(now) {
             return [...byServer.keys()].flatMap(server => freshReports(server, now));
         },
--- /dev/null
+++ b/packages/decisions/test/server-life.test.ts
@@ -0,0 +1,224 @@
+/**
+ * A server starts again under the id that it had. What boxes had learned of its
+ * earlier life held on: that it was leaving or had been replaced, its ejection, load,
+ * speed and keys, since nothing told two lives of one id apart.
+ */
+
+import {
+    availabilityZoneId,
+    backendServerId,
+    boxId,
+    type Milliseconds,
+    milliseconds,
+    regionId,
+    serviceId,
+    unixMilliseconds,
+} from "@chalkdale/kernel";
+import { expect } from "chai";
+import fc from "fast-check";
+import {
+    type BackendServerRecord,
+    createServerCatalog,
+    createServerState,
+    createSharedEvidence,
+    lateWriteTime,
+    type ServerCatalog,
+} from "../src/index.js";
+
+const id = backendServerId("i-1");
+const service = serviceId("profiles");
+const firstBirth = 1_700_000_000_000;
+
+describe("lives of a server", () => {
+    let catalog: ServerCatalog;
+    let now: Milliseconds;
+    let revision: number;
+
+    beforeEach(() => {
+        now = milliseconds(1000);
+        revision = 0;
+        catalog = createServerCatalog((record, at) =>
+            createServerState(record, at, {
+                recordDelay: milliseconds(0),
+                slowStart: { allows: () => true, onSent: () => undefined },
+            })
+        );
+    });
+
+    const recordOf = (changes: Partial<BackendServerRecord> = {}): BackendServerRecord => ({
+        id,
+        service,
+        address: "192.0.2.7:80",
+        zone: availabilityZoneId("north-a"),
+        region: regionId("north"),
+        slots: 4,
+        draining: false,
+        coldFor: milliseconds(0),
+        revision: ++revision,
+        ...changes,
+    });
+    const born = (bornAt: number, changes: Partial<BackendServerRecord> = {}) =>
+        recordOf({ bornAt: unixMilliseconds(bornAt), ...changes });
+    const apply = (...records: BackendServerRecord[]) => catalog.applyList(records, now);
+    const state = () => catalog.get(id)!.state;
+    const exclusion = () => state().exclusion(now);
+
+    describe("a later one", () => {
+        it("inherits nothing, whatever was learned of the one before", () => {
+            apply(born(firstBirth));
+            const before = catalog.get(id)!;
+            before.state.onReplaced();
+            before.state.onFailure(now, "unreachable");
+            before.state.onSent(now);
+            before.state.onAnswerTime(now, 9);
+            const change = apply(born(firstBirth + 5000));
+            expect(change.restarted.map(restarted => restarted.before)).to.deep.equal([before]);
+            expect(exclusion()).to.equal(undefined);
+            expect([state().inFlight(), state().slowness(now)]).to.deep.equal([0, 1]);
+            expect(state().severity(now)).to.be.lessThan(1);
+            expect(state().healthCheckDueAt()).to.equal(undefined);
+        });
+
+        it("is not struck by the end of requests that are still at the one before", () => {
+            apply(born(firstBirth));
+            const before = catalog.get(id)!;
+            before.state.onSent(now);
+            apply(born(firstBirth + 1));
+            before.state.onEnded(now);
+            before.state.onFailure(now, "unreachable");
+            expect([exclusion(), state().inFlight()]).to.deep.equal([undefined, 0]);
+            expect([catalog.hasSuccessor(before), catalog.hasSuccessor(catalog.get(id)!)]).to.deep.equal([true, false]);
+        });
+
+        it("may have requests though the one before was leaving, or had gone", () => {
+            apply(born(firstBirth, { draining: true }));
+            expect(exclusion()).to.equal("draining");
+            apply(born(firstBirth + 1));
+            expect(exclusion()).to.equal(undefined);
+            apply();
+            expect(exclusion()).to.equal("unlisted");
+            apply(born(firstBirth + 2));
+            expect(exclusion()).to.equal(undefined);
+        });
+
+        it("is cold anew, and ranked anew", () => {
+            apply(born(firstBirth));
+            const version = catalog.version();
+            apply(born(firstBirth + 1, { coldFor: milliseconds(3000) }));
+            expect(state().isCold(now)).to.equal(true);
+            expect(catalog.version()).to.be.greaterThan(version);
+            expect(catalog.ofService(service)).to.deep.equal([catalog.get(id)]);
+        });
+    });
+
+    describe("the same one", () => {
+        it("keeps what was learned of it", () => {
+            apply(born(firstBirth));
+            state().onFailure(now, "unreachable");
+            expect(apply(born(firstBirth, { slots: 5 })).restarted).to.deep.equal([]);
+            expect(exclusion()).to.equal("ejected");
+        });
+
+        it("does not take back that it leaves", () => {
+            apply(born(firstBirth, { draining: true }));
+            apply(born(firstBirth));
+            expect(exclusion()).to.equal("draining");
+        });
+
+        it("is told by the id alone where a birth is not told, as in copies of earlier releases", () => {
+            apply(recordOf({ draining: true }));
+            apply(recordOf());
+            expect(exclusion()).to.equal(undefined);
+            apply(born(firstBirth));
+            state().onFailure(now, "unreachable");
+            apply(recordOf());
+            apply(born(firstBirth));
+            expect(exclusion()).to.equal("ejected");
+            expect(state().record().bornAt).to.equal(firstBirth);
+        });
+    });
+
+    describe("an earlier one that is told of later", () => {
+        it("revives nothing while its record may be a write that was done late", () => {
+            apply(born(firstBirth + 1, { draining: true }));
+            apply(born(firstBirth));
+            expect(exclusion()).to.equal("draining");
+            apply(born(firstBirth + 1, { draining: true }));
+            now = milliseconds(now + 2 * lateWriteTime);
+            expect(catalog.sweep(now).restarted).to.deep.equal([]);
+            expect(exclusion()).to.equal("draining");
+        });
+
+        it("does not end the later one, which writes again", () => {
+            apply(born(firstBirth + 1));
+            state().onAnswerTime(now, 9);
+            const slowness = state().slowness(now);
+            apply(born(firstBirth, { draining: true }));
+            expect(exclusion()).to.equal("doubted");
+            apply(born(firstBirth + 1));
+            expect(exclusion()).to.equal(undefined);
+            expect(state().slowness(now)).to.equal(slowness);
+        });
+
+        it("is a new life of a server whose clock was set back, once it stands for long", () => {
+            apply(born(firstBirth + 60_000));
+            apply(born(firstBirth));
+            now = milliseconds(now + lateWriteTime - 1);
+            expect(catalog.sweep(now).restarted).to.deep.equal([]);
+            now = milliseconds(now + 1);
+            expect(catalog.sweep(now).restarted).to.have.length(1);
+            expect([exclusion(), state().record().bornAt]).to.deep.equal([undefined, firstBirth]);
+        });
+
+        it("is forgotten with its record", () => {
+            apply(born(firstBirth + 1));
+            apply(born(firstBirth));
+            apply();
+            now = milliseconds(now + 2 * lateWriteTime);
+            expect(catalog.sweep(now).restarted).to.deep.equal([]);
+            expect(exclusion()).to.equal("unlisted");
+        });
+    });
+
+    it("never leave a server in use whose latest record says that it leaves, whatever came before", () => {
+        const told = fc.record({
+            birth: fc.integer({ min: 0, max: 3 }),
+            draining: fc.boolean(),
+            isListed: fc.boolean(),
+        });
+        fc.assert(
+            fc.property(fc.array(told, { minLength: 1, maxLength: 12 }), history => {
+                catalog = createServerCatalog((record, at) =>
+                    createServerState(record, at, {
+                        recordDelay: milliseconds(0),
+                        slowStart: { allows: () => true, onSent: () => undefined },
+                    })
+                );
+                for (const { birth, draining, isListed } of history) {
+                    apply(...isListed ? [born(firstBirth + birth, { draining })] : []);
+                    const mayBeUsed = isListed && !draining;
+                    const isUsed = catalog.get(id) !== undefined && exclusion() === undefined;
+                    expect(!isUsed || mayBeUsed).to.equal(true);
+                }
+            }),
+            { seed: 7, numRuns: 1000 },
+        );
+    });
+
+    it("are not judged by what other boxes saw of the one before", () => {
+        const evidence = createSharedEvidence(boxId("box-1"));
+        const report = (origin: string, at: Milliseconds) =>
+            evidence.onReport({ server: id, origin: boxId(origin), severity: 3, at }, now);
+        report("box-2", now);
+        report("box-3", now);
+        expect(evidence.severity(id, 1, now)).to.equal(3);
+        evidence.forget(id, now);
+        expect(evidence.severity(id, 1, now)).to.equal(0);
+        report("box-2", milliseconds(now - 100));
+        report("box-3", milliseconds(now - 100));
+        expect(evidence.severity(id, 1, now)).to.equal(0);
+        report("box-2", milliseconds(now + 1));
+        report("box-3", milliseconds(now + 1));
+        expect(evidence.severity(id, 1, now)).to.equal(3);
+    });
+});
--- a/packages/kernel/src/ids.ts
+++ b/packages/kernel/src/ids.ts
@@ -50,6 +50,11 @@
 /** Takes a whole number as an object's version. */
 export const objectVersion = (value: number) => value as ObjectVersion;
 /** Takes a number as milliseconds. */
+/** Milliseconds since the beginning of 1970 by some box's clock of the day; those of two boxes may differ. */
+export type UnixMilliseconds = Branded<number, "UnixMilliseconds">;
+
+export const unixMilliseconds = (value: number) => value as UnixMilliseconds;
+
 export const milliseconds = (value: number) => value as Milliseconds;
 /** Turns seconds into milliseconds. */
 export const seconds = (value: number) => (value * 1000) as Milliseconds;
--- a/packages/testing/src/standins/platform-objects.ts
+++ b/packages/testing/src/standins/platform-objects.ts
@@ -33,6 +33,8 @@
     readonly state?: "ready" | "draining";
     readonly coldLeft?: string;
     readonly version?: string;
+    /** Unix milliseconds of the server's start; left out if not given. */
+    readonly born?: number;
 }
 
 /** Services of every configuration that the stand-ins write. */
@@ -108,6 +110,7 @@
         state: place.state ?? "ready",
         cold_left: place.coldLeft ?? "0ms",
         call_seq: 1,
+        ...place.born === undefined ? {} : { born: place.born },
     };
 }
 
