The soak learns servers that start again under their ids, and entries of another writer

Cause: neither was played by real processes. Change: a restart ends a server without a word and starts it under its id and address, also one that was leaving; broken entries stand under new names and in place of sound ones, and name a trap whose runs are breaches. A run tells how many of each later fault it had.

--- a/packages/testing/src/soak/faults.ts
+++ b/packages/testing/src/soak/faults.ts
@@ -8,7 +8,7 @@
 import { createFreeze, createRestart } from "./box-faults.js";
 import type { BoxEnd, Interval } from "./checks.js";
 import { type Fault, pick } from "./fault-tools.js";
-import { injectLaterFaults } from "./later-faults.js";
+import { injectLaterFaults, type LaterFaultCounts } from "./later-faults.js";
 import { allLinks, createLinkHarm, createLinkReset } from "./link-faults.js";
 import { createPlannedChanges, type PlannedChanges } from "./planned-changes.js";
 import { createMisbehaviour, createStoreFailure, createTurningAway } from "./service-faults.js";
@@ -18,6 +18,8 @@
 /** What was done, as far as the checks must know. */
 export interface InjectedFaults {
     readonly count: number;
+    /** Those that came later, by what they are; undefined if none were drawn. */
+    readonly later: LaterFaultCounts | undefined;
     /** From when on a server must get nothing, by its id. */
     readonly drained: ReadonlyMap<string, Interval>;
     /** When a zone's servers must get nothing. */
@@ -33,10 +35,10 @@
 const longestAddition = 900;
 
 /**
- * What is drawn from a seed. `first`: the faults that the soak began with, drawn as ever, so that a seed that once failed stays
- * what it was. `all`: beside them those that came later, from a random source of their own.
+ * What is drawn from a seed; a seed that once failed stays what it was, by the set that it was drawn from. `first`: the faults that
+ * the soak began with. `silences`: beside them connections that fall silent for good. `all`: beside these all that came later.
  */
-export type FaultSet = "first" | "all";
+export type FaultSet = "first" | "silences" | "all";
 
 /** Injects faults for so many milliseconds; resolves when all of them are over and every box runs. */
 export async function injectFaults(world: SoakWorld, length: number, set: FaultSet): Promise<InjectedFaults> {
@@ -47,17 +49,17 @@
     const ends: Promise<void>[] = [];
     const end = now() + length;
     const rollouts = changes.rollouts.orderUntil(end);
-    const later = set === "all" ? injectLaterFaults(world, changes, end) : Promise.resolve(0);
+    const later = set === "first" ? undefined : injectLaterFaults(world, changes, end, set);
     while (now() < end) {
         ends.push(pick(faults, random)());
         await pause(milliseconds(shortestPause + random() * longestAddition));
     }
     await Promise.all(ends);
-    const laterCount = await later;
+    const laterCounts = await later;
     makeWhole(world);
     await rollouts;
     const { drained, evacuated } = changes;
-    return { count: ends.length + laterCount, drained, evacuated, boxEnds, rollouts: changes.rollouts };
+    return { count: ends.length, later: laterCounts, drained, evacuated, boxEnds, rollouts: changes.rollouts };
 }
 
 /** All that may happen, each as likely as the others. */
--- a/packages/testing/src/soak/later-faults.ts
+++ b/packages/testing/src/soak/later-faults.ts
@@ -1,16 +1,24 @@
 /**
  * Faults that the soak learned after its first seeds had been kept, drawn from a
- * random source of their own: connections that fall silent for good, each often
- * followed at once by a change that depends on them.
+ * random source of their own: connections that fall silent for good, servers that
+ * start again under their ids, and entries of another writer, each often followed
+ * at once by a change that depends on them.
  */
 
-import { createSeededRandom, milliseconds } from "@chalkdale/kernel";
+import { createSeededRandom, milliseconds, type RandomSource } from "@chalkdale/kernel";
 import { pause } from "../standins/deployment.js";
 import { type Fault, pick } from "./fault-tools.js";
+import type { FaultSet } from "./faults.js";
+import { createForeignEntry } from "./foreign-entries.js";
 import { createSilence } from "./link-faults.js";
 import type { PlannedChanges } from "./planned-changes.js";
 import type { SoakWorld } from "./soak-world.js";
 
+type LaterFault = "silence" | "restart" | "entry";
+
+/** How many of each fault there were: a run that saw none of one says nothing of it. */
+export type LaterFaultCounts = Readonly<Record<LaterFault, number>>;
+
 /** Draws of seeds that follow on each other would begin alike. */
 const seedSpread = 104_729;
 /** Least time between two faults, and what chance adds at most, in milliseconds. */
@@ -19,26 +27,46 @@
 /** Part of the faults that a planned change follows at once. */
 const changedShare = 0.7;
 
-/** Injects the faults until a time of the run; resolves with their number when all are over. */
-export async function injectLaterFaults(world: SoakWorld, changes: PlannedChanges, end: number): Promise<number> {
+/** Injects the faults until a time of the run; resolves when all are over, with how many there were of each. */
+export async function injectLaterFaults(
+    world: SoakWorld,
+    changes: PlannedChanges,
+    end: number,
+    set: Exclude<FaultSet, "first">,
+): Promise<LaterFaultCounts> {
     const random = createSeededRandom(world.seed * seedSpread);
-    const faults = laterFaults(world, random);
+    const counts: Record<LaterFault, number> = { silence: 0, restart: 0, entry: 0 };
+    const silences = silenceFaults(world, random);
+    const faults = set === "silences" ? silences : [...silences, ...otherFaults(world, changes, random)];
     const planned: readonly Fault[] = [changes.release, changes.release, changes.evacuate, changes.changeConfiguration];
     const ends: Promise<void>[] = [];
     while (world.now() < end) {
-        ends.push(pick(faults, random)());
+        const [kind, fault] = pick(faults, random);
+        counts[kind] += 1;
+        ends.push(fault());
         if (random() < changedShare) {
             ends.push(pick(planned, random)());
         }
         await pause(milliseconds(shortestPause + random() * longestAddition));
     }
     await Promise.all(ends);
-    return ends.length;
+    return counts;
+}
+
+type NamedFault = readonly [LaterFault, Fault];
+
+function silenceFaults(world: SoakWorld, random: RandomSource): readonly NamedFault[] {
+    return [
+        ["silence", createSilence(world, random, () => world.storeLinks, "links to the store")],
+        ["silence", createSilence(world, random, () => world.servers.map(({ proxy }) => proxy), "links to servers")],
+    ];
 }
 
-function laterFaults(world: SoakWorld, random: () => number): readonly Fault[] {
+function otherFaults(world: SoakWorld, changes: PlannedChanges, random: RandomSource): readonly NamedFault[] {
+    const restart = () => changes.restart(random);
     return [
-        createSilence(world, random, () => world.storeLinks, "links to the store"),
-        createSilence(world, random, () => world.servers.map(({ proxy }) => proxy), "links to servers"),
+        ["restart", restart],
+        ["restart", restart],
+        ["entry", createForeignEntry(world, random)],
     ];
 }
--- a/packages/testing/src/soak/planned-changes.ts
+++ b/packages/testing/src/soak/planned-changes.ts
@@ -5,12 +5,12 @@
  * Owns from when on a server or a zone must get nothing; the checks read it.
  */
 
-import { milliseconds } from "@chalkdale/kernel";
+import { milliseconds, type RandomSource } from "@chalkdale/kernel";
 import { pause } from "../standins/deployment.js";
 import type { Interval } from "./checks.js";
 import { type Fault, pick } from "./fault-tools.js";
 import { createSoakRollouts, type SoakRollouts } from "./soak-rollouts.js";
-import { inForceWithin, type SoakWorld, zoneNames } from "./soak-world.js";
+import { inForceWithin, type SoakServer, type SoakWorld, zoneNames } from "./soak-world.js";
 
 /** The changes of one run. */
 export interface PlannedChanges {
@@ -20,6 +20,8 @@
     readonly evacuated: ReadonlyMap<string, readonly Interval[]>;
     /** A server drains and leaves; another of its service takes its place. */
     readonly release: Fault;
+    /** A server starts again, whatever it was about to do; one that was released is in use again. */
+    readonly restart: (random: RandomSource) => Promise<void>;
     /** A zone is closed for a while. */
     readonly evacuate: Fault;
     readonly changeConfiguration: Fault;
@@ -28,6 +30,8 @@
 
 /** Milliseconds for which a draining server stays listed. */
 const drainTime = milliseconds(3000);
+/** Longest time for which a server that starts again is down, in milliseconds. */
+const longestDown = 1500;
 /** Longest time that a closed zone stays closed once that is in force, in milliseconds. */
 const longestClosed = 2500;
 
@@ -37,9 +41,11 @@
     const drained = new Map<string, Interval>();
     const evacuated = new Map<string, Interval[]>();
     const closedZones = new Set<string>();
+    /** Servers that were told to leave and may come back. */
+    const released = new Set<SoakServer>();
 
     const rollouts = createSoakRollouts(world, drained);
-    return { drained, evacuated, release, evacuate, changeConfiguration, rollouts };
+    return { drained, evacuated, release, restart, evacuate, changeConfiguration, rollouts };
 
     async function release(): Promise<void> {
         const server = servers.find(candidate => !candidate.gone && !candidate.isScripted);
@@ -51,8 +57,25 @@
         await world.addServer(server.service, server.zone);
         world.record(server, "draining");
         drained.set(server.backend.id, { from: now() + inForceWithin, to: Infinity });
+        released.add(server);
         await pause(drainTime);
-        store.delete("servers", server.backend.id);
+        if (server.gone) {
+            store.delete("servers", server.backend.id);
+        }
+    }
+
+    async function restart(draw: RandomSource): Promise<void> {
+        const candidates = servers.filter(server => released.has(server) || !server.gone && !server.isScripted);
+        const server = pick(candidates, draw);
+        const { id } = server.backend;
+        say(`fault="restart of ${id}${server.gone ? ", which was leaving" : ""}"`);
+        released.delete(server);
+        await world.restartServer(server, milliseconds(longestDown * draw()));
+        server.gone = false;
+        const leaving = drained.get(id);
+        if (leaving !== undefined) {
+            drained.set(id, { ...leaving, to: now() });
+        }
     }
 
     async function evacuate(): Promise<void> {
--- a/packages/testing/src/soak/soak-world.ts
+++ b/packages/testing/src/soak/soak-world.ts
@@ -3,11 +3,12 @@
  * links between them, with what the run has told them so far.
  */
 
-import { milliseconds, type RandomSource } from "@chalkdale/kernel";
+import { type Milliseconds, milliseconds, type RandomSource } from "@chalkdale/kernel";
 import { mkdtempSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { type ServerStandIn, startServerStandIn } from "../standins/backend-server.js";
+import { pause } from "../standins/deployment.js";
 import { type MetadataStoreServer, serveMetadataStore } from "../standins/metadata-store-server.js";
 import { createMetadataStore, type MetadataStore } from "../standins/metadata-store.js";
 import { configurationObject, type RuleOptions, serverObject } from "../standins/platform-objects.js";
@@ -52,10 +53,15 @@
 export const inForceWithin = 7000;
 const serversPerService = 4;
 const serverWork = 40;
+/** Id, service and zone of a server that no sound record names. */
+const trapName = "i-trap";
 
 /** One server behind its link. */
 export interface SoakServer {
-    readonly backend: ServerStandIn;
+    /** Its present life. */
+    backend: ServerStandIn;
+    /** Unix milliseconds of its present start. */
+    born: number;
     readonly proxy: Proxy;
     readonly service: string;
     readonly zone: string;
@@ -89,6 +95,10 @@
     readonly customers: SoakCustomers;
     /** Adds a server; without a version it is of the one that the service runs. */
     readonly addServer: (service: string, zone: string, version?: string) => Promise<SoakServer>;
+    /** The server ends without a word, and starts again after a while under its id and address; it knows nothing of before. */
+    readonly restartServer: (server: SoakServer, downFor: Milliseconds) => Promise<void>;
+    /** Starts a server that no sound record names; whatever runs there is a breach. */
+    readonly startTrap: () => Promise<ServerStandIn>;
     /** The service runs another version from now on. */
     readonly setVersion: (service: string, version: string) => void;
     readonly record: (server: SoakServer, state: "ready" | "draining") => void;
@@ -115,6 +125,7 @@
     const storeServer = await serveMetadataStore(store);
     const folder = mkdtempSync(join(tmpdir(), `chalkdale-soak-${options.seed}-`));
     const servers: SoakServer[] = [];
+    const traps: ServerStandIn[] = [];
     const runs: ObservedRun[] = [];
     const destinations: Destination[] = [];
     const customers = createSoakCustomers(now, inForceWithin);
@@ -141,6 +152,8 @@
         destinations,
         customers,
         addServer,
+        restartServer,
+        startTrap,
         setVersion: (service, next) => versions.set(service, next),
         record,
         configure,
@@ -163,15 +176,43 @@
         const backend = await startServerStandIn({ id: `i-${service}-${servers.length}` });
         backend.setWork(serverWork);
         const proxy = await startProxy(backend.address());
-        const server = { backend, proxy, service, zone, version: serverVersion, gone: false, isScripted: false };
+        const server: SoakServer = {
+            backend,
+            born: Date.now(),
+            proxy,
+            service,
+            zone,
+            version: serverVersion,
+            gone: false,
+            isScripted: false,
+        };
         servers.push(server);
         observeRuns(server);
         record(server, "ready");
         return server;
     }
 
+    async function restartServer(server: SoakServer, downFor: Milliseconds): Promise<void> {
+        const { id } = server.backend;
+        const port = Number(server.backend.address().split(":")[1]);
+        server.backend.close();
+        await pause(downFor);
+        server.backend = await startServerStandIn({ id, port });
+        server.backend.setWork(serverWork);
+        server.born = Date.now();
+        observeRuns(server);
+        record(server, "ready");
+    }
+
+    async function startTrap(): Promise<ServerStandIn> {
+        const backend = await startServerStandIn({ id: trapName });
+        observeRuns({ backend, service: trapName, zone: trapName });
+        traps.push(backend);
+        return backend;
+    }
+
     /** Notes each run when it begins. */
-    function observeRuns(server: SoakServer): void {
+    function observeRuns(server: Pick<SoakServer, "backend" | "service" | "zone">): void {
         const list = server.backend.runs as ObservedRun[];
         const push = list.push.bind(list);
         list.push = (...begun) => {
@@ -183,8 +224,8 @@
     }
 
     function record(server: SoakServer, state: "ready" | "draining"): void {
-        const { proxy, service, version: serverVersion, zone } = server;
-        const place = { service, zone, state, version: serverVersion };
+        const { born, proxy, service, version: serverVersion, zone } = server;
+        const place = { born, service, zone, state, version: serverVersion };
         store.put("servers", server.backend.id, serverObject(proxy.address(), place));
     }
 
@@ -241,7 +282,7 @@
         boxes.forEach(box => box.signal("SIGTERM"));
         await Promise.all(boxes.map(box => box.ended()));
         [...storeLinks, ...servers.map(server => server.proxy)].forEach(link => link.close());
-        servers.forEach(server => server.backend.close());
+        [...servers.map(server => server.backend), ...traps].forEach(backend => backend.close());
         storeServer.close();
     }
 }
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -9,6 +9,7 @@
 import { startCallers } from "./callers.js";
 import { type Breach, findBreaches, type ObservedRollout } from "./checks.js";
 import { type FaultSet, injectFaults } from "./faults.js";
+import type { LaterFaultCounts } from "./later-faults.js";
 import { startPipeliningCallers } from "./pipelining-callers.js";
 import { createSoakWorld } from "./soak-world.js";
 
@@ -30,6 +31,8 @@
     readonly attempts: number;
     readonly served: number;
     readonly faults: number;
+    /** Faults of the later set, by what they are; undefined if none were drawn. */
+    readonly later: LaterFaultCounts | undefined;
     readonly rollouts: readonly ObservedRollout[];
     readonly breaches: readonly Breach[];
     /** Where the logs of the boxes lie. */
@@ -41,7 +44,7 @@
 const defaultBoxes = 5;
 const defaultCallers = 6;
 /** Servers in a run of each set of faults beyond which none is replaced. */
-const mostServers: Readonly<Record<FaultSet, number>> = { first: 24, all: 60 };
+const mostServers: Readonly<Record<FaultSet, number>> = { first: 24, silences: 60, all: 60 };
 const pipeliningCallers = 2;
 /** Part of the callers' requests that are given up early. */
 const leavingShare = 0.05;
@@ -61,7 +64,7 @@
 
     const callers = await startCallers(world, { count, prefix: `s${seed}`, leavingShare });
     const pipelining = startPipeliningCallers(world, { count: pipeliningCallers, seed, leavingShare });
-    const { count: faults, rollouts, ...injected } = await injectFaults(world, options.length, options.faults);
+    const { count: faults, later, rollouts, ...injected } = await injectFaults(world, options.length, options.faults);
     const recoveredFrom = now() + recoverWithin;
     await pause(milliseconds(recoverWithin + observedAfterRecovery));
     await Promise.all([callers.stop(), pipelining.stop()]);
@@ -85,5 +88,5 @@
     breaches.forEach(breach => say(`breach="${breach.promise}" at=${Math.round(breach.at)} ${breach.detail}`));
     const served = attempts.filter(attempt => attempt.answer.status === 200).length;
     const { observed } = rollouts;
-    return { seed, attempts: attempts.length, served, faults, rollouts: observed, breaches, folder };
+    return { seed, attempts: attempts.length, served, faults, later, rollouts: observed, breaches, folder };
 }
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -4,24 +4,20 @@
 
 import { expect } from "chai";
 import { findBreaches, type Observations, type ObservedRollout, type ObservedRun } from "../src/soak/checks.js";
-import { runSoak } from "../src/soak/soak.js";
+import { runSoak, type SoakOptions } from "../src/soak/soak.js";
 
-/** Seeds that ever failed stay here as they were drawn, each with its cause in the page of findings. */
-const seeds: readonly number[] = [1];
-const length = 6000;
+/** Seeds that ever failed stay here as they were drawn, each with its cause in the page of findings; the last is one that did not. */
+const runs: readonly Omit<SoakOptions, "onEvent">[] = [
+    { seed: 1, length: 6000, faults: "first", boxes: 4, callers: 4 },
+    { seed: 106, length: 12_000, faults: "silences" },
+    { seed: 202, length: 6000, faults: "all" },
+];
 
 describe("the fault soak", () => {
-    for (const seed of seeds) {
-        it(`finds no breach with seed ${seed}`, async () => {
+    for (const options of runs) {
+        it(`finds no breach with seed ${options.seed}`, async () => {
             const lines: string[] = [];
-            const result = await runSoak({
-                seed,
-                length,
-                faults: "first",
-                boxes: 4,
-                callers: 4,
-                onEvent: line => lines.push(line),
-            });
+            const result = await runSoak({ ...options, onEvent: line => lines.push(line) });
             expect(result.breaches, lines.join("\n")).to.deep.equal([]);
             expect(result.served).to.be.greaterThan(100);
         }).timeout(120_000);
