--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -15,17 +15,17 @@
     createSharedLimits,
     createTurnedAwayBoxes,
     digestRounds,
-    gossipInterval,
     type MemberRecord,
     type RestartedServer,
 } from "@chalkdale/decisions";
 import { boxId, type Clock, milliseconds } from "@chalkdale/kernel";
-import { createBudgetedLog, every, type Log } from "@chalkdale/runtime";
+import { createBudgetedLog, type Log } from "@chalkdale/runtime";
 import { setMaxListeners } from "node:events";
 import type { CallerProtocol } from "./callers/caller-protocol.js";
 import { startCallerServer } from "./callers/caller-server.js";
 import { joinMembers } from "./join.js";
 import { createLoadMeter } from "./load-meter.js";
+import { createMetricsText } from "./metrics-text.js";
 import { createBoxMetrics } from "./metrics.js";
 import { createOwnRecord } from "./own-record.js";
 import { startPeerLink } from "./peers/peer-link.js";
@@ -33,11 +33,10 @@
 import { createServerReports } from "./peers/server-reports.js";
 import { createPlannedStop } from "./planned-stop.js";
 import { createCustomerQuotas } from "./quotas/customer-quotas.js";
-import { quotaMetricLines } from "./quotas/quota-metrics.js";
 import { createRequestPath } from "./requests/request-path.js";
-import { rolloutMetricLines } from "./rollouts/rollout-metrics.js";
 import { createRollouts, type Rollouts } from "./rollouts/rollouts.js";
 import { noTrials } from "./rollouts/trials.js";
+import { startRounds, upkeepInterval } from "./rounds.js";
 import { createCatalog } from "./servers/catalog.js";
 import { createHealthChecker } from "./servers/health-checker.js";
 import { createRecentSends } from "./servers/recent-sends.js";
@@ -80,15 +79,6 @@
     "server.leaving": 40,
     "server.restarted": 40,
 };
-/** Milliseconds between two rounds of the box's own upkeep: less than a round of gossip. */
-const upkeepInterval = 250;
-/** Milliseconds between two steps of the deciders of roll-outs; a bad version must get nothing within 5 s. Not measured. */
-const deciderInterval = 250;
-/** Milliseconds between two measurements of the load, and between two counts of left out lines. */
-const second = 1000;
-/** Milliseconds between two lines with the counts of all messages: few lines, and none of them older than a look at the log. */
-const trafficReportInterval = 10_000;
-
 /** Starts a box. */
 export function startBox(options: BoxOptions): Box {
     const { clock, protocol, random, settings, store, traffic } = options;
@@ -212,14 +202,20 @@
             return membership.inService(clock());
         },
         onLookup: metrics.onLookup,
-        metricsText: () =>
-            [
-                metrics.text(readGauges()).trimEnd(),
-                ...quotaMetricLines(quotas.counts()),
-                ...rolloutMetricLines(rollouts?.counts() ?? [], state.configuration()?.routes ?? []),
-                ...traffic.metricLines(),
-                "",
-            ].join("\n"),
+        metricsText: createMetricsText({
+            clock,
+            metrics,
+            state,
+            membership,
+            limits,
+            loadMeter,
+            quotas,
+            rollouts,
+            traffic,
+            requests,
+            replicator: () => replicator,
+            callers: () => callerServer.connections,
+        }),
     });
 
     const turnedAway = createTurnedAwayBoxes(boxId(settings.box), bounds.changeInForce);
@@ -273,6 +269,7 @@
         signal,
     });
 
+    const noticeStall = createStallWatch(clock, log, upkeepInterval);
     const runDueHealthChecks = createHealthChecker({
         clock,
         log,
@@ -282,25 +279,25 @@
         healthPathOf: server => state.service(server.state.record().service)?.healthPath,
         signal,
     });
-    const noticeStall = createStallWatch(clock, log, upkeepInterval);
-    void every(upkeepInterval, signal).observe(() => {
-        noticeStall();
-        updateOwnRecord();
-        requests.sweep();
-        runDueHealthChecks();
-    });
-    void every(gossipInterval, signal).observe(() => {
-        quotas.round();
-        rollouts?.round();
-    });
-    if (rollouts !== undefined) {
-        void every(deciderInterval, signal).observe(rollouts.step);
-    }
-    void every(second, signal).observe(() => {
-        loadMeter.measure();
-        log.report();
+    startRounds({
+        upkeep() {
+            noticeStall();
+            updateOwnRecord();
+            requests.sweep();
+            runDueHealthChecks();
+        },
+        gossip() {
+            quotas.round();
+            rollouts?.round();
+        },
+        decide: rollouts?.step,
+        measure() {
+            loadMeter.measure();
+            log.report();
+        },
+        reportTraffic,
+        signal,
     });
-    void every(trafficReportInterval, signal).observe(reportTraffic);
     settings.seeds.forEach(peerAddress => peerLink.sendGossip({ peerAddress }));
     void joinMembers({
         clock,
@@ -356,23 +353,6 @@
             load: loadMeter.cores(),
         });
     }
-
-    function readGauges(): Record<string, number | undefined> {
-        return {
-            configuration_version: state.configuration()?.version,
-            servers_revision: state.replica("servers").revision(),
-            servers_age_milliseconds: Math.round(replicator.confirmedAge("servers")),
-            store_lost_milliseconds: replicator.storeLostFor(),
-            boxes_alive: membership.alive(clock()).length,
-            boxes_carrying: limits.advertised().length,
-            own_load_cores: loadMeter.cores(),
-            callers_connections: callerServer.connections.count(),
-            callers_in_flight: callerServer.connections.inFlight(),
-            servers_connections: requests.connectionCount(),
-            bodies_bytes: requests.bodyBytes(),
-            memory_bytes: process.memoryUsage.rss(),
-        };
-    }
 }
 
 function sumOfLoads(members: readonly MemberRecord[]): string {
--- /dev/null
+++ b/packages/box/src/metrics-text.ts
@@ -0,0 +1,71 @@
+/**
+ * All figures of a box as the text that its metrics address serves: counters and
+ * latencies, gauges that are read when someone asks, and the lines of quotas,
+ * roll-outs and messages.
+ *
+ * Owns nothing.
+ */
+
+import type { Membership, SharedLimits } from "@chalkdale/decisions";
+import type { Clock } from "@chalkdale/kernel";
+import type { CallerConnections } from "./callers/caller-connections.js";
+import type { LoadMeter } from "./load-meter.js";
+import type { BoxMetrics } from "./metrics.js";
+import type { CustomerQuotas } from "./quotas/customer-quotas.js";
+import { quotaMetricLines } from "./quotas/quota-metrics.js";
+import type { RequestPath } from "./requests/request-path.js";
+import { rolloutMetricLines } from "./rollouts/rollout-metrics.js";
+import type { Rollouts } from "./rollouts/rollouts.js";
+import type { Replicator } from "./state/replicator.js";
+import type { SharedState } from "./state/shared-state.js";
+import type { TrafficMeter } from "./traffic-meter.js";
+
+/** The parts of a box that have figures. */
+export interface MetricsTextOptions {
+    readonly clock: Clock;
+    readonly metrics: BoxMetrics;
+    readonly state: SharedState;
+    readonly membership: Membership;
+    readonly limits: SharedLimits;
+    readonly loadMeter: LoadMeter;
+    readonly quotas: CustomerQuotas;
+    readonly rollouts: Rollouts | undefined;
+    readonly traffic: TrafficMeter;
+    readonly requests: RequestPath;
+    /** Read when someone asks, since it is created later. */
+    readonly replicator: () => Replicator;
+    readonly callers: () => Pick<CallerConnections, "count" | "inFlight">;
+}
+
+/** Returns the function that writes the figures as they are now. */
+export function createMetricsText(options: MetricsTextOptions): () => string {
+    const { clock, limits, loadMeter, membership, metrics, quotas, requests, rollouts, state, traffic } = options;
+
+    return () =>
+        [
+            metrics.text(readGauges()).trimEnd(),
+            ...quotaMetricLines(quotas.counts()),
+            ...rolloutMetricLines(rollouts?.counts() ?? [], state.configuration()?.routes ?? []),
+            ...traffic.metricLines(),
+            "",
+        ].join("\n");
+
+    function readGauges(): Record<string, number | undefined> {
+        const replicator = options.replicator();
+        const callers = options.callers();
+        return {
+            configuration_version: state.configuration()?.version,
+            servers_revision: state.replica("servers").revision(),
+            servers_age_milliseconds: Math.round(replicator.confirmedAge("servers")),
+            store_lost_milliseconds: replicator.storeLostFor(),
+            boxes_alive: membership.alive(clock()).length,
+            boxes_carrying: limits.advertised().length,
+            own_load_cores: loadMeter.cores(),
+            callers_connections: callers.count(),
+            callers_in_flight: callers.inFlight(),
+            servers_connections: requests.connectionCount(),
+            bodies_bytes: requests.bodyBytes(),
+            memory_bytes: process.memoryUsage.rss(),
+        };
+    }
+}
--- /dev/null
+++ b/packages/box/src/rounds.ts
@@ -0,0 +1,42 @@
+/**
+ * What a box does again and again, and how often.
+ *
+ * Owns the timers, which end with the signal; what is due belongs to the box.
+ */
+
+import { gossipInterval } from "@chalkdale/decisions";
+import { every } from "@chalkdale/runtime";
+
+/** What is due at each of the intervals below. */
+export interface RoundsOptions {
+    /** The box's own record, idle connections, ended servers, health checks. */
+    readonly upkeep: () => void;
+    /** Reports that go with gossip. */
+    readonly gossip: () => void;
+    /** Decisions on roll-outs; undefined where there are none. */
+    readonly decide: (() => void) | undefined;
+    /** The load, and the counts of lines that were left out. */
+    readonly measure: () => void;
+    readonly reportTraffic: () => void;
+    readonly signal: AbortSignal;
+}
+
+/** Milliseconds between two rounds of the box's own upkeep: less than a round of gossip. */
+export const upkeepInterval = 250;
+/** Milliseconds between two steps of the deciders of roll-outs; a bad version must get nothing within 5 s. Not measured. */
+const deciderInterval = 250;
+/** Milliseconds between two measurements of the load, and between two counts of left out lines. */
+const second = 1000;
+/** Milliseconds between two lines with the counts of all messages: few lines, and none of them older than a look at the log. */
+const trafficReportInterval = 10_000;
+
+/** Begins all rounds. */
+export function startRounds({ decide, gossip, measure, reportTraffic, signal, upkeep }: RoundsOptions): void {
+    void every(upkeepInterval, signal).observe(upkeep);
+    void every(gossipInterval, signal).observe(gossip);
+    if (decide !== undefined) {
+        void every(deciderInterval, signal).observe(decide);
+    }
+    void every(second, signal).observe(measure);
+    void every(trafficReportInterval, signal).observe(reportTraffic);
+}
--- a/packages/box/src/servers/recent-sends.ts
+++ b/packages/box/src/servers/recent-sends.ts
@@ -11,7 +11,7 @@
 import type { BackendServerId, Clock, Milliseconds } from "@chalkdale/kernel";
 
 /** A request on its way to a server. Times are of the box's monotonic clock. */
-export interface RecentSend {
+interface RecentSend {
     readonly requestId: string | undefined;
     readonly chosenAt: Milliseconds;
     /** When its bytes were handed to the connection. */
--- a/packages/decisions/src/servers/server-catalog.ts
+++ b/packages/decisions/src/servers/server-catalog.ts
@@ -58,7 +58,7 @@
 }
 
 /** What an upkeep of the catalog did. */
-export interface SweptServers {
+interface SweptServers {
     readonly forgotten: readonly BackendServerId[];
     readonly restarted: readonly RestartedServer[];
 }
