Soak: a server that is down or was stopped for good is not started again

Cause: a restart picked a server that another restart, or the end of a roll-out, had closed; the run ended with a TypeError and left its boxes. Change: such servers are no candidates, and one that is stopped for good while it is down stays so.

--- a/packages/testing/src/soak/planned-changes.ts
+++ b/packages/testing/src/soak/planned-changes.ts
@@ -65,12 +65,18 @@
     }
 
     async function restart(draw: RandomSource): Promise<void> {
-        const candidates = servers.filter(server => released.has(server) || !server.gone && !server.isScripted);
+        const running = servers.filter(({ isDown, isEnded }) => !isDown && !isEnded);
+        const candidates = running.filter(server => released.has(server) || !server.gone && !server.isScripted);
+        if (candidates.length === 0) {
+            return;
+        }
         const server = pick(candidates, draw);
         const { id } = server.backend;
         say(`fault="restart of ${id}${server.gone ? ", which was leaving" : ""}"`);
         released.delete(server);
-        await world.restartServer(server, milliseconds(longestDown * draw()));
+        if (!await world.restartServer(server, milliseconds(longestDown * draw()))) {
+            return;
+        }
         server.gone = false;
         const leaving = drained.get(id);
         if (leaving !== undefined) {
--- a/packages/testing/src/soak/soak-rollouts.ts
+++ b/packages/testing/src/soak/soak-rollouts.ts
@@ -111,6 +111,7 @@
         world.setVersion(service, version);
         for (const server of servers.filter(other => other.service === service && other.version !== version)) {
             retire(server);
+            server.isEnded = true;
             store.delete("servers", server.backend.id);
             server.backend.close();
         }
--- a/packages/testing/src/soak/soak-world.ts
+++ b/packages/testing/src/soak/soak-world.ts
@@ -67,6 +67,10 @@
     readonly zone: string;
     readonly version: string;
     gone: boolean;
+    /** It has ended, and is about to start again unless its service has moved on. */
+    isDown: boolean;
+    /** It was stopped for good. */
+    isEnded: boolean;
     /** Its behaviour is part of a bad version, and other faults leave it alone. */
     isScripted: boolean;
 }
@@ -95,8 +99,11 @@
     readonly customers: SoakCustomers;
     /** Adds a server; without a version it is of the one that the service runs. */
     readonly addServer: (service: string, zone: string, version?: string) => Promise<SoakServer>;
-    /** The server ends without a word, and starts again after a while under its id and address; it knows nothing of before. */
-    readonly restartServer: (server: SoakServer, downFor: Milliseconds) => Promise<void>;
+    /**
+     * The server ends without a word, and starts again after a while under its id and address; it knows nothing of before. False
+     * if it was stopped for good meanwhile.
+     */
+    readonly restartServer: (server: SoakServer, downFor: Milliseconds) => Promise<boolean>;
     /** Starts a server that no sound record names; whatever runs there is a breach. */
     readonly startTrap: () => Promise<ServerStandIn>;
     /** The service runs another version from now on. */
@@ -184,6 +191,8 @@
             zone,
             version: serverVersion,
             gone: false,
+            isDown: false,
+            isEnded: false,
             isScripted: false,
         };
         servers.push(server);
@@ -192,16 +201,22 @@
         return server;
     }
 
-    async function restartServer(server: SoakServer, downFor: Milliseconds): Promise<void> {
+    async function restartServer(server: SoakServer, downFor: Milliseconds): Promise<boolean> {
         const { id } = server.backend;
         const port = Number(server.backend.address().split(":")[1]);
+        server.isDown = true;
         server.backend.close();
         await pause(downFor);
+        server.isDown = false;
+        if (server.isEnded) {
+            return false;
+        }
         server.backend = await startServerStandIn({ id, port });
         server.backend.setWork(serverWork);
         server.born = Date.now();
         observeRuns(server);
         record(server, "ready");
+        return true;
     }
 
     async function startTrap(): Promise<ServerStandIn> {
