--- a/packages/decisions/src/servers/server-catalog.ts
+++ b/packages/decisions/src/servers/server-catalog.ts
@@ -34,6 +34,14 @@
     readonly before: BackendServer;
 }
 
+/** What a list has done so far. */
+interface ChangeInProgress {
+    readonly added: BackendServerRecord[];
+    readonly startedDraining: BackendServerId[];
+    readonly restarted: RestartedServer[];
+    isRankingChanged: boolean;
+}
+
 /** A record of an earlier life that came after one of a later life. */
 interface DoubtedRecord {
     readonly record: BackendServerRecord;
@@ -112,53 +120,67 @@
     };
 
     function applyList(records: readonly BackendServerRecord[], at: Milliseconds): CatalogChange {
-        const added: BackendServerRecord[] = [];
-        const startedDraining: BackendServerId[] = [];
-        const restarted: RestartedServer[] = [];
-        let isRankingChanged = false;
-        const listed = new Set(records.map(record => record.id));
-        for (const record of records) {
-            const known = servers.get(record.id);
-            if (known === undefined) {
-                added.push(record);
-                begin(record, at);
-                continue;
-            }
-            const before = known.state.record();
-            switch (lifeOfRecord(record, before)) {
-                case "same": {
-                    const next = recordOfSameLife(record, before);
-                    if (next.draining && !before.draining) {
-                        startedDraining.push(record.id);
-                    }
-                    isRankingChanged ||= isRankedAnew(next, before);
-                    known.state.applyRecord(next, at);
-                    known.state.setDoubted(false);
-                    doubted.delete(record.id);
-                    unlistedAt.delete(record.id);
-                    break;
-                }
-                case "later":
-                    restarted.push(beginAgain(known, record, at));
-                    break;
-                case "earlier":
-                    doubt(known, record, at);
-                    break;
-            }
+        const change: ChangeInProgress = { added: [], startedDraining: [], restarted: [], isRankingChanged: false };
+        records.forEach(record => take(record, at, change));
+        change.restarted.push(...settleDoubts(at));
+        const removed = removeAllBut(new Set(records.map(record => record.id)), at);
+        const { added, isRankingChanged, restarted, startedDraining } = change;
+        if (added.length + restarted.length > 0 || isRankingChanged) {
+            version += 1;
+        }
+        listing += 1;
+        index();
+        return { added, removed, startedDraining, restarted };
+    }
+
+    function take(record: BackendServerRecord, at: Milliseconds, change: ChangeInProgress): void {
+        const known = servers.get(record.id);
+        if (known === undefined) {
+            change.added.push(record);
+            begin(record, at);
+            return;
         }
-        restarted.push(...settleDoubts(at));
+        switch (lifeOfRecord(record, known.state.record())) {
+            case "same":
+                goOn(known, record, at, change);
+                return;
+            case "later":
+                change.restarted.push(beginAgain(known, record, at));
+                return;
+            case "earlier":
+                doubt(known, record, at);
+                return;
+        }
+    }
+
+    /** The life that is known goes on, with a newer record. */
+    function goOn(
+        { id, state }: BackendServer,
+        record: BackendServerRecord,
+        at: Milliseconds,
+        change: ChangeInProgress,
+    ): void {
+        const before = state.record();
+        const next = recordOfSameLife(record, before);
+        if (next.draining && !before.draining) {
+            change.startedDraining.push(id);
+        }
+        change.isRankingChanged ||= isRankedAnew(next, before);
+        state.applyRecord(next, at);
+        state.setDoubted(false);
+        doubted.delete(id);
+        unlistedAt.delete(id);
+    }
+
+    /** Returns the servers that were listed until now. */
+    function removeAllBut(listed: ReadonlySet<BackendServerId>, at: Milliseconds): readonly BackendServerId[] {
         const removed = [...servers.keys()].filter(id => !listed.has(id) && !unlistedAt.has(id));
         for (const id of removed) {
             unlistedAt.set(id, at);
             doubted.delete(id);
             servers.get(id)?.state.onUnlisted();
         }
-        if (added.length + restarted.length > 0 || isRankingChanged) {
-            version += 1;
-        }
-        listing += 1;
-        index();
-        return { added, removed, startedDraining, restarted };
+        return removed;
     }
 
     function begin(record: BackendServerRecord, at: Milliseconds): BackendServer {
