A server stays in use though another entry has its address

Cause: the look before the first byte took a server for gone once a later entry named its address; a sound entry of another writer would have taken it out of use. Change: only another life under the same id ends it there; an overdue request still ends where a later server has the address.

--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -36,7 +36,9 @@
     /** Connections to one server that this box may hold. */
     readonly mostConnections: (service: ServiceId) => number;
     readonly livenessCheck: LivenessCheck;
-    /** True once this life of a server has ended, since another one is listed under its id or at its address. */
+    /** True once another life of the server is listed. */
+    readonly hasNewLife: (server: BackendServer) => boolean;
+    /** The same, or once a later server is listed at its address. */
     readonly hasSuccessor: (server: BackendServer) => boolean;
     /** False for an availability zone that is to get no requests. */
     readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
@@ -82,7 +84,7 @@
     /** True for a server that must get nothing more, whatever it was when it was chosen. */
     function hasLeft(server: BackendServer): boolean {
         const { state } = server;
-        return state.hasLeft() || options.hasSuccessor(server) || !options.admitsZone(state.record().zone);
+        return state.hasLeft() || options.hasNewLife(server) || !options.admitsZone(state.record().zone);
     }
 
     async function send(request: AttemptRequest, { rested, socket }: ServerConnection): Promise<AttemptOutcome> {
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -135,6 +135,7 @@
             connections,
             mostConnections: limits.mostConnections,
             livenessCheck,
+            hasNewLife: catalog.hasNewLife,
             hasSuccessor: catalog.hasSuccessor,
             admitsZone: state.admitsZone,
             serviceLoad,
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -25,8 +25,8 @@
     readonly protocol: CallerProtocol;
     readonly connections: ServerConnections;
     readonly serviceLoad: ServiceLoad;
-    /** True once this life of a server has ended; see `ServerCatalog`. */
-    readonly hasSuccessor: (server: BackendServer) => boolean;
+    /** True once another life of the server is listed. */
+    readonly hasNewLife: (server: BackendServer) => boolean;
 }
 
 /** Takes each way in which an attempt can end, and returns its outcome. */
@@ -69,7 +69,7 @@
                 options.serviceLoad.onReport(request.service, load);
             }
             // A connection of an earlier life is gone with it, and a request on it would be lost.
-            if (answer.reusable && options.hasSuccessor(request.server)) {
+            if (answer.reusable && options.hasNewLife(request.server)) {
                 socket.destroy();
             }
             else if (answer.reusable) {
--- a/packages/box/test/attempt.test.ts
+++ b/packages/box/test/attempt.test.ts
@@ -114,6 +114,7 @@
             },
             mostConnections: () => 10,
             livenessCheck: () => Promise.resolve(true),
+            hasNewLife: () => false,
             hasSuccessor: () => false,
             admitsZone: zone => !closedZones.has(zone),
             serviceLoad: createServiceLoad(),
--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -62,7 +62,7 @@
         protocol,
         connections,
         serviceLoad: createServiceLoad(),
-        hasSuccessor: () => false,
+        hasNewLife: () => false,
     });
     return {
         state,
--- a/packages/decisions/src/servers/server-catalog.ts
+++ b/packages/decisions/src/servers/server-catalog.ts
@@ -55,7 +55,9 @@
     readonly ofService: (service: ServiceId) => readonly BackendServer[];
     readonly get: (id: BackendServerId) => BackendServer | undefined;
     readonly all: () => Iterable<BackendServer>;
-    /** True once this life of a server has ended: another life or server is listed under its id, or later at its address. */
+    /** True once another life is listed under this one's id. */
+    readonly hasNewLife: (server: BackendServer) => boolean;
+    /** True once this life has ended as far as the list tells: another one has its id, or a later server its address. */
     readonly hasSuccessor: (server: BackendServer) => boolean;
     /** Rises whenever a server comes or goes, or what it can carry changes. */
     readonly version: () => number;
@@ -92,10 +94,10 @@
         ofService: service => byService.get(service) ?? [],
         get: id => servers.get(id),
         all: () => servers.values(),
+        hasNewLife,
         hasSuccessor(server) {
-            const current = servers.get(server.id);
             const newest = newestAt.get(server.state.record().address);
-            return current !== undefined && current !== server || newest !== undefined && newest !== server;
+            return hasNewLife(server) || newest !== undefined && newest !== server;
         },
         version: () => version,
         listing: () => listing,
@@ -119,6 +121,11 @@
         },
     };
 
+    function hasNewLife(server: BackendServer): boolean {
+        const current = servers.get(server.id);
+        return current !== undefined && current !== server;
+    }
+
     function applyList(records: readonly BackendServerRecord[], at: Milliseconds): CatalogChange {
         const change: ChangeInProgress = { added: [], startedDraining: [], restarted: [], isRankingChanged: false };
         records.forEach(record => take(record, at, change));
--- a/packages/decisions/test/server-life.test.ts
+++ b/packages/decisions/test/server-life.test.ts
@@ -90,6 +90,15 @@
             expect([catalog.hasSuccessor(before), catalog.hasSuccessor(catalog.get(id)!)]).to.deep.equal([true, false]);
         });
 
+        it("is another one's only under the same id: an entry with the address of a server ends no life", () => {
+            apply(born(firstBirth));
+            const server = catalog.get(id)!;
+            const stranger = { ...born(firstBirth), id: backendServerId("i-stranger") };
+            apply(server.state.record(), stranger);
+            expect([catalog.hasNewLife(server), catalog.hasSuccessor(server)]).to.deep.equal([false, true]);
+            expect(exclusion()).to.equal(undefined);
+        });
+
         it("may have requests though the one before was leaving, or had gone", () => {
             apply(born(firstBirth, { draining: true }));
             expect(exclusion()).to.equal("draining");
