Soak: loopback addresses of its own for each run, and a failed run stops its boxes

Change: the address is made from the process id, ports are the same for all; a run that fails stops what it started. The scenarios and checks are as they were.

--- a/packages/testing/src/soak/soak-world.ts
+++ b/packages/testing/src/soak/soak-world.ts
@@ -53,6 +53,8 @@
 export const inForceWithin = 7000;
 const serversPerService = 4;
 const serverWork = 40;
+/** First port of each box, below the range from which the kernel takes ports for outgoing connections. */
+const firstPort = 20_000;
 /** Id, service and zone of a server that no sound record names. */
 const trapName = "i-trap";
 
@@ -270,20 +272,20 @@
 
     async function startBoxes(): Promise<BoxProcess[]> {
         const created: BoxProcess[] = [];
-        const firstPort = 20_000 + (process.pid % 50) * 200;
+        const network = ownNetwork();
         for (let index = 0; index < options.boxes; index++) {
             // So the store can tell the boxes apart.
-            const link = await startProxy(storeServer.address(), `127.0.2.${index + 1}`);
+            const link = await startProxy(storeServer.address(), `${network}.${index + 1}`);
             storeLinks.push(link);
             const box = createBoxProcess({
                 name: `box-${index}`,
-                host: `127.0.2.${index + 1}`,
+                host: `${network}.${index + 1}`,
                 firstPort,
                 zone: zoneNames[index % zoneNames.length],
                 region: zones[zoneNames[index % zoneNames.length]],
                 zones,
                 store: link.address(),
-                seeds: [`127.0.2.1:${firstPort + 3}`, `127.0.2.2:${firstPort + 3}`],
+                seeds: [`${network}.1:${firstPort + 3}`, `${network}.2:${firstPort + 3}`],
                 folder,
             });
             box.start();
@@ -301,3 +303,13 @@
         storeServer.close();
     }
 }
+
+/** Loopback addresses of this process alone: two soaks at once would take each other's ports. */
+function ownNetwork(): string {
+    const { pid } = process;
+    return `127.${firstOwnNetwork + (pid >> 8) % ownNetworks}.${pid % 256}`;
+}
+
+/** Second bytes of such addresses: those below are for other tests. */
+const firstOwnNetwork = 100;
+const ownNetworks = 128;
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -11,7 +11,7 @@
 import { type FaultSet, injectFaults } from "./faults.js";
 import type { LaterFaultCounts } from "./later-faults.js";
 import { startPipeliningCallers } from "./pipelining-callers.js";
-import { createSoakWorld } from "./soak-world.js";
+import { createSoakWorld, type SoakWorld } from "./soak-world.js";
 
 export interface SoakOptions {
     readonly seed: number;
@@ -52,7 +52,7 @@
 /** Plays one run. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const random = createSeededRandom(options.seed);
-    const { boxes = defaultBoxes, callers: count = defaultCallers, onEvent, seed } = options;
+    const { boxes = defaultBoxes, onEvent, seed } = options;
     const world = await createSoakWorld({
         seed,
         random,
@@ -60,8 +60,19 @@
         mostServers: mostServers[options.faults],
         onEvent,
     });
-    const { now, say } = world;
+    try {
+        return await play(world, options);
+    }
+    catch (error) {
+        // Nothing that a failed run has started may go on: its boxes are processes of their own.
+        await world.stopAll();
+        throw error;
+    }
+}
 
+async function play(world: SoakWorld, options: SoakOptions): Promise<SoakResult> {
+    const { callers: count = defaultCallers, seed } = options;
+    const { now, say } = world;
     const callers = await startCallers(world, { count, prefix: `s${seed}`, leavingShare });
     const pipelining = startPipeliningCallers(world, { count: pipeliningCallers, seed, leavingShare });
     const { count: faults, later, rollouts, ...injected } = await injectFaults(world, options.length, options.faults);
