A test for an answer of the store that makes no sense for one kind

Cause: the mend that keeps the other kinds going had no test of its own. Change: the replicator's test has a store whose watch of servers can't be read: the store is not taken for lost, and the other kinds are watched on.

--- a/packages/box/test/replicator.test.ts
+++ b/packages/box/test/replicator.test.ts
@@ -12,7 +12,7 @@
 import { type Replicator, startReplicator } from "../src/state/replicator.js";
 import type { SharedState } from "../src/state/shared-state.js";
 import type { CopyState, StateDigest, StateUpdate } from "../src/state/state-messages.js";
-import { type StateStore, StoreError } from "../src/state/state-store.js";
+import { type StateStore, StoreError, type WatchOutcome } from "../src/state/state-store.js";
 
 const never = new Promise<never>(() => undefined);
 const peer = {
@@ -138,6 +138,24 @@
         expect(read).to.have.length(2);
     });
 
+    it("goes on with the other kinds while the answers about one make no sense, and asks for its list then", async () => {
+        const watched: SharedKind[] = [];
+        const watch = (kind: SharedKind) => {
+            watched.push(kind);
+            return kind === "servers"
+                ? Promise.reject(new StoreError("unreadable", "watch of servers"))
+                : new Promise<WatchOutcome<never>>(resolve =>
+                    setTimeout(() => resolve({ kind: "changes", changes: [], revision: 5 }), 20)
+                );
+        };
+        const { replicator } = await start(unrelayed, watch);
+        const countOf = (kind: SharedKind) => watched.filter(other => other === kind).length;
+        await until(() => countOf("servers") >= 3);
+        expect(replicator.storeLostFor()).to.equal(0);
+        const before = countOf("closedZones");
+        await until(() => countOf("closedZones") > before);
+    });
+
     it("takes what a relay passes on, and reads no snapshot then", async () => {
         const { replicator, zones } = await start(relayed);
         const change = { kind: "put", name: "north-a", item: availabilityZoneId("north-a") } as const;
