Lines of a broken attempt carry the fingerprint of what was asked

Host, method, path with query, customer and body make the fingerprint; it is worked out only where an attempt broke. The attempt loop's test has a whole head in its sample request.

--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -26,6 +26,7 @@
 import type { HeaderNames } from "../callers/caller-protocol.js";
 import type { ServerAnswer } from "../servers/exchange.js";
 import { passOnHeaders } from "./headers.js";
+import { hostOf, urlOf } from "./request-target.js";
 
 /** What is known of a request. */
 export interface ActiveRequest {
@@ -35,7 +36,9 @@
     /** The only regions whose servers may have it; undefined when all may. */
     readonly homes: ReadonlySet<RegionId> | undefined;
     readonly service: ServiceId;
+    readonly host: string;
     readonly method: string;
+    /** With its query. */
     readonly path: string;
     /** Hash of the affinity key, or of a random number for a request without one. */
     readonly keyHash: number;
@@ -93,8 +96,9 @@
         customer,
         homes: homesOf(route, customer),
         service,
+        host: hostOf(request),
         method: request.method ?? "GET",
-        path: request.url ?? "/",
+        path: urlOf(request),
         keyHash: typeof key === "string" && route.sticky
             ? hashKey(service, `${route.name} ${key}`)
             : hashText(String(random())),
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -27,6 +27,7 @@
 import type { ActiveRequest, Ending } from "./active-request.js";
 import type { AttemptOutcome } from "./attempt-request.js";
 import { attemptHedged, type EndedAttempt } from "./hedged-attempt.js";
+import { fingerprintOf } from "./request-fingerprint.js";
 import type { RequestLog } from "./request-log.js";
 import { createSingleAttempt, type SingleAttemptOptions } from "./single-attempt.js";
 
@@ -66,7 +67,7 @@
             if (outcome.kind === "cancelled") {
                 return { kind: "callerLeft" };
             }
-            noteEnd(active, ended);
+            noteEnd(active, body, ended);
             if (mayAskAgain(active, ended.choice, outcome)) {
                 active.tried.delete(ended.choice.server.id);
             }
@@ -173,12 +174,12 @@
             isFinal: outcome =>
                 outcome.kind === "answered" && !isFailureStatus(outcome.answer.status)
                 && options.isVerified(outcome.answer),
-            onFailedBeside: ended => noteEnd(active, ended),
+            onFailedBeside: ended => noteEnd(active, body, ended),
         });
     }
 
-    function noteEnd(active: ActiveRequest, { choice, outcome }: EndedAttempt): void {
-        logFailure(active, choice, outcome);
+    function noteEnd(active: ActiveRequest, body: Buffer, { choice, outcome }: EndedAttempt): void {
+        logFailure(active, body, choice, outcome);
         active.latestChoice = choice;
         // Of two attempts the one that ends the request may not be the one that was made last.
         active.latestVersion &&= choice.server.state.record().version;
@@ -186,12 +187,14 @@
         active.lastAnswer = outcome.kind === "answered" ? outcome.answer : active.lastAnswer;
     }
 
-    function logFailure(active: ActiveRequest, choice: ChosenServer, outcome: AttemptOutcome): void {
+    function logFailure(active: ActiveRequest, body: Buffer, choice: ChosenServer, outcome: AttemptOutcome): void {
         switch (outcome.kind) {
             case "answered":
             case "cancelled":
                 return;
             case "broken":
+                requestLog.attemptFailed(active, choice.server.id, outcome.reason, fingerprintOf(active, body));
+                return;
             case "notSent":
                 requestLog.attemptFailed(active, choice.server.id, outcome.reason);
                 return;
--- a/packages/box/src/requests/request-log.ts
+++ b/packages/box/src/requests/request-log.ts
@@ -4,7 +4,7 @@
  */
 
 import type { ChosenServer, QuotaDenied, RefusalKind } from "@chalkdale/decisions";
-import type { BackendServerId, Clock, CustomerId, Milliseconds } from "@chalkdale/kernel";
+import type { BackendServerId, Clock, CustomerId, Milliseconds, RequestFingerprint } from "@chalkdale/kernel";
 import type { Log, LogFields } from "@chalkdale/runtime";
 import type { BoxMetrics } from "../metrics.js";
 import type { ServerAnswer } from "../servers/exchange.js";
@@ -13,7 +13,13 @@
 
 /** Log of the requests of one box. */
 export interface RequestLog {
-    readonly attemptFailed: (active: ActiveRequest, server: BackendServerId, reason: string) => void;
+    /** `fingerprint`: of a request that broke off at the server, so that repeats of one request are seen to be the same. */
+    readonly attemptFailed: (
+        active: ActiveRequest,
+        server: BackendServerId,
+        reason: string,
+        fingerprint?: RequestFingerprint,
+    ) => void;
     /** A second server has the request beside one that is overdue. */
     readonly hedged: (active: ActiveRequest, overdue: BackendServerId, second: BackendServerId) => void;
     readonly served: (active: ActiveRequest, answer: ServerAnswer) => void;
@@ -50,7 +56,7 @@
     const { clock, log, metrics, state } = options;
 
     return {
-        attemptFailed(active, server, reason) {
+        attemptFailed(active, server, reason, fingerprint) {
             log.info("attempt.failed", {
                 request: active.requestId,
                 route: active.route.name,
@@ -58,6 +64,7 @@
                 serverVersion: active.latestVersion,
                 sent: active.sent,
                 reason,
+                fingerprint,
                 timeLeft: Math.round(active.endsAt - clock()),
             });
         },
--- a/packages/box/test/attempt-loop.test.ts
+++ b/packages/box/test/attempt-loop.test.ts
@@ -45,7 +45,8 @@
         },
         isVerified: () => true,
     });
-    const active = { route, tried: new Set(), sent: 0, notSent: 0, endsAt: 1000 } as unknown as ActiveRequest;
+    const head = { host: "app.example", method: "GET", path: "/photos/1", customer: undefined };
+    const active = { route, ...head, tried: new Set(), sent: 0, notSent: 0, endsAt: 1000 } as unknown as ActiveRequest;
     await runAttempts(active, Buffer.alloc(60_000), new AbortController().signal);
     return learned;
 }
--- a/packages/kernel/src/ids.ts
+++ b/packages/kernel/src/ids.ts
@@ -22,6 +22,8 @@
 export type IncarnationId = Branded<string, "IncarnationId">;
 /** Name of a backend server. */
 export type BackendServerId = Branded<string, "ServerId">;
+/** What a request asks for, whatever its id: see the box's `fingerprintOf`. */
+export type RequestFingerprint = Branded<string, "RequestFingerprint">;
 /** Version of the software that a backend server runs. */
 export type ServerVersion = Branded<string, "ServerVersion">;
 /** Version of an object in the store of the settings tree; only ever goes up. */
@@ -45,16 +47,19 @@
 export const incarnationId = (text: string) => text as IncarnationId;
 /** Takes a text as a backend server's name. */
 export const backendServerId = (text: string) => text as BackendServerId;
+/** Takes a text as a request's fingerprint. */
+export const requestFingerprint = (text: string) => text as RequestFingerprint;
 /** Takes a text as the version of a server's software. */
 export const serverVersion = (text: string) => text as ServerVersion;
 /** Takes a whole number as an object's version. */
 export const objectVersion = (value: number) => value as ObjectVersion;
-/** Takes a number as milliseconds. */
 /** Milliseconds since the beginning of 1970 by some box's clock of the day; those of two boxes may differ. */
 export type UnixMilliseconds = Branded<number, "UnixMilliseconds">;
 
+/** Takes a number as milliseconds since the beginning of 1970. */
 export const unixMilliseconds = (value: number) => value as UnixMilliseconds;
 
+/** Takes a number as milliseconds. */
 export const milliseconds = (value: number) => value as Milliseconds;
 /** Turns seconds into milliseconds. */
 export const seconds = (value: number) => (value * 1000) as Milliseconds;
