--- a/packages/decisions/src/choose/server-choice.ts
+++ b/packages/decisions/src/choose/server-choice.ts
@@ -11,7 +11,7 @@
  *    and work, which is less at a server that knows the key (`server-estimate`). A key whose
  *    first server was away comes back to it at a time of its own (`returning-keys`).
  * 5. If its wait for a free slot would cost the route's goal (`longest-wait`), the next server of
- *    the ranking that has one takes the request, as long as slots are not short
+ *    the ranking that has one takes the request, as long as it is a download or slots are not short
  *    in the service as a whole; else the request is refused: queues in which
  *    every answer comes late serve nobody, and callers that come back find them
  *    shorter.
@@ -74,7 +74,7 @@
      * not at all. While slots are short everywhere it would keep others waiting.
      */
     function nextWithRoom(others: readonly BackendServer[], request: ChoiceRequest): ChosenServer | undefined {
-        if (options.loadPerSlot(request.service) > plentyOfSlots) {
+        if (!mayBeServedElsewhere(request)) {
             return undefined;
         }
         return others
@@ -82,6 +82,15 @@
             .find(choice => choice.wait === 0 && choice.expected <= request.timeLeft);
     }
 
+    /**
+     * Keys of downloads rank the servers of their region far before others, so the load that this box sees is that of these few,
+     * whatever the rest of the service has to do. A download that finds them full goes on for as long as a later server is not known
+     * to be full, so that none is refused beside a free slot.
+     */
+    function mayBeServedElsewhere({ route, service }: ChoiceRequest): boolean {
+        return options.movedBytes.step(route) === "bulk" || options.loadPerSlot(service) <= plentyOfSlots;
+    }
+
     /** When no server is eligible, an ejected one that is idle gets a trial, so that no service stays empty. */
     function chooseLastResort(candidates: readonly BackendServer[], request: ChoiceRequest): Choice | undefined {
         const ejected = candidates.filter(server => server.state.exclusion(request.at) === "ejected");
