Quotas: two boxes count for a customer at the same time; a box that stood still charges nothing that waited

Cause: one box knew what all had admitted; whoever took over began with what boxes told. A box that stood still took the reports that had waited all at once into a level that had earned nothing meanwhile: -189 of a customer that was calm. A first lease was counted out by the rate of one request. Leases below level zero went on at half of their rate for 3 s. Now each report goes to two boxes, and the leases of the first that answers are used: the second has counted all along. Reports in the first 150 ms after a stall are left to it. A first lease comes with its burst from 0.4 of the level on. Leases below level zero go on at 0.2 of their rate: that costs the hot customer only. Two tests of customer-quotas changed: reports go to the pair and not to one box, and the box makes its rounds while nobody reports, since without them it stood still.

--- a/packages/box/src/quotas/customer-quotas.ts
+++ b/packages/box/src/quotas/customer-quotas.ts
@@ -11,6 +11,7 @@
     advertisedBoxes,
     countingBox,
     type CountingBoxes,
+    countingPair,
     createAnsweringCounters,
     createQuotaCounter,
     createQuotaShare,
@@ -76,6 +77,10 @@
  * of gossip. Until a box counts, parts are equal wherever callers come.
  */
 const unchangedTime = 600;
+/** Milliseconds without a round from which a box has stood still: some three rounds. */
+const stallTime = 1000;
+/** Milliseconds after that in which what has waited is read: some datagrams a turn. */
+const backlogTime = 150;
 /** Entries of one datagram: some 80 bytes each with their levels, with the sender's record below the largest datagram. */
 const mostEntries = 50;
 
@@ -86,6 +91,8 @@
     const counters = new Map<CustomerId, QuotaCounter>();
     const answers = createAnsweringCounters();
     let isReportPlanned = false;
+    let lastRoundAt = clock();
+    let deafUntil = -Infinity;
 
     return {
         take(customer) {
@@ -107,17 +114,23 @@
             }
         },
         round() {
+            noticeStall();
+            lastRoundAt = clock();
             const named = options.advertised().map(({ box }) => box);
             countingBoxes.update({ named, aliveCount: membership.alive(clock()).length }, clock());
             forgetLostCustomers();
             report([...shares.values()]);
         },
         onMessage(from, message) {
+            noticeStall();
+            if (clock() < deafUntil) {
+                return;
+            }
             const leases = readReports(message).map(told => count(from.box, told));
             sendInParts(from, leases.filter(lease => lease !== undefined), leaseMessage);
             if (message.leases !== undefined) {
                 answers.onAnswered(from.box);
-                readLeases(message).forEach(onLease);
+                readLeases(message).forEach(lease => onLease(from.box, lease));
             }
         },
         counts: () =>
@@ -128,6 +141,16 @@
             })),
     };
 
+    /**
+     * What waited for a box that stood still is old: the other box that counts has charged it, and here it would be charged all at once, to a
+     * level that has earned nothing meanwhile. Calm customers were refused for that.
+     */
+    function noticeStall(): void {
+        if (clock() - lastRoundAt > stallTime) {
+            deafUntil = clock() + backlogTime;
+        }
+    }
+
     /** Requests that come in one turn share the datagrams. */
     function reportSoon(): void {
         if (isReportPlanned) {
@@ -148,20 +171,28 @@
         }
         for (const share of reporting) {
             const due = share.dueReport(clock());
-            const counter = due && countingBox(due.customer, candidates);
-            if (due === undefined || counter === undefined) {
+            if (due === undefined) {
                 continue;
             }
-            byCounter.set(counter, [...byCounter.get(counter) ?? [], due]);
+            for (const counter of countersFor(due.customer, candidates)) {
+                byCounter.set(counter, [...byCounter.get(counter) ?? [], due]);
+            }
         }
         for (const [box, reports] of byCounter) {
             deliver(box, reports);
         }
     }
 
+    /** Both boxes that count hear each report, a silent one too: it knows what was let in once it goes on. A third counts while both are silent. */
+    function countersFor(customer: CustomerId, candidates: readonly BoxId[]): ReadonlySet<BoxId> {
+        const pair = countingPair(customer, countingBoxes.current());
+        const used = countingBox(customer, candidates);
+        return new Set(used === undefined ? pair : [...pair, used]);
+    }
+
     function deliver(box: BoxId, reports: readonly QuotaReport[]): void {
         if (box === self) {
-            reports.map(own => count(self, own)).forEach(lease => lease !== undefined && onLease(lease));
+            reports.map(own => count(self, own)).forEach(lease => lease !== undefined && onLease(self, lease));
             return;
         }
         const member = membership.find(box);
@@ -206,8 +237,13 @@
         return Math.min(quota.burst, quota.rate * countingBoxes.unchangedFor(clock()) / 1000);
     }
 
-    function onLease(lease: QuotaLease): void {
-        shares.get(lease.customer)?.onLease(lease, clock());
+    /** Of the boxes that count, one's leases are used: what both give out would be the quota twice. */
+    function onLease(from: BoxId, lease: QuotaLease): void {
+        const used = countingBox(lease.customer, answers.answering(countingBoxes.current(), clock()));
+        const share = shares.get(lease.customer);
+        if (used === from || share?.hasLease() === false) {
+            share?.onLease(lease, clock());
+        }
     }
 
     function shareOf(customer: CustomerId): QuotaShare {
--- a/packages/box/test/customer-quotas.test.ts
+++ b/packages/box/test/customer-quotas.test.ts
@@ -5,6 +5,7 @@
 
 import {
     countingBox,
+    countingPair,
     createCountingBoxes,
     type Customer,
     type MemberRecord,
@@ -68,13 +69,16 @@
         sent = [];
     });
 
-    it("are reported to the box that counts, which all find alike", () => {
+    it("are reported to the two boxes that count, which all find alike", () => {
         const search = createCountingBoxes();
         search.update({ named: all.map(({ box }) => box), aliveCount: 67 }, milliseconds(now));
         const counters = search.current();
         expect(counters).to.have.length(4).and.not.to.include(all[1].box);
         admitted(create(), 1);
-        expect([...new Set(sent.map(({ to }) => to))]).to.deep.equal([countingBox(customer.id, counters)]);
+        const pair = countingPair(customer.id, counters);
+        expect(pair).to.have.length(2);
+        expect(pair[0]).to.equal(countingBox(customer.id, counters));
+        expect([...new Set(sent.map(({ to }) => to))]).to.deep.equal(pair);
     });
 
     it("are shared by the boxes that callers are named, also right after all others were alike", () => {
@@ -113,7 +117,9 @@
         const quotas = create();
         quotas.round();
         const burstOf = (since: number) => {
-            now += since;
+            for (const end = now + since; now < end; now += 100) {
+                quotas.round();
+            }
             sent = [];
             quotas.onMessage(all[2], { reports: [["club", 1, 1, since]] });
             return sent[0].message.leases![0][2];
@@ -123,6 +129,53 @@
         expect(beforeGap).to.be.greaterThan(afterGap * 2);
     });
 
+    it("are not charged at once with all that waited while this box stood still", () => {
+        const quotas = create();
+        quotas.round();
+        quotas.onMessage(all[2], { reports: [["club", 30, 30, 300]] });
+        now += 2600;
+        sent = [];
+        quotas.onMessage(all[2], { reports: [["club", 30, 30, 300]] });
+        quotas.round();
+        quotas.onMessage(all[2], { reports: [["club", 30, 30, 300]] });
+        expect(sent).to.deep.equal([]);
+        now += 300;
+        quotas.round();
+        quotas.onMessage(all[2], { reports: [["club", 30, 30, 300]] });
+        expect(sent.map(({ to }) => to)).to.deep.equal(["b-2"]);
+    });
+
+    it("are used by one of the two leases, by the other's once the first one is silent", () => {
+        const quotas = create();
+        quotas.round();
+        const search = createCountingBoxes();
+        search.update({ named: all.map(({ box }) => box), aliveCount: 67 }, milliseconds(now));
+        const [first, second] = countingPair(customer.id, search.current()).map(box =>
+            all.find(record => record.box === box)!
+        );
+        const lease = (from: MemberRecord, rate: number) =>
+            quotas.onMessage(from, { leases: [["club", rate, 10, 0]], levels: [["club", 60]] });
+        const partOfNextDenied = () => {
+            for (;;) {
+                const denied = quotas.take(customer);
+                if (denied !== undefined) {
+                    return denied.partRate;
+                }
+            }
+        };
+        quotas.take(customer);
+        quotas.round();
+        lease(first, 40);
+        lease(second, 7);
+        expect(partOfNextDenied()).to.equal(40);
+        for (const end = now + 1500; now < end; now += 100) {
+            quotas.take(customer);
+            quotas.round();
+            lease(second, 7);
+        }
+        expect(partOfNextDenied()).to.equal(7);
+    });
+
     it("tell what was refused apart from what was given back", () => {
         const quotas = create();
         for (let count = 0; count < 100; count++) {
--- a/packages/decisions/src/limits/quota/counting-box.ts
+++ b/packages/decisions/src/limits/quota/counting-box.ts
@@ -34,6 +34,8 @@
     readonly boxCount: () => number;
 }
 
+/** Boxes that count for one customer at the same time. */
+const countersAtOnce = 2;
 /** Hash by which the boxes that count are chosen. */
 const countersHash = hashText("quota counters");
 /** Part of the most boxes below which a box may be cut off. A region of three may be lost, and with it a third. Not measured. */
@@ -82,6 +84,14 @@
     return rank(hashText(counted), counters).at(0);
 }
 
+/**
+ * Returns the boxes that count for a customer at the same time, the one whose leases are used first: each hears all reports, so that the second
+ * goes on where the first stands still, and nobody waits for it.
+ */
+export function countingPair(customer: CustomerId, counters: readonly BoxId[]): readonly BoxId[] {
+    return rank(hashText(customer), counters).slice(0, countersAtOnce);
+}
+
 function rank(hash: number, boxes: readonly BoxId[]): readonly BoxId[] {
     const scores = new Map(boxes.map(box => [box, rendezvousScore(hash, hashText(box), 1)]));
     return [...boxes].sort((a, b) => scores.get(b)! - scores.get(a)!);
--- a/packages/decisions/src/limits/quota/quota-counter.ts
+++ b/packages/decisions/src/limits/quota/quota-counter.ts
@@ -55,6 +55,11 @@
  * level and the longer window for few requests 7 of 100 (emulated).
  */
 const calmPart = 0.5;
+/**
+ * The same for the first lease of a box: callers that move to another box bring their rate along at once, and what they asked for where they
+ * were is charged later.
+ */
+const calmPartOfFirst = 0.4;
 /** Milliseconds added to the window of demand for a report of one request, less for more: single requests say little of a rate. */
 const fewRequestsWindow = 3000;
 
@@ -91,7 +96,7 @@
             level.takeOver(report, quota, at, known === undefined);
             level.charge(report.admitted, known);
             const own = noteDemand(box, report, at);
-            const lease = leaseOf(box, own.rate, report.customer, context);
+            const lease = leaseOf(box, own.rate, known === undefined, report.customer, context);
             own.leasedRate = lease.rate;
             reportedAt = at;
             if (report.asked === 0) {
@@ -104,6 +109,7 @@
     function leaseOf(
         box: BoxId,
         own: number,
+        isFirst: boolean,
         customer: CustomerId,
         { at, boxCount, quota }: QuotaContext,
     ): QuotaLease {
@@ -112,7 +118,8 @@
         const current = level.current();
         if (at - startedAt < settleTime) {
             const rate = Math.min(partOf(own, demand, quota.rate, boxes), unleased(box, quota.rate, boxes));
-            return { customer, rate, burst: Math.max(1, current / boxes), isCalm: false, level: current };
+            const isCalm = earned > 0 && current > quota.burst * calmPart;
+            return { customer, rate, burst: Math.max(1, current / boxes), isCalm, level: current };
         }
         // Below the rate the bursts give the level out.
         const fromLevel = demand > quota.rate || current < 0 ? current * 1000 / levelWindow : 0;
@@ -121,7 +128,7 @@
             customer,
             rate: partOf(own, demand, usable, boxes),
             burst: Math.max(1, burstOvercommit * current / boxes),
-            isCalm: current > quota.burst * calmPart,
+            isCalm: current > quota.burst * (isFirst ? calmPartOfFirst : calmPart),
             level: current,
         };
     }
--- a/packages/decisions/src/limits/quota/quota-share.ts
+++ b/packages/decisions/src/limits/quota/quota-share.ts
@@ -42,6 +42,7 @@
     readonly needsLease: (at: Milliseconds) => boolean;
     /** A request that was admitted has not run. */
     readonly giveBack: () => void;
+    readonly hasLease: () => boolean;
     readonly onLease: (lease: QuotaLease, at: Milliseconds) => void;
     /** What to tell the box that counts, if it is time to. */
     readonly dueReport: (at: Milliseconds) => QuotaReport | undefined;
@@ -67,9 +68,9 @@
 const debtLeaseUsed = 700;
 /**
  * Part of the rate that is used after that. While demand rises, the leases of one round come to more than the quota, which the next round
- * takes back; if the box that counts is lost, nobody does.
+ * takes back; if the boxes that count are lost, nobody does for some 3 s.
  */
-const partOfDebtLease = 0.5;
+const partOfDebtLease = 0.2;
 /**
  * Milliseconds for which the burst of a lease is used when nobody renews it otherwise: the interval of calm reports, the 1 s until a silent box is
  * passed over, and the ways. With 2,000, 11 of 38 runs of the soak refused requests within a quota while the box that counts stood still;
@@ -142,6 +143,7 @@
                 bucket.tokens += 1;
             }
         },
+        hasLease: () => lease !== undefined,
         onLease(next, at) {
             if (!wasNews) {
                 return;
