Ages of copies count the time in which the machine was suspended

A box that was suspended took its copies of keys, servers and closed zones for as fresh as before: the steady clock does not count that time. The clock for ages adds what the time of day gets ahead of the steady clock at once, 0.5 s and more. A step of the time of day forward looks alike and costs one more confirmation; one back does nothing. Not done: deadlines of requests in progress, leases of quotas, ages of members, which still go by the steady clock.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -53,6 +53,8 @@
     readonly protocol: CallerProtocol;
     readonly store: StateStore;
     readonly clock: Clock;
+    /** The clock of the ages of copies, which counts time in which the machine was suspended; `clock` where it is left out. */
+    readonly ageClock?: Clock;
     readonly random: () => number;
     readonly log: Log;
     /** Counts of the box's messages; the store's calls are counted by the store itself. */
@@ -84,6 +86,7 @@
 /** Starts a box. */
 export function startBox(options: BoxOptions): Box {
     const { clock, protocol, random, settings, store, traffic } = options;
+    const ageClock = options.ageClock ?? clock;
     const { bounds, region } = settings;
     const log = createBudgetedLog(options.log, { linesPerSecond, byEvent: linesOfEvent });
     const metrics = createBoxMetrics();
@@ -237,12 +240,12 @@
         alive: () => membership.alive(clock()),
         changeBound: bounds.changeInForce,
         turnedAway,
-        clock,
+        clock: ageClock,
         uptime,
     });
     const peerReads = createPeerReads({ countTraffic, signal });
     const replicator = startReplicator({
-        clock,
+        clock: ageClock,
         random,
         log,
         region,
@@ -283,7 +286,7 @@
         signal,
     });
 
-    const noticeStall = createStallWatch(clock, log, upkeepInterval);
+    const noticeStall = createStallWatch(ageClock, log, upkeepInterval);
     const runDueHealthChecks = createHealthChecker({
         clock,
         log,
--- a/packages/box/src/stall-watch.ts
+++ b/packages/box/src/stall-watch.ts
@@ -1,6 +1,6 @@
 /**
  * Notices that this process stood still: its timers came far later than they
- * were due, as after a pause of the machine or while its processor was taken away.
+ * were due, as after a suspension of the machine or while its processor was taken away.
  * Whatever it decides right after that goes by what it believed before.
  *
  * Owns when it was last called.
--- a/packages/runtime/src/clock.ts
+++ b/packages/runtime/src/clock.ts
@@ -1,5 +1,5 @@
 /**
- * The monotonic clock of the process, and the name of its one life.
+ * The clocks of the process, and the name of its one life.
  */
 
 import { type Clock, type IncarnationId, incarnationId, milliseconds } from "@chalkdale/kernel";
@@ -8,6 +8,35 @@
 /** Monotonic milliseconds since the process started. Goes on while the process is stopped. */
 export const systemClock: Clock = () => milliseconds(performance.now());
 
+/**
+ * Milliseconds by which the time of day must get ahead of the steady clock at once to stand for a suspension: far more than the clocks'
+ * drift and their correction between two readings, and less than any bound on changes.
+ */
+const leastSuspension = 500;
+
+/**
+ * Creates the clock for ages of what this box was told. While the machine is suspended the steady clock stands still and what the box
+ * believes grows old all the same; the time of day goes on. A step of the time of day looks alike: forward, everything is
+ * confirmed once more than it had to be; back, nothing happens.
+ *
+ * @param steady the clock that goes on while the process is stopped, and not while the machine is suspended.
+ * @param timeOfDay Unix milliseconds.
+ */
+export function createAgeClock(steady: Clock = systemClock, timeOfDay: () => number = Date.now): Clock {
+    let suspendedFor = 0;
+    let lead = timeOfDay() - steady();
+
+    return () => {
+        const now = steady();
+        const nextLead = timeOfDay() - now;
+        if (nextLead - lead >= leastSuspension) {
+            suspendedFor += nextLead - lead;
+        }
+        lead = nextLead;
+        return milliseconds(now + suspendedFor);
+    };
+}
+
 /** Bytes of chance, so that two starts in one millisecond differ. */
 const randomPart = 4;
 /** Digits of a time in base 36, enough until the year 5188, so that texts sort by time. */
