Quotas: a box that has just begun to count listens first; calm customers are told again while nobody answers

Now a box that begins to count answers nobody whose lease of another is fresh, a box takes the other's lease for a report that the first has not answered, a report that nobody answers is repeated with each round, and a silent box is passed over after 0.7 s.

--- a/packages/box/src/quotas/customer-quotas.ts
+++ b/packages/box/src/quotas/customer-quotas.ts
@@ -81,6 +81,11 @@
 const stallTime = 1000;
 /** Milliseconds after that in which what has waited is read: some datagrams a turn. */
 const backlogTime = 150;
+/**
+ * Milliseconds for which a lease of another box that counts is better than one of a box that has just begun to: an older one has to last
+ * until the next report of a calm customer.
+ */
+const leaseFresh = 1000;
 /** Entries of one datagram: some 80 bytes each with their levels, with the sender's record below the largest datagram. */
 const mostEntries = 50;
 
@@ -218,7 +223,9 @@
         if (quota === undefined || !isSettled()) {
             return undefined;
         }
-        return counterOf(told.customer, quota).onReport(box, told, { quota, boxCount: boxCount(), at: clock() });
+        const counter = counterOf(told.customer, quota);
+        const lease = counter.onReport(box, told, { quota, boxCount: boxCount(), at: clock() });
+        return counter.isSettling(clock()) && hasFreshLease(told) ? undefined : lease;
     }
 
     /** A counter that nobody reported to for a while starts anew: what was admitted meanwhile was told to another box. */
@@ -237,11 +244,11 @@
         return Math.min(quota.burst, quota.rate * countingBoxes.unchangedFor(clock()) / 1000);
     }
 
-    /** Of the boxes that count, one's leases are used: what both give out would be the quota twice. */
+    /** Of the two that count the first one's leases are used, and the other's for a report that the first has not answered. */
     function onLease(from: BoxId, lease: QuotaLease): void {
         const used = countingBox(lease.customer, answers.answering(countingBoxes.current(), clock()));
         const share = shares.get(lease.customer);
-        if (used === from || share?.hasLease() === false) {
+        if (used === from || share?.isReportUnanswered() === true) {
             share?.onLease(lease, clock());
         }
     }
@@ -281,3 +288,8 @@
         }
     }
 }
+
+/** A box that has just begun to count listens first: its equal parts would take the place of leases that fit the demand. */
+function hasFreshLease({ lastLevel }: QuotaReport): boolean {
+    return lastLevel !== undefined && lastLevel.age < leaseFresh;
+}
--- a/packages/decisions/src/limits/quota/answering-counters.ts
+++ b/packages/decisions/src/limits/quota/answering-counters.ts
@@ -18,11 +18,10 @@
 }
 
 /**
- * Milliseconds after which a report counts as unanswered: three rounds of messages, and the way between regions and back. Emulated, six boxes of
- * which one after the other stands still for 2.6 s, refused of some 4,000 requests of a customer at 60 of 100 of its quota: 216 if the silent one is
- * waited for, 131 with this, 122 with 450.
+ * Milliseconds after which a report counts as unanswered: two rounds of messages, and the way between regions and back. A third box has to
+ * take over within the time for which the burst of a lease is used, where both that count are silent.
  */
-const answersWithin = 1000;
+const answersWithin = 700;
 /** Milliseconds after which a box that was silent is asked again: until then the members know if it has failed. */
 const silentFor = 3000;
 
--- a/packages/decisions/src/limits/quota/quota-counter.ts
+++ b/packages/decisions/src/limits/quota/quota-counter.ts
@@ -21,6 +21,8 @@
      * nobody has asked since, as long as the same boxes count.
      */
     readonly isStale: (at: Milliseconds, countersUnchangedFor: number) => boolean;
+    /** True until it has heard of all boxes: what it gives out is then an equal part for most. */
+    readonly isSettling: (at: Milliseconds) => boolean;
     /** Takes a box's report and answers with its part. */
     readonly onReport: (box: BoxId, report: QuotaReport, context: QuotaContext) => QuotaLease;
 }
@@ -89,6 +91,7 @@
             const silentFor = at - reportedAt;
             return silentFor > staleAfter && (demands.size > 0 || silentFor > countersUnchangedFor);
         },
+        isSettling,
         onReport(box, report, context) {
             const { at, quota } = context;
             const known = demands.get(box);
@@ -106,6 +109,10 @@
         },
     };
 
+    function isSettling(at: Milliseconds): boolean {
+        return at - startedAt < settleTime;
+    }
+
     function leaseOf(
         box: BoxId,
         own: number,
@@ -116,7 +123,7 @@
         const demand = sumDemand(at);
         const boxes = Math.max(1, boxCount, demands.size);
         const current = level.current();
-        if (at - startedAt < settleTime) {
+        if (isSettling(at)) {
             const rate = Math.min(partOf(own, demand, quota.rate, boxes), unleased(box, quota.rate, boxes));
             const isCalm = earned > 0 && current > quota.burst * calmPart;
             return { customer, rate, burst: Math.max(1, current / boxes), isCalm, level: current };
--- a/packages/decisions/src/limits/quota/quota-share.ts
+++ b/packages/decisions/src/limits/quota/quota-share.ts
@@ -42,7 +42,8 @@
     readonly needsLease: (at: Milliseconds) => boolean;
     /** A request that was admitted has not run. */
     readonly giveBack: () => void;
-    readonly hasLease: () => boolean;
+    /** True until a lease answers the last report. */
+    readonly isReportUnanswered: () => boolean;
     readonly onLease: (lease: QuotaLease, at: Milliseconds) => void;
     /** What to tell the box that counts, if it is time to. */
     readonly dueReport: (at: Milliseconds) => QuotaReport | undefined;
@@ -143,7 +144,7 @@
                 bucket.tokens += 1;
             }
         },
-        hasLease: () => lease !== undefined,
+        isReportUnanswered: () => lease === undefined || leasedAt < reportedAt,
         onLease(next, at) {
             if (!wasNews) {
                 return;
@@ -204,8 +205,10 @@
         if (at - reportedAt >= calmReportInterval) {
             return isNews || wasNews;
         }
+        // A calm customer's next report must not wait while nobody has answered the last one: its lease would grow old.
+        const isOverdue = leasedAt < reportedAt && at - reportedAt >= leaseAwaited;
         const isCalm = lease?.isCalm === true && (bucket?.tokens ?? 0) >= lease.burst * lowPartOfBurst;
-        return isNews && !isCalm;
+        return isNews && (isOverdue || !isCalm);
     }
 }
 
