A request that waits for another of its kind goes on when that one ends without a server

After the second end one request of a kind goes at a time on each box. Where it found no server, or its attempt was already counted as over while its server's end was still asked, those behind it waited for their whole time or went too early. The count of attempts under way replaces the flag, and the end of a request wakes those that wait. The first of the two tests fails without it.

--- a/packages/box/src/deadly/deadly-guard.ts
+++ b/packages/box/src/deadly/deadly-guard.ts
@@ -94,8 +94,8 @@
     /** Worked out once it is asked for. */
     fingerprint: RequestFingerprint | undefined;
     isStopped: boolean;
-    /** An attempt runs, or it isn't known yet what became of its server. */
-    isUnderWay: boolean;
+    /** Attempts that run, or of whose servers it isn't known yet what became of them. */
+    underWay: number;
 }
 
 /** Creates the guard of a box that knows of no such request. */
@@ -120,7 +120,7 @@
                 controller,
                 fingerprint: undefined,
                 isStopped: false,
-                isUnderWay: false,
+                underWay: 0,
             };
             inProgress.add(followed);
             return {
@@ -130,6 +130,7 @@
                 onAttemptEnded: (server, outcome) => void onAttemptEnded(followed, server, outcome),
                 end() {
                     inProgress.delete(followed);
+                    wakeWaiting();
                 },
             };
         },
@@ -198,7 +199,7 @@
             const fingerprint = knownFingerprint(followed);
             const decided = fingerprint === undefined ? "go" : decide(fingerprint);
             if (decided !== "wait") {
-                followed.isUnderWay = decided === "go";
+                followed.underWay += decided === "go" ? 1 : 0;
                 followed.active.fingerprint = fingerprint;
                 return decided;
             }
@@ -211,7 +212,7 @@
         deadly.onSeen(fingerprint, at);
         return deadly.decide(fingerprint, {
             at,
-            isUnderWay: ofKind(fingerprint).some(({ isUnderWay }) => isUnderWay),
+            isUnderWay: ofKind(fingerprint).some(({ underWay }) => underWay > 0),
             makesTrials: collectorsOf(fingerprint, options.advertised()).at(0)?.box === self,
         }).kind;
     }
@@ -226,7 +227,7 @@
         if (outcome.kind === "answered" && isSuccessStatus(outcome.answer.status)) {
             onAnswered(followed);
         }
-        followed.isUnderWay = false;
+        followed.underWay = Math.max(0, followed.underWay - 1);
         wakeWaiting();
     }
 
--- a/packages/box/test/deadly-guard.test.ts
+++ b/packages/box/test/deadly-guard.test.ts
@@ -257,6 +257,39 @@
         expect(await cleared).to.equal("go");
     });
 
+    it("let the next one go if the first one finds no server", async () => {
+        start(9);
+        await endUnder(boxes[0], "i-0");
+        await play(200);
+        await endUnder(boxes[1], "i-1");
+        await play(200);
+        const [first, second] = [follow(boxes[2]), follow(boxes[2])];
+        expect(await first.clearance()).to.equal("go");
+        const cleared = second.clearance();
+        first.end();
+        expect(await cleared).to.equal("go");
+    });
+
+    it("count a request as under way until it is known what became of its first server, though it was sent on", async () => {
+        start(9);
+        await endUnder(boxes[0], "i-0");
+        await play(200);
+        await endUnder(boxes[1], "i-1");
+        await play(200);
+        const [first, second] = [follow(boxes[2]), follow(boxes[2])];
+        expect(await first.clearance()).to.equal("go");
+        let tell: (endedAt: undefined) => void = () => undefined;
+        const serverEnded = new Promise<undefined>(resolve => tell = resolve);
+        first.onAttemptEnded(serverOf("i-2"), { kind: "broken", reason: "closed", wasForgotten: false, serverEnded });
+        const [sentOn, cleared] = [first.clearance(), second.clearance()];
+        tell(undefined);
+        expect(await sentOn).to.equal("go");
+        let isSecondCleared = false;
+        void cleared.then(() => isSecondCleared = true);
+        await settled();
+        expect(isSecondCleared).to.equal(false);
+    });
+
     it("end a wait when its caller leaves", async () => {
         start(9);
         await endUnder(boxes[0], "i-0");
