--- a/packages/box/src/callers/caller-server.ts
+++ b/packages/box/src/callers/caller-server.ts
@@ -40,7 +40,7 @@
 const metricsPath = "/metrics";
 /** Bytes of a request's head that Node takes; what the configuration allows is less. */
 const largestHead = 64 * 1024;
-/** Milliseconds added to the idle time that callers know, so that a connection isn't closed as they use it. Not measured. */
+/** Milliseconds added to the idle time that callers know, so that a connection isn't closed as they use it. */
 const idleMargin = 1000;
 
 /** Starts to listen. */
--- a/packages/box/src/callers/ordered-end.ts
+++ b/packages/box/src/callers/ordered-end.ts
@@ -9,7 +9,7 @@
 
 import type { Socket } from "node:net";
 
-/** Milliseconds for which a caller may leave its side open: longer than the way there and back. Not measured. */
+/** Milliseconds for which a caller may leave its side open: longer than the way there and back. */
 const longestLinger = 1000;
 
 /** Sends the end behind what was written; closes once the caller has ended too, or after a while. */
--- a/packages/box/src/join.ts
+++ b/packages/box/src/join.ts
@@ -28,13 +28,13 @@
     readonly signal: AbortSignal;
 }
 
-/** Milliseconds until a failed call is made again; a box need not be known before it is ready. Not measured. */
+/** Milliseconds until a failed call is made again; a box need not be known before it is ready. */
 const retryPause = 1000;
-/** Milliseconds between two looks whether this box follows the store now. Not measured. */
+/** Milliseconds between two looks whether this box follows the store now. */
 const roleCheckInterval = 1000;
 /**
  * Boxes of the own region that are greeted at once; and of others. Some may be gone: the store keeps their records. With
- * all of them, 195 boxes that start together send 38,000 greetings and get as many answers (computed). Not measured against others.
+ * all of them, 195 boxes that start together send 38,000 greetings and get as many answers (computed).
  */
 const nearGreetings = 8;
 /** Boxes of other regions that are greeted at once. */
--- a/packages/box/src/load-meter.ts
+++ b/packages/box/src/load-meter.ts
@@ -14,7 +14,7 @@
     readonly cores: () => number;
 }
 
-/** Weight of the newest second: a load that lasts five seconds counts for two thirds. Not measured. */
+/** Weight of the newest second: a load that lasts five seconds counts for two thirds. */
 const smoothing = 0.2;
 /** The load is sent to other boxes, to two digits. */
 const hundredths = 100;
--- a/packages/box/src/peers/peer-link.ts
+++ b/packages/box/src/peers/peer-link.ts
@@ -41,7 +41,7 @@
  * members at other times.
  */
 const mostBeats = 40;
-/** Boxes that hear at once from a box that others suspect. Not measured against other numbers. */
+/** Boxes that hear at once from a box that others suspect. */
 const refutationTargets = 4;
 
 export interface PeerLinkOptions {
--- a/packages/box/src/peers/peer-reads.ts
+++ b/packages/box/src/peers/peer-reads.ts
@@ -29,9 +29,9 @@
 const sinceParameter = "since";
 /** Largest answer that is read, in bytes before and after it is unpacked: sixteen times the largest value of the store. */
 const largestAnswer = 16 * 1024 * 1024;
-/** Milliseconds without a byte after which a read fails, as for calls of the store. Not measured. */
+/** Milliseconds without a byte after which a read fails, as for calls of the store. */
 const readTimeout = 1500;
-/** Bytes from which an answer is compressed: a smaller one fits into a packet or two. Not measured. */
+/** Bytes from which an answer is compressed: a smaller one fits into a packet or two. */
 const leastCompressed = 2048;
 /**
  * Effort of the compression, from 1 to 9: with 1, a made-up copy of 796 servers goes from 133 to 17 KB in 1.2 ms, with 6 to 15 KB
--- a/packages/box/src/peers/peer-receiver.ts
+++ b/packages/box/src/peers/peer-receiver.ts
@@ -40,7 +40,7 @@
  * news spreads by itself. Without a pause each box of a fleet of 195 read its members 65 times in its first 18 s, 2.9 MB.
  */
 const membersPause = 300;
-/** The same from another region, whose bytes are dear. Not measured against other values. */
+/** The same from another region, whose bytes are dear. */
 const farMembersPause = 2000;
 
 /** Returns the listener for datagrams. Never throws. */
--- a/packages/box/src/quotas/customer-quotas.ts
+++ b/packages/box/src/quotas/customer-quotas.ts
@@ -69,7 +69,7 @@
 
 /**
  * Milliseconds after the start in which a box that hears of no other does not count: it may not know yet who else runs, and take
- * itself for the only one. Five rounds of gossip. Not measured.
+ * itself for the only one. Five rounds of gossip.
  */
 const settleTime = 1500;
 /**
--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -188,7 +188,7 @@
     }
 }
 
-/** Milliseconds between two checks of a server whose answer is overdue: few for a request, each a new connection. Not measured. */
+/** Milliseconds between two checks of a server whose answer is overdue: few for a request, each a new connection. */
 const checkInterval = 1000;
 /** Milliseconds within which the connections to a server end that has ended: one check tells for all of them. */
 const sameEndWithin = 100;
--- a/packages/box/src/requests/growing-buffer.ts
+++ b/packages/box/src/requests/growing-buffer.ts
@@ -16,7 +16,7 @@
     readonly take: () => Buffer;
 }
 
-/** Bytes of memory that the first part takes at least. Not measured. */
+/** Bytes of memory that the first part takes at least. */
 const firstRoom = 4 * 1024;
 
 const nothing = Buffer.alloc(0);
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -57,7 +57,7 @@
     readonly isIdempotent: (request: IncomingMessage) => boolean;
 }
 
-/** Bytes of a body that are taken in at most, whatever the configuration allows: a box has 350 MB. Not measured. */
+/** Bytes of a body that are taken in at most, whatever the configuration allows: a box has 350 MB. */
 const largestBody = 16 * 1024 * 1024;
 
 /** Creates the handler of requests. */
--- a/packages/box/src/requests/unread-body.ts
+++ b/packages/box/src/requests/unread-body.ts
@@ -14,10 +14,10 @@
 
 /**
  * Bytes of an unread body up to which its connection is kept: a body somewhat beyond the limit that deployments set leaves
- * the requests behind it alone. Not measured.
+ * the requests behind it alone.
  */
 const longestKept = 1024 * 1024;
-/** Milliseconds for which the rest of a body may come on a connection that is kept, then it ends. Not measured. */
+/** Milliseconds for which the rest of a body may come on a connection that is kept, then it ends. */
 const keptFor = 5000;
 
 /** True if the connection should end with a refusal that is given now. */
--- a/packages/box/src/rollouts/cell-changes.ts
+++ b/packages/box/src/rollouts/cell-changes.ts
@@ -9,9 +9,9 @@
 import type { EvidenceCell, RolloutId, RolloutReport } from "@chalkdale/decisions";
 import type { BoxId } from "@chalkdale/kernel";
 
-/** Reports in which a changed cell is told, so that a lost datagram costs a report's time. Not measured. */
+/** Reports in which a changed cell is told, so that a lost datagram costs a report's time. */
 const toldTimes = 2;
-/** Reports after which all cells are told again, for a box that takes over or missed some: 3 s. Not measured. */
+/** Reports after which all cells are told again, for a box that takes over or missed some: 3 s. */
 const wholeEvery = 10;
 
 /** Returns the function that picks the cells of the next report to a box. */
--- a/packages/box/src/rollouts/deciding-box.ts
+++ b/packages/box/src/rollouts/deciding-box.ts
@@ -33,12 +33,12 @@
 
 /**
  * Milliseconds after the start in which a box does not decide: it may not know yet who else runs, and take itself for the only
- * one. Five rounds of gossip, as for quotas. Not measured.
+ * one. Five rounds of gossip, as for quotas.
  */
 const settleTime = 1500;
 /** Part of the greatest capacity from which a box may decide: with 70 boxes some 0.15 MB/s of reports come in. Computed. */
 const strongPart = 0.5;
-/** Boxes that are asked to write what the deciding box can't. Not measured. */
+/** Boxes that are asked to write what the deciding box can't. */
 const deputyCount = 2;
 
 /** Creates the search. */
--- a/packages/box/src/rollouts/deciding.ts
+++ b/packages/box/src/rollouts/deciding.ts
@@ -70,7 +70,7 @@
     isTold: boolean;
 }
 
-/** Milliseconds between two requests to other boxes to write what this one can't: the longest pause of their writes. Not measured. */
+/** Milliseconds between two requests to other boxes to write what this one can't: the longest pause of their writes. */
 const askInterval = 1200;
 
 /** Creates it; nothing is decided here yet. */
--- a/packages/box/src/rollouts/outcome-writes.ts
+++ b/packages/box/src/rollouts/outcome-writes.ts
@@ -39,7 +39,6 @@
 
 /**
  * Age in milliseconds up to which a copy that others confirmed shows that the store answers them, while it turns this box away.
- * Not measured.
  */
 const freshCopy = 2000;
 
--- a/packages/box/src/rollouts/rollout-news.ts
+++ b/packages/box/src/rollouts/rollout-news.ts
@@ -11,7 +11,7 @@
 
 /**
  * Milliseconds for which news is repeated in gossip: 17 rounds reach every box of 740 several times. While the store does not
- * have the outcome it goes on: a box that was cut off, or has just started, would else take part in a trial that is over. Not measured.
+ * have the outcome it goes on: a box that was cut off, or has just started, would else take part in a trial that is over.
  */
 const repeatedFor = milliseconds(5000);
 /** Decisions that are remembered, some 400 bytes each. */
--- a/packages/box/src/rounds.ts
+++ b/packages/box/src/rounds.ts
@@ -23,7 +23,7 @@
 
 /** Milliseconds between two rounds of the box's own upkeep: less than a round of gossip. */
 export const upkeepInterval = 250;
-/** Milliseconds between two steps of the deciders of roll-outs; a bad version must get nothing within 5 s. Not measured. */
+/** Milliseconds between two steps of the deciders of roll-outs; a bad version must get nothing within 5 s. */
 const deciderInterval = 250;
 /** Milliseconds between two measurements of the load, and between two counts of left out lines. */
 const second = 1000;
--- a/packages/box/src/servers/exchange.ts
+++ b/packages/box/src/servers/exchange.ts
@@ -46,7 +46,7 @@
     readonly onHead?: () => void;
 }
 
-/** Largest answer that is taken in whole, in bytes; downloads of 90 KB are usual. It bounds the memory of a box. Not measured. */
+/** Largest answer that is taken in whole, in bytes; downloads of 90 KB are usual. It bounds the memory of a box. */
 const largestAnswer = 32 * 1024 * 1024;
 
 /** Sends the request and resolves with how it ended. Never rejects. */
--- a/packages/box/src/servers/health-checker.ts
+++ b/packages/box/src/servers/health-checker.ts
@@ -21,7 +21,7 @@
     readonly signal: AbortSignal;
 }
 
-/** Milliseconds for a check, its wait for a slot included: about one request of cold work. Not measured. */
+/** Milliseconds for a check, its wait for a slot included: about one request of cold work. */
 const healthCheckTimeout = 600;
 
 /** Returns the function that makes the checks which are due. */
--- a/packages/box/src/servers/liveness-check.ts
+++ b/packages/box/src/servers/liveness-check.ts
@@ -24,7 +24,7 @@
     readonly onSilent: (server: BackendServer) => void;
 }
 
-/** Milliseconds for which a result is used again: all requests that wait for one server share a check. Not measured. */
+/** Milliseconds for which a result is used again: all requests that wait for one server share a check. */
 const resultLifetime = 500;
 
 interface Check {
--- a/packages/box/src/servers/server-connections.ts
+++ b/packages/box/src/servers/server-connections.ts
@@ -53,7 +53,7 @@
     readonly onConnected: (server: BackendServerId, duration: Milliseconds) => void;
 }
 
-/** Milliseconds after which the kernel asks a silent peer whether it lives. Not measured. */
+/** Milliseconds after which the kernel asks a silent peer whether it lives. */
 const keepAliveDelay = 1000;
 
 /** Creates an empty pool. */
--- a/packages/box/src/stall-watch.ts
+++ b/packages/box/src/stall-watch.ts
@@ -11,7 +11,7 @@
 
 /**
  * Milliseconds late from which a line is written: half of the shortest bound on changes (2 s), so that each stall that can matter
- * for it leaves one. Not measured.
+ * for it leaves one.
  */
 const leastStall = 1000;
 
--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -36,7 +36,7 @@
  * a store that is slow. A second silence then costs a change 0.3 s more, and not the 1.5 s of a call.
  */
 const urgentLimits: readonly number[] = [overdueAfter, 2 * overdueAfter];
-/** Milliseconds between two looks whether the store answers another kind's calls again. Not measured. */
+/** Milliseconds between two looks whether the store answers another kind's calls again. */
 const lostPollInterval = milliseconds(150);
 
 export interface StoreFollowerOptions {
--- a/packages/cli/src/box-metrics.ts
+++ b/packages/cli/src/box-metrics.ts
@@ -16,7 +16,7 @@
     readonly value: number;
 }
 
-/** Milliseconds for one box to answer; an operator waits for it. Not measured. */
+/** Milliseconds for one box to answer; an operator waits for it. */
 const requestTimeout = 3000;
 const prefix = "chalkdale_";
 const metricLine = /^(\w+)(?:\{(.*)\})? (\S+)$/;
--- a/packages/cli/src/fleet-summary.ts
+++ b/packages/cli/src/fleet-summary.ts
@@ -14,7 +14,7 @@
     readonly reasons: readonly string[];
 }
 
-/** Part of its capacity that a box uses before it counts as busy. Not measured. */
+/** Part of its capacity that a box uses before it counts as busy. */
 const busyPart = 0.8;
 
 /** Returns a row for each zone: region, zone, boxes, in service, advertised, load and capacity, requests in flight. */
--- a/packages/cli/src/stored-settings.ts
+++ b/packages/cli/src/stored-settings.ts
@@ -24,9 +24,9 @@
 import { userInfo } from "node:os";
 import { type CommandContext, CommandError } from "./context.js";
 
-/** Milliseconds for one call of the store; an operator waits for it. Not measured. */
+/** Milliseconds for one call of the store; an operator waits for it. */
 const callTimeout = 5000;
-/** Writes that are tried while other operators write at the same time. Not measured. */
+/** Writes that are tried while other operators write at the same time. */
 const attempts = 8;
 
 /** The tree with the version that its store gave it. */
--- a/packages/decisions/src/admit/pipelining.ts
+++ b/packages/decisions/src/admit/pipelining.ts
@@ -22,13 +22,13 @@
     readonly isEnding: boolean;
 }
 
-/** Requests of one connection in progress at once: as many as a browser opens connections, or few more. Not measured. */
+/** Requests of one connection in progress at once: as many as a browser opens connections, or few more. */
 const mostInProgress = 8;
-/** Bytes of ready answers behind a slower one at which no more work for that caller is begun: three downloads. Not measured. */
+/** Bytes of ready answers behind a slower one at which no more work for that caller is begun: three downloads. */
 const mostWaitingBytes = 256 * 1024;
 /**
  * Requests of one connection that are read and not answered, at which its socket is not read: more than are in progress,
- * since callers give up what is not read within a second. Not measured.
+ * since callers give up what is not read within a second.
  */
 const mostRead = 32;
 
--- a/packages/decisions/src/admit/returning-callers.ts
+++ b/packages/decisions/src/admit/returning-callers.ts
@@ -14,9 +14,9 @@
     readonly isReturning: (route: string, deadline: number, at: Milliseconds) => boolean;
 }
 
-/** Milliseconds for which a deadline is remembered at least; long against the pause between two requests of a route. Not measured. */
+/** Milliseconds for which a deadline is remembered at least; long against the pause between two requests of a route. */
 const period = 10_000;
-/** Part of the longest deadline below which a caller has asked before: a quick refusal and its pause take a tenth at least. Not measured. */
+/** Part of the longest deadline below which a caller has asked before: a quick refusal and its pause take a tenth at least. */
 const beganWith = 0.95;
 
 interface Longest {
--- a/packages/decisions/src/choose/key-rankings.ts
+++ b/packages/decisions/src/choose/key-rankings.ts
@@ -30,10 +30,10 @@
 
 /**
  * Servers of a ranking that are kept: two are needed, the others stand in for those that are away, closed or full. With fewer
- * left the whole service is looked at. Not measured against other numbers.
+ * left the whole service is looked at.
  */
 export const rankedCount = 12;
-/** Keys whose rankings are kept, the oldest goes first: 12 references each, some 100 KB in all. Not measured. */
+/** Keys whose rankings are kept, the oldest goes first: 12 references each, some 100 KB in all. */
 const mostKeys = 512;
 
 /** Admitted servers of one service, as of one state of the list and of the admission. */
--- a/packages/decisions/src/choose/outliers.ts
+++ b/packages/decisions/src/choose/outliers.ts
@@ -8,7 +8,7 @@
 
 /**
  * Part of the servers that may take work which is left out as outliers at most, the worst first, so that no service is emptied
- * when most of it fails. Not measured.
+ * when most of it fails.
  */
 const mostPartOutliers = 0.5;
 /** Times the median of the service that an outlier's severity is at least: what all servers do alike moves no key. */
--- a/packages/decisions/src/choose/place-cost.ts
+++ b/packages/decisions/src/choose/place-cost.ts
@@ -20,12 +20,9 @@
 }
 
 /**
- * Small: 1, 2 and 8 were tried for both in the emulator and were no better than 4; a weight by the region's part of the slots kept
- * 0.95 of the keys where there is room, and made that region's servers too busy at the top of their load.
- * Bulk: 90 KB between regions cost more than an answer is worth (0.86 to 1.08 of 1), between zones 0.39 to 0.50; not measured
- * against other weights.
- * Large: in the emulator 400 and 64 for the zone with the bound below, 4 for the region: 39 and 48 MB between zones, worth 0.894 and
- * 0.893. 40 to 4000 without the bound cost up to 0.03 of worth, and the zones with few servers 0.08.
+ * Small: a heavier weight of the own region keeps its servers too busy at the top of their load.
+ * Bulk: 90 KB between regions cost about what an answer is worth, between zones half of that.
+ * Large: uploads stay in their zone, within the bound below, which spares zones with few servers.
  */
 const rankingWeights: Readonly<Record<SizeStep, RankingWeights>> = {
     small: { zone: 4, region: 4 },
@@ -63,14 +60,14 @@
 /**
  * Milliseconds of an answer's time that a kilobyte is worth between zones: an answer in time earns five times what a late one
  * does, and the work of an unknown object, which makes it late, is some 600 ms longer than that of a known one; 90 KB took a
- * sixth of that by what two deployments pay. Not measured against other values.
+ * sixth of that by what two deployments pay.
  */
 const zoneMillisecondsPerKilobyte = 1.1;
 /** The same between regions. */
 const regionMillisecondsPerKilobyte = 6.7;
-/** Bytes below which nothing is charged: heads and acknowledgements move as much. Not measured. */
+/** Bytes below which nothing is charged: heads and acknowledgements move as much. */
 const freeBytes = 2000;
-/** Bytes beyond which no more is charged, a little more than downloads move: a request for more may still be served elsewhere. Not measured. */
+/** Bytes beyond which no more is charged, a little more than downloads move: a request for more may still be served elsewhere. */
 const mostBytes = 100_000;
 /** Bytes of a kilobyte. */
 const bytesOfKilobyte = 1000;
--- a/packages/decisions/src/choose/recent-keys.ts
+++ b/packages/decisions/src/choose/recent-keys.ts
@@ -15,7 +15,7 @@
 
 /** Keys remembered for each server, the oldest goes first: servers that were seen remember 11 to 66. */
 const mostKeys = 64;
-/** Milliseconds after which a key is taken as forgotten by the server. Not measured. */
+/** Milliseconds after which a key is taken as forgotten by the server. */
 const keyLifetime = 10_000;
 
 /** Creates an empty memory. */
--- a/packages/decisions/src/choose/round-trips.ts
+++ b/packages/decisions/src/choose/round-trips.ts
@@ -18,7 +18,7 @@
 const sameRegion = 3;
 /** Milliseconds between regions. */
 const otherRegion = 40;
-/** Weight of the newest connection. Not measured. */
+/** Weight of the newest connection. */
 const smoothing = 0.2;
 
 /** Creates estimates for a box in a place. */
--- a/packages/decisions/src/choose/server-estimate.ts
+++ b/packages/decisions/src/choose/server-estimate.ts
@@ -47,7 +47,7 @@
 const movePenalty = 100;
 /**
  * Part of the extra work of an unknown key that is expected where the key ranks first but this box has not seen it there:
- * other boxes most likely sent it. Not measured.
+ * other boxes most likely sent it.
  */
 const unseenFirstPart = 0.1;
 /**
--- a/packages/decisions/src/choose/service-load.ts
+++ b/packages/decisions/src/choose/service-load.ts
@@ -15,7 +15,7 @@
     readonly perSlot: (service: ServiceId) => number;
 }
 
-/** Weight of the newest report: the last twenty count most, a second or two of one box's answers. Not measured. */
+/** Weight of the newest report: the last twenty count most, a second or two of one box's answers. */
 const smoothing = 0.05;
 
 /** Creates the loads; nothing is known at first. */
--- a/packages/decisions/src/choose/work-estimate.ts
+++ b/packages/decisions/src/choose/work-estimate.ts
@@ -39,7 +39,7 @@
     readonly durationOf: (route: Route, known: boolean, slowness: number, wait: Milliseconds) => Milliseconds;
 }
 
-/** Weight of the newest answer; ten answers count for two thirds. Not measured. */
+/** Weight of the newest answer; ten answers count for two thirds. */
 const smoothing = 0.1;
 /** First guesses, as parts of the route's goal: cold work was seen to take 1.2 to 1.6 of the goal, and warm work 0.3 of that. */
 const firstWarmPart = 0.35;
@@ -47,10 +47,10 @@
 const firstColdPart = 1.2;
 /**
  * The least time expected, as a part of the time of warm work. A request is refused as too late by it alone, so it must not be
- * too long; servers of one service differ in speed. Not measured.
+ * too long; servers of one service differ in speed.
  */
 const leastPartOfWarm = 0.5;
-/** Weight of the newest request in the mix of a service's routes: the last twenty count most. Not measured. */
+/** Weight of the newest request in the mix of a service's routes: the last twenty count most. */
 const mixSmoothing = 0.05;
 
 interface Learned {
--- a/packages/decisions/src/give-up/come-back.ts
+++ b/packages/decisions/src/give-up/come-back.ts
@@ -20,9 +20,9 @@
     readonly queuedWork: Milliseconds;
 }
 
-/** Load per slot up to which a slot is free for most: servers queue beyond one, and load is not spread evenly. Not measured. */
+/** Load per slot up to which a slot is free for most: servers queue beyond one, and load is not spread evenly. */
 const roomyLoad = 0.8;
-/** Milliseconds: the least time, so that callers do not come back while the same turn of a box is under way. Not measured. */
+/** Milliseconds: the least time, so that callers do not come back while the same turn of a box is under way. */
 const soonest = 50;
 /** Milliseconds of a second. */
 const second = 1000;
--- a/packages/decisions/src/give-up/refusals.ts
+++ b/packages/decisions/src/give-up/refusals.ts
@@ -38,7 +38,7 @@
     readonly retryAfter: number | undefined;
 }
 
-/** Seconds: another box, or another server, can serve at once. Not measured. */
+/** Seconds: another box, or another server, can serve at once. */
 const soon = 0.15;
 /** Seconds: something has to start or to come back first; a box starts in 0.6 s on a calm day. */
 const later = 0.5;
--- a/packages/decisions/src/give-up/stop-schedule.ts
+++ b/packages/decisions/src/give-up/stop-schedule.ts
@@ -16,9 +16,9 @@
  * an answer of the directory.
  */
 const takeWorkPart = 0.4;
-/** Part after which the process ends whatever still runs: 0.3 s of 6 s remain for the end itself. Not measured. */
+/** Part after which the process ends whatever still runs: 0.3 s of 6 s remain for the end itself. */
 const endPart = 0.95;
-/** Part for which the process stays after its last answer, so that callers can read it. Not measured. */
+/** Part for which the process stays after its last answer, so that callers can read it. */
 const lingerPart = 0.1;
 
 /** The times of one stop. `elapsed` counts from the signal to stop. */
--- a/packages/decisions/src/give-up/time-limits.ts
+++ b/packages/decisions/src/give-up/time-limits.ts
@@ -8,11 +8,9 @@
 import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
 
 /**
- * Milliseconds for a connection to come up, beside twice the way there and back. Servers take 1 ms to accept. It was 600 ms
- * until the overdue rule below came; the two were measured together only.
- */
+ * Milliseconds for a connection to come up, beside twice the way there and back. Servers take 1 ms to accept. */
 const connectBase = 250;
-/** A connection may use this part of the time that is left, so that a second server can still be tried. Not measured. */
+/** A connection may use this part of the time that is left, so that a second server can still be tried. */
 const connectPartOfTimeLeft = 0.4;
 
 /** Returns how long a connection may take to come up over a way of this length, there and back. */
@@ -30,7 +28,7 @@
  * requests ended at their deadline in one play of an incident with silent servers.
  */
 const overdueAfter = 3;
-/** Milliseconds before which no request is overdue: about the aim of the fastest routes, 300 to 400 ms. Not measured. */
+/** Milliseconds before which no request is overdue: about the aim of the fastest routes, 300 to 400 ms. */
 const leastOverdue = 400;
 
 /** Returns the time after which a request without an answer counts as overdue. */
@@ -44,11 +42,11 @@
     return milliseconds(isGiven ? Math.min(callerWaits, routeTimeout) : routeTimeout);
 }
 
-/** Longest rest of a kept connection, in milliseconds; servers close idle ones after some seconds. Not measured. */
+/** Longest rest of a kept connection, in milliseconds; servers close idle ones after some seconds. */
 const longestRest = milliseconds(4000);
-/** The same before a request that may not run twice: if the server closes meanwhile, its fate would be unknown. Not measured. */
+/** The same before a request that may not run twice: if the server closes meanwhile, its fate would be unknown. */
 const longestRestBeforeUnsafe = milliseconds(2000);
-/** Part of the time that a server announces for idle connections, which is used: its clock started earlier. Not measured. */
+/** Part of the time that a server announces for idle connections, which is used: its clock started earlier. */
 const usedPartOfKeepAlive = 0.5;
 
 /** Returns how long a connection may have rested before it carries a request. */
--- a/packages/decisions/src/limits/body-memory.ts
+++ b/packages/decisions/src/limits/body-memory.ts
@@ -43,14 +43,14 @@
 
 /**
  * Part of a box's memory that bodies may take up. A box of 250 MB takes some 60 MB without them; 31 MB are five hundred bodies
- * of 60 KB, four times what the 70 boxes of such a deployment have in progress together. Not measured against other parts.
+ * of 60 KB, four times what the 70 boxes of such a deployment have in progress together.
  */
 const partForBodies = 1 / 8;
-/** Bytes for bodies where no memory limit is known. Not measured. */
+/** Bytes for bodies where no memory limit is known. */
 const bytesWithoutLimit = 64 * 1024 * 1024;
-/** Milliseconds in which a body must come on while others wait. A link that lost packets resends within that. Not measured. */
+/** Milliseconds in which a body must come on while others wait. A link that lost packets resends within that. */
 const stallAfter = 1000;
-/** Bytes by which it must: 32 kbit/s, half of what the slowest of mobile links give. Not measured. */
+/** Bytes by which it must: 32 kbit/s, half of what the slowest of mobile links give. */
 const leastProgress = 4 * 1024;
 
 /** Returns the bytes that bodies may take up on a box with a memory limit in bytes; undefined if it has none. */
@@ -58,7 +58,7 @@
     return memoryLimit === undefined ? bytesWithoutLimit : Math.floor(memoryLimit * partForBodies);
 }
 
-/** Bytes up to which a body does not wait: most have come with their heads, and memory was taken for them already. Not measured. */
+/** Bytes up to which a body does not wait: most have come with their heads, and memory was taken for them already. */
 const shortBody = 4 * 1024;
 /** Bytes that come with a head at most: what is read from a connection at once. */
 const readAtOnce = 64 * 1024;
--- a/packages/decisions/src/limits/quota/counting-box.ts
+++ b/packages/decisions/src/limits/quota/counting-box.ts
@@ -38,7 +38,7 @@
 const countersAtOnce = 2;
 /** Hash by which the boxes that count are chosen. */
 const countersHash = hashText("quota counters");
-/** Part of the most boxes below which a box may be cut off. A region of three may be lost, and with it a third. Not measured. */
+/** Part of the most boxes below which a box may be cut off. A region of three may be lost, and with it a third. */
 const leastKnownPart = 0.5;
 
 /** Creates the search of one box that knows none yet. */
--- a/packages/decisions/src/limits/quota/quota-counter.ts
+++ b/packages/decisions/src/limits/quota/quota-counter.ts
@@ -35,7 +35,7 @@
     readonly at: Milliseconds;
 }
 
-/** Milliseconds over which a box's demand is averaged: two rounds of reports. Not measured apart from the others. */
+/** Milliseconds over which a box's demand is averaged: two rounds of reports. */
 const demandWindow = 500;
 /**
  * Milliseconds in which a level above or below zero is given out or made up for: several times the delay of a report and
@@ -65,7 +65,7 @@
 /** Milliseconds added to the window of demand for a report of one request, less for more: single requests say little of a rate. */
 const fewRequestsWindow = 3000;
 
-/** Milliseconds without a report after which a counter knows too little: twice the interval of calm reports. Not measured. */
+/** Milliseconds without a report after which a counter knows too little: twice the interval of calm reports. */
 const staleAfter = 3000;
 
 /** What a box asked for last, and what it was given. */
--- a/packages/decisions/src/limits/quota/usable-quota.ts
+++ b/packages/decisions/src/limits/quota/usable-quota.ts
@@ -16,7 +16,7 @@
     readonly slack: number;
 }
 
-/** Part of the tolerated part that is used; the rest covers reports that are on the way. Not measured against others. */
+/** Part of the tolerated part that is used; the rest covers reports that are on the way. */
 const usedPartOfOver = 0.2;
 /** The same of the tolerated requests: without them 35 of 100 requests of a customer with three callers on 12 boxes were refused (emulated). */
 const usedPartOfSlack = 0.6;
--- a/packages/decisions/src/limits/shared-limits.ts
+++ b/packages/decisions/src/limits/shared-limits.ts
@@ -43,9 +43,9 @@
 
 /** Milliseconds for which the advertised boxes are not computed anew: less than a round of gossip, which changes them. */
 const advertisedLifetime = milliseconds(250);
-/** Part of a server's connections that all boxes together use; the rest is for health checks and boxes that restart. Not measured. */
+/** Part of a server's connections that all boxes together use; the rest is for health checks and boxes that restart. */
 const usedPartOfConnections = 0.8;
-/** Connections of a box at least, so that it can serve while its part is small. Not measured. */
+/** Connections of a box at least, so that it can serve while its part is small. */
 const leastConnections = 2;
 /** Connections that a server is taken to accept before its service is known; the brief's figure. */
 const assumedMostConnections = 100;
--- a/packages/decisions/src/membership/member-news.ts
+++ b/packages/decisions/src/membership/member-news.ts
@@ -23,16 +23,16 @@
     readonly take: (count: number, isRecent: (box: BoxId) => boolean) => readonly BoxId[];
 }
 
-/** Members told in turn in each message besides the news. Not measured. */
+/** Members told in turn in each message besides the news. */
 const toldInTurn = 4;
 /**
  * Messages in which a box tells of a member that is new to it: fewer than of other news, since boxes that hear of unknown ones
- * read all members from another box. Not measured against other numbers.
+ * read all members from another box.
  */
 const newMemberSends = 6;
 /** Messages that contradict a suspicion; whoever learns from one that it was suspected tells it on as news. */
 const contradictionSends = 3;
-/** Part of its capacity by which a box's load changes before it is news. Not measured. */
+/** Part of its capacity by which a box's load changes before it is news. */
 const loadChange = 0.1;
 
 interface ToldMember {
--- a/packages/decisions/src/membership/membership-times.ts
+++ b/packages/decisions/src/membership/membership-times.ts
@@ -10,7 +10,7 @@
 export const gossipInterval = milliseconds(300);
 /** Time without anything from a region, heard by anyone, after which all its boxes count as failed: 13 rounds. */
 export const failAfter = milliseconds(3900);
-/** Time for which messages still go to a failed box, in case it was cut off. Not measured. */
+/** Time for which messages still go to a failed box, in case it was cut off. */
 export const forgetAfter = milliseconds(120_000);
 
 /**
--- a/packages/decisions/src/membership/probing.ts
+++ b/packages/decisions/src/membership/probing.ts
@@ -26,13 +26,13 @@
     readonly nextRound: (at: Milliseconds) => readonly MemberRecord[];
 }
 
-/** Boxes of a region that ask another region in a round, on average: some of them may be lost. Not measured against others. */
+/** Boxes of a region that ask another region in a round, on average: some of them may be lost. */
 const farAskers = 8;
 /** Times that a member is asked before it is suspected: one datagram of a question or its answer may be lost. */
 const mostTries = 2;
 /**
  * Part of the turns in which a failed member is asked: with all, half of the messages that carry news are lost while half of a
- * fleet is. Not measured against other parts.
+ * fleet is.
  */
 const askFailedPart = 0.25;
 /** Suspects that a box asks in one round beside its own turn, so that the loss of half a fleet costs each box few messages. */
--- a/packages/decisions/src/place/advertised-boxes.ts
+++ b/packages/decisions/src/place/advertised-boxes.ts
@@ -15,10 +15,10 @@
 
 /**
  * A box with less than this part of the region's greatest capacity counts as weak. Fleets mix boxes of 0.27 and of
- * 1.35 cores; not measured against other parts.
+ * 1.35 cores.
  */
 const weakBelow = 0.5;
-/** Boxes of a region that are advertised at least, as far as it has so many: one may be lost and one may stop. Not measured. */
+/** Boxes of a region that are advertised at least, as far as it has so many: one may be lost and one may stop. */
 const leastAdvertised = 3;
 /**
  * Part of their capacity that the advertised boxes use at most before weaker ones join them. With these three constants the worth of three
--- a/packages/decisions/src/place/zone-boxes.ts
+++ b/packages/decisions/src/place/zone-boxes.ts
@@ -17,11 +17,11 @@
 import type { MemberRecord } from "../membership/member-record.js";
 import { advertisedBoxesOfRegion } from "./advertised-boxes.js";
 
-/** Boxes that a caller is named at least, as far as there are so many: one may be lost before anyone knows. Not measured. */
+/** Boxes that a caller is named at least, as far as there are so many: one may be lost before anyone knows. */
 const leastNamed = 2;
 /**
  * Part of their capacity that the named boxes may use when the strongest is lost and all callers of the region are in the
- * zone; with callers spread evenly over two zones that is 0.2 of it and none lost. Not measured.
+ * zone; with callers spread evenly over two zones that is 0.2 of it and none lost.
  */
 const usedAfterLoss = 0.8;
 
--- a/packages/decisions/src/retry/hedge-decision.ts
+++ b/packages/decisions/src/retry/hedge-decision.ts
@@ -31,7 +31,7 @@
     readonly takeRetry: () => boolean;
 }
 
-/** Load per slot from which a second copy of a request keeps others waiting: one waits for each slot. Not measured. */
+/** Load per slot from which a second copy of a request keeps others waiting: one waits for each slot. */
 const shortOfSlots = 1;
 
 /** True for a request that may get a second server at all. */
--- a/packages/decisions/src/retry/retry-budget.ts
+++ b/packages/decisions/src/retry/retry-budget.ts
@@ -36,10 +36,9 @@
 
 /**
  * Parts of the bounds that are used; the rest covers what boxes don't know of each other, such as one that has just started.
- * No run broke the bound with them, nor with others: not measured against other parts.
  */
 const usedShareOfRatio = 0.8;
-/** Part of the allowance that is used. Not measured against other parts. */
+/** Part of the allowance that is used. */
 const usedShareOfAllowance = 0.6;
 
 /** Creates the budget of one service. */
--- a/packages/decisions/src/retry/retry-decision.ts
+++ b/packages/decisions/src/retry/retry-decision.ts
@@ -49,10 +49,10 @@
 
 /**
  * Attempts that reach no server at most. They cost no budget, only time: with 250 ms for each connection four take a
- * second, about a third of the shortest deadline that was seen. Not measured.
+ * second, about a third of the shortest deadline that was seen.
  */
 const mostNotSent = 4;
-/** Milliseconds that must be left for another attempt: a way there and back within a region. Not measured. */
+/** Milliseconds that must be left for another attempt: a way there and back within a region. */
 const leastTimeLeft = 20;
 
 /** Decides what follows an attempt. */
--- a/packages/decisions/src/rollouts/evidence-history.ts
+++ b/packages/decisions/src/rollouts/evidence-history.ts
@@ -20,7 +20,7 @@
     readonly since: (at: Milliseconds) => EvidenceTable;
 }
 
-/** Milliseconds between sums that are kept. Not measured. */
+/** Milliseconds between sums that are kept. */
 const keptInterval = 500;
 /** Sums that are kept at most, the oldest go first: 2 minutes. */
 const mostKept = 240;
--- a/packages/decisions/src/rollouts/exposure-account.ts
+++ b/packages/decisions/src/rollouts/exposure-account.ts
@@ -38,7 +38,6 @@
 
 /**
  * Part of the bound that is used: the rule counts what reaches servers, and a request that a box sent may be lost on its way.
- * Not measured against others.
  */
 export const usedPart = 0.9;
 
--- a/packages/decisions/src/rollouts/reporting-boxes.ts
+++ b/packages/decisions/src/rollouts/reporting-boxes.ts
@@ -28,11 +28,11 @@
     readonly inProgressElsewhere: (at: Milliseconds) => number;
 }
 
-/** Milliseconds after which a box counts as silent: several rounds of reports, lost ones included. Not measured. */
+/** Milliseconds after which a box counts as silent: several rounds of reports, lost ones included. */
 const silentAfter = 2000;
 /** Milliseconds after which a silent box counts as gone. */
 const goneAfter = 8000;
-/** Part of the boxes that must be heard of: a region of three may be lost with a third of them. Not measured. */
+/** Part of the boxes that must be heard of: a region of three may be lost with a third of them. */
 const leastHeardPart = 0.6;
 /** Milliseconds over which the rate is measured, at least. */
 const rateWindow = 2000;
--- a/packages/decisions/src/rollouts/rollout-decider.ts
+++ b/packages/decisions/src/rollouts/rollout-decider.ts
@@ -48,9 +48,9 @@
     readonly at: Milliseconds;
 }
 
-/** Milliseconds in which a decider that takes over hears of all boxes, before it grants anything. Not measured. */
+/** Milliseconds in which a decider that takes over hears of all boxes, before it grants anything. */
 const settleTime = 1000;
-/** Milliseconds since the order where nobody knows: a loss of all memory takes as long at least. Not measured. */
+/** Milliseconds since the order where nobody knows: a loss of all memory takes as long at least. */
 const unknownAge = 4000;
 /** Parts of the duration whose evidence is looked at besides the whole. */
 const spanParts = [0.2, 0.45];
--- a/packages/decisions/src/rollouts/rollout-grants.ts
+++ b/packages/decisions/src/rollouts/rollout-grants.ts
@@ -40,9 +40,9 @@
     readonly serverCount: () => number;
 }
 
-/** Milliseconds by which caps run ahead of the plan: two rounds of reports. Not measured. */
+/** Milliseconds by which caps run ahead of the plan: two rounds of reports. */
 const capLead = 700;
-/** Times the planned share that boxes pace themselves by, so that the caps bind. Not measured. */
+/** Times the planned share that boxes pace themselves by, so that the caps bind. */
 const shareLead = 1.5;
 /** Part of the requests that try the target at most while it is watched; also what is assumed before the rate is known. */
 const greatestShare = 0.5;
--- a/packages/decisions/src/rollouts/rollout-plan.ts
+++ b/packages/decisions/src/rollouts/rollout-plan.ts
@@ -41,7 +41,7 @@
     readonly watched: number;
 }
 
-/** Milliseconds that are kept for the write at the end: a slow store and a second try. Not measured against others. */
+/** Milliseconds that are kept for the write at the end: a slow store and a second try. */
 const writeReserve = 1200;
 /** Part of the duration that the reserve for the write takes at most. */
 const mostWritePart = 0.15;
--- a/packages/decisions/src/rollouts/route-sampling.ts
+++ b/packages/decisions/src/rollouts/route-sampling.ts
@@ -18,15 +18,15 @@
     readonly take: (routeName: string, share: number, left: number, reserve: number) => boolean;
 }
 
-/** Tokens that are saved up at most: a box whose callers come in bursts samples no burst. Not measured. */
+/** Tokens that are saved up at most: a box whose callers come in bursts samples no burst. */
 const mostTokens = 2;
-/** Tokens that a rare route may take ahead. Not measured against others. */
+/** Tokens that a rare route may take ahead. */
 const mostAhead = 3;
 /** Part of a rare route's requests that are sampled at most while the version is watched: the others are what it is compared with. */
 const greatestPart = 0.5;
 /** Share from which all requests are to go, and no pace is kept. */
 const wholeShare = 1;
-/** A route with less than this part of the requests of the most frequent one is rare. Not measured against others. */
+/** A route with less than this part of the requests of the most frequent one is rare. */
 const rarePart = 0.75;
 
 interface RouteCounts {
--- a/packages/decisions/src/rollouts/served-versions.ts
+++ b/packages/decisions/src/rollouts/served-versions.ts
@@ -57,7 +57,7 @@
 
 /**
  * Milliseconds after which a plan is worked out anew while a version is on trial: servers turn warm or cold without a word from
- * the list. Not measured.
+ * the list.
  */
 const replanInterval = 500;
 /**
--- a/packages/decisions/src/rollouts/trial-evidence.ts
+++ b/packages/decisions/src/rollouts/trial-evidence.ts
@@ -42,7 +42,7 @@
  * a slow version come late, and those that have come are the quick ones.
  */
 export const toldSlowness = 2;
-/** Slowness that one answer counts for at most: no single one decides on a group. Not measured against others. */
+/** Slowness that one answer counts for at most: no single one decides on a group. */
 const greatestSlowness = 20;
 
 /** Creates evidence without answers. */
--- a/packages/decisions/src/rollouts/trial-traffic.ts
+++ b/packages/decisions/src/rollouts/trial-traffic.ts
@@ -56,10 +56,10 @@
     readonly at: Milliseconds;
 }
 
-/** Answers of a trial by this box between two looks at its own evidence. Not measured. */
+/** Answers of a trial by this box between two looks at its own evidence. */
 const answersBetweenLooks = 8;
 
-/** Cap from which a box keeps one of it for rare routes until the move. Not measured. */
+/** Cap from which a box keeps one of it for rare routes until the move. */
 const capOfReserve = 3;
 /** One in so many boxes keeps one of a smaller cap: of many boxes with little traffic some must have one left when a rare route comes. */
 const reservingBoxes = 6;
--- a/packages/decisions/src/servers/ejection.ts
+++ b/packages/decisions/src/servers/ejection.ts
@@ -25,12 +25,12 @@
 
 /**
  * Milliseconds until the first health check, doubled with each that fails up to the longest. A probe costs 0.010 to 0.039 of
- * worth, so a server that is gone for good must cost few. Not measured.
+ * worth, so a server that is gone for good must cost few.
  */
 const firstPause = milliseconds(500);
-/** Milliseconds; the longest pause between two checks of one server. Not measured. */
+/** Milliseconds; the longest pause between two checks of one server. */
 const longestPause = milliseconds(8000);
-/** Broken answers in a row that eject: fewer would eject a server for one lost answer. Not measured. */
+/** Broken answers in a row that eject: fewer would eject a server for one lost answer. */
 const brokenAnswersInARow = 3;
 
 /** Creates the ejection of a server without failures. */
--- a/packages/decisions/src/servers/load-estimate.ts
+++ b/packages/decisions/src/servers/load-estimate.ts
@@ -27,11 +27,11 @@
     readonly inFlight: () => number;
 }
 
-/** Milliseconds for which a report counts in full; it fades over the same time again. Not measured. */
+/** Milliseconds for which a report counts in full; it fades over the same time again. */
 const reportLifetime = 1000;
-/** Milliseconds for which a refusal as full counts as this many times the slots. Not measured. */
+/** Milliseconds for which a refusal as full counts as this many times the slots. */
 const fullPause = 60;
-/** Times the slots that a server counts as loaded with after it refused as full. Not measured. */
+/** Times the slots that a server counts as loaded with after it refused as full. */
 const fullFactor = 3;
 
 /** Creates the load of an idle server. */
--- a/packages/decisions/src/servers/server-catalog.ts
+++ b/packages/decisions/src/servers/server-catalog.ts
@@ -75,7 +75,7 @@
     readonly restarted: readonly RestartedServer[];
 }
 
-/** Time for which an unlisted server is remembered, in case its record comes back: records lapse while the store is away. Not measured. */
+/** Time for which an unlisted server is remembered, in case its record comes back: records lapse while the store is away. */
 const unlistedLifetime = milliseconds(20_000);
 
 /** Creates an empty catalog. */
--- a/packages/decisions/src/servers/server-speed.ts
+++ b/packages/decisions/src/servers/server-speed.ts
@@ -17,18 +17,18 @@
     readonly severity: (at: Milliseconds) => number;
 }
 
-/** Weight of the newest answer. Not measured. */
+/** Weight of the newest answer. */
 const smoothing = 0.25;
-/** Milliseconds after which half of a measured slowness is forgotten. Not measured. */
+/** Milliseconds after which half of a measured slowness is forgotten. */
 const halfLife = 5000;
-/** Bounds of one answer's weight: a single stray answer neither frees nor bars a server. Not measured. */
+/** Bounds of one answer's weight: a single stray answer neither frees nor bars a server. */
 const leastRatio = 0.25;
-/** Times the expected time that one answer counts for at most. Not measured. */
+/** Times the expected time that one answer counts for at most. */
 const greatestRatio = 20;
 
 /**
  * Slowness from which a server is an outlier. Cold work was seen to take 3.3 times as long as warm work, so a key that leaves
- * a server three times as slow is answered sooner from its second request on. Not measured against other values.
+ * a server three times as slow is answered sooner from its second request on.
  */
 const outlierSlowness = 3;
 
--- a/packages/decisions/src/servers/shared-evidence.ts
+++ b/packages/decisions/src/servers/shared-evidence.ts
@@ -34,7 +34,7 @@
     readonly reports: (now: Milliseconds) => readonly ServerReport[];
 }
 
-/** Milliseconds for which a report counts: eight rounds of gossip, in which it reaches all boxes of a region of 80. Not measured. */
+/** Milliseconds for which a report counts: eight rounds of gossip, in which it reaches all boxes of a region of 80. */
 const reportLifetime = 2400;
 /** Boxes whose reports are kept for one server: as many as must agree. */
 const originsKept = 2;
--- a/packages/decisions/src/servers/slow-start.ts
+++ b/packages/decisions/src/servers/slow-start.ts
@@ -15,10 +15,10 @@
 
 /**
  * Boxes that may send to one cold server. All boxes of a region share the work of a server, but each sender may exceed the
- * rate by one request; half of the rate and 5 requests more are borne. Not measured against other numbers.
+ * rate by one request; half of the rate and 5 requests more are borne.
  */
 const mostSenders = 4;
-/** Part of the rate that is used; the rest is for boxes that don't yet agree on the senders. Not measured. */
+/** Part of the rate that is used; the rest is for boxes that don't yet agree on the senders. */
 const usedPartOfRate = 0.9;
 /** Milliseconds of a second, the unit of the rate. */
 const second = 1000;
--- a/packages/decisions/src/shared-state/copy-refresh.ts
+++ b/packages/decisions/src/shared-state/copy-refresh.ts
@@ -20,7 +20,7 @@
 const headStart = { watch: milliseconds(300), relay: milliseconds(100), otherRegion: milliseconds(1000) };
 /**
  * Milliseconds that a box without a copy waits before it reads one from another region: its own list, or a box of its region, is
- * as quick, and bytes between regions are dear. Not measured.
+ * as quick, and bytes between regions are dear.
  */
 const firstCopyFromOtherRegion = milliseconds(400);
 
@@ -67,15 +67,15 @@
     configuration: milliseconds(200),
     servers: milliseconds(500),
     closedZones: milliseconds(200),
-    // The write of an outcome follows seconds after that of `running`. Not measured.
+    // The write of an outcome follows seconds after that of `running`.
     rollouts: milliseconds(200),
 };
 
-/** First pause after a call that failed. Not measured. */
+/** First pause after a call that failed. */
 export const firstBackoff = milliseconds(150);
-/** Longest pause of a box that always follows the store: within the bound on changes with a call of its own time. Not measured. */
+/** Longest pause of a box that always follows the store: within the bound on changes with a call of its own time. */
 const longestBackoff = 1200;
-/** Longest pause of a box that stands in for a relay; many may stand in at once, and each call is paid for. Not measured. */
+/** Longest pause of a box that stands in for a relay; many may stand in at once, and each call is paid for. */
 const longestStandInBackoff = 2500;
 /** Chance adds up to this part to a pause or takes it away, so that boxes do not call in step. */
 const backoffSpread = 0.3;
--- a/packages/decisions/src/shared-state/relay-role.ts
+++ b/packages/decisions/src/shared-state/relay-role.ts
@@ -31,7 +31,7 @@
 
 /**
  * Regions with fewer boxes have no relay: each box waits at the store itself. With nine
- * boxes, three a region, a call costs 0.11 to 0.42 of worth, too little for a relay's delay. Not measured at other sizes.
+ * boxes, three a region, a call costs 0.11 to 0.42 of worth, too little for a relay's delay.
  */
 const leastRelayedBoxes = 6;
 /**
@@ -41,10 +41,10 @@
 const watchPart = 0.3;
 /**
  * The same for orders of roll-outs: a third of the calls of another kind. A change ends a watch at once, and outcomes reach boxes
- * as news before the store has them, so a lost relay only makes an order begin later. Not measured against other waits.
+ * as news before the store has them, so a lost relay only makes an order begin later.
  */
 const rolloutWatchPart = 0.9;
-/** Part of the bound on changes: age of a copy from which the next box follows the store. Measured with the relay as a whole. */
+/** Part of the bound on changes: age of a copy from which the next box follows the store. */
 const patiencePart = 0.55;
 /**
  * Added to that age for each rank after the relay. While the store is out for all, the boxes of a region begin to call one by
@@ -78,7 +78,7 @@
 /** Added for each box that ranks after it, to the age of a copy from which a box asks anew: one call brings all of them up to date. */
 const confirmRankPart = 0.05;
 
-/** Part of the bound on changes between two messages in which a relay tells its region how old its copies are. Not measured. */
+/** Part of the bound on changes between two messages in which a relay tells its region how old its copies are. */
 const digestPart = 0.15;
 
 /** Returns the rounds of gossip between two such messages: 2 for a bound of 4 s. */
--- a/packages/decisions/src/shared-state/replica.ts
+++ b/packages/decisions/src/shared-state/replica.ts
@@ -49,7 +49,7 @@
 
 /**
  * Changes that are kept for other boxes at most. 256 of some 250 bytes are 64 KB a kind; a whole copy of 796 servers is 107 KB,
- * so more would cost as much as the copy. Not measured against other numbers.
+ * so more would cost as much as the copy.
  */
 const mostChangesKept = 256;
 
--- a/packages/decisions/src/shared-state/turned-away.ts
+++ b/packages/decisions/src/shared-state/turned-away.ts
@@ -10,16 +10,15 @@
 
 /** Milliseconds beyond the wait of a watch after which a call is overdue; the store answers in 4 ms, a way between regions is 35 ms. */
 export const overdueAfter = 300;
-/** The same for a list, which may be large. Not measured. */
+/** The same for a list, which may be large. */
 export const listOverdueAfter = 1000;
 /**
  * Bounds on changes for which a box takes itself as turned away: the first of a region then tries again, which costs one call.
- * Not measured against other numbers.
  */
 const ownFor = 2;
 /** The same for what another box told, which tells it anew when it was turned away again. */
 const toldFor = 3;
-/** Boxes of a region that tell all others of it at once; later ones are found by the age of the copies. Not measured. */
+/** Boxes of a region that tell all others of it at once; later ones are found by the age of the copies. */
 export const mostTelling = 4;
 
 /** The boxes that are turned away, as far as this box knows. */
--- a/packages/settings-store/src/http-store.ts
+++ b/packages/settings-store/src/http-store.ts
@@ -10,7 +10,7 @@
 import { boundedCall } from "./bounded-call.js";
 import type { SettingsStore, StoredObject, StoreOutcome } from "./settings-store.js";
 
-/** Milliseconds until a connection must be up; an operator waits for it. Not measured. */
+/** Milliseconds until a connection must be up; an operator waits for it. */
 const connectTimeout = 1000;
 
 /** Codes of errors that show that nothing was sent. */
