--- a/packages/decisions/src/give-up/time-limits.ts
+++ b/packages/decisions/src/give-up/time-limits.ts
@@ -7,8 +7,7 @@
 
 import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
 
-/**
- * Milliseconds for a connection to come up, beside twice the way there and back. Servers take 1 ms to accept. */
+/** Milliseconds for a connection to come up, beside twice the way there and back. Servers take 1 ms to accept. */
 const connectBase = 250;
 /** A connection may use this part of the time that is left, so that a second server can still be tried. */
 const connectPartOfTimeLeft = 0.4;
