--- a/packages/box/src/quotas/customer-quotas.ts
+++ b/packages/box/src/quotas/customer-quotas.ts
@@ -81,11 +81,6 @@
 const stallTime = 1000;
 /** Milliseconds after that in which what has waited is read: some datagrams a turn. */
 const backlogTime = 150;
-/**
- * Milliseconds for which a lease of another box that counts is better than one of a box that has just begun to: an older one has to last
- * until the next report of a calm customer.
- */
-const leaseFresh = 1000;
 /** Entries of one datagram: some 80 bytes each with their levels, with the sender's record below the largest datagram. */
 const mostEntries = 50;
 
@@ -225,7 +220,7 @@
         }
         const counter = counterOf(told.customer, quota);
         const lease = counter.onReport(box, told, { quota, boxCount: boxCount(), at: clock() });
-        return counter.isSettling(clock()) && hasFreshLease(told) ? undefined : lease;
+        return counter.leavesAnswer(box, told, clock()) ? undefined : lease;
     }
 
     /** A counter that nobody reported to for a while starts anew: what was admitted meanwhile was told to another box. */
@@ -288,8 +283,3 @@
         }
     }
 }
-
-/** A box that has just begun to count listens first: its equal parts would take the place of leases that fit the demand. */
-function hasFreshLease({ lastLevel }: QuotaReport): boolean {
-    return lastLevel !== undefined && lastLevel.age < leaseFresh;
-}
--- a/packages/box/test/customer-quotas.test.ts
+++ b/packages/box/test/customer-quotas.test.ts
@@ -176,6 +176,22 @@
         expect(partOfNextDenied()).to.equal(7);
     });
 
+    it("are renewed by a box that has just begun to count, if the lease is its own, and left to another's if not", () => {
+        const quotas = create();
+        quotas.round();
+        const answered = (box: MemberRecord, levels: QuotaMessage["levels"]) => {
+            sent = [];
+            quotas.onMessage(box, { reports: [["club", 3, 3, 300]], levels });
+            return sent.length > 0;
+        };
+        expect(answered(all[2], undefined)).to.equal(true);
+        now += 300;
+        quotas.round();
+        expect(answered(all[2], [["club", 0, 50, 290]])).to.equal(true);
+        expect(answered(all[3], [["club", 0, 50, 290]])).to.equal(false);
+        expect(answered(all[4], [["club", 0, 50, 1290]])).to.equal(true);
+    });
+
     it("tell what was refused apart from what was given back", () => {
         const quotas = create();
         for (let count = 0; count < 100; count++) {
--- a/packages/decisions/src/limits/quota/quota-counter.ts
+++ b/packages/decisions/src/limits/quota/quota-counter.ts
@@ -21,8 +21,11 @@
      * nobody has asked since, as long as the same boxes count.
      */
     readonly isStale: (at: Milliseconds, countersUnchangedFor: number) => boolean;
-    /** True until it has heard of all boxes: what it gives out is then an equal part for most. */
-    readonly isSettling: (at: Milliseconds) => boolean;
+    /**
+     * True if the box is better served by the lease that it has of another counter: until this one has heard of all boxes, it gives out
+     * little more than equal parts. A box that has once had a lease of this one gets all later ones.
+     */
+    readonly leavesAnswer: (box: BoxId, report: QuotaReport, at: Milliseconds) => boolean;
     /** Takes a box's report and answers with its part. */
     readonly onReport: (box: BoxId, report: QuotaReport, context: QuotaContext) => QuotaLease;
 }
@@ -68,6 +71,12 @@
 /** Milliseconds without a report after which a counter knows too little: twice the interval of calm reports. */
 const staleAfter = 3000;
 
+/**
+ * Milliseconds for which a lease of another counter is better than one of a counter that has just begun: an older one has to last until the
+ * next report of a calm customer.
+ */
+const leaseFresh = 1000;
+
 /** What a box asked for last, and what it was given. */
 interface BoxDemand extends PresumedUse {
     /** Requests a second. */
@@ -83,6 +92,7 @@
  */
 export function createQuotaCounter(startedAt: Milliseconds, earned = 0): QuotaCounter {
     const demands = new Map<BoxId, BoxDemand>();
+    const leasedTo = new Set<BoxId>();
     const level = createQuotaLevel(startedAt, earned);
     let reportedAt = startedAt;
 
@@ -91,7 +101,14 @@
             const silentFor = at - reportedAt;
             return silentFor > staleAfter && (demands.size > 0 || silentFor > countersUnchangedFor);
         },
-        isSettling,
+        leavesAnswer(box, { lastLevel }, at) {
+            const hasFreshLease = lastLevel !== undefined && lastLevel.age < leaseFresh;
+            if (isSettling(at) && hasFreshLease && !leasedTo.has(box)) {
+                return true;
+            }
+            leasedTo.add(box);
+            return false;
+        },
         onReport(box, report, context) {
             const { at, quota } = context;
             const known = demands.get(box);
