Gossip carries three records of deadly requests a message, not eight

Eight of up to 0.5 KB each, beside 40 heartbeats (2.6 KB) and 30 reports on servers (1.8 KB), could make a datagram of more than the 8 KB that boxes read: computed; the heartbeats would be lost with it. Each message tells the next ones in turn. Test: twelve held requests with twenty ends each, 1.8 KB a message at most, all told within four.

--- a/packages/box/src/deadly/deadly-guard.ts
+++ b/packages/box/src/deadly/deadly-guard.ts
@@ -78,8 +78,11 @@
     readonly heldCount: () => number;
 }
 
-/** Reports of one datagram: some 400 bytes each, so that they stay below its size together with the heartbeats. */
-const mostReports = 8;
+/**
+ * Reports of one datagram of gossip: up to 0.5 KB each, so that they stay below its 8 KB together with 2.6 KB of heartbeats and 1.8 KB of
+ * reports on servers; a datagram that is too large would lose these too.
+ */
+const mostReports = 3;
 /** Rounds of gossip in which an end is told again to those who collect it, since a datagram may be lost. */
 const repeatedRounds = 3;
 /** Milliseconds for which gossip tells of an end: as long as other boxes may take a lost one for running. */
--- a/packages/box/test/deadly-guard.test.ts
+++ b/packages/box/test/deadly-guard.test.ts
@@ -178,6 +178,19 @@
         });
     }
 
+    it("say little in one datagram, and tell in turn of as many as there are", async () => {
+        start(2);
+        const ends = Array.from(
+            { length: 20 },
+            (_, end) => [`i-94e54d34ab-${end}@1770268739000`, 60_000 - end * 200] as const,
+        );
+        const fingerprints = Array.from({ length: 12 }, (_, index) => String(index).padStart(24, "0"));
+        boxes[0].guard.onReports(fingerprints.map(fingerprint => ({ fingerprint, ends, answers: [], seenAgo: 0 })));
+        const parts = Array.from({ length: 4 }, () => boxes[0].guard.gossipPart()!);
+        expect(Math.max(...parts.map(part => JSON.stringify(part).length))).to.be.lessThan(1800);
+        expect(new Set(parts.flat().map(({ fingerprint }) => fingerprint)).size).to.equal(12);
+    });
+
     it("go on without a message while nothing ends", async () => {
         start(67);
         await play(3000);
