--- a/packages/testing/src/promises/box-mechanisms.ts
+++ b/packages/testing/src/promises/box-mechanisms.ts
@@ -242,7 +242,7 @@
         promise: "P26",
         name: "what the boxes that collect ends tell all others",
         file: box("deadly/deadly-guard"),
-        find: "send(options.reachable(), record);",
+        find: "news.tellAll(record);",
         replace: "",
         specs: [boxTest("deadly-guard")],
     },
