--- a/packages/box/test/deadly-guard.test.ts
+++ b/packages/box/test/deadly-guard.test.ts
@@ -149,7 +149,8 @@
         return clearances.filter(clearance => clearance === "refuse").length;
     }
 
-    async function endThree(at: readonly number[] = [0, 1, 2]): Promise<void> {
+    /** One server after the other ends, each under a request of one of the boxes. */
+    async function endSome(at: readonly number[] = [0, 1, 2]): Promise<void> {
         for (const [turn, index] of at.entries()) {
             await endUnder(boxes[index], `i-${turn}`);
             await play(200);
@@ -158,13 +159,13 @@
 
     it("hold it at all of nine boxes once three servers have ended at three of them", async () => {
         start(9);
-        await endThree();
+        await endSome();
         expect(await holding()).to.equal(9);
     });
 
     it("hold it if all three ended at one box", async () => {
         start(9);
-        await endThree([4, 4, 4]);
+        await endSome([4, 4, 4]);
         expect(await holding()).to.equal(9);
     });
 
@@ -172,7 +173,7 @@
         it(`hold it at all of ${count} boxes within the bound while three of ten messages are lost`, async () => {
             start(count);
             loss = 0.3;
-            await endThree();
+            await endSome();
             await play(contact);
             expect(await holding()).to.equal(count);
         });
@@ -200,7 +201,7 @@
     it("tell a box that starts, and one that was cut off", async () => {
         start(9);
         boxes[8].isCutOff = true;
-        await endThree();
+        await endSome();
         await play(3000);
         expect(await holding()).to.equal(8);
         boxes[8].isCutOff = false;
@@ -218,7 +219,7 @@
                 box.isCutOff = lost.has(box.record);
             });
             boxes.sort((a, b) => Number(a.isCutOff) - Number(b.isCutOff));
-            await endThree(at);
+            await endSome(at);
             await play(contact);
             expect(await holding()).to.equal(7);
         });
@@ -227,10 +228,7 @@
     it("forget it at all boxes once one of them has an answer", async () => {
         start(67);
         loss = 0.3;
-        await endUnder(boxes[0], "i-0");
-        await play(200);
-        await endUnder(boxes[1], "i-1");
-        await play(200);
+        await endSome([0, 1]);
         await answer(boxes[2]);
         await play(contact);
         await endUnder(boxes[3], "i-3");
@@ -246,17 +244,14 @@
             follow(boxes[5], "/save/other", controllers[1]),
         ];
         expect([await deadly.clearance(), await other.clearance()]).to.deep.equal(["go", "go"]);
-        await endThree();
+        await endSome();
         expect([deadly.isStopped(), controllers[0].signal.aborted]).to.deep.equal([true, true]);
         expect([other.isStopped(), controllers[1].signal.aborted]).to.deep.equal([false, false]);
     });
 
     it("let one go at a time after the second end, and the next once that has its end", async () => {
         start(9);
-        await endUnder(boxes[0], "i-0");
-        await play(200);
-        await endUnder(boxes[1], "i-1");
-        await play(200);
+        await endSome([0, 1]);
         const [first, second] = [follow(boxes[2]), follow(boxes[2])];
         expect(await first.clearance()).to.equal("go");
         let isSecondCleared = false;
@@ -272,10 +267,7 @@
 
     it("let the next one go if the first one finds no server", async () => {
         start(9);
-        await endUnder(boxes[0], "i-0");
-        await play(200);
-        await endUnder(boxes[1], "i-1");
-        await play(200);
+        await endSome([0, 1]);
         const [first, second] = [follow(boxes[2]), follow(boxes[2])];
         expect(await first.clearance()).to.equal("go");
         const cleared = second.clearance();
@@ -285,10 +277,7 @@
 
     it("count a request as under way until it is known what became of its first server, though it was sent on", async () => {
         start(9);
-        await endUnder(boxes[0], "i-0");
-        await play(200);
-        await endUnder(boxes[1], "i-1");
-        await play(200);
+        await endSome([0, 1]);
         const [first, second] = [follow(boxes[2]), follow(boxes[2])];
         expect(await first.clearance()).to.equal("go");
         let tell: (endedAt: undefined) => void = () => undefined;
@@ -305,10 +294,7 @@
 
     it("end a wait when its caller leaves", async () => {
         start(9);
-        await endUnder(boxes[0], "i-0");
-        await play(200);
-        await endUnder(boxes[1], "i-1");
-        await play(200);
+        await endSome([0, 1]);
         const controller = new AbortController();
         const [first, second] = [follow(boxes[2]), follow(boxes[2], undefined, controller)];
         await first.clearance();
--- a/packages/decisions/test/rollouts.test.ts
+++ b/packages/decisions/test/rollouts.test.ts
@@ -1,92 +1,27 @@
-import { type BoxId, boxId, incarnationId, milliseconds, regionId, serverVersion, serviceId } from "@chalkdale/kernel";
+/**
+ * The parts that decide on a roll-out, but for the decider itself.
+ */
+
+import { boxId, incarnationId, milliseconds, serverVersion } from "@chalkdale/kernel";
 import { expect } from "chai";
 import fc from "fast-check";
 import {
-    type BackendServer,
     createExposureAccount,
-    createRolloutDecider,
     createRouteSampling,
-    createServerCatalog,
-    createServerState,
-    createSlowStart,
     createTrialTraffic,
     createWorkEstimate,
-    type EvidenceCell,
     groupOf,
     judgeTrial,
     rankSumScore,
-    type RolloutBounds,
     type RolloutGrant,
-    type RolloutOrder,
     type RolloutReport,
-    type RolloutState,
     sampledServers,
     sampleOrder,
     type TrialPlace,
 } from "../src/index.js";
 import { addCells } from "../src/rollouts/evidence.js";
 import { createRecord, createRoute } from "./choice-setup.js";
-
-const bounds: RolloutBounds = { exposedShare: 0.1, exposedAllowance: 50, rollbackTime: milliseconds(5000) };
-const rollout = { service: serviceId("profiles"), targetVersion: serverVersion("v2"), createdAt: 100 };
-const start = milliseconds(0);
-
-function orderIn(state?: RolloutState): RolloutOrder {
-    return { ...rollout, duration: milliseconds(20_000), state, revision: 100 };
-}
-
-function reportOf(changes: Partial<RolloutReport> = {}): RolloutReport {
-    return {
-        rollout,
-        incarnation: incarnationId("life-1"),
-        sent: 0,
-        sentToTrial: 0,
-        inProgressElsewhere: 0,
-        cap: 0,
-        knownTotal: undefined,
-        age: milliseconds(0),
-        cells: [],
-        ...changes,
-    };
-}
-
-/** Eight groups a side; the functions give the figures of a group. */
-function cellsOf(
-    trial: (group: number) => Partial<EvidenceCell>,
-    control: (group: number) => Partial<EvidenceCell>,
-): readonly EvidenceCell[] {
-    return [true, false].flatMap(isTrial =>
-        Array.from({ length: 8 }, (_, group) => ({
-            isTrial,
-            group,
-            route: 1,
-            answers: isTrial ? 10 : 50,
-            failures: 0,
-            slownessSum: 0,
-            ...(isTrial ? trial : control)(group),
-        }))
-    );
-}
-
-function judge(cells: readonly EvidenceCell[]) {
-    return judgeTrial([{ table: addCells(new Map(), cells), isMoving: false }]);
-}
-
-function createServers(count: number): readonly BackendServer[] {
-    const catalog = createServerCatalog((record, at) =>
-        createServerState(record, at, {
-            recordDelay: milliseconds(0),
-            slowStart: createSlowStart({ self: boxId("box-1"), server: record.id, boxes: () => [], rate: () => 0 }),
-        })
-    );
-    const records = Array.from(
-        { length: count },
-        (_, index) =>
-            createRecord(`s${index}`, { version: serverVersion("v2"), region: regionId(`region-${index % 3}`) }),
-    );
-    catalog.applyList(records, start);
-    return catalog.ofService(rollout.service);
-}
+import { bounds, cellsOf, createServers, judge, orderIn, reportOf, rollout, start } from "./rollout-samples.js";
 
 describe("roll-outs", () => {
     describe("exposure account", () => {
@@ -352,179 +287,4 @@
             expect(work.expected(route, true)).to.equal(350);
         });
     });
-
-    describe("decider", () => {
-        const inputs = { isStoreReachable: true, isTargetProven: false };
-        const good = cellsOf(() => ({}), () => ({}));
-        const bad = cellsOf(() => ({ failures: 8 }), () => ({}));
-
-        function createDecider(state?: RolloutState, age = 0) {
-            return createRolloutDecider({
-                order: orderIn(state),
-                bounds,
-                serverCount: () => 24,
-                age: milliseconds(age),
-                at: start,
-            });
-        }
-
-        /** Reports of ten boxes from a time to another, each 250 ms, 100 requests a second; what they are granted is sent at once. */
-        function play(
-            decider: ReturnType<typeof createDecider>,
-            options: {
-                readonly from?: number;
-                readonly until: number;
-                readonly order?: RolloutOrder;
-                readonly cells?: readonly EvidenceCell[];
-                readonly isStoreReachable?: boolean;
-                readonly knows?: boolean;
-            },
-        ) {
-            let last = decider.step(milliseconds(options.from ?? 0), {
-                ...inputs,
-                order: options.order ?? orderIn("running"),
-            });
-            const grants = new Map<BoxId, RolloutGrant>();
-            let exposure = 0;
-            for (let at = options.from ?? 0; at <= options.until; at += 250) {
-                for (let index = 0; index < 10; index++) {
-                    const box = boxId(`box-${index}`);
-                    const known = grants.get(box);
-                    const sentToTrial = Math.min(known?.cap ?? 0, at / 100);
-                    grants.set(
-                        box,
-                        decider.onReport(
-                            box,
-                            reportOf({
-                                sent: at / 100,
-                                sentToTrial,
-                                cap: known?.cap ?? 0,
-                                knownTotal: options.knows === false ? undefined : known?.total,
-                                age: milliseconds(at),
-                                inProgressElsewhere: known?.stage === "moving" ? 0 : 5,
-                                cells: index === 0 ? options.cells ?? [] : [],
-                            }),
-                            milliseconds(at),
-                        ),
-                    );
-                }
-                const caps = [...grants.values()].reduce((sum, { cap }) => sum + cap, 0);
-                exposure = Math.max(exposure, caps / (0.1 * at / 10 + 50));
-                last = decider.step(milliseconds(at), {
-                    ...inputs,
-                    isStoreReachable: options.isStoreReachable ?? true,
-                    order: options.order ?? orderIn("running"),
-                });
-                decider.changedGrants().forEach(({ box, grant }) => grants.set(box, grant));
-                if (last.kind === "writeCompleted" || last.kind === "writeRolledBack") {
-                    return { action: last, at, exposure, grants };
-                }
-            }
-            return { action: last, at: options.until, exposure, grants };
-        }
-
-        it("writes running before it grants anything", () => {
-            const decider = createDecider();
-            const { action, grants } = play(decider, { until: 3000, order: orderIn() });
-            expect(action).to.deep.equal({ kind: "writeRunning" });
-            expect([...grants.values()].every(({ cap, share }) => cap === 0 && share === 0)).to.equal(true);
-            expect(play(decider, { from: 3000, until: 6000 }).grants.get(boxId("box-1"))?.cap).to.be.greaterThan(0);
-        });
-
-        it("watches a good version, moves all, and completes before the end, within the bound", () => {
-            const decider = createDecider();
-            const { action, at, exposure } = play(decider, { until: 20_000, cells: good });
-            expect(action.kind).to.equal("writeCompleted");
-            expect(at).to.be.within(15_000, 19_000);
-            expect(exposure).to.be.within(0.5, 1);
-            expect(decider.status(milliseconds(at)).sentToTrial).to.be.greaterThan(50);
-            expect(decider.news()).to.equal(undefined);
-            decider.step(milliseconds(at), { ...inputs, order: orderIn("completed") });
-            expect(decider.news()?.decision).to.equal("completed");
-        });
-
-        it("tells a bad verdict at once, also while the store is away, and goes on asking for the write", () => {
-            const decider = createDecider();
-            play(decider, { until: 4000, cells: good });
-            const { action, at } = play(decider, { from: 4250, until: 6000, cells: bad, isStoreReachable: false });
-            expect(action.kind).to.equal("writeRolledBack");
-            expect(at).to.equal(4250);
-            expect(decider.news()?.decision).to.equal("rolledBack");
-            const [{ grant }] = decider.changedGrants();
-            expect(grant).to.deep.include({ stage: "rolledBack", share: 0 });
-            const later = play(decider, { from: 4500, until: 9000, cells: good });
-            expect(later.action.kind).to.equal("writeRolledBack");
-        });
-
-        it("begins no move while the store is away", () => {
-            const decider = createDecider();
-            play(decider, { until: 17_500, cells: good, isStoreReachable: false });
-            expect(decider.status(milliseconds(17_500)).stage).to.equal("watching");
-        });
-
-        it("rolls back what is undecided at the end, and says why", () => {
-            const { action, at } = play(createDecider(), { until: 20_000 });
-            expect(at).to.be.within(18_000, 19_000);
-            expect(action).to.deep.include({ kind: "writeRolledBack" });
-            expect("reason" in action && action.reason).to.contain("fewAnswers");
-        });
-
-        it("rolls back an order whose time is over when it is first read", () => {
-            const decider = createDecider(undefined, 25_000);
-            expect(decider.step(start, { ...inputs, order: orderIn() }).kind).to.equal("writeRolledBack");
-        });
-
-        it("completes an order whose target is proven already", () => {
-            const decider = createDecider();
-            expect(decider.step(start, { ...inputs, order: orderIn(), isTargetProven: true }).kind).to.equal(
-                "writeCompleted",
-            );
-        });
-
-        it("takes the store's outcome for its own, also after another verdict", () => {
-            const decider = createDecider();
-            play(decider, { until: 4000, cells: bad });
-            expect(decider.step(milliseconds(5000), { ...inputs, order: orderIn("completed") })).to.deep.equal({
-                kind: "none",
-            });
-            expect(decider.news()?.decision).to.equal("completed");
-        });
-
-        it("grants nothing in its first second after it took over, then goes on from the greatest sum it heard", () => {
-            const decider = createDecider("running");
-            const told = (sent: number, at: number) =>
-                decider.onReport(
-                    boxId("a"),
-                    reportOf({ sent, cap: 7, knownTotal: 60, age: milliseconds(9000) }),
-                    milliseconds(at),
-                );
-            expect(told(500, 100).cap).to.equal(7);
-            decider.step(milliseconds(500), { ...inputs, order: orderIn("running") });
-            expect(told(501, 600).cap).to.equal(7);
-            decider.step(milliseconds(1200), { ...inputs, order: orderIn("running") });
-            expect(told(600, 1300).total).to.be.at.least(60);
-            expect(decider.status(milliseconds(1300)).age).to.be.closeTo(10_200, 1);
-        });
-
-        it("waits before it grants where another box wrote running after it had begun", () => {
-            const decider = createDecider();
-            const away = { ...inputs, isStoreReachable: false };
-            decider.step(milliseconds(100), { ...away, order: orderIn(undefined) });
-            const capAt = (at: number) => {
-                decider.step(milliseconds(at), { ...away, order: orderIn("running") });
-                return decider.onReport(boxId("a"), reportOf({ sent: 100, age: milliseconds(at) }), milliseconds(at))
-                    .cap;
-            };
-            expect(capAt(300)).to.equal(0);
-            expect(capAt(600)).to.equal(0);
-            expect(capAt(900)).to.equal(0);
-        });
-
-        it("has no allowance where the store says running and nobody knows a sum", () => {
-            const decider = createDecider("running");
-            const { grants } = play(decider, { until: 2000, knows: false });
-            const caps = [...grants.values()].reduce((sum, { cap }) => sum + cap, 0);
-            expect(caps).to.be.at.most(0.1 * 200);
-        });
-    });
 });
