Quotas: a box that starts has one and a half equal parts until somebody counts

On paper all boxes together may then let in 1.5 times what the quota earns and holds, and the box that counts takes that back with a time constant of 2 s: 0.04 beyond a quota of equal rate and burst in the 5 s after the start.

--- a/packages/box/test/quota-starts.test.ts
+++ b/packages/box/test/quota-starts.test.ts
@@ -144,6 +144,11 @@
         expect(refused).to.equal(0);
     });
 
+    it("refuses nothing of a customer at half of it whose callers all come to one box from its first moment on", async () => {
+        await play(4, 100, [0]);
+        expect(refused).to.equal(0);
+    });
+
     it("refuses nothing while one box after the other starts again", async () => {
         await play(12, 0, [0]);
         await play(3, 76, [0, 3]);
--- a/packages/decisions/src/limits/quota/quota-share.ts
+++ b/packages/decisions/src/limits/quota/quota-share.ts
@@ -87,6 +87,12 @@
 const fewest = 2;
 /** Seconds of an equal part that a box without a lease may admit at once: a start of all boxes grants that much anew. */
 const firstBurst = 0.25;
+/**
+ * Equal parts that a box has while it starts and nobody counts yet: callers use few of the boxes. All boxes together may then let in so many
+ * times what the quota earns in that time, 1.5 s at most; the box that counts takes the rest back within 2 s, which leaves 0.04 of a quota whose burst
+ * is its rate over the 5 s after a start (computed).
+ */
+const partsAtStart = 1.5;
 /**
  * Requests that a box without a lease may admit at once where the bursts of all boxes allow it: the first ones of a small customer,
  * whose callers come to a box for the first time.
@@ -121,7 +127,7 @@
             const { at, boxCount, quota } = context;
             asked += 1;
             bucket ??= { tokens: firstTokens(context), refilledAt: at };
-            const rate = lease === undefined ? quota.rate / boxCount : Math.min(quota.rate, leasedRate(lease, at));
+            const rate = lease === undefined ? unleasedRate(context) : Math.min(quota.rate, leasedRate(lease, at));
             refill(bucket, rate, lease === undefined ? unleasedBurst(context) : leasedBurst(lease, at), at);
             if (bucket.tokens < 1) {
                 refused += 1;
@@ -224,17 +230,23 @@
 }
 
 /**
- * What a box without a lease begins with. While it starts, its equal part has been earned since: all boxes together have then admitted
- * no more than the rate since their start. Without that, a customer whose callers use few boxes is refused before any box counts.
+ * What a box without a lease begins with. While it starts, its part has been earned since. Without that, a customer whose callers use
+ * few boxes is refused before any box counts.
  */
 function firstTokens(context: QuotaShareContext): number {
-    const earned = (context.startingFor ?? 0) / 1000 * context.quota.rate / context.boxCount;
+    const earned = (context.startingFor ?? 0) / 1000 * unleasedRate(context);
     return Math.min(unleasedBurst(context), firstPart(context) + earned);
 }
 
+function unleasedRate({ boxCount, quota, startingFor }: QuotaShareContext): number {
+    return quota.rate / boxCount * (startingFor === undefined ? 1 : partsAtStart);
+}
+
 function unleasedBurst(context: QuotaShareContext): number {
     const { boxCount, quota, startingFor } = context;
-    return startingFor === undefined ? firstPart(context) : Math.max(firstPart(context), quota.burst / boxCount);
+    return startingFor === undefined
+        ? firstPart(context)
+        : Math.max(firstPart(context), quota.burst / boxCount * partsAtStart);
 }
 
 function firstPart({ boxCount, quota }: QuotaShareContext): number {
