--- a/packages/box/src/quotas/customer-quotas.ts
+++ b/packages/box/src/quotas/customer-quotas.ts
@@ -27,7 +27,7 @@
     type QuotaTolerance,
     usableQuota,
 } from "@chalkdale/decisions";
-import type { BoxId, Clock, CustomerId, Milliseconds } from "@chalkdale/kernel";
+import { type BoxId, type Clock, type CustomerId, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { leaseMessage, type QuotaMessage, readLeases, readReports, reportMessage } from "./quota-messages.js";
 
 export interface CustomerQuotasOptions {
@@ -100,6 +100,7 @@
             if (quota === undefined) {
                 return undefined;
             }
+            noticeStall();
             const share = shareOf(customer.id);
             const startingFor = isSettled() ? undefined : options.uptime();
             const denied = share.take({ quota, boxCount: boxCount(), startingFor, at: clock() });
@@ -143,12 +144,16 @@
 
     /**
      * What waited for a box that stood still is old: the other box that counts has charged it, and here it would be charged all at once, to a
-     * level that has earned nothing meanwhile. Calm customers were refused for that.
+     * level that has earned nothing meanwhile. Nor has the box used its own leases. Calm customers were refused for either.
      */
     function noticeStall(): void {
-        if (clock() - lastRoundAt > stallTime) {
-            deafUntil = clock() + backlogTime;
+        const stoodStill = clock() - lastRoundAt;
+        if (stoodStill <= stallTime) {
+            return;
         }
+        lastRoundAt = clock();
+        deafUntil = clock() + backlogTime;
+        shares.forEach(share => share.onStall(milliseconds(stoodStill)));
     }
 
     /** Requests that come in one turn share the datagrams. */
--- a/packages/box/test/customer-quotas.test.ts
+++ b/packages/box/test/customer-quotas.test.ts
@@ -176,6 +176,20 @@
         expect(partOfNextDenied()).to.equal(7);
     });
 
+    it("are used as before by a box that stood still itself", () => {
+        const quotas = create();
+        quotas.round();
+        quotas.take(customer);
+        quotas.round();
+        const search = createCountingBoxes();
+        search.update({ named: all.map(({ box }) => box), aliveCount: 67 }, milliseconds(now));
+        const counter = all.find(({ box }) => box === countingBox(customer.id, search.current()))!;
+        quotas.onMessage(counter, { leases: [["club", 40, 25, 1]], levels: [["club", 110]] });
+        now += 3000;
+        const taken = Array.from({ length: 20 }, () => quotas.take(customer));
+        expect(taken.filter(denied => denied !== undefined)).to.deep.equal([]);
+    });
+
     it("are renewed by a box that has just begun to count, if the lease is its own, and left to another's if not", () => {
         const quotas = create();
         quotas.round();
--- a/packages/decisions/src/limits/quota/quota-share.ts
+++ b/packages/decisions/src/limits/quota/quota-share.ts
@@ -45,6 +45,8 @@
     /** True until a lease answers the last report. */
     readonly isReportUnanswered: () => boolean;
     readonly onLease: (lease: QuotaLease, at: Milliseconds) => void;
+    /** This box stood still, and let nothing in by its lease. */
+    readonly onStall: (duration: Milliseconds) => void;
     /** What to tell the box that counts, if it is time to. */
     readonly dueReport: (at: Milliseconds) => QuotaReport | undefined;
     /** Requests let in and refused since the start. */
@@ -164,6 +166,9 @@
             leasedAt = at;
             unanswered = 0;
         },
+        onStall(duration) {
+            leasedAt = milliseconds(leasedAt + duration);
+        },
         dueReport(at) {
             if (!isReportDue(at)) {
                 return undefined;
