Boxes read the limit that a server names, tell of it in lines and figures

Lines and figures could not tell whether boxes read a server's limit or each kept it by itself: nothing names it. Now a strict parser at the edge reads it (digits with a point at most; zero is a limit; anything else is none and is logged once a life), the state of the server's life keeps the newest word, and server.limitChanged and the gauge servers_limited tell of it. Nothing is decided by it yet. An answer without a limit ends one only if its request was sent after the limit was named, since answers of several connections cross.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -41,6 +41,7 @@
 import { startRounds, upkeepInterval } from "./rounds.js";
 import { createCatalog } from "./servers/catalog.js";
 import { createHealthChecker } from "./servers/health-checker.js";
+import { createLimitedServers } from "./servers/limited-servers.js";
 import { createRecentSends } from "./servers/recent-sends.js";
 import type { BoxSettings } from "./settings.js";
 import { createStallWatch } from "./stall-watch.js";
@@ -100,6 +101,7 @@
     const evidence = createSharedEvidence(boxId(settings.box));
     const serverReports = createServerReports({ clock, self: boxId(settings.box), catalog, evidence });
     const recentSends = createRecentSends(clock);
+    const limitedServers = createLimitedServers({ clock, log, protocol, catalog });
     const deadlyGuard = createDeadlyGuard({
         clock,
         log,
@@ -183,6 +185,7 @@
         configurationAge: () => replicator.configurationAge(),
         serversAge: () => replicator.confirmedAge("servers"),
         recentSends,
+        limitedServers,
         onRestarted: onServerRestarted,
         copyAgeBounds: { changeInForce: bounds.changeInForce, revocation: bounds.strictRevocation },
         countTraffic,
@@ -213,6 +216,7 @@
             loadMeter,
             quotas,
             deadlyGuard,
+            limitedServers,
             rollouts,
             traffic,
             requests,
@@ -280,6 +284,7 @@
         log,
         protocol,
         catalog,
+        limitedServers,
         localAddress: settings.callers.host,
         healthPathOf: server => state.service(server.state.record().service)?.healthPath,
         signal,
--- a/packages/box/src/callers/caller-protocol.ts
+++ b/packages/box/src/callers/caller-protocol.ts
@@ -27,6 +27,14 @@
     readonly backendServerId: string;
 }
 
+/** What an answer of a server says of the rate that the server takes. */
+export type AnsweredLimit =
+    /** Requests a second, from all boxes together. */
+    | { readonly kind: "named"; readonly rate: number; }
+    | { readonly kind: "none"; }
+    /** Something stands there that is no rate. */
+    | { readonly kind: "unreadable"; readonly text: string; };
+
 /** Header names as they are written, and how values and paths are read. */
 export interface CallerProtocol {
     readonly headers: HeaderNames;
@@ -39,5 +47,7 @@
     readonly readLoad: (headers: NodeJS.Dict<string | string[]>) => LoadReport | undefined;
     /** Reads how much longer a server says that it is cold. */
     readonly readColdFor: (headers: NodeJS.Dict<string | string[]>) => Milliseconds | undefined;
+    /** Reads the rate that a server names. */
+    readonly readLimit: (headers: NodeJS.Dict<string | string[]>) => AnsweredLimit;
     readonly readServerId: (headers: NodeJS.Dict<string | string[]>) => BackendServerId | undefined;
 }
--- a/packages/box/src/metrics-text.ts
+++ b/packages/box/src/metrics-text.ts
@@ -17,6 +17,7 @@
 import type { RequestPath } from "./requests/request-path.js";
 import { rolloutMetricLines } from "./rollouts/rollout-metrics.js";
 import type { Rollouts } from "./rollouts/rollouts.js";
+import type { LimitedServers } from "./servers/limited-servers.js";
 import type { Replicator } from "./state/replicator.js";
 import type { SharedState } from "./state/shared-state.js";
 import type { TrafficMeter } from "./traffic-meter.js";
@@ -31,6 +32,7 @@
     readonly loadMeter: LoadMeter;
     readonly quotas: CustomerQuotas;
     readonly deadlyGuard: Pick<DeadlyGuard, "heldCount">;
+    readonly limitedServers: Pick<LimitedServers, "limited">;
     readonly rollouts: Rollouts | undefined;
     readonly traffic: TrafficMeter;
     readonly requests: RequestPath;
@@ -60,6 +62,7 @@
             servers_revision: state.replica("servers").revision(),
             servers_age_milliseconds: Math.round(replicator.confirmedAge("servers")),
             store_lost_milliseconds: replicator.storeLostFor(),
+            servers_limited: options.limitedServers.limited().length,
             requests_held: options.deadlyGuard.heldCount(),
             boxes_alive: membership.alive(clock()).length,
             boxes_carrying: limits.advertised().length,
--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -24,6 +24,7 @@
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import { exchange } from "../servers/exchange.js";
 import type { ServerConnection } from "../servers/idle-connections.js";
+import type { LimitedServers } from "../servers/limited-servers.js";
 import type { LivenessCheck } from "../servers/liveness-check.js";
 import type { ServerConnections } from "../servers/server-connections.js";
 import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
@@ -43,6 +44,7 @@
     /** False for an availability zone that is to get no requests. */
     readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
     readonly serviceLoad: ServiceLoad;
+    readonly limitedServers: Pick<LimitedServers, "onAnswer">;
     readonly idleLife: IdleLife;
     /** Counts the bodies of a request and its answer. */
     readonly countBytes: (server: BackendServer, bytes: number) => void;
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -33,6 +33,7 @@
 import type { BoxMetrics } from "../metrics.js";
 import type { CustomerQuotas } from "../quotas/customer-quotas.js";
 import type { TrialRequests } from "../rollouts/trials.js";
+import type { LimitedServers } from "../servers/limited-servers.js";
 import { createLivenessCheck } from "../servers/liveness-check.js";
 import type { RecentSends } from "../servers/recent-sends.js";
 import { createServerConnections } from "../servers/server-connections.js";
@@ -64,6 +65,7 @@
     /** Time since the store confirmed the list of servers. */
     readonly serversAge: () => Milliseconds;
     readonly recentSends: RecentSends;
+    readonly limitedServers: Pick<LimitedServers, "onAnswer">;
     /** Called with a server whose new life was in doubt until now. */
     readonly onRestarted: (restarted: RestartedServer) => void;
     readonly copyAgeBounds: CopyAgeBounds;
@@ -142,6 +144,7 @@
             hasSuccessor: catalog.hasSuccessor,
             admitsZone: state.admitsZone,
             serviceLoad,
+            limitedServers: options.limitedServers,
             idleLife: createIdleLife(),
             countBytes: (server, bytes) => options.countTraffic("request", server.state.record(), bytes),
         }),
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -17,6 +17,7 @@
 import type { Socket } from "node:net";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import { readKeepAlive, type ServerAnswer } from "../servers/exchange.js";
+import type { LimitedServers } from "../servers/limited-servers.js";
 import type { ConnectFailure, ServerConnections } from "../servers/server-connections.js";
 import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
 
@@ -25,6 +26,7 @@
     readonly protocol: CallerProtocol;
     readonly connections: ServerConnections;
     readonly serviceLoad: ServiceLoad;
+    readonly limitedServers: Pick<LimitedServers, "onAnswer">;
     /** True once another life of the server is listed. */
     readonly hasNewLife: (server: BackendServer) => boolean;
 }
@@ -86,6 +88,10 @@
                 isCold: state.isCold(clock()),
                 isOverdue: isOverdue(request, sentAt),
             });
+            // Another server's limit is not this one's.
+            if (verdict.kind !== "otherServer") {
+                options.limitedServers.onAnswer(request.server, answer, sentAt);
+            }
             return applyVerdict(request, answer, verdict, sentAt);
         },
         onBroken(request, reason, wasForgotten) {
--- a/packages/box/src/servers/health-checker.ts
+++ b/packages/box/src/servers/health-checker.ts
@@ -10,12 +10,14 @@
 import { type Log, splitAddress } from "@chalkdale/runtime";
 import { type IncomingMessage, request as httpRequest } from "node:http";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
+import type { LimitedServers } from "./limited-servers.js";
 
 export interface HealthCheckerOptions {
     readonly clock: Clock;
     readonly log: Log;
     readonly protocol: CallerProtocol;
     readonly catalog: ServerCatalog;
+    readonly limitedServers: Pick<LimitedServers, "onHealthAnswer">;
     readonly localAddress: string;
     readonly healthPathOf: (server: BackendServer) => string | undefined;
     readonly signal: AbortSignal;
@@ -91,6 +93,9 @@
         if (coldFor !== undefined && coldFor > 0) {
             server.state.onCold(clock(), coldFor);
         }
+        if (id === server.id) {
+            options.limitedServers.onHealthAnswer(server, response.headers);
+        }
         return id === server.id;
     }
 }
--- a/packages/box/test/attempt.test.ts
+++ b/packages/box/test/attempt.test.ts
@@ -118,6 +118,7 @@
             hasSuccessor: () => false,
             admitsZone: zone => !closedZones.has(zone),
             serviceLoad: createServiceLoad(),
+            limitedServers: { onAnswer: () => undefined },
             idleLife: createIdleLife(),
             countBytes: () => undefined,
         });
--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -62,6 +62,7 @@
         protocol,
         connections,
         serviceLoad: createServiceLoad(),
+        limitedServers: { onAnswer: () => undefined },
         hasNewLife: () => false,
     });
     return {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -62,6 +62,7 @@
 export * from "./rollouts/verdict.js";
 export * from "./servers/idle-life.js";
 export * from "./servers/load-estimate.js";
+export * from "./servers/named-limit.js";
 export * from "./servers/server-catalog.js";
 export * from "./servers/server-life.js";
 export * from "./servers/server-record.js";
--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -9,6 +9,7 @@
 import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { createEjection, type FailureKind } from "./ejection.js";
 import { createServerLoad, type LoadReport } from "./load-estimate.js";
+import { createNamedLimit, type LimitWord } from "./named-limit.js";
 import { createOutlierDetection } from "./outlier-detection.js";
 import type { BackendServerRecord } from "./server-record.js";
 import { createServerSpeed } from "./server-speed.js";
@@ -45,6 +46,10 @@
     readonly onReplaced: () => void;
     /** The server says that it stays cold for so long. */
     readonly onCold: (at: Milliseconds, duration: Milliseconds) => void;
+    /** The server, or a box that heard it, says which rate it takes; true if others have to know. See `NamedLimit`. */
+    readonly onLimit: (word: LimitWord) => boolean;
+    /** The newest word of the rate that it takes; undefined if it never named one. */
+    readonly limit: () => LimitWord | undefined;
     /** Why the server gets nothing now, or undefined if it may. Outliers are not among them: see `severity`. */
     readonly exclusion: (at: Milliseconds) => ExclusionReason | undefined;
     /** True if the server must get nothing more: it drains, is not listed, has lost its address, or its life is in doubt. */
@@ -82,6 +87,7 @@
     const speed = createServerSpeed(at);
     const outliers = createOutlierDetection(at);
     const ejection = createEjection();
+    const limit = createNamedLimit();
     let record = first;
     let unlisted = false;
     let replaced = false;
@@ -125,6 +131,8 @@
         onCold(now, duration) {
             coldUntil = Math.max(coldUntil, now + duration);
         },
+        onLimit: limit.onWord,
+        limit: limit.word,
         exclusion,
         hasLeft: () => reasonOfLeaving() !== undefined,
         isCold,
