--- a/packages/testing/src/standins/backend-server.ts
+++ b/packages/testing/src/standins/backend-server.ts
@@ -36,6 +36,8 @@
     setWork: (milliseconds: number) => void;
     /** Tells in its health answers that it stays cold for so long. */
     setColdFor: (milliseconds: number) => void;
+    /** Names a limit in its answers, as it stands in the header; undefined for none. */
+    setLimit: (text: string | undefined) => void;
     /** Resets connections that rested longer than so many milliseconds once a request comes on them. */
     readonly setForgetsAfter: (milliseconds: number) => void;
     /** Says in its answers that it is leaving. */
@@ -74,6 +76,7 @@
     let behaviourOf: (request: IncomingMessage) => ServerBehaviour = () => ({ kind: "serve" });
     let work = 0;
     let coldFor = 0;
+    let limit: string | undefined;
     let leaving = false;
     let forgetsAfter = Infinity;
     const lastUsed = new WeakMap<Socket, number>();
@@ -104,6 +107,9 @@
         setColdFor: duration => {
             coldFor = duration;
         },
+        setLimit: text => {
+            limit = text;
+        },
         setForgetsAfter: duration => {
             forgetsAfter = duration;
         },
@@ -141,7 +147,7 @@
         const behaviour = behaviourOf(request);
         if (behaviour.kind === "shed" || queue.isFull()) {
             const told = behaviour.kind === "shed" && behaviour.tellsLoad === true ? loadHeader() : {};
-            response.writeHead(503, { "Request-Id": requestId, "Not-Run": "1", ...told }).end();
+            response.writeHead(503, { "Request-Id": requestId, "Not-Run": "1", ...limitHeader(), ...told }).end();
             return;
         }
         if (behaviour.kind === "shedAndDrop") {
@@ -186,6 +192,10 @@
         return { "Server-Load": `${queue.running()},${queue.waiting()},${slots}` };
     }
 
+    function limitHeader(): Record<string, string> {
+        return limit === undefined ? {} : { "Server-Limit": limit };
+    }
+
     function remember(key: string): boolean {
         const warm = keys.delete(key);
         keys.add(key);
@@ -202,6 +212,7 @@
                 "Request-Id": requestId,
                 "Server-Stamp": `stamp.${requestId}`,
                 ...loadHeader(),
+                ...limitHeader(),
                 ...(leaving ? { "Connection": "close" } : {}),
             },
         };
