A limit that a server names is kept by all boxes together

Callers saw nothing, the servers did: two that named 1.7 and 1.3 requests a second went on getting 4.0 and 3.0.

Cause: the header was passed on to the caller and read by nobody. The rate at the servers was the same before and after, and each of the nine boxes went on sending, so neither repeats nor a bound that each box keeps by itself explain it.

Change: the slow start's rule becomes a module of its own, a rate that all boxes keep together without messages (shared-rate): a few holders by rendezvous among the boxes near the server, equal parts, one request saved up. Slow start and limits are two uses of it. The greater a limit, the more holders: in any 4 s all boxes together send at most 3.6 times the rate and a request for each of 3 + rate holders, of 6 times the rate and 5 that are borne. A request counts when its server is chosen, not when its connection is up, so that those chosen meanwhile don't pass. First parts are earned one after the other. Limits spread by gossip, and at once to boxes that may send there; words go by age and life of the server. A server that takes nothing is asked by one box, once in 4 s. Where every server has had what it takes the request is refused at once (serversLimited), and callers are told to come back one after the other.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -101,7 +101,18 @@
     const evidence = createSharedEvidence(boxId(settings.box));
     const serverReports = createServerReports({ clock, self: boxId(settings.box), catalog, evidence });
     const recentSends = createRecentSends(clock);
-    const limitedServers = createLimitedServers({ clock, log, protocol, catalog });
+    const limitedServers = createLimitedServers({
+        clock,
+        random,
+        log,
+        protocol,
+        catalog,
+        sharing(server) {
+            const boxes = new Set(limits.boxesNear(server.state.record().region));
+            return limits.advertised().filter(({ box }) => boxes.has(box) && box !== settings.box);
+        },
+        send: (box, reports) => peerLink.sendLimits(box, reports),
+    });
     const deadlyGuard = createDeadlyGuard({
         clock,
         log,
@@ -268,6 +279,8 @@
         serverReports,
         onDeadly: deadlyGuard.onReports,
         deadlyRequests: deadlyGuard.gossipPart,
+        onLimits: limitedServers.onReports,
+        limits: limitedServers.gossipPart,
         onQuota: quotas.onMessage,
         onRollout: (from, message) => rollouts?.onMessage(from, message),
         rolloutNews: () => rollouts?.gossipPart(),
@@ -298,6 +311,7 @@
         },
         gossip() {
             deadlyGuard.round();
+            limitedServers.round();
             quotas.round();
             rollouts?.round();
         },
--- a/packages/box/src/peers/peer-link.ts
+++ b/packages/box/src/peers/peer-link.ts
@@ -28,6 +28,7 @@
 import type { DeadlyReport } from "../deadly/deadly-messages.js";
 import type { QuotaMessage } from "../quotas/quota-messages.js";
 import type { RolloutMessage } from "../rollouts/rollout-parts.js";
+import type { LimitReport } from "../servers/limit-messages.js";
 import type { StateDigest, StateUpdate } from "../state/state-messages.js";
 import type { StatePeer } from "../state/state-reader.js";
 import type { TrafficPlace, TrafficPurpose } from "../traffic-meter.js";
@@ -71,6 +72,10 @@
     readonly onDeadly: (reports: readonly DeadlyReport[]) => void;
     /** Such requests that all boxes have to know; undefined while there are none. */
     readonly deadlyRequests: () => readonly DeadlyReport[] | undefined;
+    /** Another box told of limits that servers name. */
+    readonly onLimits: (reports: readonly LimitReport[]) => void;
+    /** Limits that all boxes have to know; undefined while there are none. */
+    readonly limits: () => readonly LimitReport[] | undefined;
     /** Another box told of customers' quotas. */
     readonly onQuota: (from: MemberRecord, message: QuotaMessage) => void;
     /** Another box told of roll-outs. */
@@ -95,6 +100,8 @@
     readonly tellRegion: () => void;
     /** Sends what is known of requests that end servers. */
     readonly sendDeadly: (box: MemberRecord, reports: readonly DeadlyReport[]) => void;
+    /** Sends limits that servers name. */
+    readonly sendLimits: (box: MemberRecord, limits: readonly LimitReport[]) => void;
     /** Sends a part about customers' quotas. */
     readonly sendQuota: (box: MemberRecord, message: QuotaMessage) => void;
     /** Sends a part about roll-outs. */
@@ -138,6 +145,7 @@
         publish,
         tellRegion,
         sendDeadly: (box, deadly) => send("deadly", JSON.stringify({ ...createMessage([]), deadly }), box),
+        sendLimits: (box, limits) => send("limits", JSON.stringify({ ...createMessage([]), limits }), box),
         sendQuota: (box, quota) => send("quota", JSON.stringify({ ...createMessage([]), quota }), box),
         sendRollout: (box, rollout) =>
             send("rollout", JSON.stringify({ ...createMessage([]), digest: undefined, rollout }), box),
@@ -206,7 +214,8 @@
         const message = createMessage(membership.takeNews(mostBeats, clock()).map(beatOf));
         const rollout = options.rolloutNews();
         const deadly = options.deadlyRequests();
-        send("gossip", JSON.stringify({ ...message, regions, rollout, deadly, ...parts }), peer);
+        const limits = options.limits();
+        send("gossip", JSON.stringify({ ...message, regions, rollout, deadly, limits, ...parts }), peer);
     }
 
     function createMessage(beats: readonly Beat[], update?: StateUpdate): PeerMessage {
--- a/packages/box/src/peers/peer-messages.ts
+++ b/packages/box/src/peers/peer-messages.ts
@@ -12,6 +12,7 @@
 import { isQuotaMessage, type QuotaMessage } from "../quotas/quota-messages.js";
 import { isRolloutMessage } from "../rollouts/rollout-checks.js";
 import type { RolloutMessage } from "../rollouts/rollout-parts.js";
+import { areLimitReports, type LimitReport } from "../servers/limit-messages.js";
 import { isStateDigest, isStateUpdate, type StateDigest, type StateUpdate } from "../state/state-messages.js";
 import { isReportMessage, type ReportMessage } from "./server-reports.js";
 
@@ -49,6 +50,8 @@
     readonly rollout?: RolloutMessage;
     /** Requests that end servers; earlier releases have none. */
     readonly deadly?: readonly DeadlyReport[];
+    /** Limits that servers name; earlier releases have none. */
+    readonly limits?: readonly LimitReport[];
     /** Servers that do badly, for boxes of the sender's region; earlier releases have none. */
     readonly reports?: readonly ReportMessage[];
 }
@@ -95,6 +98,7 @@
         && (message.update === undefined || isStateUpdate(message.update))
         && (message.reports === undefined || areReports(message.reports))
         && (message.deadly === undefined || areDeadlyReports(message.deadly))
+        && (message.limits === undefined || areLimitReports(message.limits))
         && (message.quota === undefined || isQuotaMessage(message.quota))
         && (message.rollout === undefined || isRolloutMessage(message.rollout))
         && (message.regions === undefined || areAges(message.regions));
--- a/packages/box/src/peers/peer-receiver.ts
+++ b/packages/box/src/peers/peer-receiver.ts
@@ -12,6 +12,7 @@
 import type { DeadlyReport } from "../deadly/deadly-messages.js";
 import type { QuotaMessage } from "../quotas/quota-messages.js";
 import type { RolloutMessage } from "../rollouts/rollout-parts.js";
+import type { LimitReport } from "../servers/limit-messages.js";
 import type { StateDigest, StateUpdate } from "../state/state-messages.js";
 import type { StatePeer } from "../state/state-reader.js";
 import { type Beat, type PeerMessage, readBeat, readMessage } from "./peer-messages.js";
@@ -27,6 +28,7 @@
     readonly onUpdate: (update: StateUpdate) => void;
     readonly onReports: (reports: readonly ReportMessage[]) => void;
     readonly onDeadly: (reports: readonly DeadlyReport[]) => void;
+    readonly onLimits: (reports: readonly LimitReport[]) => void;
     readonly onQuota: (from: MemberRecord, message: QuotaMessage) => void;
     readonly onRollout: (from: MemberRecord, message: RolloutMessage) => void;
     /** Answers a box that asks, or that was not known before. */
@@ -87,6 +89,9 @@
         if (message.deadly !== undefined) {
             options.onDeadly(message.deadly);
         }
+        if (message.limits !== undefined) {
+            options.onLimits(message.limits);
+        }
         if (message.quota !== undefined) {
             options.onQuota(message.from, message.quota);
         }
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -254,6 +254,8 @@
             return "noServer";
         case "allCold":
             return "serversCold";
+        case "allLimited":
+            return "serversLimited";
         case "tooLate":
             return "tooLate";
         case "crowded":
--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -56,6 +56,23 @@
     const feedback = createServerFeedback(options);
 
     return async function attempt(request) {
+        const { state } = request.server;
+        let isSent = false;
+        state.onChosen(clock());
+        const outcome = await connectAndSend({
+            ...request,
+            onSend() {
+                isSent = true;
+                request.onSend();
+            },
+        });
+        if (!isSent) {
+            state.onNotSent();
+        }
+        return outcome;
+    };
+
+    async function connectAndSend(request: AttemptRequest): Promise<AttemptOutcome> {
         const connected = await connections.acquire({
             server: request.server.id,
             address: request.server.state.record().address,
@@ -81,7 +98,7 @@
             return { kind: "notSent", reason: "left while its connection came up" };
         }
         return send(request, connected.val);
-    };
+    }
 
     /** True for a server that must get nothing more, whatever it was when it was chosen. */
     function hasLeft(server: BackendServer): boolean {
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -12,6 +12,7 @@
     type CopyAgeBounds,
     createBodyMemory,
     createIdleLife,
+    createLimitedReturns,
     createMovedBytes,
     createRecentKeys,
     createRoundTrips,
@@ -26,7 +27,7 @@
     type SharedLimits,
     type StopPhase,
 } from "@chalkdale/decisions";
-import type { BackendServerId, Clock, Milliseconds } from "@chalkdale/kernel";
+import type { BackendServerId, Clock, Milliseconds, ServiceId } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import type { DeadlyGuard } from "../deadly/deadly-guard.js";
@@ -94,6 +95,7 @@
     const serviceLoad = createServiceLoad();
     const work = createWorkEstimate();
     const movedBytes = createMovedBytes();
+    const limitedReturns = createLimitedReturns(options.random);
     const roundTrips = createRoundTrips(settings.region, settings.zone);
     const connections = createServerConnections({
         clock,
@@ -151,10 +153,12 @@
         budgetOf: limits.budgetOf,
         loadPerSlot: serviceLoad.perSlot,
         comeBackAfter: ({ route, service }, refusal) =>
-            comeBackAfter(refusal, {
-                loadPerSlot: serviceLoad.perSlot(service),
-                queuedWork: work.ofQueue(service, route),
-            }),
+            refusal === "serversLimited"
+                ? limitedReturns.next(service, limitedRate(service), clock())
+                : comeBackAfter(refusal, {
+                    loadPerSlot: serviceLoad.perSlot(service),
+                    queuedWork: work.ofQueue(service, route),
+                }),
         recentKeys,
         work,
         movedBytes,
@@ -183,6 +187,13 @@
         bodyBytes: bodyMemory.held,
     };
 
+    /** Requests a second that the servers of a service name together, as an equal part of the advertised boxes. */
+    function limitedRate(service: ServiceId): number {
+        const words = catalog.ofService(service).map(({ state: server }) => server.limit());
+        const total = words.reduce((sum, word) => sum + (word?.kind === "named" ? word.rate : 0), 0);
+        return total / Math.max(1, limits.advertised().length);
+    }
+
     function roundTripTo(server: BackendServer): Milliseconds {
         const { region, zone } = server.state.record();
         return roundTrips.estimate(region, zone);
--- a/packages/box/src/servers/catalog.ts
+++ b/packages/box/src/servers/catalog.ts
@@ -1,11 +1,12 @@
 /**
- * The catalog of servers as a box has it: each cold server is bounded by a slow
- * start that this box shares with others.
+ * The catalog of servers as a box has it: what a cold server gets, and one that
+ * names a limit, is bounded by rates that this box shares with others.
  *
- * Owns nothing; relies on the shared limits for who sends to a cold server.
+ * Owns nothing; relies on the shared limits for who may send to such a server.
  */
 
 import {
+    createLimitShare,
     createServerCatalog,
     createServerState,
     createSlowStart,
@@ -22,15 +23,16 @@
     limits: SharedLimits,
     coldRateOf: (service: ServiceId) => number,
 ): ServerCatalog {
-    return createServerCatalog((record, at) =>
-        createServerState(record, at, {
+    return createServerCatalog((record, at) => {
+        const sharing = {
+            self: settings.box,
+            server: record.id,
+            boxes: () => limits.boxesNear(record.region),
+        };
+        return createServerState(record, at, {
             recordDelay,
-            slowStart: createSlowStart({
-                self: settings.box,
-                server: record.id,
-                boxes: () => limits.slowStartSenders(record.region),
-                rate: () => coldRateOf(record.service),
-            }),
-        })
-    );
+            slowStart: createSlowStart({ ...sharing, rate: () => coldRateOf(record.service) }),
+            shareLimit: rate => createLimitShare(sharing, rate),
+        });
+    });
 }
--- /dev/null
+++ b/packages/box/src/servers/limit-news.ts
@@ -0,0 +1,112 @@
+/**
+ * What this box tells others of the limits that servers name: at once to some of
+ * the boxes that may send there, and to all in turn with gossip.
+ *
+ * Owns which limits are news; relies on the state of each server for the newest
+ * word. Any message may be lost.
+ */
+
+import type { BackendServer, MemberRecord } from "@chalkdale/decisions";
+import type { Clock, Milliseconds } from "@chalkdale/kernel";
+import { type LimitReport, writeLimitReport } from "./limit-messages.js";
+
+export interface LimitNewsOptions {
+    readonly clock: Clock;
+    readonly random: () => number;
+    /** Other boxes that may send to the server while it is limited. */
+    readonly sharing: (server: BackendServer) => readonly MemberRecord[];
+    readonly send: (box: MemberRecord, reports: readonly LimitReport[]) => void;
+}
+
+/** The news of one box. */
+export interface LimitNews {
+    /** A limit began, changed or ended: by an answer to this box, by another box, or another box still has an older word. */
+    readonly onChanged: (server: BackendServer, source: "answer" | "told" | "outdated") => void;
+    /** What goes with gossip, of servers that have named a limit; undefined while there is nothing to tell. */
+    readonly gossipPart: (servers: readonly BackendServer[]) => readonly LimitReport[] | undefined;
+    /** Due with each round of gossip. */
+    readonly round: () => void;
+}
+
+/** Limits in one datagram of gossip: some 45 bytes each. */
+const mostReports = 10;
+/** Boxes that are told at once of what an answer says; each that has an answer of its own tells others. */
+const toldAtOnce = 8;
+/** Milliseconds for which a change goes before older limits: as long as gossip takes to reach the boxes of a fleet. */
+const newsLasts = 3000;
+/** Milliseconds for which gossip tells that a limit has ended. A limit that holds is told on, for boxes that start. */
+const endLasts = 20_000;
+/** Milliseconds between two messages beside gossip at least: a round of it. */
+const tellInterval = 300;
+
+/** Creates the news of a box that has nothing to tell. */
+export function createLimitNews(options: LimitNewsOptions): LimitNews {
+    const { clock } = options;
+    const changedAt = new WeakMap<BackendServer, Milliseconds>();
+    const untold = new Set<BackendServer>();
+    let toldAt = -Infinity;
+    let turn = 0;
+
+    return {
+        onChanged(server, source) {
+            changedAt.set(server, clock());
+            if (source === "answer") {
+                untold.add(server);
+                tellIfDue();
+            }
+        },
+        gossipPart(servers) {
+            const told = servers.filter(isTold);
+            if (told.length === 0) {
+                return undefined;
+            }
+            const news = told.filter(server => sinceChange(server) < newsLasts);
+            const others = told.filter(server => !news.includes(server));
+            return [...rotated(news), ...rotated(others)].slice(0, mostReports).flatMap(reportOf);
+        },
+        round() {
+            turn += mostReports;
+            tellIfDue();
+        },
+    };
+
+    /** A server that has ended since is told of no more. */
+    function tellIfDue(): void {
+        if (untold.size === 0 || clock() - toldAt < tellInterval) {
+            return;
+        }
+        const reportsOf = new Map<MemberRecord, LimitReport[]>();
+        for (const server of untold) {
+            for (const box of sample(options.sharing(server))) {
+                reportsOf.set(box, [...reportsOf.get(box) ?? [], ...reportOf(server)].slice(0, mostReports));
+            }
+        }
+        untold.clear();
+        toldAt = clock();
+        reportsOf.forEach((reports, box) => options.send(box, reports));
+    }
+
+    function sample(boxes: readonly MemberRecord[]): readonly MemberRecord[] {
+        const first = Math.floor(options.random() * boxes.length);
+        return [...boxes.slice(first), ...boxes.slice(0, first)].slice(0, toldAtOnce);
+    }
+
+    function reportOf({ state }: BackendServer): readonly LimitReport[] {
+        const word = state.limit();
+        return word === undefined ? [] : [writeLimitReport(state.record(), word, clock())];
+    }
+
+    function isTold(server: BackendServer): boolean {
+        const word = server.state.limit();
+        return word?.kind === "named" || word !== undefined && sinceChange(server) < endLasts;
+    }
+
+    function sinceChange(server: BackendServer): number {
+        return clock() - (changedAt.get(server) ?? -Infinity);
+    }
+
+    function rotated(servers: readonly BackendServer[]): readonly BackendServer[] {
+        const first = turn % Math.max(1, servers.length);
+        return [...servers.slice(first), ...servers.slice(0, first)];
+    }
+}
--- a/packages/box/src/servers/limited-servers.ts
+++ b/packages/box/src/servers/limited-servers.ts
@@ -1,14 +1,17 @@
 /**
- * What this box learns of the rates that servers name, from their answers.
+ * What this box learns of the rates that servers name, from their answers and
+ * from other boxes.
  *
  * Owns the list of servers that have named one; relies on the state of each server
- * for the newest word of its life.
+ * for the newest word of its life, and on the news for what others are told.
  */
 
 import { type BackendServer, isFailureStatus, type LimitWord, type ServerCatalog } from "@chalkdale/decisions";
-import type { Clock, Milliseconds } from "@chalkdale/kernel";
+import { backendServerId, type Clock, type Milliseconds } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { AnsweredLimit, CallerProtocol } from "../callers/caller-protocol.js";
+import { isOfLife, type LimitReport, readLimitReport } from "./limit-messages.js";
+import { createLimitNews, type LimitNews, type LimitNewsOptions } from "./limit-news.js";
 
 /** The part of an answer that tells of a limit. */
 export interface LimitedAnswer {
@@ -22,23 +25,30 @@
     readonly onAnswer: (server: BackendServer, answer: LimitedAnswer, sentAt: Milliseconds) => void;
     /** An answer to a health check: it may name a limit, but one that names none ends none. */
     readonly onHealthAnswer: (server: BackendServer, headers: LimitedAnswer["headers"]) => void;
+    /** Another box tells of limits. */
+    readonly onReports: (reports: readonly LimitReport[]) => void;
     /** Servers that name a limit now. */
     readonly limited: () => readonly BackendServer[];
+    /** What goes with gossip; undefined while there is nothing to tell. */
+    readonly gossipPart: () => readonly LimitReport[] | undefined;
+    /** Due with each round of gossip. */
+    readonly round: () => void;
 }
 
-export interface LimitedServersOptions {
+export interface LimitedServersOptions extends LimitNewsOptions {
     readonly clock: Clock;
     readonly log: Log;
     readonly protocol: Pick<CallerProtocol, "headers" | "readLimit">;
     readonly catalog: Pick<ServerCatalog, "get">;
 }
 
-/** Bytes of a text that is no rate which a line shows. */
+/** Characters of a text that is no rate which a line shows. */
 const longestShown = 40;
 
 /** Creates the limits; no server has named one. */
 export function createLimitedServers(options: LimitedServersOptions): LimitedServers {
-    const { clock, log, protocol } = options;
+    const { catalog, clock, log, protocol } = options;
+    const news = createLimitNews(options);
     const known = new Set<BackendServer>();
     const unreadable = new WeakSet<BackendServer>();
 
@@ -50,19 +60,24 @@
                 return;
             }
             if (server.state.limit() !== undefined && endsLimit(answer)) {
-                take(server, { kind: "ended", at: sentAt });
+                take(server, { kind: "ended", at: sentAt }, "answer");
             }
         },
         onHealthAnswer(server, headers) {
             onNamed(server, protocol.readLimit(headers));
         },
+        onReports(reports) {
+            reports.forEach(onReport);
+        },
         limited: () => current().filter(({ state }) => state.limit()?.kind === "named"),
+        gossipPart: () => news.gossipPart(current()),
+        round: news.round,
     };
 
     function onNamed(server: BackendServer, limit: AnsweredLimit): void {
         switch (limit.kind) {
             case "named":
-                take(server, { kind: "named", rate: limit.rate, at: clock() });
+                take(server, { kind: "named", rate: limit.rate, at: clock() }, "answer");
                 return;
             case "unreadable":
                 reportUnreadable(server, limit.text);
@@ -77,21 +92,33 @@
         return !isFailureStatus(status) && headers[protocol.headers.notRun] === undefined;
     }
 
-    function take(server: BackendServer, word: LimitWord): void {
+    /** A server that is not listed here yet is told of again. */
+    function onReport(report: LimitReport): void {
+        const server = catalog.get(backendServerId(report[0]));
+        if (server === undefined || !isOfLife(report, server.state.record())) {
+            return;
+        }
+        const word = readLimitReport(report, clock());
+        const newest = server.state.limit();
+        // A box that was cut off may hold a limit that has ended, and nobody tells of the end any more.
+        if (newest?.kind === "ended" && word.kind === "named" && word.at < newest.at) {
+            news.onChanged(server, "outdated");
+            return;
+        }
+        take(server, word, "told");
+    }
+
+    function take(server: BackendServer, word: LimitWord, source: Parameters<LimitNews["onChanged"]>[1]): void {
         const before = server.state.limit();
+        known.add(server);
         if (server.state.onLimit(word)) {
-            report(server, before);
+            report(server, before, source);
+            news.onChanged(server, source);
         }
-        known.add(server);
     }
 
-    function report({ id, state }: BackendServer, before: LimitWord | undefined): void {
-        const after = state.limit();
-        log.info("server.limitChanged", {
-            server: id,
-            limit: after?.kind === "named" ? after.rate : "none",
-            before: before?.kind === "named" ? before.rate : "none",
-        });
+    function report({ id, state }: BackendServer, before: LimitWord | undefined, source: string): void {
+        log.info("server.limitChanged", { server: id, limit: rateOf(state.limit()), before: rateOf(before), source });
     }
 
     /** Once for each life: a server says the same in all its answers. */
@@ -104,7 +131,11 @@
 
     /** Servers in a life that still goes on. */
     function current(): readonly BackendServer[] {
-        [...known].filter(server => options.catalog.get(server.id) !== server).forEach(server => known.delete(server));
+        [...known].filter(server => catalog.get(server.id) !== server).forEach(server => known.delete(server));
         return [...known];
     }
 }
+
+function rateOf(word: LimitWord | undefined): number | "none" {
+    return word?.kind === "named" ? word.rate : "none";
+}
--- a/packages/box/src/traffic-meter.ts
+++ b/packages/box/src/traffic-meter.ts
@@ -22,6 +22,8 @@
     | "quota"
     /** Requests that end servers. */
     | "deadly"
+    /** Limits that servers name. */
+    | "limits"
     /** Reports, grants and news of roll-outs. */
     | "rollout"
     /** Members that are read from another box. */
--- a/packages/box/test/attempt.test.ts
+++ b/packages/box/test/attempt.test.ts
@@ -44,6 +44,8 @@
     revision: 7,
 };
 
+const unbounded = { allows: () => true, onSent: () => undefined, onNotSent: () => undefined };
+
 describe("one attempt at a server", () => {
     let listener: Server;
     let received: string;
@@ -75,7 +77,8 @@
         });
         const state = createServerState(record, milliseconds(0), {
             recordDelay: milliseconds(0),
-            slowStart: { allows: () => true, onSent: () => undefined } as never,
+            slowStart: unbounded,
+            shareLimit: () => unbounded,
         });
         server = { id: record.id, idHash: 1, addedAt: undefined, state };
     }
--- a/packages/box/test/peer-link.test.ts
+++ b/packages/box/test/peer-link.test.ts
@@ -49,6 +49,8 @@
             isFollowing: () => false,
             digestRounds: 2,
             serverReports: { current: () => [], onReports: () => undefined },
+            onLimits: () => undefined,
+            limits: () => undefined,
             snapshot: () => undefined,
             changesSince: () => undefined,
             readMembers: () => Promise.resolve([]),
--- a/packages/box/test/rollout-boxes.ts
+++ b/packages/box/test/rollout-boxes.ts
@@ -239,6 +239,7 @@
         createServerState(record, at, {
             recordDelay: milliseconds(0),
             slowStart: createSlowStart({ self: boxId("b0"), server: record.id, boxes: () => [], rate: () => 0 }),
+            shareLimit: () => ({ allows: () => true, onSent: () => undefined, onNotSent: () => undefined }),
         })
     );
     const records = ["v1", "v2"].flatMap((version, isTarget) =>
--- a/packages/decisions/src/choose/choice.ts
+++ b/packages/decisions/src/choose/choice.ts
@@ -54,6 +54,8 @@
     | { readonly kind: "noServer"; }
     /** Servers in slow start have had their share of requests for now. */
     | { readonly kind: "allCold"; }
+    /** Servers that name limits have had what they take for now. */
+    | { readonly kind: "allLimited"; }
     /** Not even the least time fits into what is left. */
     | { readonly kind: "tooLate"; readonly expected: Milliseconds; }
     /** The wait for a free slot, of this length, is longer than the request may wait. */
--- a/packages/decisions/src/choose/server-choice.ts
+++ b/packages/decisions/src/choose/server-choice.ts
@@ -102,8 +102,11 @@
     }
 
     function noChoice(candidates: readonly BackendServer[], request: ChoiceRequest): Choice {
-        const isAnyCold = candidates.some(server => server.state.exclusion(request.at) === "cold");
-        return { kind: isAnyCold ? "allCold" : "noServer" };
+        const reasons = new Set(candidates.map(server => server.state.exclusion(request.at)));
+        if (reasons.has("limited")) {
+            return { kind: "allLimited" };
+        }
+        return { kind: reasons.has("cold") ? "allCold" : "noServer" };
     }
 
     function fastest(ranked: readonly BackendServer[], request: ChoiceRequest): ChosenServer {
--- a/packages/decisions/src/give-up/refusals.ts
+++ b/packages/decisions/src/give-up/refusals.ts
@@ -18,6 +18,7 @@
     | "bodiesFull"
     | "noServer"
     | "serversCold"
+    | "serversLimited"
     | "tooLate"
     | "crowded"
     | "serversFull"
@@ -64,6 +65,7 @@
     bodiesFull: { status: 503, retryAfter: afterOverload },
     noServer: { status: 503, retryAfter: later },
     serversCold: { status: 503, retryAfter: afterOverload },
+    serversLimited: { status: 503, retryAfter: afterOverload },
     crowded: { status: 503, retryAfter: afterOverload },
     tooLate: { status: 503, retryAfter: afterOverload },
     serversFull: { status: 503, retryAfter: afterOverload },
--- a/packages/decisions/src/limits/shared-limits.ts
+++ b/packages/decisions/src/limits/shared-limits.ts
@@ -1,6 +1,6 @@
 /**
- * One box's part of the limits that hold for all boxes together: retries,
- * connections to servers, and requests to cold servers.
+ * One box's part of the limits that hold for all boxes together: retries and
+ * connections to servers, and who may send to cold and limited servers.
  *
  * The parts are equal among the advertised boxes, those that the directory names. Any other box has
  * no part, since only callers with an old answer of the directory reach it.
@@ -13,7 +13,7 @@
 import { type BoxId, type Clock, milliseconds, type RegionId, type ServiceId } from "@chalkdale/kernel";
 import type { MemberRecord } from "../membership/member-record.js";
 import type { Membership } from "../membership/membership.js";
-import { advertisedBoxes, slowStartSenders } from "../place/advertised-boxes.js";
+import { advertisedBoxes, boxesNear } from "../place/advertised-boxes.js";
 import { createRetryBudget, type RetryBudget, type RetryBudgetOptions } from "../retry/retry-budget.js";
 import { createCached } from "./cached.js";
 
@@ -34,8 +34,8 @@
     /** Boxes that callers are named; those that run, before any is in service. */
     readonly advertised: () => readonly MemberRecord[];
     readonly isAdvertised: (box: BoxId) => boolean;
-    /** Boxes that may send to a cold server of a region. */
-    readonly slowStartSenders: (region: RegionId) => readonly BoxId[];
+    /** Boxes that may send to a cold or limited server of a region; the same array while the advertised boxes are the same. */
+    readonly boxesNear: (region: RegionId) => readonly BoxId[];
     readonly budgetOf: (service: ServiceId) => RetryBudget;
     /** Connections to one server that this box may hold. */
     readonly mostConnections: (service: ServiceId) => number;
@@ -55,12 +55,13 @@
     const { clock, membership } = options;
     const budgets = new Map<ServiceId, RetryBudget>();
     const advertised = createCached(clock, advertisedLifetime, findAdvertised);
+    let near: { readonly among: readonly MemberRecord[]; readonly boxes: Map<RegionId, readonly BoxId[]>; } | undefined;
     let knownCount = 0;
 
     return {
         advertised,
         isAdvertised,
-        slowStartSenders: region => slowStartSenders(advertised(), region),
+        boxesNear: boxesNearRegion,
         budgetOf,
         mostConnections(service) {
             const most = options.connectionsOf(service) ?? assumedMostConnections;
@@ -79,6 +80,14 @@
         return named.length > 0 ? named : alive;
     }
 
+    function boxesNearRegion(region: RegionId): readonly BoxId[] {
+        const among = advertised();
+        near = near?.among === among ? near : { among, boxes: new Map() };
+        const known = near.boxes.get(region) ?? boxesNear(among, region);
+        near.boxes.set(region, known);
+        return known;
+    }
+
     function isAdvertised(box: BoxId): boolean {
         return advertised().some(record => record.box === box);
     }
--- /dev/null
+++ b/packages/decisions/src/limits/shared-rate.ts
@@ -0,0 +1,111 @@
+/**
+ * A rate that all boxes keep together without messages: requests to a cold server,
+ * or to one that names a limit.
+ *
+ * A few boxes hold a part each, the best by rendezvous hashing for what is bounded; the
+ * others send nothing. Parts are equal, and each box saves up at most one request, so
+ * all boxes together send at most the rate and one more for each holder.
+ *
+ * Owns the time of this box's next request; relies on the members that all boxes know.
+ */
+
+import { type BoxId, hashText, type Milliseconds } from "@chalkdale/kernel";
+import { rendezvousScore } from "../choose/rendezvous.js";
+
+/** One box's part of a rate. */
+export interface SharedRate {
+    /** True if a request may be sent now; it doesn't count as sent. */
+    readonly allows: (at: Milliseconds) => boolean;
+    /** A request is sent, or about to be: counted before its connection is up, so that others don't pass meanwhile. */
+    readonly onSent: (at: Milliseconds) => void;
+    /** A request that was counted was not sent. */
+    readonly onNotSent: () => void;
+}
+
+export interface SharedRateOptions {
+    readonly self: BoxId;
+    /** What the rate is of; the holders of two rates are not the same boxes. */
+    readonly subject: string;
+    /** Boxes among which the holders are chosen; one that is not among them sends nothing. The same array while they are the same. */
+    readonly boxes: () => readonly BoxId[];
+    /** Requests a second, from all boxes together. */
+    readonly rate: () => number;
+    /** Boxes that hold a part of so great a rate, at most. */
+    readonly mostHolders: (rate: number) => number;
+    /** Whether a box that comes to hold a part may send at once, or has to earn its first request. */
+    readonly firstRequest: "atOnce" | "earned";
+}
+
+/**
+ * Part of the rate that is used; the rest is for boxes that don't yet agree on the holders.
+ */
+const usedPartOfRate = 0.9;
+/** Milliseconds of a second, the unit of the rate. */
+const second = 1000;
+
+/** A box's place among the holders. */
+interface Part {
+    /** From 0. */
+    readonly rank: number;
+    readonly holders: number;
+    /** Milliseconds between two requests of this box. */
+    readonly interval: number;
+}
+
+/** Creates the part of a box. */
+export function createSharedRate(options: SharedRateOptions): SharedRate {
+    const subjectHash = hashText(options.subject);
+    let nextAt: number | undefined;
+    let ranked: { readonly boxes: readonly BoxId[]; readonly rank: number; } | undefined;
+
+    return {
+        allows(at) {
+            const part = ownPart();
+            if (part === undefined) {
+                nextAt = options.firstRequest === "atOnce" ? nextAt : undefined;
+                return false;
+            }
+            nextAt = Math.min(nextAt ?? firstAt(part, at), at + part.interval);
+            return at >= nextAt;
+        },
+        onSent(at) {
+            nextAt = Math.max(nextAt ?? at, at) + (ownPart()?.interval ?? second);
+        },
+        onNotSent() {
+            if (nextAt !== undefined) {
+                nextAt -= ownPart()?.interval ?? second;
+            }
+        },
+    };
+
+    /** Holders earn their first requests one after the other: all at once they would go past a small rate. */
+    function firstAt({ holders, interval, rank }: Part, at: Milliseconds): number {
+        return options.firstRequest === "atOnce" ? at : at + interval * (rank + 1) / holders;
+    }
+
+    /** Undefined if this box may send nothing. */
+    function ownPart(): Part | undefined {
+        const boxes = options.boxes();
+        const rate = options.rate();
+        const rank = rankAmong(boxes);
+        const holders = Math.min(options.mostHolders(rate), Math.max(1, boxes.length));
+        if (rate <= 0 || rank === undefined || rank >= holders) {
+            return undefined;
+        }
+        return { rank, holders, interval: second * holders / (rate * usedPartOfRate) };
+    }
+
+    /** Computed anew for another list of boxes only: it is asked for with each choice of a server. */
+    function rankAmong(boxes: readonly BoxId[]): number | undefined {
+        if (ranked?.boxes !== boxes) {
+            const own = scoreOf(options.self);
+            const better = boxes.filter(box => scoreOf(box) > own).length;
+            ranked = { boxes, rank: boxes.includes(options.self) ? better : Infinity };
+        }
+        return ranked.rank === Infinity ? undefined : ranked.rank;
+    }
+
+    function scoreOf(box: BoxId): number {
+        return rendezvousScore(subjectHash, hashText(box), 1);
+    }
+}
--- a/packages/decisions/src/place/advertised-boxes.ts
+++ b/packages/decisions/src/place/advertised-boxes.ts
@@ -47,8 +47,8 @@
     return regions.flatMap(region => advertisedBoxesOfRegion(inService, region));
 }
 
-/** Returns the boxes that may send to a cold server of a region: the region's own advertised boxes, if it has any. */
-export function slowStartSenders(advertised: readonly MemberRecord[], region: RegionId): readonly BoxId[] {
+/** Returns the boxes that may send to a cold or limited server of a region: the region's own advertised boxes, if it has any. */
+export function boxesNear(advertised: readonly MemberRecord[], region: RegionId): readonly BoxId[] {
     const ofRegion = advertised.filter(record => record.region === region);
     return (ofRegion.length > 0 ? ofRegion : advertised).map(record => record.box);
 }
--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -7,16 +7,16 @@
  */
 
 import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
+import type { SharedRate } from "../limits/shared-rate.js";
 import { createEjection, type FailureKind } from "./ejection.js";
 import { createServerLoad, type LoadReport } from "./load-estimate.js";
 import { createNamedLimit, type LimitWord } from "./named-limit.js";
 import { createOutlierDetection } from "./outlier-detection.js";
 import type { BackendServerRecord } from "./server-record.js";
 import { createServerSpeed } from "./server-speed.js";
-import type { SlowStart } from "./slow-start.js";
 
 /** Why a server may not take a request now. */
-type ExclusionReason = "draining" | "replaced" | "unlisted" | "doubted" | "ejected" | "cold";
+type ExclusionReason = "draining" | "replaced" | "unlisted" | "doubted" | "limited" | "ejected" | "cold";
 
 /** State of one life of a server as this box sees it. */
 export interface ServerState {
@@ -29,6 +29,10 @@
     readonly onUnlisted: () => void;
     /** True while discovery lists the server. */
     readonly isListed: () => boolean;
+    /** A request is about to be sent; its connection may have to come up first. */
+    readonly onChosen: (at: Milliseconds) => void;
+    /** A request for which the server was chosen was not sent. */
+    readonly onNotSent: () => void;
     readonly onSent: (at: Milliseconds) => void;
     /** A request ended in any way; `report` if the answer had one. */
     readonly onEnded: (at: Milliseconds, report?: LoadReport) => void;
@@ -68,7 +72,9 @@
 }
 
 export interface ServerStateOptions {
-    readonly slowStart: SlowStart;
+    readonly slowStart: SharedRate;
+    /** Creates this box's part of the rate that the server names; `rate` gives it in requests a second, as it is now. */
+    readonly shareLimit: (rate: () => number) => SharedRate;
     /** Added to the time that a record says a server stays cold, for the record's way here. */
     readonly recordDelay: Milliseconds;
 }
@@ -88,6 +94,8 @@
     const outliers = createOutlierDetection(at);
     const ejection = createEjection();
     const limit = createNamedLimit();
+    /** This box's part of the limit; undefined while none holds. */
+    let limitShare: SharedRate | undefined;
     let record = first;
     let unlisted = false;
     let replaced = false;
@@ -110,6 +118,12 @@
             unlisted = true;
         },
         isListed: () => !unlisted,
+        onChosen(now) {
+            limitShare?.onSent(now);
+        },
+        onNotSent() {
+            limitShare?.onNotSent();
+        },
         onSent(now) {
             load.onSent();
             if (isCold(now)) {
@@ -131,7 +145,13 @@
         onCold(now, duration) {
             coldUntil = Math.max(coldUntil, now + duration);
         },
-        onLimit: limit.onWord,
+        onLimit(word) {
+            const isNews = limit.onWord(word);
+            limitShare = limit.rate() === undefined
+                ? undefined
+                : limitShare ?? options.shareLimit(() => limit.rate() ?? 0);
+            return isNews;
+        },
         limit: limit.word,
         exclusion,
         hasLeft: () => reasonOfLeaving() !== undefined,
@@ -168,6 +188,10 @@
         if (leaving !== undefined) {
             return leaving;
         }
+        // A server that is ejected may get a trial, which its limit bounds as well.
+        if (limitShare?.allows(now) === false) {
+            return "limited";
+        }
         if (ejection.isEjected()) {
             return "ejected";
         }
--- a/packages/decisions/test/advertised-boxes.test.ts
+++ b/packages/decisions/test/advertised-boxes.test.ts
@@ -1,6 +1,6 @@
 import { regionId } from "@chalkdale/kernel";
 import { expect } from "chai";
-import { advertisedBoxes, advertisedBoxesOfRegion, type MemberRecord, slowStartSenders } from "../src/index.js";
+import { advertisedBoxes, advertisedBoxesOfRegion, boxesNear, type MemberRecord } from "../src/index.js";
 import { createMember } from "./member.js";
 
 describe("advertised boxes", () => {
@@ -43,7 +43,7 @@
 
     it("send to cold servers of their region, and to others only where there are none [P14]", () => {
         const south = createMember("x", { region: regionId("south") });
-        expect(slowStartSenders([...strong, south], regionId("south"))).to.deep.equal(["x"]);
-        expect(slowStartSenders(strong, regionId("south"))).to.have.length(3);
+        expect(boxesNear([...strong, south], regionId("south"))).to.deep.equal(["x"]);
+        expect(boxesNear(strong, regionId("south"))).to.have.length(3);
     });
 });
--- a/packages/decisions/test/choice-setup.ts
+++ b/packages/decisions/test/choice-setup.ts
@@ -14,6 +14,7 @@
 import {
     type BackendServerRecord,
     type ChoiceRequest,
+    createLimitShare,
     createMovedBytes,
     createRecentKeys,
     createServerCatalog,
@@ -27,6 +28,8 @@
 
 /** The service of all servers. */
 const service = serviceId("profiles");
+/** The box is the only one. */
+const sharing = { self: boxId("box-1"), boxes: () => [boxId("box-1")] };
 /** The time of all choices. */
 export const at = milliseconds(1000);
 
@@ -77,12 +80,8 @@
     const catalog = createServerCatalog((record, now) =>
         createServerState(record, now, {
             recordDelay: milliseconds(0),
-            slowStart: createSlowStart({
-                self: boxId("box-1"),
-                server: record.id,
-                boxes: () => [boxId("box-1")],
-                rate: () => 10,
-            }),
+            slowStart: createSlowStart({ ...sharing, server: record.id, rate: () => 10 }),
+            shareLimit: rate => createLimitShare({ ...sharing, server: record.id }, rate),
         })
     );
     catalog.applyList(records, at);
--- a/packages/decisions/test/emulated-rollout.ts
+++ b/packages/decisions/test/emulated-rollout.ts
@@ -355,6 +355,7 @@
         createServerState(record, at, {
             recordDelay: milliseconds(0),
             slowStart: createSlowStart({ self: boxId("b"), server: record.id, boxes: () => [], rate: () => 0 }),
+            shareLimit: () => ({ allows: () => true, onSent: () => undefined, onNotSent: () => undefined }),
         })
     );
     const records = Array.from({ length: servers * 2 }, (_, index) => ({
--- a/packages/decisions/test/rollout-samples.ts
+++ b/packages/decisions/test/rollout-samples.ts
@@ -68,6 +68,7 @@
         createServerState(record, at, {
             recordDelay: milliseconds(0),
             slowStart: createSlowStart({ self: boxId("box-1"), server: record.id, boxes: () => [], rate: () => 0 }),
+            shareLimit: () => ({ allows: () => true, onSent: () => undefined, onNotSent: () => undefined }),
         })
     );
     const records = Array.from(
--- a/packages/decisions/test/served-versions.test.ts
+++ b/packages/decisions/test/served-versions.test.ts
@@ -33,6 +33,7 @@
         createServerState(record, at, {
             recordDelay: milliseconds(0),
             slowStart: createSlowStart({ self: boxId("box-1"), server: record.id, boxes: () => [], rate: () => 0 }),
+            shareLimit: () => ({ allows: () => true, onSent: () => undefined, onNotSent: () => undefined }),
         })
     );
     const versions = createServedVersions({
--- a/packages/decisions/test/server-life.test.ts
+++ b/packages/decisions/test/server-life.test.ts
@@ -29,6 +29,8 @@
 const service = serviceId("profiles");
 const firstBirth = 1_700_000_000_000;
 
+const unbounded = { allows: () => true, onSent: () => undefined, onNotSent: () => undefined };
+
 describe("lives of a server", () => {
     let catalog: ServerCatalog;
     let now: Milliseconds;
@@ -40,7 +42,8 @@
         catalog = createServerCatalog((record, at) =>
             createServerState(record, at, {
                 recordDelay: milliseconds(0),
-                slowStart: { allows: () => true, onSent: () => undefined },
+                slowStart: unbounded,
+                shareLimit: () => unbounded,
             })
         );
     });
@@ -200,7 +203,8 @@
                 catalog = createServerCatalog((record, at) =>
                     createServerState(record, at, {
                         recordDelay: milliseconds(0),
-                        slowStart: { allows: () => true, onSent: () => undefined },
+                        slowStart: unbounded,
+                        shareLimit: () => unbounded,
                     })
                 );
                 for (const { birth, draining, isListed } of history) {
--- a/packages/decisions/test/server-state.test.ts
+++ b/packages/decisions/test/server-state.test.ts
@@ -10,6 +10,7 @@
 import { createServerState } from "../src/index.js";
 
 describe("the state of a server", () => {
+    const never = { allows: () => false, onSent: () => undefined, onNotSent: () => undefined };
     const at = (time: number): Milliseconds => milliseconds(time);
     const create = () =>
         createServerState(
@@ -25,7 +26,7 @@
                 revision: 1,
             },
             at(0),
-            { recordDelay: at(0), slowStart: { allows: () => false, onSent: () => undefined } },
+            { recordDelay: at(0), slowStart: never, shareLimit: () => never },
         );
 
     describe("ejection", () => {
--- a/packages/testing/src/emulator/emulated-box.ts
+++ b/packages/testing/src/emulator/emulated-box.ts
@@ -7,6 +7,7 @@
 
 import {
     type BackendServerRecord,
+    createLimitShare,
     createMovedBytes,
     createRecentKeys,
     createServerCatalog,
@@ -84,15 +85,12 @@
 }
 
 function createCatalog(options: EmulatedBoxOptions): ServerCatalog {
-    return createServerCatalog((record, at) =>
-        createServerState(record, at, {
+    return createServerCatalog((record, at) => {
+        const sharing = { self: options.id, server: record.id, boxes: () => options.boxes };
+        return createServerState(record, at, {
             recordDelay,
-            slowStart: createSlowStart({
-                self: options.id,
-                server: record.id,
-                boxes: () => options.boxes,
-                rate: () => options.coldRate,
-            }),
-        })
-    );
+            slowStart: createSlowStart({ ...sharing, rate: () => options.coldRate }),
+            shareLimit: rate => createLimitShare(sharing, rate),
+        });
+    });
 }
