A cold server's request counts when the server is chosen, not when its connection is up

What servers saw: requests that came together all passed the bound of a cold server, since a request was counted only once its connection was up, a way there and back or up to a quarter of a second later. Change: both shared rates are charged in the step that chooses, and get it back if nothing is sent. Evidence: the new case of server-state failed before (exclusion undefined where cold was due) and passes.

--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -58,7 +58,7 @@
     return async function attempt(request) {
         const { state } = request.server;
         let isSent = false;
-        state.onChosen(clock());
+        const onNotSent = state.onChosen(clock());
         const outcome = await connectAndSend({
             ...request,
             onSend() {
@@ -67,7 +67,7 @@
             },
         });
         if (!isSent) {
-            state.onNotSent();
+            onNotSent();
         }
         return outcome;
     };
@@ -109,7 +109,7 @@
     async function send(request: AttemptRequest, { rested, socket }: ServerConnection): Promise<AttemptOutcome> {
         const sentAt = clock();
         request.onSend();
-        request.server.state.onSent(sentAt);
+        request.server.state.onSent();
         const silence = watchForSilence(request);
         const outcome = await exchange({
             socket,
--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -68,7 +68,7 @@
     return {
         state,
         refuseUnrun: (load: LoadReport) => {
-            state.onSent(clock());
+            state.onSent();
             const headers = { "not-run": "1", load: JSON.stringify(load) };
             const answer = {
                 status: 503,
@@ -82,7 +82,7 @@
         },
         timeOutAfter: (duration: number) => {
             const sentAt = clock();
-            state.onSent(sentAt);
+            state.onSent();
             now += duration;
             feedback.onCancelled(request, sentAt, milliseconds(0));
         },
--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -29,11 +29,12 @@
     readonly onUnlisted: () => void;
     /** True while discovery lists the server. */
     readonly isListed: () => boolean;
-    /** A request is about to be sent; its connection may have to come up first. */
-    readonly onChosen: (at: Milliseconds) => void;
-    /** A request for which the server was chosen was not sent. */
-    readonly onNotSent: () => void;
-    readonly onSent: (at: Milliseconds) => void;
+    /**
+     * The server is chosen for a request, whose connection may have to come up first: counted at once, so that others do not pass
+     * meanwhile. Returns what to call if the request is not sent.
+     */
+    readonly onChosen: (at: Milliseconds) => () => void;
+    readonly onSent: () => void;
     /** A request ended in any way; `report` if the answer had one. */
     readonly onEnded: (at: Milliseconds, report?: LoadReport) => void;
     /** An answer took `ratio` times as long as expected. */
@@ -119,17 +120,11 @@
         },
         isListed: () => !unlisted,
         onChosen(now) {
-            limitShare?.onSent(now);
-        },
-        onNotSent() {
-            limitShare?.onNotSent();
-        },
-        onSent(now) {
-            load.onSent();
-            if (isCold(now)) {
-                slowStart.onSent(now);
-            }
+            const shares = [limitShare, isCold(now) ? slowStart : undefined].filter(share => share !== undefined);
+            shares.forEach(share => share.onSent(now));
+            return () => shares.forEach(share => share.onNotSent());
         },
+        onSent: load.onSent,
         onEnded: load.onEnded,
         onAnswerTime: speed.onAnswer,
         onFailure(now, kind) {
--- a/packages/decisions/test/crowded-downloads.test.ts
+++ b/packages/decisions/test/crowded-downloads.test.ts
@@ -9,7 +9,7 @@
 
 import { hashText, milliseconds, regionId } from "@chalkdale/kernel";
 import { expect } from "chai";
-import { at, createRecord, createRoute, createSetup } from "./choice-setup.js";
+import { createRecord, createRoute, createSetup } from "./choice-setup.js";
 
 describe("a download that is crowded out of its region", () => {
     /** Load that a box sees which knows the full servers of its region only. */
@@ -25,7 +25,7 @@
             const name = choice.kind === "chosen" ? choice.server.id : choice.kind;
             served.set(name, (served.get(name) ?? 0) + 1);
             if (choice.kind === "chosen") {
-                choice.server.state.onSent(at);
+                choice.server.state.onSent();
             }
         }
         return served;
--- a/packages/decisions/test/hedge-decision.test.ts
+++ b/packages/decisions/test/hedge-decision.test.ts
@@ -36,7 +36,7 @@
 
         it("if it would wait for a slot there", () => {
             const busy = createSetup([createRecord("s-1")]);
-            Array.from({ length: 4 }, () => busy.catalog.get(createRecord("s-1").id)?.state.onSent(milliseconds(1000)));
+            Array.from({ length: 4 }, () => busy.catalog.get(createRecord("s-1").id)?.state.onSent());
             expect(decide({ chooseSecond: () => busy.choose(busy.request()) })).to.equal(undefined);
         });
     });
--- a/packages/decisions/test/moved-bytes.test.ts
+++ b/packages/decisions/test/moved-bytes.test.ts
@@ -10,7 +10,7 @@
     type RouteKind,
     type SizeStep,
 } from "../src/index.js";
-import { at, createRecord, createRoute, createSetup } from "./choice-setup.js";
+import { createRecord, createRoute, createSetup } from "./choice-setup.js";
 
 const reaches: readonly Reach[] = ["sameZone", "sameRegion", "otherRegion"];
 
@@ -122,7 +122,7 @@
         for (let key = 0; key < 14; key++) {
             const choice = setup.choose(setup.request({ route, keyHash: hashText(`key-${key}`) }));
             if (choice.kind === "chosen") {
-                choice.server.state.onSent(at);
+                choice.server.state.onSent();
                 served.set(choice.server.id, (served.get(choice.server.id) ?? 0) + 1);
             }
         }
--- a/packages/decisions/test/server-choice.test.ts
+++ b/packages/decisions/test/server-choice.test.ts
@@ -65,7 +65,7 @@
             const { catalog, chosen } = createSetup(fourServers);
             const first = chosen();
             const { state } = catalog.get(backendServerId(String(first)))!;
-            Array.from({ length: 24 }, () => state.onSent(at));
+            Array.from({ length: 24 }, () => state.onSent());
             expect(chosen()).not.to.equal(first);
         });
 
@@ -136,7 +136,7 @@
                 const choice = setup.choose(setup.request({ isReturning: true }));
                 if (choice.kind === "chosen") {
                     seen.add(choice.server.id);
-                    choice.server.state.onSent(at);
+                    choice.server.state.onSent();
                 }
             }
             expect(seen.size).to.equal(2);
@@ -149,7 +149,7 @@
                 if (choice.kind !== "chosen") {
                     return choice;
                 }
-                choice.server.state.onSent(at);
+                choice.server.state.onSent();
             }
         };
 
@@ -170,7 +170,7 @@
                         break;
                     }
                     used.add(choice.server.id);
-                    choice.server.state.onSent(at);
+                    choice.server.state.onSent();
                 }
                 return used.size;
             };
@@ -187,7 +187,7 @@
             const { service } = setup.request();
             for (let count = 0; count < 8; count++) {
                 setup.work.onSent(service, long);
-                state.onSent(at);
+                state.onSent();
             }
             const next = setup.chosen({ route: quick });
             expect(next).not.to.equal(first);
@@ -203,7 +203,7 @@
             for (let key = 0; key < 200; key++) {
                 const choice = setup.choose(setup.request({ route, keyHash: hashText(`key-${key}`) }));
                 if (choice.kind === "chosen") {
-                    choice.server.state.onSent(at);
+                    choice.server.state.onSent();
                     served.add(choice.server.id);
                 }
             }
@@ -306,7 +306,7 @@
                 const now = milliseconds(at + time);
                 const choice = choose(request({ at: now, timeLeft: milliseconds(5000) }));
                 if (choice.kind === "chosen") {
-                    catalog.get(choice.server.id)!.state.onSent(now);
+                    catalog.get(choice.server.id)!.state.onChosen(now);
                     sent += 1;
                 }
             }
--- a/packages/decisions/test/server-life.test.ts
+++ b/packages/decisions/test/server-life.test.ts
@@ -72,7 +72,7 @@
             const before = catalog.get(id)!;
             before.state.onReplaced();
             before.state.onFailure(now, "unreachable");
-            before.state.onSent(now);
+            before.state.onSent();
             before.state.onAnswerTime(now, 9);
             const change = apply(born(firstBirth + 5000));
             expect(change.restarted.map(restarted => restarted.before)).to.deep.equal([before]);
@@ -85,7 +85,7 @@
         it("is not struck by the end of requests that are still at the one before", () => {
             apply(born(firstBirth));
             const before = catalog.get(id)!;
-            before.state.onSent(now);
+            before.state.onSent();
             apply(born(firstBirth + 1));
             before.state.onEnded(now);
             before.state.onFailure(now, "unreachable");
--- a/packages/decisions/test/server-state.test.ts
+++ b/packages/decisions/test/server-state.test.ts
@@ -1,13 +1,14 @@
 import {
     availabilityZoneId,
     backendServerId,
+    boxId,
     type Milliseconds,
     milliseconds,
     regionId,
     serviceId,
 } from "@chalkdale/kernel";
 import { expect } from "chai";
-import { createServerState } from "../src/index.js";
+import { createServerState, createSlowStart } from "../src/index.js";
 
 describe("the state of a server", () => {
     const never = { allows: () => false, onSent: () => undefined, onNotSent: () => undefined };
@@ -66,8 +67,8 @@
     describe("load", () => {
         it("is this box's own requests and, for a while, what the server told of others", () => {
             const state = create();
-            state.onSent(at(0));
-            state.onSent(at(0));
+            state.onSent();
+            state.onSent();
             expect(state.load(at(0))).to.equal(2);
             state.onEnded(at(10), { running: 4, waiting: 1, slots: 4 });
             expect(state.load(at(10))).to.equal(5);
@@ -92,4 +93,26 @@
             expect(state.exclusion(at(1000))).to.equal(undefined);
         });
     });
+
+    describe("a cold server", () => {
+        it("is not chosen again while the connection of the request that it was chosen for comes up", () => {
+            const coldFor = milliseconds(5000);
+            const box = boxId("box-1");
+            const slowStart = createSlowStart({
+                self: box,
+                server: backendServerId("i-1"),
+                boxes: () => [box],
+                rate: () => 2,
+            });
+            const state = createServerState({ ...create().record(), coldFor }, at(0), {
+                recordDelay: at(0),
+                slowStart,
+                shareLimit: () => never,
+            });
+            expect(state.exclusion(at(10))).to.equal(undefined);
+            state.onChosen(at(10));
+            expect(state.exclusion(at(10))).to.equal("cold");
+            expect(state.exclusion(at(300))).to.equal("cold");
+        });
+    });
 });
--- a/packages/testing/src/emulator/emulated-attempts.ts
+++ b/packages/testing/src/emulator/emulated-attempts.ts
@@ -117,7 +117,8 @@
     function send(request: RequestInProgress, choice: ChosenServer, sentAt: Milliseconds): void {
         const { server } = choice;
         const oneWay = options.roundTrip(server.state.record().zone) / 2;
-        server.state.onSent(sentAt);
+        server.state.onChosen(sentAt);
+        server.state.onSent();
         work.onSent(request.service, request.route);
         options.onArrival(server.id, request.tried.size);
         options.onMoved(server.state.record().zone, movedBytes.expected(request.route));
