Limited servers are kept for the keys that rank them; their limits are told beyond their region at once

Cause: a request whose own servers had no token went to any server that had one, so that nearly all of the few requests were cold work. The whole rate is used, 0.9 of it before. Boxes that share the limit are told first, others after them.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -107,10 +107,8 @@
         log,
         protocol,
         catalog,
-        sharing(server) {
-            const boxes = new Set(limits.boxesNear(server.state.record().region));
-            return limits.advertised().filter(({ box }) => boxes.has(box) && box !== settings.box);
-        },
+        others: () => limits.advertised().filter(({ box }) => box !== settings.box),
+        sharesLimit: ({ box }, server) => limits.boxesNear(server.state.record().region).includes(box),
         send: (box, reports) => peerLink.sendLimits(box, reports),
     });
     const deadlyGuard = createDeadlyGuard({
--- a/packages/box/src/servers/limit-news.ts
+++ b/packages/box/src/servers/limit-news.ts
@@ -1,6 +1,6 @@
 /**
- * What this box tells others of the limits that servers name: at once to some of
- * the boxes that may send there, and to all in turn with gossip.
+ * What this box tells others of the limits that servers name: at once to some boxes,
+ * those that may send there first, and to all in turn with gossip.
  *
  * Owns which limits are news; relies on the state of each server for the newest
  * word. Any message may be lost.
@@ -13,8 +13,10 @@
 export interface LimitNewsOptions {
     readonly clock: Clock;
     readonly random: () => number;
-    /** Other boxes that may send to the server while it is limited. */
-    readonly sharing: (server: BackendServer) => readonly MemberRecord[];
+    /** Other boxes that callers are named. */
+    readonly others: () => readonly MemberRecord[];
+    /** True for a box that may send to the server while it is limited. */
+    readonly sharesLimit: (box: MemberRecord, server: BackendServer) => boolean;
     readonly send: (box: MemberRecord, reports: readonly LimitReport[]) => void;
 }
 
@@ -80,7 +82,7 @@
         }
         const reportsOf = new Map<MemberRecord, LimitReport[]>();
         for (const [server, count] of untold) {
-            for (const box of sample(options.sharing(server), count)) {
+            for (const box of toldBoxes(server, count)) {
                 reportsOf.set(box, [...reportsOf.get(box) ?? [], ...reportOf(server)].slice(0, mostReports));
             }
         }
@@ -89,9 +91,13 @@
         reportsOf.forEach((reports, box) => options.send(box, reports));
     }
 
-    function sample(boxes: readonly MemberRecord[], count: number): readonly MemberRecord[] {
+    function toldBoxes(server: BackendServer, count: number): readonly MemberRecord[] {
+        const boxes = options.others();
         const first = Math.floor(options.random() * boxes.length);
-        return [...boxes.slice(first), ...boxes.slice(0, first)].slice(0, count);
+        const inTurn = [...boxes.slice(first), ...boxes.slice(0, first)];
+        const sharing = inTurn.filter(box => options.sharesLimit(box, server));
+        const others = inTurn.filter(box => !sharing.includes(box));
+        return [...sharing, ...others].slice(0, count);
     }
 
     function reportOf({ state }: BackendServer): readonly LimitReport[] {
--- a/packages/box/test/limited-servers.test.ts
+++ b/packages/box/test/limited-servers.test.ts
@@ -85,7 +85,8 @@
                 },
             },
             catalog: { get: () => added.server },
-            sharing: () => boxes.map(box => box.record).filter(other => other !== record),
+            others: () => boxes.map(box => box.record).filter(other => other !== record),
+            sharesLimit: ({ box }) => box.endsWith("0"),
             send: (to, reports) => send(added, boxes.find(box => box.record === to)!, reports),
         });
         const added: EmulatedBox = { record, limits, lines, server: createServer(firstBirth), isCutOff: false };
--- a/packages/decisions/src/choose/eligible-servers.ts
+++ b/packages/decisions/src/choose/eligible-servers.ts
@@ -12,6 +12,7 @@
 
 import type { AvailabilityZoneId, Milliseconds, ServiceId } from "@chalkdale/kernel";
 import type { BackendServer, ServerCatalog } from "../servers/server-catalog.js";
+import type { Route } from "../shared-state/configuration.js";
 import type { ChoiceRequest } from "./choice.js";
 import { type BoxPlace, comparedCount, firstOfRanking } from "./compared-servers.js";
 import { createKeyRankings, rankedCount } from "./key-rankings.js";
@@ -63,6 +64,14 @@
         return isCandidate(server, request) && server.state.exclusion(request.at) === undefined;
     }
 
+    /**
+     * A limited server is for the keys that rank it among the servers that are compared: where all are limited, the few requests would
+     * else go to whoever has room, and nearly all of them would be cold work.
+     */
+    function isKeptForKeys({ state }: BackendServer, route: Route): boolean {
+        return route.sticky && state.limit()?.kind === "named";
+    }
+
     function first(request: ChoiceRequest): readonly BackendServer[] {
         const { isTrial, keyHash, route, service } = request;
         const step = options.movedBytes.step(route);
@@ -81,18 +90,25 @@
             );
             return outliers.has(server);
         };
+        let place = 0;
         const compared = ranked.filter(server => {
-            const isAway = !options.admitsZone(server.state.record().zone)
-                || server.state.exclusion(request.at) !== undefined || isOutlier(server);
+            const exclusion = server.state.exclusion(request.at);
+            const isAway = !options.admitsZone(server.state.record().zone) || exclusion !== undefined
+                || isOutlier(server);
             if (isAway) {
                 options.returningKeys.noteAway(server, request.at);
             }
-            return !isAway && isCandidate(server, request);
+            const isOwnKey = place < comparedCount;
+            place += isAway && exclusion !== "limited" ? 0 : 1;
+            return !isAway && isCandidate(server, request) && (isOwnKey || !isKeptForKeys(server, route));
         });
         if (compared.length >= comparedCount || ranked.length === all.length) {
             return compared;
         }
-        const usable = all.filter(server => isEligible(server, request) && !isOutlier(server));
+        const usable = all.filter(server =>
+            compared.includes(server)
+            || isEligible(server, request) && !isOutlier(server) && !isKeptForKeys(server, route)
+        );
         return firstOfRanking(usable, { keyHash, step }, options, rankedCount);
     }
 }
--- a/packages/decisions/src/limits/shared-rate.ts
+++ b/packages/decisions/src/limits/shared-rate.ts
@@ -32,14 +32,12 @@
     readonly rate: () => number;
     /** Boxes that hold a part of so great a rate, at most. */
     readonly mostHolders: (rate: number) => number;
+    /** Part of the rate that is used; the rest is for boxes that don't yet agree on the holders. */
+    readonly usedPart: number;
     /** Whether a box that comes to hold a part may send at once, or has to earn its first request. */
     readonly firstRequest: "atOnce" | "earned";
 }
 
-/**
- * Part of the rate that is used; the rest is for boxes that don't yet agree on the holders.
- */
-const usedPartOfRate = 0.9;
 /** Milliseconds of its part that a box saves up, if they come to more than one request: requests don't come evenly. */
 const savedTime = 200;
 /** Milliseconds of a second, the unit of the rate. */
@@ -96,7 +94,7 @@
         if (rate <= 0 || rank === undefined || rank >= holders) {
             return undefined;
         }
-        return { rank, holders, interval: second * holders / (rate * usedPartOfRate) };
+        return { rank, holders, interval: second * holders / (rate * options.usedPart) };
     }
 
     /** Computed anew for another list of boxes only: it is asked for with each choice of a server. */
--- a/packages/decisions/src/servers/limit-share.ts
+++ b/packages/decisions/src/servers/limit-share.ts
@@ -1,7 +1,7 @@
 /**
  * This box's part of the rate that a server names.
  *
- * In any span of 4 s all boxes together send at most four times the rate and one
+ * The whole rate is used. In any span of 4 s all boxes together send little more than four times the rate and one
  * request for each holder, where six times the rate and 5 requests are borne. So more boxes
  * hold a part of a greater rate, and enough room is left for boxes that do not agree on the holders for a while.
  *
@@ -36,6 +36,7 @@
         boxes,
         rate: () => Math.max(askingRate, rate()),
         mostHolders: used => used <= askingRate ? 1 : fewestHolders + Math.floor(used * holdersPerRate),
+        usedPart: 1,
         firstRequest: "earned",
     });
 }
--- a/packages/decisions/src/servers/slow-start.ts
+++ b/packages/decisions/src/servers/slow-start.ts
@@ -12,6 +12,8 @@
  * rate by one request; half of the rate and 5 requests more are borne.
  */
 const mostSenders = 4;
+/** Part of the rate that is used; the rest is for boxes that don't yet agree on the senders. */
+const usedPart = 0.9;
 
 export interface SlowStartOptions {
     readonly self: BoxId;
@@ -30,6 +32,7 @@
         boxes,
         rate,
         mostHolders: () => mostSenders,
+        usedPart,
         firstRequest: "atOnce",
     });
 }
--- a/packages/decisions/test/server-choice.test.ts
+++ b/packages/decisions/test/server-choice.test.ts
@@ -313,4 +313,57 @@
             expect(sent).to.be.within(8, 11);
         });
     });
+
+    describe("servers that name limits", () => {
+        const names = Array.from({ length: 8 }, (_, index) => `s-${index}`);
+        const keyOf = (index: number) => hashText(`key-${index}`);
+        const limited = (...servers: readonly string[]) => {
+            const setup = createSetup(names.map(name => createRecord(name)));
+            servers.forEach(name =>
+                setup.catalog.get(backendServerId(name))!.state.onLimit({ kind: "named", rate: 2, at })
+            );
+            return setup;
+        };
+        /** Milliseconds after which this box has earned a request to each limited server. */
+        const earned = milliseconds(at + 2000);
+
+        it("get nothing before it is earned, and their keys go to others", () => {
+            const { chosen } = limited("s-0", "s-1", "s-2");
+            const servers = new Set(Array.from({ length: 200 }, (_, index) => chosen({ keyHash: keyOf(index) })));
+            expect([...servers].sort()).to.deep.equal(["s-3", "s-4", "s-5", "s-6", "s-7"]);
+        });
+
+        it("are refused as limited where all of them have had what they take", () => {
+            const { chosen } = limited(...names);
+            expect(chosen()).to.equal("allLimited");
+        });
+
+        it("take the keys that rank them first, and no others, where all are limited", () => {
+            const usual = limited();
+            const { catalog, choose, request } = limited(...names);
+            // Asked for once, so that each part begins to be earned.
+            choose(request());
+            let taken = 0;
+            for (let index = 0; index < 400; index++) {
+                const keyHash = keyOf(index);
+                const choice = choose(request({ keyHash, at: earned }));
+                if (choice.kind !== "chosen") {
+                    continue;
+                }
+                taken += 1;
+                catalog.get(choice.server.id)!.state.onChosen(earned);
+                const compared = usual.choose(request({ keyHash }));
+                const own = compared.kind === "chosen" ? [compared.server.id, compared.runnerUp?.server] : [];
+                expect(own).to.include(choice.server.id);
+            }
+            expect(taken).to.equal(8);
+        });
+
+        it("get no trial beyond the limit when they are ejected", () => {
+            const setup = limited("s-0");
+            names.forEach(name => setup.catalog.get(backendServerId(name))!.state.onFailure(at, "unreachable"));
+            const tried = new Set(Array.from({ length: 100 }, (_, index) => setup.chosen({ keyHash: keyOf(index) })));
+            expect(tried).not.to.include("s-0");
+        });
+    });
 });
--- a/packages/testing/src/standins/limiting-servers.ts
+++ b/packages/testing/src/standins/limiting-servers.ts
@@ -21,6 +21,8 @@
 export interface LimitingServersOptions {
     readonly count: number;
     readonly zones: readonly string[];
+    /** Requests that each works on at once. */
+    readonly slots?: number;
     /** Work of a request at a server that does not know its key, in milliseconds. */
     readonly work: number;
 }
@@ -38,14 +40,14 @@
 /** Starts the servers and records them. */
 export async function startLimitingServers(
     deployment: Deployment,
-    { count, work, zones }: LimitingServersOptions,
+    { count, slots, work, zones }: LimitingServersOptions,
 ): Promise<readonly LimitingServer[]> {
     return Promise.all(Array.from({ length: count }, (_, index) => start(`i-${index}`, zones[index % zones.length])));
 
     async function start(id: string, zone: string): Promise<LimitingServer> {
         const arrivedAt: number[] = [];
         let since: number | undefined;
-        const server = await deployment.addServer({ id, zone });
+        const server = await deployment.addServer({ id, zone, slots });
         server.setWork(work);
         server.setBehaviour(() => {
             arrivedAt.push(performance.now());
