Holders of a limit save up half a request more; the soak learns servers that name limits

Slow start goes on as it was. The soak has a set of faults with limits (--limits): some servers or all of a service name a rate from 0 to 8 a second; its check goes by the users' words.

--- a/packages/decisions/src/limits/shared-rate.ts
+++ b/packages/decisions/src/limits/shared-rate.ts
@@ -3,8 +3,8 @@
  * or to one that names a limit.
  *
  * A few boxes hold a part each, the best by rendezvous hashing for what is bounded; the
- * others send nothing. Parts are equal, and each box saves up at most one request, or what
- * it earns in a fifth of a second, so all boxes together send little more than the rate and one request for each holder.
+ * others send nothing. Parts are equal, and each box saves up little more than one request, so all boxes together
+ * send little more than the rate and one request for each holder.
  *
  * Owns the time of this box's next request; relies on the members that all boxes know.
  */
@@ -34,6 +34,8 @@
     readonly mostHolders: (rate: number) => number;
     /** Part of the rate that is used; the rest is for boxes that don't yet agree on the holders. */
     readonly usedPart: number;
+    /** Part of a request that a box saves up beside a whole one: what it earned while nobody asked. */
+    readonly savedPart: number;
     /** Whether a box that comes to hold a part may send at once, or has to earn its first request. */
     readonly firstRequest: "atOnce" | "earned";
 }
@@ -70,7 +72,7 @@
         },
         onSent(at) {
             const interval = ownPart()?.interval ?? second;
-            const saved = Math.max(0, savedTime - interval);
+            const saved = Math.max(interval * options.savedPart, savedTime - interval);
             nextAt = Math.max(nextAt ?? at, at - saved) + interval;
         },
         onNotSent() {
--- a/packages/decisions/src/servers/limit-share.ts
+++ b/packages/decisions/src/servers/limit-share.ts
@@ -1,8 +1,8 @@
 /**
  * This box's part of the rate that a server names.
  *
- * The whole rate is used. In any span of 4 s all boxes together send little more than four times the rate and one
- * request for each holder, where six times the rate and 5 requests are borne. So more boxes
+ * The whole rate is used. In any span of 4 s all boxes together send little more than four times the rate and one and
+ * a half requests for each holder, where six times the rate and 5 requests are borne. So more boxes
  * hold a part of a greater rate, and enough room is left for boxes that do not agree on the holders for a while.
  *
  * Owns nothing; relies on `shared-rate`.
@@ -13,6 +13,8 @@
 
 /** Boxes that hold a part of the smallest rates. */
 const fewestHolders = 3;
+/** Requests come at times of their own: without it a box in three would lose what it earns until the next one comes. */
+const savedPart = 0.5;
 /** Further boxes for each request a second. */
 const holdersPerRate = 1;
 /**
@@ -37,6 +39,7 @@
         rate: () => Math.max(askingRate, rate()),
         mostHolders: used => used <= askingRate ? 1 : fewestHolders + Math.floor(used * holdersPerRate),
         usedPart: 1,
+        savedPart,
         firstRequest: "earned",
     });
 }
--- a/packages/decisions/src/servers/slow-start.ts
+++ b/packages/decisions/src/servers/slow-start.ts
@@ -33,6 +33,7 @@
         rate,
         mostHolders: () => mostSenders,
         usedPart,
+        savedPart: 0,
         firstRequest: "atOnce",
     });
 }
--- a/packages/testing/src/soak/checks.ts
+++ b/packages/testing/src/soak/checks.ts
@@ -3,6 +3,7 @@
  */
 
 import { inTouchBreaches } from "./in-touch-checks.js";
+import { limitBreaches } from "./limit-checks.js";
 import type { Breach, Interval, Observations, ObservedRun } from "./observations.js";
 import { pipeliningBreaches } from "./pipelining-checks.js";
 import { returnBreaches } from "./return-checks.js";
@@ -31,6 +32,7 @@
         ...pipeliningBreaches(seen),
         ...inTouchBreaches(seen),
         ...returnBreaches(seen),
+        ...limitBreaches(seen),
     ];
 }
 
--- a/packages/testing/src/soak/faults.ts
+++ b/packages/testing/src/soak/faults.ts
@@ -8,8 +8,9 @@
 import { createFreeze, createRestart } from "./box-faults.js";
 import { type Fault, type FaultSet, pick } from "./fault-tools.js";
 import { injectLaterFaults, type LaterFaultCounts } from "./later-faults.js";
+import { nameLimits } from "./limit-faults.js";
 import { allLinks, createLinkHarm, createLinkReset } from "./link-faults.js";
-import type { BoxEnd, Interval } from "./observations.js";
+import type { BoxEnd, Interval, ObservedLimit } from "./observations.js";
 import { createPlannedChanges, type PlannedChanges } from "./planned-changes.js";
 import { createMisbehaviour, createStoreFailure, createTurningAway } from "./service-faults.js";
 import type { SoakRollouts } from "./soak-rollouts.js";
@@ -27,6 +28,8 @@
     /** Signals that ended boxes, in their order. */
     readonly boxEnds: readonly BoxEnd[];
     readonly rollouts: SoakRollouts;
+    /** Limits that servers named; undefined if none were drawn. */
+    readonly limits: readonly ObservedLimit[] | undefined;
     /** What operators do once all faults are over: a server is replaced and the configuration changes. */
     readonly changeInCalm: () => Promise<void>;
 }
@@ -46,12 +49,14 @@
     const end = now() + length;
     const rollouts = changes.rollouts.orderUntil(end);
     const later = set === "first" ? undefined : injectLaterFaults(world, changes, end, set);
+    const limits = set === "limits" ? nameLimits(world, end) : undefined;
     while (now() < end) {
         ends.push(pick(faults, random)());
         await pause(milliseconds(shortestPause + random() * longestAddition));
     }
     await Promise.all(ends);
     const laterCounts = await later;
+    const namedLimits = await limits;
     makeWhole(world);
     await rollouts;
     const { drained, evacuated } = changes;
@@ -62,6 +67,7 @@
         evacuated,
         boxEnds,
         rollouts: changes.rollouts,
+        limits: namedLimits,
         async changeInCalm() {
             await changes.changeConfiguration();
             await changes.release();
--- a/packages/testing/src/soak/main.ts
+++ b/packages/testing/src/soak/main.ts
@@ -3,6 +3,7 @@
  */
 
 import meow from "meow";
+import type { FaultSet } from "./fault-tools.js";
 import { runSoak } from "./soak.js";
 
 const cli = meow(
@@ -10,7 +11,7 @@
   Runs boxes as real processes under faults drawn from seeds, and checks what callers and servers see.
 
   Usage
-    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5] [--first-faults]
+    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5] [--first-faults] [--limits]
 
   Exit codes
     0 no breach, 1 a breach or a run that failed, 2 wrong command line
@@ -22,6 +23,7 @@
             seconds: { type: "number", default: 12 },
             boxes: { type: "number", default: 5 },
             firstFaults: { type: "boolean", default: false },
+            limits: { type: "boolean", default: false },
             quiet: { type: "boolean", default: false },
         },
     },
@@ -39,7 +41,7 @@
         const result = await runSoak({
             seed,
             length: cli.flags.seconds * 1000,
-            faults: cli.flags.firstFaults ? "first" : "all",
+            faults: faultSetOf(),
             boxes: cli.flags.boxes,
             onEvent: line => {
                 if (!cli.flags.quiet || line.includes("breach=")) {
@@ -47,7 +49,7 @@
                 }
             },
         });
-        const { attempts, breaches, faults, folder, inTouch, later, rollouts, served } = result;
+        const { attempts, breaches, faults, folder, inTouch, later, limits, rollouts, served } = result;
         const counts = later === undefined ? "none" : Object.entries(later).map(pair => pair.join(":")).join(",");
         const outcomes = rollouts.map(({ isBad, states }) =>
             `${isBad ? "bad" : "good"}:${states.at(-1)?.state ?? "none"}`
@@ -56,11 +58,20 @@
         process.stdout.write(
             `seed=${seed} attempts=${attempts} served=${served} faults=${faults} later=${counts} inTouch=${
                 Object.entries(inTouch).map(pair => pair.join(":")).join(",")
-            } rollouts=${outcomes.join(",")} breaches=${breaches.length} logs=${folder}\n`,
+            } limits=${limits.checked}/${limits.named} rollouts=${
+                outcomes.join(",")
+            } breaches=${breaches.length} logs=${folder}\n`,
         );
     }
     process.stdout.write(`${last - first + 1 - failed} seeds without a breach, ${failed} with one\n`);
     process.exitCode = failed > 0 ? 1 : 0;
 }
 
+function faultSetOf(): FaultSet {
+    if (cli.flags.firstFaults) {
+        return "first";
+    }
+    return cli.flags.limits ? "limits" : "all";
+}
+
 await main();
--- a/packages/testing/src/soak/observations.ts
+++ b/packages/testing/src/soak/observations.ts
@@ -29,6 +29,7 @@
         | "customer in touch"
         | "route in touch"
         | "quota"
+        | "limit"
         | "return";
     readonly at: number;
     readonly detail: string;
@@ -75,6 +76,13 @@
     readonly to: number;
 }
 
+/** A rate that a server named, from when and until when; `to` is the end of its life if that came first. */
+export interface ObservedLimit extends Interval {
+    readonly server: string;
+    /** Requests a second. */
+    readonly rate: number;
+}
+
 /** An order to move a service onto servers of a version, and the states that were seen in the store. */
 export interface ObservedRollout extends Interval {
     readonly service: string;
@@ -108,6 +116,8 @@
     /** From when on a key must not be honoured; undefined for one that stands. */
     readonly keyEndsAt: (key: string) => number | undefined;
     readonly rollouts: readonly ObservedRollout[];
+    /** Limits that servers named; undefined where none was drawn. */
+    readonly limits?: readonly ObservedLimit[];
     /** From here on all faults are over, and enough time has passed to recover. */
     readonly recoveredFrom: number;
     /** True if no fault has struck the box of an address for a while; undefined where that was not noted. */
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -12,6 +12,7 @@
 import { injectFaults } from "./faults.js";
 import { countInTouch, type InTouchCounts } from "./in-touch-checks.js";
 import type { LaterFaultCounts } from "./later-faults.js";
+import { countLimits } from "./limit-checks.js";
 import type { Breach, ObservedRollout } from "./observations.js";
 import { startPipeliningCallers } from "./pipelining-callers.js";
 import { probeReturn } from "./return-probe.js";
@@ -42,6 +43,8 @@
     readonly breaches: readonly Breach[];
     /** What the checks of boxes in touch with the store could see. */
     readonly inTouch: InTouchCounts;
+    /** Limits that the check could see kept or broken, and all that were named. */
+    readonly limits: { readonly checked: number; readonly named: number; };
     /** Where the logs of the boxes lie. */
     readonly folder: string;
 }
@@ -53,7 +56,7 @@
 const defaultBoxes = 5;
 const defaultCallers = 6;
 /** Servers in a run of each set of faults beyond which none is replaced. */
-const mostServers: Readonly<Record<FaultSet, number>> = { first: 24, silences: 60, all: 60 };
+const mostServers: Readonly<Record<FaultSet, number>> = { first: 24, silences: 60, all: 60, limits: 60 };
 const pipeliningCallers = 2;
 /** Part of the callers' requests that are given up early. */
 const leavingShare = 0.05;
@@ -118,5 +121,17 @@
     const served = attempts.filter(attempt => attempt.answer.status === 200).length;
     const { observed } = rollouts;
     const inTouch = countInTouch(seen);
-    return { seed, attempts: attempts.length, served, faults, later, rollouts: observed, breaches, inTouch, folder };
+    const limits = { checked: countLimits(seen), named: seen.limits?.length ?? 0 };
+    return {
+        seed,
+        attempts: attempts.length,
+        served,
+        faults,
+        later,
+        rollouts: observed,
+        breaches,
+        inTouch,
+        limits,
+        folder,
+    };
 }
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -121,6 +121,22 @@
         expect(found({ ...soon, keyEndsAt: () => 7000, attempts: sentAt(2900) })).to.deep.equal([]);
     });
 
+    it("find too much at a server that names a limit, from boxes that know of it", () => {
+        const limits = [{ server: "i-1", rate: 1, from: 0, to: 20_000 }];
+        const runsEach = (interval: number, caller: string) =>
+            Array.from(
+                { length: Math.ceil(12_000 / interval) },
+                (_, index) => run({ requestId: `l-${caller}-${index}`, at: index * interval, caller }),
+            );
+        const limitsBroken = (runs: readonly ObservedRun[], isInTouch = () => true) =>
+            found({ limits, runs, isInTouch }).filter(promise => promise === "limit").length;
+        expect(limitsBroken(runsEach(400, "127.0.0.9"))).to.equal(0);
+        expect(limitsBroken(runsEach(300, "127.0.0.9"))).to.equal(1);
+        expect(limitsBroken([...runsEach(600, "127.0.0.8"), ...runsEach(600, "127.0.0.9")])).to.equal(1);
+        expect(limitsBroken(runsEach(300, "127.0.0.9"), () => false)).to.equal(0);
+        expect(limitsBroken(runsEach(300, "127.0.0.9").filter(({ at }) => at < 2900))).to.equal(0);
+    });
+
     it("find what does not come back", () => {
         const back = { zones: ["north-a", "north-b"], boxes: [{ box: "box", status: 200 }] };
         expect(found({ back })).to.deep.equal(["return"]);
