--- a/packages/testing/src/soak/limit-checks.ts
+++ b/packages/testing/src/soak/limit-checks.ts
@@ -3,7 +3,7 @@
  * named it, in any span no more than one and a half times what it allows and some
  * requests, from boxes that had passed on such an answer half a second before.
  *
- * A box that a fault has struck is excused.
+ * A box that a fault has struck itself is excused.
  */
 
 import type { Breach, Observations, ObservedLimit, ObservedRun } from "./observations.js";
@@ -23,7 +23,7 @@
     return (seen.limits ?? []).flatMap(limit => breachOf(limit, seen));
 }
 
-/** Limits under which boxes in touch went on sending for long enough that there was something to see. */
+/** Limits under which boxes went on sending for long enough that there was something to see. */
 export function countLimits(seen: Observations): number {
     return (seen.limits ?? []).filter(limit => countedRuns(limit, seen).some(({ at }) => at >= limit.from + contact))
         .length;
@@ -45,12 +45,12 @@
     return [{ promise: "limit", at: worst.at, detail }];
 }
 
-/** What came from boxes in touch that had had an answer with the limit for a while. */
-function countedRuns({ from, server, to }: ObservedLimit, { isInTouch, runs }: Observations): readonly ObservedRun[] {
+/** What came from boxes that had had an answer with the limit for a while and were not struck. */
+function countedRuns({ from, server, to }: ObservedLimit, { runs, wasStruck }: Observations): readonly ObservedRun[] {
     const during = runs.filter(run => run.server === server && run.at >= from && run.at <= to);
     const firstOf = new Map<string | undefined, number>();
     during.forEach(({ at, caller }) => firstOf.set(caller, Math.min(at, firstOf.get(caller) ?? Infinity)));
     return during.filter(({ at, caller }) =>
-        at >= firstOf.get(caller)! + toldAfter && caller !== undefined && isInTouch?.(caller, at) !== false
+        at >= firstOf.get(caller)! + toldAfter && caller !== undefined && wasStruck?.(caller, at) !== true
     );
 }
--- a/packages/testing/src/soak/observations.ts
+++ b/packages/testing/src/soak/observations.ts
@@ -122,6 +122,8 @@
     readonly recoveredFrom: number;
     /** True if no fault has struck the box of an address for a while; undefined where that was not noted. */
     readonly isInTouch?: (host: string, at: number) => boolean;
+    /** True if a fault has struck the box of an address itself lately; undefined where that was not noted. */
+    readonly wasStruck?: (host: string, at: number) => boolean;
     /** What must serve once all faults are over; undefined where there were none. */
     readonly back?: Places;
 }
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -114,6 +114,7 @@
         rollouts: rollouts.observed,
         recoveredFrom,
         isInTouch: world.contact.isInTouch,
+        wasStruck: world.contact.wasStruck,
         back,
     };
     const breaches = findBreaches(seen);
--- a/packages/testing/src/soak/store-contact.ts
+++ b/packages/testing/src/soak/store-contact.ts
@@ -21,6 +21,8 @@
     readonly disturb: (host?: string) => () => void;
     /** True if nothing has struck the box of an address for a while. */
     readonly isInTouch: (host: string, at: number) => boolean;
+    /** True if a fault has struck the box itself lately: a restart, a pause, or its own path to the store. */
+    readonly wasStruck: (host: string, at: number) => boolean;
 }
 
 /** Creates the record of a run whose time is `now`. */
@@ -35,9 +37,11 @@
                 disturbance.to = now();
             };
         },
-        isInTouch: (host, at) =>
-            !disturbances.some(fault =>
-                (fault.host ?? host) === host && fault.from <= at && fault.to >= at - inTouchAfter
-            ),
+        isInTouch: (host, at) => !disturbances.some(fault => (fault.host ?? host) === host && isRecent(fault, at)),
+        wasStruck: (host, at) => disturbances.some(fault => fault.host === host && isRecent(fault, at)),
     };
 }
+
+function isRecent({ from, to }: Disturbance, at: number): boolean {
+    return from <= at && to >= at - inTouchAfter;
+}
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -128,12 +128,12 @@
                 { length: Math.ceil(12_000 / interval) },
                 (_, index) => run({ requestId: `l-${caller}-${index}`, at: index * interval, caller }),
             );
-        const limitsBroken = (runs: readonly ObservedRun[], isInTouch = () => true) =>
-            found({ limits, runs, isInTouch }).filter(promise => promise === "limit").length;
+        const limitsBroken = (runs: readonly ObservedRun[], wasStruck = () => false) =>
+            found({ limits, runs, wasStruck }).filter(promise => promise === "limit").length;
         expect(limitsBroken(runsEach(400, "127.0.0.9"))).to.equal(0);
         expect(limitsBroken(runsEach(300, "127.0.0.9"))).to.equal(1);
         expect(limitsBroken([...runsEach(600, "127.0.0.8"), ...runsEach(600, "127.0.0.9")])).to.equal(1);
-        expect(limitsBroken(runsEach(300, "127.0.0.9"), () => false)).to.equal(0);
+        expect(limitsBroken(runsEach(300, "127.0.0.9"), () => true)).to.equal(0);
         expect(limitsBroken(runsEach(300, "127.0.0.9").filter(({ at }) => at < 2900))).to.equal(0);
     });
 
