--- a/packages/box/src/servers/limited-servers.ts
+++ b/packages/box/src/servers/limited-servers.ts
@@ -14,7 +14,7 @@
 import { createLimitNews, type LimitNewsOptions, type NewsSource } from "./limit-news.js";
 
 /** The part of an answer that tells of a limit. */
-export interface LimitedAnswer {
+interface LimitedAnswer {
     readonly status: number;
     readonly headers: NodeJS.Dict<string | string[]>;
 }
--- a/packages/decisions/src/choose/compared-servers.ts
+++ b/packages/decisions/src/choose/compared-servers.ts
@@ -28,7 +28,7 @@
 
 /**
  * Servers of the ranking that are compared by expected time. A third one makes all three forget keys under overload, since
- * servers remember few: worth 0.624 with three, 0.682 with two on the emulator's hard day.
+ * servers remember few.
  */
 export const comparedCount = 2;
 /** Returns the first `count` servers of the key's ranking, in its order. */
--- a/packages/decisions/src/choose/longest-wait.ts
+++ b/packages/decisions/src/choose/longest-wait.ts
@@ -9,14 +9,13 @@
 
 /**
  * Part of the route's goal that a request waits for a free slot at most where its key is known; with a longer wait it is refused
- * at once. Shorter ones refuse more than they speed up (docs/LOAD-AND-FAULTS.md).
+ * at once. Shorter ones refuse more than they speed up.
  */
 const waitPartWarm = 1;
-/** The same where the key is not known and slots are short. A quarter and the whole were worse (docs/LOAD-AND-FAULTS.md). */
+/** The same where the key is not known and slots are short: cold work takes a slot for longer. */
 const waitPartCold = 0.5;
 /**
- * Load per slot of a service above which its slots count as short: more requests wait than slots are free. 0.8 and 1.3 were
- * alike in the emulator.
+ * Load per slot of a service above which its slots count as short: more requests wait than slots are free.
  */
 const shortOfSlots = 1;
 /** Times as long that a caller waits who comes back. 1 and 3 cost up to 0.02 of a day's worth (docs/LOAD-AND-FAULTS.md). */
--- a/packages/decisions/src/choose/server-choice.ts
+++ b/packages/decisions/src/choose/server-choice.ts
@@ -42,8 +42,8 @@
 
 /**
  * Load per slot of a service up to which a crowded request may go to a third server or a later one: the keys of downloads rank
- * the few servers of their zone first, and these can be full alone. With 0.7 the mean worth of 18 emulated days, where no zone
- * is full alone, stays as without it (0.884); with 1 days of 1.6 times the load lost up to 0.011 to cold work.
+ * the few servers of their zone first, and these can be full alone. Above it the cold work would
+ * keep others waiting.
  */
 const plentyOfSlots = 0.7;
 
--- a/packages/decisions/src/choose/server-estimate.ts
+++ b/packages/decisions/src/choose/server-estimate.ts
@@ -41,8 +41,8 @@
 ) => ServerEstimate;
 
 /**
- * What it costs later requests that a key leaves its first server, as milliseconds of expected time. 0 and 250 were worse
- * or alike on the emulator's days (docs/MEASUREMENTS.md).
+ * What it costs later requests that a key leaves its first server, as milliseconds of expected time: its next requests run cold
+ * there.
  */
 const movePenalty = 100;
 /**
@@ -52,7 +52,7 @@
 const unseenFirstPart = 0.1;
 /**
  * The same where this box has sent the key to the other server lately: the first one was away or busy and may have lost the key.
- * So keys come back to it as the need arises, not all at once: worth 0.654 without it, 0.662 with it on a day of slow servers.
+ * So keys come back to it as the need arises, not all at once.
  */
 const leftFirstPart = 0.5;
 
--- a/packages/decisions/src/give-up/refusals.ts
+++ b/packages/decisions/src/give-up/refusals.ts
@@ -45,7 +45,6 @@
 const later = 0.5;
 /**
  * Seconds: servers are full. Most callers come back once only, so not before work in progress has ended: it takes 0.4 to 0.8 s.
- * With 0.15 most of what was refused in an overload was refused again; 0.7 showed no gain in worth (0.516, 0.511, one play each).
  */
 const afterOverload = 0.7;
 
--- a/packages/decisions/src/give-up/time-limits.ts
+++ b/packages/decisions/src/give-up/time-limits.ts
@@ -23,8 +23,8 @@
 }
 
 /**
- * A request counts as overdue after this many times the time that was expected for it. With the rule 40 instead of 70
- * requests ended at their deadline in one play of an incident with silent servers.
+ * A request counts as overdue after this many times the time that was expected for it: a silent server would else keep it
+ * until its deadline.
  */
 const overdueAfter = 3;
 /** Milliseconds before which no request is overdue: about the aim of the fastest routes, 300 to 400 ms. */
--- a/packages/decisions/src/limits/quota/quota-counter.ts
+++ b/packages/decisions/src/limits/quota/quota-counter.ts
@@ -51,13 +51,12 @@
 const leastPartOfRate = 0.1;
 /**
  * Times the level that the bursts of all boxes make up together: a customer's callers use few boxes at a time, and what is
- * too much is charged within a round. With 3 a hot customer on 12 boxes overstepped by 0.12 of its quota (emulated).
+ * too much is charged within a round.
  */
 const burstOvercommit = 2;
 /**
- * Part of the burst above which the level shows that the customer is calm. With a measure by demand, which takes single requests of
- * small customers for much, 24 of 100 requests of one of 3 a second on 12 boxes were wrongly refused; with this one, the first
- * level and the longer window for few requests 7 of 100 (emulated).
+ * Part of the burst above which the level shows that the customer is calm. A measure by demand would take
+ * single requests of small customers for much.
  */
 const calmPart = 0.5;
 /**
@@ -159,8 +158,8 @@
 
     /**
      * What the leases of the other boxes leave of the rate, an equal part at least. A box that has not reported may have a lease of
-     * another box that counted, an equal part on average; else it has none and reports with its first request. With equal parts for all,
-     * a customer at 38 of 100 of its quota was refused while its callers used two boxes of six (emulated).
+     * another box that counted, an equal part on average; else it has none and reports with its first request. With equal parts for all
+     * a customer far within its quota would be refused whose callers use few of the boxes.
      */
     function unleased(box: BoxId, rate: number, boxes: number): number {
         const equalPart = rate / boxes;
--- a/packages/decisions/src/limits/quota/quota-level.ts
+++ b/packages/decisions/src/limits/quota/quota-level.ts
@@ -26,12 +26,12 @@
     readonly current: () => number;
     /**
      * Time goes on. A silent box may go on by its last lease, which nobody tells until it is back. Without that in the level, what it
-     * uses was given out again: with a third of the boxes cut off a hot customer overstepped by up to 0.18 of its quota (emulated).
+     * uses would be given out again.
      */
     readonly advance: (quota: CustomerQuota, at: Milliseconds, silent: readonly PresumedUse[]) => void;
     /**
-     * A report tells what the box that counted before knew, and what nobody has counted since. Without that a hot customer overstepped
-     * by up to 0.25 of its quota when the box that counts was lost: what was let in too much was forgotten (emulated).
+     * A report tells what the box that counted before knew, and what nobody has counted since. Without that, what was let in
+     * too much would be forgotten whenever the box that counts is lost.
      *
      * @param isFirst the box has not reported to this one before.
      */
--- a/packages/decisions/src/limits/quota/quota-share.ts
+++ b/packages/decisions/src/limits/quota/quota-share.ts
@@ -61,7 +61,7 @@
 const lowPartOfBurst = 0.5;
 /**
  * Part of the rate of a lease that is used after that, by a box that may be cut off. A third of the boxes that are cut off
- * then add a twelfth of the quota (computed), within the tenth that deployments allow.
+ * then add a twelfth of the quota, within the tenth that deployments allow.
  */
 const partAfterLease = 0.25;
 /**
@@ -76,15 +76,13 @@
 const partOfDebtLease = 0.2;
 /**
  * Milliseconds for which the burst of a lease is used when nobody renews it otherwise: the interval of calm reports, the 1 s until a silent box is
- * passed over, and the ways. With 2,000, 11 of 38 runs of the soak refused requests within a quota while the box that counts stood still;
- * with 2,800, 2 of 24 emulated days with that box lost overstep the quota, with this 1.
+ * passed over, and the ways. Less refuses requests within a quota while the box that counts stands still, more oversteps the quota when it is lost.
  */
 const burstUsed = 2600;
 /** Seconds of its rate that a box may admit at once whatever the burst of its lease: what comes between two reports. */
 const smallestBurst = 0.5;
 /**
- * Requests that a box with a lease may admit at once at least. With 1 a customer of 20 requests a second was refused 8 of 100 in
- * its first 3 s on 12 boxes, with 2 it is 6 (emulated).
+ * Requests that a box with a lease may admit at once at least: a small customer's come in pairs.
  */
 const fewest = 2;
 /** Seconds of an equal part that a box without a lease may admit at once: a start of all boxes grants that much anew. */
@@ -92,7 +90,7 @@
 /**
  * Equal parts that a box has while it starts and nobody counts yet: callers use few of the boxes. All boxes together may then let in so many
  * times what the quota earns in that time, 1.5 s at most; the box that counts takes the rest back within 2 s, which leaves 0.04 of a quota whose burst
- * is its rate over the 5 s after a start (computed).
+ * is its rate over the 5 s after a start.
  */
 const partsAtStart = 1.5;
 /**
--- a/packages/decisions/src/limits/quota/usable-quota.ts
+++ b/packages/decisions/src/limits/quota/usable-quota.ts
@@ -18,7 +18,7 @@
 
 /** Part of the tolerated part that is used; the rest covers reports that are on the way. */
 const usedPartOfOver = 0.2;
-/** The same of the tolerated requests: without them 35 of 100 requests of a customer with three callers on 12 boxes were refused (emulated). */
+/** The same of the tolerated requests: the parts of a customer with few callers are less than a request. */
 const usedPartOfSlack = 0.6;
 
 /** Returns the quota to share out. */
--- a/packages/decisions/src/place/advertised-boxes.ts
+++ b/packages/decisions/src/place/advertised-boxes.ts
@@ -21,8 +21,8 @@
 /** Boxes of a region that are advertised at least, as far as it has so many: one may be lost and one may stop. */
 const leastAdvertised = 3;
 /**
- * Part of their capacity that the advertised boxes use at most before weaker ones join them. With these three constants the worth of three
- * days with 80 boxes went from 0.687, 0.565, 0.630 to 0.786, 0.706, 0.782, the relays' part included.
+ * Part of their capacity that the advertised boxes use at most before weaker ones join them: the rest is for a burst, and for
+ * the loss of some.
  */
 const usedCapacity = 0.5;
 
--- a/packages/decisions/src/shared-state/relay-role.ts
+++ b/packages/decisions/src/shared-state/relay-role.ts
@@ -57,22 +57,21 @@
  */
 const standInPart = 0.4;
 /**
- * Added to that age for each step of ranks; a call within a region or to another takes 0.03. 242 boxes have all asked at 0.64. 0.08 took
- * 3.12 s of a bound of 3 s where one of 741 boxes was served, 0.06 2.58 s (emulated).
+ * Added to that age for each step of ranks; a call within a region or to another takes 0.03. 242 boxes have all asked at 0.64. More
+ * would take the copies of a fleet of 740 past the bound where one box is served.
  */
 const stepPart = 0.06;
 /** Each step has so many times the boxes of the one before. */
 const stepGrowth = 3;
 /**
  * Part of the bound on changes for which a box that has started learns who else runs, before it takes itself for a relay. Its
- * first copy is that young at least. Without it each of 195 boxes made three watches at its start.
+ * first copy is that young at least. Without it each box would make three watches at its start.
  */
 const settlePart = 0.3;
 
 /**
- * Part of the bound on changes: the longest wait of a watch of the box that confirms the copies of a region without a relay. With
- * waits of 7 to 10 s on all boxes, connections that fell silent hid changes for up to 8.6 s of a bound of 3 s; so for at most 0.84
- * of the bound (emulated, regions of one to five boxes, bounds of 2 and 3 s).
+ * Part of the bound on changes: the longest wait of a watch of the box that confirms the copies of a region without a relay. A
+ * connection that falls silent hides changes for as long as its watch waits, so for at most 0.84 of the bound.
  */
 const confirmPart = 0.5;
 /** Added for each box that ranks after it, to the age of a copy from which a box asks anew: one call brings all of them up to date. */
