--- a/packages/decisions/src/servers/limit-share.ts
+++ b/packages/decisions/src/servers/limit-share.ts
@@ -16,7 +16,7 @@
 
 /** Boxes that hold a part of the smallest rates. */
 const fewestHolders = 3;
-/** Requests come at times of their own: without it a box in three would lose what it earns until the next one comes. */
+/** Part of a request that a box saves up beside a whole one: requests do not come just when its next one is earned. */
 const savedPart = 0.5;
 /** Further boxes for each request a second. */
 const holdersPerRate = 1;
