--- a/packages/box/test/deadly-guard.test.ts
+++ b/packages/box/test/deadly-guard.test.ts
@@ -3,8 +3,8 @@
  * take their time and may be lost.
  */
 
-import { type BackendServer, collectorsOf, type MemberRecord } from "@chalkdale/decisions";
-import { backendServerId, createSeededRandom, milliseconds } from "@chalkdale/kernel";
+import { type BackendServer, collectorsOf } from "@chalkdale/decisions";
+import { backendServerId } from "@chalkdale/kernel";
 import { createLog } from "@chalkdale/runtime";
 import { expect } from "chai";
 import { createDeadlyGuard, type DeadlyGuard, type FollowedRequest } from "../src/deadly/deadly-guard.js";
@@ -12,93 +12,51 @@
 import type { ActiveRequest } from "../src/requests/active-request.js";
 import type { AttemptOutcome } from "../src/requests/attempt-request.js";
 import { fingerprintOf } from "../src/requests/request-fingerprint.js";
+import { createEmulatedGossip, type EmulatedGossip, type GossipingBox } from "./emulated-gossip.js";
 import { sampleMember } from "./sample-member.js";
 
-/** Milliseconds between two rounds of gossip. */
-const round = 300;
-/** Milliseconds of one step. */
-const step = 10;
-/** Milliseconds that a message takes at most. */
-const longestWay = 40;
 /** Milliseconds within which all boxes must keep a request from servers, from the third end on: the shortest that users set. */
 const contact = 2500;
 
-interface GuardedBox {
-    readonly record: MemberRecord;
+interface GuardedBox extends GossipingBox {
     readonly guard: DeadlyGuard;
-    isCutOff: boolean;
 }
 
 describe("the guards of all boxes against a request that ends servers [P26]", () => {
     const body = Buffer.from("a climb");
     const path = "/save/deadly";
-    let now: number;
-    let random: () => number;
     let loss: number;
+    let gossip: EmulatedGossip<GuardedBox, DeadlyReport>;
     let boxes: GuardedBox[];
-    let onTheWay: { readonly due: number; readonly deliver: () => void; }[];
-    let messages: number;
 
     function start(count: number): void {
-        now = 0;
-        random = createSeededRandom(count);
         loss = 0;
-        onTheWay = [];
-        messages = 0;
-        boxes = [];
+        gossip = createEmulatedGossip({
+            seed: count,
+            startsAt: 0,
+            loss: () => loss,
+            onRound: ({ guard }) => guard.round(),
+            gossipPart: ({ guard }) => guard.gossipPart(),
+            onReports: ({ guard }, reports) => guard.onReports(reports),
+        });
+        ({ boxes } = gossip);
         for (let index = 0; index < count; index++) {
             addBox(`b-${index}`);
         }
     }
 
-    function addBox(name: string): GuardedBox {
+    function addBox(name: string): void {
         const record = sampleMember(name);
         const guard = createDeadlyGuard({
-            clock: () => milliseconds(now),
+            clock: gossip.now,
             log: createLog({ write: () => undefined }),
             self: record.box,
             advertised: () => boxes.map(box => box.record).slice(0, 64),
             reachable: () => boxes.map(box => box.record).filter(other => other !== record),
-            send: (to, reports) => send(added, boxes.find(box => box.record === to)!, reports),
+            send: (to, reports) => gossip.send(added, to, reports),
         });
         const added: GuardedBox = { record, guard, isCutOff: false };
         boxes.push(added);
-        return added;
-    }
-
-    function send(from: GuardedBox, to: GuardedBox, reports: readonly DeadlyReport[]): void {
-        messages += 1;
-        if (from.isCutOff || to.isCutOff || random() < loss) {
-            return;
-        }
-        const copy = JSON.parse(JSON.stringify(reports)) as readonly DeadlyReport[];
-        onTheWay.push({ due: now + random() * longestWay, deliver: () => to.guard.onReports(copy) });
-    }
-
-    /** Each box asks another one in each round, and both tell what they know. */
-    function gossip(): void {
-        for (const box of boxes) {
-            box.guard.round();
-            const peer = boxes[Math.floor(random() * boxes.length)];
-            for (const [from, to] of [[box, peer], [peer, box]] as const) {
-                const reports = from === to ? undefined : from.guard.gossipPart();
-                if (reports !== undefined) {
-                    send(from, to, reports);
-                }
-            }
-        }
-    }
-
-    async function play(duration: number): Promise<void> {
-        for (const end = now + duration; now < end; now += step) {
-            if (now % round === 0) {
-                gossip();
-            }
-            const arrived = onTheWay.filter(({ due }) => due <= now);
-            onTheWay = onTheWay.filter(({ due }) => due > now);
-            arrived.forEach(({ deliver }) => deliver());
-            await Promise.resolve();
-        }
     }
 
     function follow({ guard }: GuardedBox, path = "/save/deadly", controller = new AbortController()): FollowedRequest {
@@ -120,7 +78,7 @@
             kind: "broken",
             reason: "closed",
             wasForgotten: false,
-            serverEnded: Promise.resolve(milliseconds(now)),
+            serverEnded: Promise.resolve(gossip.now()),
         };
         followed.onAttemptEnded(serverOf(server), outcome);
         await settled();
@@ -153,7 +111,7 @@
     async function endSome(at: readonly number[] = [0, 1, 2]): Promise<void> {
         for (const [turn, index] of at.entries()) {
             await endUnder(boxes[index], `i-${turn}`);
-            await play(200);
+            await gossip.play(200);
         }
     }
 
@@ -174,7 +132,7 @@
             start(count);
             loss = 0.3;
             await endSome();
-            await play(contact);
+            await gossip.play(contact);
             expect(await holding()).to.equal(count);
         });
     }
@@ -194,19 +152,19 @@
 
     it("go on without a message while nothing ends", async () => {
         start(67);
-        await play(3000);
-        expect(messages).to.equal(0);
+        await gossip.play(3000);
+        expect(gossip.messages()).to.equal(0);
     });
 
     it("tell a box that starts, and one that was cut off", async () => {
         start(9);
         boxes[8].isCutOff = true;
         await endSome();
-        await play(3000);
+        await gossip.play(3000);
         expect(await holding()).to.equal(8);
         boxes[8].isCutOff = false;
         addBox("b-new");
-        await play(contact);
+        await gossip.play(contact);
         expect(await holding()).to.equal(10);
     });
 
@@ -220,7 +178,7 @@
             });
             boxes.sort((a, b) => Number(a.isCutOff) - Number(b.isCutOff));
             await endSome(at);
-            await play(contact);
+            await gossip.play(contact);
             expect(await holding()).to.equal(7);
         });
     }
@@ -230,9 +188,9 @@
         loss = 0.3;
         await endSome([0, 1]);
         await answer(boxes[2]);
-        await play(contact);
+        await gossip.play(contact);
         await endUnder(boxes[3], "i-3");
-        await play(contact);
+        await gossip.play(contact);
         expect(await holding()).to.equal(0);
     });
 
