--- a/packages/testing/src/standins/deployment.ts
+++ b/packages/testing/src/standins/deployment.ts
@@ -46,6 +46,8 @@
     /** State that boxes wrote for a service's order; undefined before they did. */
     readonly rolloutState: (service: string) => string | undefined;
     readonly startBox: (options?: BoxOptions) => TestBox;
+    /** Starts a box in each zone of the list, with the first one as seed; resolves once all are ready and know each other. */
+    readonly startBoxes: (zones: readonly string[]) => Promise<readonly TestBox[]>;
     readonly close: () => Promise<void>;
 }
 
@@ -105,11 +107,8 @@
             const { body } = store.get("rollouts", service);
             return (body as { readonly status?: { readonly state: string; }; } | undefined)?.status?.state;
         },
-        startBox(boxOptions = {}) {
-            const box = createBox(boxOptions.sameAs?.name ?? `box-${boxes.length + 1}`, boxOptions);
-            boxes.push(box);
-            return box;
-        },
+        startBox: startTestBox,
+        startBoxes,
         async close() {
             await Promise.all(boxes.map(box => box.running.stop()));
             backends.forEach(backend => backend.close());
@@ -117,6 +116,24 @@
         },
     };
 
+    function startTestBox(boxOptions: BoxOptions = {}): TestBox {
+        const box = createBox(boxOptions.sameAs?.name ?? `box-${boxes.length + 1}`, boxOptions);
+        boxes.push(box);
+        return box;
+    }
+
+    async function startBoxes(zonesOfBoxes: readonly string[]): Promise<readonly TestBox[]> {
+        const started: TestBox[] = [];
+        for (const zone of zonesOfBoxes) {
+            started.push(startTestBox({ zone, seeds: started.slice(0, 1).map(first => first.peers) }));
+        }
+        for (const { logged, name, running } of started) {
+            await eventually(() => running.isReady(), `${name} is ready`);
+            await eventually(() => logged.some(line => line.includes(`alive=${started.length}`)), `${name} knows all`);
+        }
+        return started;
+    }
+
     function recordServer(backend: ServerStandIn, place: ServerPlace): void {
         store.put("servers", backend.id, serverObject(backend.address(), place));
     }
--- a/packages/testing/test/box-deadly-requests.test.ts
+++ b/packages/testing/test/box-deadly-requests.test.ts
@@ -37,7 +37,7 @@
 
 describe("boxes and a request that ends the servers that run it [P26]", () => {
     let deployment: Deployment;
-    let boxes: TestBox[];
+    let boxes: readonly TestBox[];
     let servers: EndingServers;
     let requests: number;
 
@@ -56,14 +56,7 @@
             { name: "look", path: "/look/", kind: "safe" },
             { name: "save", path: "/save/", kind: "unsafe" },
         ]);
-        boxes = [];
-        for (const zone of ["north-a", "north-b", "south-a", "south-a"]) {
-            boxes.push(deployment.startBox({ zone, seeds: boxes.slice(0, 1).map(first => first.peers) }));
-        }
-        for (const box of boxes) {
-            await eventually(() => box.running.isReady(), `${box.name} is ready`);
-            await eventually(() => box.logged.some(line => line.includes("alive=4")), `${box.name} knows all`);
-        }
+        boxes = await deployment.startBoxes(["north-a", "north-b", "south-a", "south-a"]);
     });
 
     afterEach(async () => {
--- a/packages/testing/test/box-limits.test.ts
+++ b/packages/testing/test/box-limits.test.ts
@@ -5,14 +5,7 @@
 import { milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
 import { type ClientAnswer, sendRequest } from "../src/standins/client.js";
-import {
-    type Deployment,
-    eventually,
-    pause,
-    startDeployment,
-    type TestBox,
-    testHost,
-} from "../src/standins/deployment.js";
+import { type Deployment, pause, startDeployment, type TestBox, testHost } from "../src/standins/deployment.js";
 import { mostAllowed, mostInSpan, startLimitingServers } from "../src/standins/limiting-servers.js";
 
 const callers = 16;
@@ -25,7 +18,7 @@
 
 describe("boxes and servers that name the rate which they take [P27]", () => {
     let deployment: Deployment;
-    let boxes: TestBox[];
+    let boxes: readonly TestBox[];
     let servers: Awaited<ReturnType<typeof startLimitingServers>>;
 
     beforeEach(async () => {
@@ -35,15 +28,7 @@
             { name: "look", path: "/look/", kind: "safe" },
             { name: "save", path: "/save/", kind: "unsafe" },
         ]);
-        boxes = [];
-        for (let index = 0; index < 9; index++) {
-            const zone = zones[index % zones.length];
-            boxes.push(deployment.startBox({ zone, seeds: boxes.slice(0, 1).map(first => first.peers) }));
-        }
-        for (const box of boxes) {
-            await eventually(() => box.running.isReady(), `${box.name} is ready`);
-            await eventually(() => box.logged.some(line => line.includes("alive=9")), `${box.name} knows all`);
-        }
+        boxes = await deployment.startBoxes([...zones, ...zones, ...zones]);
     });
 
     afterEach(() => deployment.close());
