--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -20,6 +20,7 @@
     createServiceLoad,
     createWorkEstimate,
     memoryForBodies,
+    type RefusalKind,
     type RestartedServer,
     type ServedVersions,
     type ServerCatalog,
@@ -41,6 +42,7 @@
 import type { BoxSettings } from "../settings.js";
 import type { SharedState } from "../state/shared-state.js";
 import type { TrafficPlace, TrafficPurpose } from "../traffic-meter.js";
+import type { ActiveRequest } from "./active-request.js";
 import { createAttempt } from "./attempt.js";
 import { createRequestHandler, type RequestHandler } from "./request-handler.js";
 
@@ -152,13 +154,7 @@
         }),
         budgetOf: limits.budgetOf,
         loadPerSlot: serviceLoad.perSlot,
-        comeBackAfter: ({ route, service }, refusal) =>
-            refusal === "serversLimited"
-                ? limitedReturns.next(service, limitedRate(service), clock())
-                : comeBackAfter(refusal, {
-                    loadPerSlot: serviceLoad.perSlot(service),
-                    queuedWork: work.ofQueue(service, route),
-                }),
+        comeBackAfter: returnTimeOf,
         recentKeys,
         work,
         movedBytes,
@@ -187,6 +183,14 @@
         bodyBytes: bodyMemory.held,
     };
 
+    function returnTimeOf({ route, service }: ActiveRequest, refusal: RefusalKind): Milliseconds | undefined {
+        if (refusal === "serversLimited") {
+            return limitedReturns.next(service, limitedRate(service), clock());
+        }
+        const loadPerSlot = serviceLoad.perSlot(service);
+        return comeBackAfter(refusal, { loadPerSlot, queuedWork: work.ofQueue(service, route) });
+    }
+
     /** Requests a second that the servers of a service name together, as an equal part of the advertised boxes. */
     function limitedRate(service: ServiceId): number {
         const words = catalog.ofService(service).map(({ state: server }) => server.limit());
--- a/packages/decisions/src/choose/eligible-servers.ts
+++ b/packages/decisions/src/choose/eligible-servers.ts
@@ -12,7 +12,6 @@
 
 import type { AvailabilityZoneId, Milliseconds, ServiceId } from "@chalkdale/kernel";
 import type { BackendServer, ServerCatalog } from "../servers/server-catalog.js";
-import type { Route } from "../shared-state/configuration.js";
 import type { ChoiceRequest } from "./choice.js";
 import { type BoxPlace, comparedCount, firstOfRanking } from "./compared-servers.js";
 import { createKeyRankings, rankedCount } from "./key-rankings.js";
@@ -64,24 +63,31 @@
         return isCandidate(server, request) && server.state.exclusion(request.at) === undefined;
     }
 
-    /**
-     * A limited server is for the keys that rank it among the servers that are compared: where all are limited, the few requests would
-     * else go to whoever has room, and nearly all of them would be cold work.
-     */
-    function isKeptForKeys({ state }: BackendServer, route: Route): boolean {
-        return route.sticky && state.limit()?.kind === "named";
-    }
-
     function first(request: ChoiceRequest): readonly BackendServer[] {
         const { isTrial, keyHash, route, service } = request;
-        const step = options.movedBytes.step(route);
+        const ranking = { keyHash, step: options.movedBytes.step(route) };
         const all = rankings.admitted(service, isTrial);
         const ranked = route.sticky
-            ? rankings.first(service, { keyHash, step }, isTrial)
-            : firstOfRanking(all, { keyHash, step }, options, rankedCount);
+            ? rankings.first(service, ranking, isTrial)
+            : firstOfRanking(all, ranking, options, rankedCount);
+        const isOutlier = createOutlierTest(all, request);
+        const compared = withoutThoseAway(ranked, request, isOutlier);
+        if (compared.length >= comparedCount || ranked.length === all.length) {
+            return compared;
+        }
+        const usable = all.filter(server =>
+            compared.includes(server)
+            || isEligible(server, request) && !isOutlier(server) && !isKeptForOwnKeys(server, request)
+        );
+        return firstOfRanking(usable, ranking, options, rankedCount);
+    }
+
+    /** The outliers are found once a suspicious server is asked about: most requests meet none. */
+    function createOutlierTest(all: readonly BackendServer[], request: ChoiceRequest): OutlierTest {
         let outliers: ReadonlySet<BackendServer> | undefined;
-        const isOutlier = (server: BackendServer) => {
-            if (isTrial || !isSuspicious(options.severity(server, request.at))) {
+
+        return function isOutlier(server) {
+            if (request.isTrial || !isSuspicious(options.severity(server, request.at))) {
                 return false;
             }
             outliers ??= findOutliers(
@@ -90,25 +96,42 @@
             );
             return outliers.has(server);
         };
+    }
+
+    /** The servers of a key's ranking that may have the request now. */
+    function withoutThoseAway(
+        ranked: readonly BackendServer[],
+        request: ChoiceRequest,
+        isOutlier: OutlierTest,
+    ): readonly BackendServer[] {
+        /** Place in the ranking of those that are there, limited ones included. */
         let place = 0;
-        const compared = ranked.filter(server => {
+
+        return ranked.filter(server => {
             const exclusion = server.state.exclusion(request.at);
-            const isAway = !options.admitsZone(server.state.record().zone) || exclusion !== undefined
-                || isOutlier(server);
-            if (isAway) {
+            const isOwnKey = place < comparedCount;
+            if (exclusion === "limited") {
+                place += 1;
                 options.returningKeys.noteAway(server, request.at);
+                return false;
             }
-            const isOwnKey = place < comparedCount;
-            place += isAway && exclusion !== "limited" ? 0 : 1;
-            return !isAway && isCandidate(server, request) && (isOwnKey || !isKeptForKeys(server, route));
+            if (exclusion !== undefined || !options.admitsZone(server.state.record().zone) || isOutlier(server)) {
+                options.returningKeys.noteAway(server, request.at);
+                return false;
+            }
+            place += 1;
+            return isCandidate(server, request) && (isOwnKey || !isKeptForOwnKeys(server, request));
         });
-        if (compared.length >= comparedCount || ranked.length === all.length) {
-            return compared;
-        }
-        const usable = all.filter(server =>
-            compared.includes(server)
-            || isEligible(server, request) && !isOutlier(server) && !isKeptForKeys(server, route)
-        );
-        return firstOfRanking(usable, { keyHash, step }, options, rankedCount);
+    }
+
+    /**
+     * A limited server is for the keys that rank it among the servers that are compared: where all are limited, the few requests would
+     * else go to whoever has room, and nearly all of them would be cold work.
+     */
+    function isKeptForOwnKeys({ state }: BackendServer, { route }: ChoiceRequest): boolean {
+        return route.sticky && state.limit()?.kind === "named";
     }
 }
+
+/** True for a server that does far worse than the others of its service. */
+type OutlierTest = (server: BackendServer) => boolean;
