Versions of a service are followed by boxes without requests too

Cause: what a box knows of versions was worked out when a request asked for it. A box without callers missed that an order was completed if the next order stood in its place by then, and took the old version for one whose records had lapsed a moment ago once a request came, so that it waited 3 s for them. Evidence: the lines of both boxes, rollout.ordered targetVersion=v4 provenVersion=v1 where the others have v2. Change: a box takes note with each change of orders and decisions and with each round of gossip. Both new tests failed before (v1 where v2 was due, no server where v2-5 was due).

--- a/packages/box/src/rollouts/rollouts.ts
+++ b/packages/box/src/rollouts/rollouts.ts
@@ -113,7 +113,7 @@
         ...options,
         onOrder(service, order) {
             orders.onStored(service, order);
-            trials.refresh();
+            refresh();
         },
     });
     const decidingBox = createDecidingBox({ ...options, isCopyProven: () => options.copyAge() !== undefined });
@@ -142,9 +142,12 @@
         onOrders(copied) {
             orders.onCopy(copied);
             wholeReports.keepOnly(isOpen);
-            trials.refresh();
+            refresh();
+        },
+        round() {
+            versions.refresh();
+            trials.all().forEach(report);
         },
-        round: () => trials.all().forEach(report),
         step() {
             deciding.step();
             trials.all().forEach(({ order }) => outcomes.writeByNews(order));
@@ -175,6 +178,11 @@
             })),
     };
 
+    function refresh(): void {
+        trials.refresh();
+        versions.refresh();
+    }
+
     /** A box that reports on what is decided is told so: it was cut off, or has just started. */
     function onReport(from: MemberRecord, told: RolloutReport): void {
         const news = knownNews.find(told.rollout);
@@ -243,6 +251,7 @@
             return;
         }
         trials.onNews(news);
+        versions.refresh();
         log.info("rollout.decided", { ...rollout, decision, from, reason });
     }
 
--- a/packages/box/test/rollouts.test.ts
+++ b/packages/box/test/rollouts.test.ts
@@ -2,6 +2,7 @@
  * Roll-outs on several boxes while boxes, links and the store fail halfway.
  */
 
+import { serverVersion } from "@chalkdale/kernel";
 import { expect } from "chai";
 import { bounds, type RolloutBoxes, service, startRolloutBoxes } from "./rollout-boxes.js";
 
@@ -55,6 +56,15 @@
         expectOneOutcome("running", "completed");
     });
 
+    it("are learned by a box without requests, though another order follows at once [P25]", () => {
+        const { rollouts } = startRolloutBoxes(1, 0, duration).boxes[0];
+        const order = world.order();
+        rollouts.onOrders([{ ...order, state: "running", revision: 10 }]);
+        rollouts.onOrders([{ ...order, state: "completed", revision: 11 }]);
+        rollouts.onOrders([{ ...order, targetVersion: serverVersion("v3"), revision: 12 }]);
+        expect(rollouts.versions.provenVersion(service)).to.equal("v2");
+    });
+
     describe("of a version that fails", () => {
         beforeEach(async () => {
             await begin();
--- a/packages/decisions/src/rollouts/served-versions.ts
+++ b/packages/decisions/src/rollouts/served-versions.ts
@@ -33,6 +33,11 @@
     readonly trialVersion: (service: ServiceId) => ServerVersion | undefined;
     /** True for an order whose target is the proven version already. */
     readonly isTargetProven: (service: ServiceId) => boolean;
+    /**
+     * Takes note of what has changed. Due with each change of orders and decisions, and some times a second: what is seen only with the next
+     * request, a completed order that another one has replaced by then, or a version that went long ago, would be missed.
+     */
+    readonly refresh: () => void;
     /** Where a server is counted that takes part in a trial, as one of the target or one to compare with. */
     readonly placeOf: (server: BackendServer) => TrialPlace | undefined;
 }
@@ -108,6 +113,7 @@
             const { order, proven } = current(service);
             return order !== undefined && order.targetVersion === proven;
         },
+        refresh: () => [...plans.keys()].forEach(current),
         placeOf: server => current(server.state.record().service).places.get(server.id),
     };
 
--- a/packages/decisions/test/served-versions.test.ts
+++ b/packages/decisions/test/served-versions.test.ts
@@ -101,6 +101,17 @@
             expect(setup.admitted()).to.have.members(["v1-7", "v1-2"]);
         });
 
+        it("are another one at the first request after a pause in which the first was replaced", () => {
+            setup.list(["v1-1"]);
+            expect(setup.admitted()).to.deep.equal(["v1-1"]);
+            setup.list(["v2-5"]);
+            for (let time = 300; time <= 6000; time += 300) {
+                setup.at(time);
+                setup.versions.refresh();
+            }
+            expect(setup.admitted()).to.deep.equal(["v2-5"]);
+        });
+
         it("are another one as soon as all servers of the first drain or are gone", () => {
             setup.list(["v1-1!", "v2-5"]);
             expect(setup.admitted()).to.deep.equal(["v2-5"]);
