--- a/packages/box/src/join.ts
+++ b/packages/box/src/join.ts
@@ -34,7 +34,7 @@
 const roleCheckInterval = 1000;
 /**
  * Boxes of the own region that are greeted at once; and of others. Some may be gone: the store keeps their records. With
- * all of them, 195 boxes that start together send 38,000 greetings and get as many answers (computed).
+ * all of them, the greetings of boxes that start together grow with the square of the fleet.
  */
 const nearGreetings = 8;
 /** Boxes of other regions that are greeted at once. */
--- a/packages/box/src/peers/peer-reads.ts
+++ b/packages/box/src/peers/peer-reads.ts
@@ -33,10 +33,7 @@
 const readTimeout = 1500;
 /** Bytes from which an answer is compressed: a smaller one fits into a packet or two. */
 const leastCompressed = 2048;
-/**
- * Effort of the compression, from 1 to 9: with 1, a made-up copy of 796 servers goes from 133 to 17 KB in 1.2 ms, with 6 to 15 KB
- * in 2.2 ms (mean of 50, zlib of Node 20).
- */
+/** Effort of the compression, from 1 to 9: more takes twice the time for little less. */
 const compressionLevel = 1;
 
 /** What a box has for others to read. */
--- a/packages/box/src/peers/peer-receiver.ts
+++ b/packages/box/src/peers/peer-receiver.ts
@@ -39,7 +39,7 @@
 
 /**
  * Milliseconds after a read of members before the next one from a box of the own region: a round of gossip, in which others'
- * news spreads by itself. Without a pause each box of a fleet of 195 read its members 65 times in its first 18 s, 2.9 MB.
+ * news spreads by itself. Without a pause each box of a fleet that starts would read them again and again.
  */
 const membersPause = 300;
 /** The same from another region, whose bytes are dear. */
--- a/packages/box/src/servers/limit-news.ts
+++ b/packages/box/src/servers/limit-news.ts
@@ -36,7 +36,7 @@
 /** Limits in one datagram of gossip: some 45 bytes each. */
 const mostReports = 10;
 /**
- * Boxes that are told at once. Those that hear of it tell on as well: by gossip alone the last of 740 boxes would know after 3 s.
+ * Boxes that are told at once. Those that hear of it tell on as well: by gossip alone the last of a large fleet would know too late.
  */
 const toldAtOnce: Readonly<Record<NewsSource, number>> = { answer: 8, told: 2, outdated: 0 };
 /** Milliseconds for which a change goes before older limits: as long as gossip takes to reach the boxes of a fleet. */
--- a/packages/box/src/servers/recent-sends.ts
+++ b/packages/box/src/servers/recent-sends.ts
@@ -28,7 +28,7 @@
     readonly forget: (server: BackendServerId) => void;
 }
 
-/** Sends that are kept of each server: some 100 bytes each, 0.7 MB at 900 servers (computed). */
+/** Sends that are kept of each server: some 100 bytes each, 0.7 MB at 900 servers. */
 const mostKept = 8;
 
 /** Creates the record, empty. */
--- a/packages/decisions/src/choose/longest-wait.ts
+++ b/packages/decisions/src/choose/longest-wait.ts
@@ -18,7 +18,7 @@
  * Load per slot of a service above which its slots count as short: more requests wait than slots are free.
  */
 const shortOfSlots = 1;
-/** Times as long that a caller waits who comes back. 1 and 3 cost up to 0.02 of a day's worth (docs/LOAD-AND-FAULTS.md). */
+/** Times as long that a caller waits who comes back: a second refusal is a request lost. */
 const returningPatience = 1.5;
 
 /**
--- a/packages/decisions/src/choose/place-cost.ts
+++ b/packages/decisions/src/choose/place-cost.ts
@@ -37,8 +37,7 @@
 
 /**
  * Load that the keys of a zone's callers may put on its own servers, against the mean of the service, if each zone has as many
- * callers. 0.8, 1 and 1.3 in the emulator: worth of the worst zone 0.849, 0.841 and less, of all 0.894, 0.891, 0.890; megabytes between
- * zones 39, 38, 45 (the last with a weight of 64).
+ * callers: the rest is room for others' keys.
  */
 const mostOwnLoad = 0.8;
 
--- a/packages/decisions/src/shared-state/copy-refresh.ts
+++ b/packages/decisions/src/shared-state/copy-refresh.ts
@@ -60,8 +60,8 @@
 
 /**
  * Pause after a change before the next watch, in milliseconds: changes come in series, and each watch is a priced call.
- * It counts towards the time in which a change must be in force. Without it 12,086 calls took 0.334 of a calm day's worth on
- * 80 boxes, with it 0.083.
+ * It counts towards the time in which a change must be in force. Without it a large
+ * fleet would make several times as many calls.
  */
 export const pauseAfterChange: Readonly<Record<SharedKind, Milliseconds>> = {
     configuration: milliseconds(200),
--- a/packages/decisions/src/shared-state/relay-role.ts
+++ b/packages/decisions/src/shared-state/relay-role.ts
@@ -30,8 +30,8 @@
 import { mostTelling, overdueAfter, type TurnedAwayBoxes } from "./turned-away.js";
 
 /**
- * Regions with fewer boxes have no relay: each box waits at the store itself. With nine
- * boxes, three a region, a call costs 0.11 to 0.42 of worth, too little for a relay's delay.
+ * Regions with fewer boxes have no relay: each box waits at the store itself. Its calls
+ * cost too little there for a relay's delay.
  */
 const leastRelayedBoxes = 6;
 /**
