--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -43,6 +43,7 @@
 import { createHealthChecker } from "./servers/health-checker.js";
 import { createLimitedServers } from "./servers/limited-servers.js";
 import { createRecentSends } from "./servers/recent-sends.js";
+import { createServerNotices } from "./servers/server-notices.js";
 import type { BoxSettings } from "./settings.js";
 import { createStallWatch } from "./stall-watch.js";
 import { startReplicator } from "./state/replicator.js";
@@ -111,6 +112,7 @@
         sharesLimit: ({ box }, server) => limits.boxesNear(server.state.record().region).includes(box),
         send: (box, reports) => peerLink.sendLimits(box, reports),
     });
+    const serverNotices = createServerNotices({ log, protocol });
     const deadlyGuard = createDeadlyGuard({
         clock,
         log,
@@ -195,6 +197,7 @@
         serversAge: () => replicator.confirmedAge("servers"),
         recentSends,
         limitedServers,
+        serverNotices,
         onRestarted: onServerRestarted,
         copyAgeBounds: { changeInForce: bounds.changeInForce, revocation: bounds.strictRevocation },
         countTraffic,
@@ -296,6 +299,7 @@
         protocol,
         catalog,
         limitedServers,
+        serverNotices,
         localAddress: settings.callers.host,
         healthPathOf: server => state.service(server.state.record().service)?.healthPath,
         signal,
--- a/packages/box/src/callers/caller-protocol.ts
+++ b/packages/box/src/callers/caller-protocol.ts
@@ -47,6 +47,8 @@
     readonly readLoad: (headers: NodeJS.Dict<string | string[]>) => LoadReport | undefined;
     /** Reads how much longer a server says that it is cold. */
     readonly readColdFor: (headers: NodeJS.Dict<string | string[]>) => Milliseconds | undefined;
+    /** True if a server says that it is leaving. */
+    readonly readLeaving: (headers: NodeJS.Dict<string | string[]>) => boolean;
     /** Reads the rate that a server names. */
     readonly readLimit: (headers: NodeJS.Dict<string | string[]>) => AnsweredLimit;
     readonly readServerId: (headers: NodeJS.Dict<string | string[]>) => BackendServerId | undefined;
--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -27,6 +27,7 @@
 import type { LimitedServers } from "../servers/limited-servers.js";
 import type { LivenessCheck } from "../servers/liveness-check.js";
 import type { ServerConnections } from "../servers/server-connections.js";
+import type { ServerNotices } from "../servers/server-notices.js";
 import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
 import { createServerFeedback } from "./server-feedback.js";
 
@@ -45,6 +46,7 @@
     readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
     readonly serviceLoad: ServiceLoad;
     readonly limitedServers: Pick<LimitedServers, "onAnswer">;
+    readonly serverNotices: ServerNotices;
     readonly idleLife: IdleLife;
     /** Counts the bodies of a request and its answer. */
     readonly countBytes: (server: BackendServer, bytes: number) => void;
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -39,6 +39,7 @@
 import { createLivenessCheck } from "../servers/liveness-check.js";
 import type { RecentSends } from "../servers/recent-sends.js";
 import { createServerConnections } from "../servers/server-connections.js";
+import type { ServerNotices } from "../servers/server-notices.js";
 import type { BoxSettings } from "../settings.js";
 import type { SharedState } from "../state/shared-state.js";
 import type { TrafficPlace, TrafficPurpose } from "../traffic-meter.js";
@@ -69,6 +70,7 @@
     readonly serversAge: () => Milliseconds;
     readonly recentSends: RecentSends;
     readonly limitedServers: Pick<LimitedServers, "onAnswer">;
+    readonly serverNotices: ServerNotices;
     /** Called with a server whose new life was in doubt until now. */
     readonly onRestarted: (restarted: RestartedServer) => void;
     readonly copyAgeBounds: CopyAgeBounds;
@@ -149,6 +151,7 @@
             admitsZone: state.admitsZone,
             serviceLoad,
             limitedServers: options.limitedServers,
+            serverNotices: options.serverNotices,
             idleLife: createIdleLife(),
             countBytes: (server, bytes) => options.countTraffic("request", server.state.record(), bytes),
         }),
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -19,6 +19,7 @@
 import { readKeepAlive, type ServerAnswer } from "../servers/exchange.js";
 import type { LimitedServers } from "../servers/limited-servers.js";
 import type { ConnectFailure, ServerConnections } from "../servers/server-connections.js";
+import type { ServerNotices } from "../servers/server-notices.js";
 import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
 
 export interface ServerFeedbackOptions {
@@ -27,6 +28,7 @@
     readonly connections: ServerConnections;
     readonly serviceLoad: ServiceLoad;
     readonly limitedServers: Pick<LimitedServers, "onAnswer">;
+    readonly serverNotices: ServerNotices;
     /** True once another life of the server is listed. */
     readonly hasNewLife: (server: BackendServer) => boolean;
 }
@@ -88,8 +90,9 @@
                 isCold: state.isCold(clock()),
                 isOverdue: isOverdue(request, sentAt),
             });
-            // Another server's limit is not this one's.
+            // What another server says of itself is not this one's.
             if (verdict.kind !== "otherServer") {
+                options.serverNotices.onAnswer(request.server, answer.headers);
                 options.limitedServers.onAnswer(request.server, answer, sentAt);
             }
             return applyVerdict(request, answer, verdict, sentAt);
--- a/packages/box/src/servers/health-checker.ts
+++ b/packages/box/src/servers/health-checker.ts
@@ -11,6 +11,7 @@
 import { type IncomingMessage, request as httpRequest } from "node:http";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import type { LimitedServers } from "./limited-servers.js";
+import type { ServerNotices } from "./server-notices.js";
 
 export interface HealthCheckerOptions {
     readonly clock: Clock;
@@ -18,6 +19,7 @@
     readonly protocol: CallerProtocol;
     readonly catalog: ServerCatalog;
     readonly limitedServers: Pick<LimitedServers, "onHealthAnswer">;
+    readonly serverNotices: ServerNotices;
     readonly localAddress: string;
     readonly healthPathOf: (server: BackendServer) => string | undefined;
     readonly signal: AbortSignal;
@@ -95,6 +97,7 @@
         }
         if (id === server.id) {
             options.limitedServers.onHealthAnswer(server, response.headers);
+            options.serverNotices.onAnswer(server, response.headers);
         }
         return id === server.id;
     }
--- a/packages/box/test/attempt.test.ts
+++ b/packages/box/test/attempt.test.ts
@@ -122,6 +122,7 @@
             admitsZone: zone => !closedZones.has(zone),
             serviceLoad: createServiceLoad(),
             limitedServers: { onAnswer: () => undefined },
+            serverNotices: { onAnswer: () => undefined },
             idleLife: createIdleLife(),
             countBytes: () => undefined,
         });
--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -63,6 +63,7 @@
         connections,
         serviceLoad: createServiceLoad(),
         limitedServers: { onAnswer: () => undefined },
+        serverNotices: { onAnswer: () => undefined },
         hasNewLife: () => false,
     });
     return {
