--- a/packages/testing/src/standins/backend-server.ts
+++ b/packages/testing/src/standins/backend-server.ts
@@ -40,8 +40,10 @@
     setLimit: (text: string | undefined) => void;
     /** Resets connections that rested longer than so many milliseconds once a request comes on them. */
     readonly setForgetsAfter: (milliseconds: number) => void;
-    /** Says in its answers that it is leaving. */
+    /** Says in its answers that it is leaving, by closing connections and in its health answers. */
     setLeaving: (leaving: boolean) => void;
+    /** Says in all its answers, in a header of its own, that it is leaving; its health answers stay good. */
+    setSaysLeaving: (text: string | undefined) => void;
     /** Refuses new connections; those that are open stay. */
     readonly stopAccepting: () => void;
     readonly close: () => void;
@@ -78,6 +80,7 @@
     let coldFor = 0;
     let limit: string | undefined;
     let leaving = false;
+    let leavingText: string | undefined;
     let forgetsAfter = Infinity;
     const lastUsed = new WeakMap<Socket, number>();
     let arrivals = 0;
@@ -116,6 +119,9 @@
         setLeaving: value => {
             leaving = value;
         },
+        setSaysLeaving: text => {
+            leavingText = text;
+        },
         stopAccepting() {
             // The HTTP server's own `close` would end idle connections too.
             NetServer.prototype.close.call(server);
@@ -128,7 +134,7 @@
 
     async function onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         if (request.url === "/health") {
-            const headers = { "Instance-Id": options.id, "Cold-Ms": String(coldFor) };
+            const headers = { "Instance-Id": options.id, "Cold-Ms": String(coldFor), ...leavingHeader() };
             response.writeHead(leaving ? 503 : 200, headers).end();
             return;
         }
@@ -147,7 +153,13 @@
         const behaviour = behaviourOf(request);
         if (behaviour.kind === "shed" || queue.isFull()) {
             const told = behaviour.kind === "shed" && behaviour.tellsLoad === true ? loadHeader() : {};
-            response.writeHead(503, { "Request-Id": requestId, "Not-Run": "1", ...limitHeader(), ...told }).end();
+            response.writeHead(503, {
+                "Request-Id": requestId,
+                "Not-Run": "1",
+                ...limitHeader(),
+                ...leavingHeader(),
+                ...told,
+            }).end();
             return;
         }
         if (behaviour.kind === "shedAndDrop") {
@@ -196,6 +208,10 @@
         return limit === undefined ? {} : { "Server-Limit": limit };
     }
 
+    function leavingHeader(): Record<string, string> {
+        return leavingText === undefined ? {} : { "Server-Leaving": leavingText };
+    }
+
     function remember(key: string): boolean {
         const warm = keys.delete(key);
         keys.add(key);
@@ -213,6 +229,7 @@
                 "Server-Stamp": `stamp.${requestId}`,
                 ...loadHeader(),
                 ...limitHeader(),
+                ...leavingHeader(),
                 ...(leaving ? { "Connection": "close" } : {}),
             },
         };
