--- a/packages/box/src/servers/server-notices.ts
+++ b/packages/box/src/servers/server-notices.ts
@@ -1,7 +1,8 @@
 /**
  * What servers tell this box of themselves in their answers, beside load and limits: that they are leaving.
  *
- * Owns which servers were logged; relies on whoever calls it to leave out answers of another server.
+ * Owns which servers were logged; relies on the state of each server to keep what it
+ * said, and on whoever calls it to leave out answers of another server.
  */
 
 import type { BackendServer } from "@chalkdale/decisions";
@@ -24,14 +25,22 @@
 
 /** Creates the notices; no server has told anything. */
 export function createServerNotices({ log, protocol }: ServerNoticesOptions): ServerNotices {
+    /** Servers whose leaving was logged. */
     const leaving = new WeakSet<BackendServer>();
 
     return {
         onAnswer(server, headers) {
-            if (protocol.readLeaving(headers) && !leaving.has(server)) {
-                leaving.add(server);
-                log.info("server.saysLeaving", { server: server.id, recordRevision: server.state.record().revision });
+            if (protocol.readLeaving(headers)) {
+                onLeaving(server);
             }
         },
     };
+
+    function onLeaving(server: BackendServer): void {
+        server.state.onLeaving();
+        if (!leaving.has(server)) {
+            leaving.add(server);
+            log.info("server.saysLeaving", { server: server.id, recordRevision: server.state.record().revision });
+        }
+    }
 }
--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -17,7 +17,7 @@
 import { createServerSpeed } from "./server-speed.js";
 
 /** Why a server may not take a request now. */
-type ExclusionReason = "draining" | "replaced" | "unlisted" | "doubted" | "limited" | "ejected" | "cold";
+type ExclusionReason = "draining" | "leaving" | "replaced" | "unlisted" | "doubted" | "limited" | "ejected" | "cold";
 
 /** State of one life of a server as this box sees it. */
 export interface ServerState {
@@ -26,6 +26,11 @@
     readonly applyRecord: (record: BackendServerRecord, at: Milliseconds) => void;
     /** Discovery has a record of an earlier life, which may have been written late, or has one of this life again. */
     readonly setDoubted: (isDoubted: boolean) => void;
+    /**
+     * The server says in an answer that it is leaving. Holds for the rest of its life, whatever its record says: that may be written
+     * seconds later, or never.
+     */
+    readonly onLeaving: () => void;
     /** Discovery no longer lists the server. */
     readonly onUnlisted: () => void;
     /** True while discovery lists the server. */
@@ -58,7 +63,7 @@
     readonly limit: () => LimitWord | undefined;
     /** Why the server gets nothing now, or undefined if it may. Outliers are not among them: see `severity`. */
     readonly exclusion: (at: Milliseconds) => ExclusionReason | undefined;
-    /** True if the server must get nothing more: it drains, is not listed, has lost its address, or its life is in doubt. */
+    /** True if the server must get nothing more: it drains, says that it is leaving, is not listed, has lost its address, or its life is in doubt. */
     readonly hasLeft: () => boolean;
     readonly isCold: (at: Milliseconds) => boolean;
     /** Requests at the server, running and waiting, as far as this box knows. */
@@ -102,6 +107,7 @@
     let unlisted = false;
     let replaced = false;
     let doubted = false;
+    let leaving = false;
     let coldUntil = coldEnd(first, at);
 
     return {
@@ -116,6 +122,9 @@
         setDoubted(isDoubted) {
             doubted = isDoubted;
         },
+        onLeaving() {
+            leaving = true;
+        },
         onUnlisted() {
             unlisted = true;
         },
@@ -156,7 +165,7 @@
         slowness: speed.slowness,
         severity: now => ejection.isEjected() ? ejectedSeverity : Math.max(outliers.severity(now), speed.severity(now)),
         inFlight: load.inFlight,
-        healthCheckDueAt: () => replaced || unlisted ? undefined : ejection.healthCheckDueAt(),
+        healthCheckDueAt: () => replaced || unlisted || leaving ? undefined : ejection.healthCheckDueAt(),
         onHealthCheck(now, healthy) {
             if (healthy) {
                 ejection.onHealthy();
@@ -170,13 +179,16 @@
         return { rate: limit.rate() ?? 0, heardAt: limit.word()?.at ?? at };
     }
 
-    function reasonOfLeaving(): "replaced" | "draining" | "unlisted" | "doubted" | undefined {
+    function reasonOfLeaving(): "replaced" | "draining" | "leaving" | "unlisted" | "doubted" | undefined {
         if (replaced) {
             return "replaced";
         }
         if (record.draining) {
             return "draining";
         }
+        if (leaving) {
+            return "leaving";
+        }
         if (unlisted) {
             return "unlisted";
         }
--- a/packages/decisions/test/server-life.test.ts
+++ b/packages/decisions/test/server-life.test.ts
@@ -71,6 +71,7 @@
             apply(born(firstBirth));
             const before = catalog.get(id)!;
             before.state.onReplaced();
+            before.state.onLeaving();
             before.state.onFailure(now, "unreachable");
             before.state.onSent();
             before.state.onAnswerTime(now, 9);
--- a/packages/decisions/test/server-state.test.ts
+++ b/packages/decisions/test/server-state.test.ts
@@ -84,6 +84,18 @@
         });
     });
 
+    describe("a server that says it is leaving", () => {
+        it("gets nothing more and no health check, though a record of the same life is written later", () => {
+            const state = create();
+            state.onLeaving();
+            state.applyRecord({ ...state.record(), revision: 2 }, at(5000));
+            state.onFailure(at(5001), "unreachable");
+            expect(state.exclusion(at(60_000))).to.equal("leaving");
+            expect(state.hasLeft()).to.equal(true);
+            expect(state.healthCheckDueAt()).to.equal(undefined);
+        });
+    });
+
     describe("cold time", () => {
         it("goes by what the server says, and bounds what it gets [P14]", () => {
             const state = create();
