--- a/packages/box/src/callers/caller-protocol.ts
+++ b/packages/box/src/callers/caller-protocol.ts
@@ -27,6 +27,12 @@
     readonly backendServerId: string;
 }
 
+/** The first part of an answer of a server. */
+export interface AnswerHead {
+    readonly status: number;
+    readonly headers: NodeJS.Dict<string | string[]>;
+}
+
 /** What an answer of a server says of the rate that the server takes. */
 export type AnsweredLimit =
     /** Requests a second, from all boxes together. */
@@ -35,6 +41,13 @@
     /** Something stands there that is no rate. */
     | { readonly kind: "unreadable"; readonly text: string; };
 
+/** What an answer of a server says of the time for which the server wants nothing from this box. */
+export type AskedRest =
+    | { readonly kind: "asked"; readonly duration: Milliseconds; }
+    | { readonly kind: "none"; }
+    /** Something stands there that is no time. */
+    | { readonly kind: "unreadable"; readonly text: string; };
+
 /** Header names as they are written, and how values and paths are read. */
 export interface CallerProtocol {
     readonly headers: HeaderNames;
@@ -49,6 +62,8 @@
     readonly readColdFor: (headers: NodeJS.Dict<string | string[]>) => Milliseconds | undefined;
     /** True if a server says that it is leaving. */
     readonly readLeaving: (headers: NodeJS.Dict<string | string[]>) => boolean;
+    /** Reads for how long a server that turns a request away wants nothing from this box. */
+    readonly readRest: (answer: AnswerHead) => AskedRest;
     /** Reads the rate that a server names. */
     readonly readLimit: (headers: NodeJS.Dict<string | string[]>) => AnsweredLimit;
     readonly readServerId: (headers: NodeJS.Dict<string | string[]>) => BackendServerId | undefined;
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -92,7 +92,7 @@
             });
             // What another server says of itself is not this one's.
             if (verdict.kind !== "otherServer") {
-                options.serverNotices.onAnswer(request.server, answer.headers);
+                options.serverNotices.onAnswer(request.server, answer);
                 options.limitedServers.onAnswer(request.server, answer, sentAt);
             }
             return applyVerdict(request, answer, verdict, sentAt);
--- a/packages/box/src/servers/health-checker.ts
+++ b/packages/box/src/servers/health-checker.ts
@@ -97,7 +97,7 @@
         }
         if (id === server.id) {
             options.limitedServers.onHealthAnswer(server, response.headers);
-            options.serverNotices.onAnswer(server, response.headers);
+            options.serverNotices.onAnswer(server, { status: response.statusCode ?? 0, headers: response.headers });
         }
         return id === server.id;
     }
--- a/packages/box/src/servers/limited-servers.ts
+++ b/packages/box/src/servers/limited-servers.ts
@@ -9,22 +9,16 @@
 import { type BackendServer, isFailureStatus, type LimitWord, type ServerCatalog } from "@chalkdale/decisions";
 import { backendServerId, type Clock, type Milliseconds } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
-import type { AnsweredLimit, CallerProtocol } from "../callers/caller-protocol.js";
+import type { AnsweredLimit, AnswerHead, CallerProtocol } from "../callers/caller-protocol.js";
 import { isOfLife, type LimitReport, readLimitReport } from "./limit-messages.js";
 import { createLimitNews, type LimitNewsOptions, type NewsSource } from "./limit-news.js";
 
-/** The part of an answer that tells of a limit. */
-interface LimitedAnswer {
-    readonly status: number;
-    readonly headers: NodeJS.Dict<string | string[]>;
-}
-
 /** The limits of servers as one box knows them. */
 export interface LimitedServers {
     /** An answer of the server to a request that was sent at a time. */
-    readonly onAnswer: (server: BackendServer, answer: LimitedAnswer, sentAt: Milliseconds) => void;
+    readonly onAnswer: (server: BackendServer, answer: AnswerHead, sentAt: Milliseconds) => void;
     /** An answer to a health check: it may name a limit, but one that names none ends none. */
-    readonly onHealthAnswer: (server: BackendServer, headers: LimitedAnswer["headers"]) => void;
+    readonly onHealthAnswer: (server: BackendServer, headers: AnswerHead["headers"]) => void;
     /** Another box tells of limits. */
     readonly onReports: (reports: readonly LimitReport[]) => void;
     /** Servers that name a limit now. */
@@ -88,7 +82,7 @@
     }
 
     /** A failure, and an answer of a server that did not run the request, may come from a part of it that adds no header. */
-    function endsLimit({ headers, status }: LimitedAnswer): boolean {
+    function endsLimit({ headers, status }: AnswerHead): boolean {
         return !isFailureStatus(status) && headers[protocol.headers.notRun] === undefined;
     }
 
