--- a/packages/testing/src/standins/backend-server.ts
+++ b/packages/testing/src/standins/backend-server.ts
@@ -152,7 +152,7 @@
         }
         const behaviour = behaviourOf(request);
         if (behaviour.kind === "shed" || queue.isFull()) {
-            const told = behaviour.kind === "shed" && behaviour.tellsLoad === true ? loadHeader() : {};
+            const told = behaviour.kind === "shed" ? shedHeaders(behaviour) : {};
             response.writeHead(503, {
                 "Request-Id": requestId,
                 "Not-Run": "1",
@@ -204,6 +204,13 @@
         return { "Server-Load": `${queue.running()},${queue.waiting()},${slots}` };
     }
 
+    function shedHeaders({ restFor, tellsLoad }: ServerBehaviour & { readonly kind: "shed"; }): Record<string, string> {
+        return {
+            ...tellsLoad === true ? loadHeader() : {},
+            ...restFor === undefined ? {} : { "Retry-After": restFor },
+        };
+    }
+
     function limitHeader(): Record<string, string> {
         return limit === undefined ? {} : { "Server-Limit": limit };
     }
--- a/packages/testing/src/standins/deployment.ts
+++ b/packages/testing/src/standins/deployment.ts
@@ -46,8 +46,11 @@
     /** State that boxes wrote for a service's order; undefined before they did. */
     readonly rolloutState: (service: string) => string | undefined;
     readonly startBox: (options?: BoxOptions) => TestBox;
-    /** Starts a box in each zone of the list, with the first one as seed; resolves once all are ready and know each other. */
-    readonly startBoxes: (zones: readonly string[]) => Promise<readonly TestBox[]>;
+    /**
+     * Starts a box in each zone of the list, with the first one as seed; resolves once all are ready and know each other. `hosts`: their
+     * loopback addresses, so that servers can tell them apart.
+     */
+    readonly startBoxes: (zones: readonly string[], hosts?: readonly string[]) => Promise<readonly TestBox[]>;
     readonly close: () => Promise<void>;
 }
 
@@ -122,10 +125,14 @@
         return box;
     }
 
-    async function startBoxes(zonesOfBoxes: readonly string[]): Promise<readonly TestBox[]> {
+    async function startBoxes(
+        zonesOfBoxes: readonly string[],
+        hosts: readonly string[] = [],
+    ): Promise<readonly TestBox[]> {
         const started: TestBox[] = [];
-        for (const zone of zonesOfBoxes) {
-            started.push(startTestBox({ zone, seeds: started.slice(0, 1).map(first => first.peers) }));
+        for (const [index, zone] of zonesOfBoxes.entries()) {
+            const seeds = started.slice(0, 1).map(first => first.peers);
+            started.push(startTestBox({ zone, seeds, host: hosts[index] }));
         }
         for (const { logged, name, running } of started) {
             await eventually(() => running.isReady(), `${name} is ready`);
--- a/packages/testing/test/box-server-notices.test.ts
+++ b/packages/testing/test/box-server-notices.test.ts
@@ -1,5 +1,6 @@
 /**
- * Servers whose answers say that they are leaving got requests until their record said it.
+ * Servers whose answers say that they are leaving got requests until their record said it; those that ask a
+ * box for rest got its requests as before.
  */
 
 import { milliseconds } from "@chalkdale/kernel";
@@ -17,6 +18,25 @@
 /** Milliseconds after it has passed on such an answer, from when a box must send the server nothing more. */
 const drain = 2500;
 
+/** Milliseconds for which servers turn requests away, of the rest that they ask for then, and after which it is to be kept. */
+const turnsAwayFor = 800;
+const rest = 3000;
+const toldAfter = 500;
+/** Requests of a box that a server bears in its rest. */
+const mostAllowedInRest = 2;
+
+/** A request that came to a server: from which box, and when. */
+interface Arrival {
+    readonly box: string;
+    readonly at: number;
+}
+
+/** What came to a server, and of that what it answered by asking for rest. */
+interface RestingServer {
+    readonly asked: readonly Arrival[];
+    readonly arrived: readonly Arrival[];
+}
+
 /** One request as its caller saw it; times in milliseconds of the steady clock. */
 interface PlayedRequest extends ClientAnswer {
     readonly box: number;
@@ -40,7 +60,8 @@
             { name: "look", path: "/look/", kind: "safe" },
             { name: "save", path: "/save/", kind: "unsafe" },
         ]);
-        boxes = await deployment.startBoxes([...zones, ...zones, ...zones]);
+        const zonesOfBoxes = [...zones, ...zones, ...zones];
+        boxes = await deployment.startBoxes(zonesOfBoxes, zonesOfBoxes.map((_, index) => `127.0.0.${10 + index}`));
     });
 
     afterEach(() => deployment.close());
@@ -83,9 +104,58 @@
         });
     }
 
+    /** The server turns requests away for a while, asks for rest with each such answer, and serves afterwards. */
+    function askForRest(server: ServerStandIn): RestingServer {
+        const until = performance.now() + turnsAwayFor;
+        const arrived: Arrival[] = [];
+        const asked: Arrival[] = [];
+        server.setBehaviour(request => {
+            const arrival = { box: request.socket.remoteAddress ?? "", at: performance.now() };
+            arrived.push(arrival);
+            if (arrival.at >= until) {
+                return { kind: "serve" };
+            }
+            asked.push(arrival);
+            return { kind: "shed", tellsLoad: true, restFor: String(rest / 1000) };
+        });
+        return { asked, arrived };
+    }
+
+    /** The most requests of a box that came in the rest which the server had asked it for. */
+    function mostInRest({ arrived, asked }: RestingServer): number {
+        return Math.max(
+            0,
+            ...asked.map(({ at, box }) =>
+                arrived.filter(other => other.box === box && other.at > at + toldAfter && other.at < at + rest).length
+            ),
+        );
+    }
+
     const servedShare = (played: readonly PlayedRequest[]) =>
         played.filter(({ status }) => status === 200).length / played.length;
 
+    describe("that they want nothing from a box for a while", () => {
+        it("keep to it where some servers of a service say so, and serve by the others", async () => {
+            await play(1500);
+            const resting = servers.slice(0, 4).map(server => askForRest(server));
+            const played = await play(5000);
+            expect(resting.map(mostInRest).filter(most => most > mostAllowedInRest)).to.deep.equal([]);
+            expect(resting.flatMap(({ asked }) => asked)).not.to.be.empty;
+            expect(servedShare(played)).to.be.greaterThan(0.99);
+        });
+
+        it("keep to it where all servers say so, refuse at once meanwhile, and serve again after it", async () => {
+            await play(1500);
+            const resting = servers.map(server => askForRest(server));
+            const played = await play(5000);
+            expect(resting.map(mostInRest).filter(most => most > mostAllowedInRest)).to.deep.equal([]);
+            expect(new Set(played.map(({ status }) => status))).to.deep.equal(new Set([200, 503]));
+            const refused = played.filter(({ status }) => status === 503);
+            expect(refused.every(({ headers }) => Number(headers["retry-after"]) > 0)).to.equal(true);
+            expect(servedShare(await play(2000))).to.be.greaterThan(0.99);
+        });
+    });
+
     describe("that they are leaving", () => {
         it("send nothing more to servers that say so, though their records do not", async () => {
             await play(1500);
