--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -112,7 +112,7 @@
         sharesLimit: ({ box }, server) => limits.boxesNear(server.state.record().region).includes(box),
         send: (box, reports) => peerLink.sendLimits(box, reports),
     });
-    const serverNotices = createServerNotices({ log, protocol });
+    const serverNotices = createServerNotices({ catalog, clock, log, protocol });
     const deadlyGuard = createDeadlyGuard({
         clock,
         log,
@@ -229,6 +229,7 @@
             quotas,
             deadlyGuard,
             limitedServers,
+            serverNotices,
             rollouts,
             traffic,
             requests,
--- a/packages/box/src/metrics-text.ts
+++ b/packages/box/src/metrics-text.ts
@@ -18,6 +18,7 @@
 import { rolloutMetricLines } from "./rollouts/rollout-metrics.js";
 import type { Rollouts } from "./rollouts/rollouts.js";
 import type { LimitedServers } from "./servers/limited-servers.js";
+import type { ServerNotices } from "./servers/server-notices.js";
 import type { Replicator } from "./state/replicator.js";
 import type { SharedState } from "./state/shared-state.js";
 import type { TrafficMeter } from "./traffic-meter.js";
@@ -33,6 +34,7 @@
     readonly quotas: CustomerQuotas;
     readonly deadlyGuard: Pick<DeadlyGuard, "heldCount">;
     readonly limitedServers: Pick<LimitedServers, "limited">;
+    readonly serverNotices: Pick<ServerNotices, "restingCount">;
     readonly rollouts: Rollouts | undefined;
     readonly traffic: TrafficMeter;
     readonly requests: RequestPath;
@@ -62,6 +64,7 @@
             servers_revision: state.replica("servers").revision(),
             servers_age_milliseconds: Math.round(replicator.confirmedAge("servers")),
             store_lost_milliseconds: replicator.storeLostFor(),
+            servers_resting: options.serverNotices.restingCount(),
             servers_limited: options.limitedServers.limited().length,
             requests_held: options.deadlyGuard.heldCount(),
             boxes_alive: membership.alive(clock()).length,
--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -46,7 +46,7 @@
     readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
     readonly serviceLoad: ServiceLoad;
     readonly limitedServers: Pick<LimitedServers, "onAnswer">;
-    readonly serverNotices: ServerNotices;
+    readonly serverNotices: Pick<ServerNotices, "onAnswer">;
     readonly idleLife: IdleLife;
     /** Counts the bodies of a request and its answer. */
     readonly countBytes: (server: BackendServer, bytes: number) => void;
@@ -94,18 +94,23 @@
             connected.val.socket.destroy();
             return { kind: "cancelled" };
         }
-        // A connection takes seconds to come up if packets are lost, and the list may have changed since the choice.
-        if (hasLeft(request.server)) {
+        const reason = reasonNotToSend(request.server);
+        if (reason !== undefined) {
             connected.val.socket.destroy();
-            return { kind: "notSent", reason: "left while its connection came up" };
+            return { kind: "notSent", reason };
         }
         return send(request, connected.val);
     }
 
-    /** True for a server that must get nothing more, whatever it was when it was chosen. */
-    function hasLeft(server: BackendServer): boolean {
+    /**
+     * Why a server must get nothing now, whatever it was when it was chosen: a connection takes seconds to come up if packets are lost.
+     */
+    function reasonNotToSend(server: BackendServer): string | undefined {
         const { state } = server;
-        return state.hasLeft() || options.hasNewLife(server) || !options.admitsZone(state.record().zone);
+        if (state.hasLeft() || options.hasNewLife(server) || !options.admitsZone(state.record().zone)) {
+            return "left while its connection came up";
+        }
+        return clock() < state.restUntil() ? "asked for rest while its connection came up" : undefined;
     }
 
     async function send(request: AttemptRequest, { rested, socket }: ServerConnection): Promise<AttemptOutcome> {
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -8,6 +8,7 @@
 import {
     type BackendServer,
     comeBackAfter,
+    comeBackAfterRest,
     connectTimeout,
     type CopyAgeBounds,
     createBodyMemory,
@@ -28,7 +29,7 @@
     type SharedLimits,
     type StopPhase,
 } from "@chalkdale/decisions";
-import type { BackendServerId, Clock, Milliseconds, ServiceId } from "@chalkdale/kernel";
+import { type BackendServerId, type Clock, type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import type { DeadlyGuard } from "../deadly/deadly-guard.js";
@@ -70,7 +71,7 @@
     readonly serversAge: () => Milliseconds;
     readonly recentSends: RecentSends;
     readonly limitedServers: Pick<LimitedServers, "onAnswer">;
-    readonly serverNotices: ServerNotices;
+    readonly serverNotices: Pick<ServerNotices, "onAnswer">;
     /** Called with a server whose new life was in doubt until now. */
     readonly onRestarted: (restarted: RestartedServer) => void;
     readonly copyAgeBounds: CopyAgeBounds;
@@ -190,6 +191,9 @@
         if (refusal === "serversLimited") {
             return limitedReturns.next(service, limitedRate(service), clock());
         }
+        if (refusal === "serversResting") {
+            return comeBackAfterRest(firstBackIn(service), options.random());
+        }
         const loadPerSlot = serviceLoad.perSlot(service);
         return comeBackAfter(refusal, { loadPerSlot, queuedWork: work.ofQueue(service, route) });
     }
@@ -201,6 +205,13 @@
         return total / Math.max(1, limits.advertised().length);
     }
 
+    /** Time until the first server of a service has had the rest that it asked this box for. */
+    function firstBackIn(service: ServiceId): Milliseconds {
+        const now = clock();
+        const ends = catalog.ofService(service).map(({ state: server }) => server.restUntil()).filter(end => end > now);
+        return milliseconds(Math.max(0, Math.min(...ends) - now));
+    }
+
     function roundTripTo(server: BackendServer): Milliseconds {
         const { region, zone } = server.state.record();
         return roundTrips.estimate(region, zone);
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -28,7 +28,7 @@
     readonly connections: ServerConnections;
     readonly serviceLoad: ServiceLoad;
     readonly limitedServers: Pick<LimitedServers, "onAnswer">;
-    readonly serverNotices: ServerNotices;
+    readonly serverNotices: Pick<ServerNotices, "onAnswer">;
     /** True once another life of the server is listed. */
     readonly hasNewLife: (server: BackendServer) => boolean;
 }
@@ -86,6 +86,7 @@
             const verdict = judgeAnswer({
                 status: answer.status,
                 saysNotRun: answer.headers[protocol.headers.notRun] !== undefined,
+                asksRest: asksRest(answer),
                 load,
                 isCold: state.isCold(clock()),
                 isOverdue: isOverdue(request, sentAt),
@@ -131,6 +132,12 @@
         }
     }
 
+    /** True for an answer by which a server wants nothing for some time. */
+    function asksRest(answer: ServerAnswer): boolean {
+        const rest = protocol.readRest(answer);
+        return rest.kind === "asked" && rest.duration > 0;
+    }
+
     /** True if the server has had the request for far longer than expected. */
     function isOverdue(request: AttemptRequest, sentAt: Milliseconds): boolean {
         return clock() - sentAt >= overdueTime(request.expected);
@@ -157,6 +164,10 @@
                     state.onFull(now);
                 }
                 return { kind: "notRun", status: answer.status, hasRoom: verdict.isFailure };
+            case "resting":
+                return verdict.mayHaveRun
+                    ? { kind: "answered", answer, asksRest: true }
+                    : { kind: "notRun", status: answer.status, hasRoom: false };
             case "ran":
                 state.onHealthy();
                 state.onResult(now, !verdict.isFailure);
--- a/packages/box/src/requests/watched-try.ts
+++ b/packages/box/src/requests/watched-try.ts
@@ -109,7 +109,9 @@
             case "cancelled":
                 return isOverdue ? failure : undefined;
             case "answered":
-                return evidenceOfAnswer(outcome.answer, isOverdue, slowness);
+                return outcome.asksRest === true
+                    ? undefined
+                    : evidenceOfAnswer(outcome.answer, isOverdue, slowness);
         }
     }
 
--- a/packages/box/src/servers/health-checker.ts
+++ b/packages/box/src/servers/health-checker.ts
@@ -19,7 +19,7 @@
     readonly protocol: CallerProtocol;
     readonly catalog: ServerCatalog;
     readonly limitedServers: Pick<LimitedServers, "onHealthAnswer">;
-    readonly serverNotices: ServerNotices;
+    readonly serverNotices: Pick<ServerNotices, "onAnswer">;
     readonly localAddress: string;
     readonly healthPathOf: (server: BackendServer) => string | undefined;
     readonly signal: AbortSignal;
--- a/packages/box/src/servers/server-notices.ts
+++ b/packages/box/src/servers/server-notices.ts
@@ -6,7 +6,8 @@
  * said, and on whoever calls it to leave out answers of another server.
  */
 
-import type { BackendServer } from "@chalkdale/decisions";
+import type { BackendServer, ServerCatalog } from "@chalkdale/decisions";
+import type { Clock, Milliseconds } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { AnswerHead, AskedRest, CallerProtocol } from "../callers/caller-protocol.js";
 
@@ -14,20 +15,25 @@
 export interface ServerNotices {
     /** An answer of the server, to a request or to a health check. */
     readonly onAnswer: (server: BackendServer, answer: AnswerHead) => void;
+    /** Servers that want nothing from this box now. */
+    readonly restingCount: () => number;
 }
 
 export interface ServerNoticesOptions {
+    readonly clock: Clock;
     readonly log: Log;
     readonly protocol: Pick<CallerProtocol, "readLeaving" | "readRest">;
+    readonly catalog: Pick<ServerCatalog, "all">;
 }
 
 /** Characters of a text that is no time which a line shows. */
 const longestShown = 40;
 
 /** Creates the notices; no server has told anything. */
-export function createServerNotices({ log, protocol }: ServerNoticesOptions): ServerNotices {
-    /** Servers whose leaving was logged. */
+export function createServerNotices({ catalog, clock, log, protocol }: ServerNoticesOptions): ServerNotices {
+    /** Servers whose leaving, or whose unreadable time, was logged: they say the same in all their answers. */
     const leaving = new WeakSet<BackendServer>();
+    const unreadable = new WeakSet<BackendServer>();
 
     return {
         onAnswer(server, answer) {
@@ -36,21 +42,38 @@
             }
             onRest(server, protocol.readRest(answer));
         },
+        restingCount: () => [...catalog.all()].filter(({ state }) => state.restUntil() > clock()).length,
     };
 
     function onRest(server: BackendServer, rest: AskedRest): void {
         switch (rest.kind) {
             case "asked":
-                log.info("server.asksRest", { server: server.id, duration: rest.duration });
+                startRest(server, rest.duration);
                 return;
             case "unreadable":
-                log.warn("server.restUnreadable", { server: server.id, text: rest.text.slice(0, longestShown) });
+                reportUnreadable(server, rest.text);
                 return;
             case "none":
                 return;
         }
     }
 
+    function reportUnreadable(server: BackendServer, text: string): void {
+        if (!unreadable.has(server)) {
+            unreadable.add(server);
+            log.warn("server.restUnreadable", { server: server.id, text: text.slice(0, longestShown) });
+        }
+    }
+
+    /** Logged as it begins: each request that was under way brings such an answer. */
+    function startRest(server: BackendServer, duration: Milliseconds): void {
+        const wasResting = server.state.restUntil() > clock();
+        server.state.onRest(clock(), duration);
+        if (!wasResting) {
+            log.info("server.asksRest", { server: server.id, duration });
+        }
+    }
+
     function onLeaving(server: BackendServer): void {
         server.state.onLeaving();
         if (!leaving.has(server)) {
--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -23,9 +23,11 @@
     isPublic: false,
 };
 
-/** Only what the feedback reads of the protocol: the load, told in one header, and the header of a request that did not run. */
+/** Only what the feedback reads of the protocol: the load and a rest, each told in one header, and the header of a request that did not run. */
 const protocol = {
     headers: { notRun: "not-run" },
+    readRest: ({ headers }) =>
+        headers.rest === undefined ? { kind: "none" } : { kind: "asked", duration: milliseconds(Number(headers.rest)) },
     readLoad: headers => headers.load === undefined ? undefined : JSON.parse(String(headers.load)) as LoadReport,
 } as CallerProtocol;
 
@@ -68,9 +70,9 @@
     });
     return {
         state,
-        refuseUnrun: (load: LoadReport) => {
+        refuseUnrun: (load: LoadReport, told: Readonly<Record<string, string>> = {}) => {
             state.onSent();
-            const headers = { "not-run": "1", load: JSON.stringify(load) };
+            const headers = { "not-run": "1", load: JSON.stringify(load), ...told };
             const answer = {
                 status: 503,
                 rawHeaders: [],
@@ -79,7 +81,7 @@
                 framed: true,
                 reusable: false,
             };
-            feedback.onAnswer(request, new Socket(), answer, clock());
+            return feedback.onAnswer(request, new Socket(), answer, clock());
         },
         timeOutAfter: (duration: number) => {
             const sentAt = clock();
@@ -108,6 +110,16 @@
         });
     });
 
+    describe("that refuses a request unrun and asks for rest", () => {
+        it("takes it neither for failing nor for full, and does not ask it again", () => {
+            const { clock, refuseUnrun, state } = createSetup();
+            const outcome = refuseUnrun({ running: 1, waiting: 0, slots: sampleSlots }, { rest: "3000" });
+            expect(outcome).to.deep.equal({ kind: "notRun", status: 503, hasRoom: false });
+            expect(state.load(clock())).to.equal(1);
+            expect(state.severity(clock())).to.be.lessThan(0.5);
+        });
+    });
+
     describe("whose answer does not come in time", () => {
         it("counts the time as slowness and the request as failed", () => {
             const { clock, state, timeOutAfter } = createSetup();
--- a/packages/decisions/src/choose/server-choice.ts
+++ b/packages/decisions/src/choose/server-choice.ts
@@ -106,7 +106,17 @@
         if (reasons.has("limited")) {
             return { kind: "allLimited" };
         }
-        return { kind: reasons.has("cold") ? "allCold" : "noServer" };
+        if (reasons.has("cold")) {
+            return { kind: "allCold" };
+        }
+        return { kind: areAllResting(request) ? "allResting" : "noServer" };
+    }
+
+    /** True if this box's next request for the service can only go to a server that asked it for rest, whatever this one has tried. */
+    function areAllResting(request: ChoiceRequest): boolean {
+        const servers = eligibleServers.candidates({ ...request, tried: new Set() });
+        const reasons = servers.map(({ state }) => state.exclusion(request.at));
+        return reasons.includes("resting") && !reasons.includes(undefined);
     }
 
     function fastest(ranked: readonly BackendServer[], request: ChoiceRequest): ChosenServer {
--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -17,7 +17,16 @@
 import { createServerSpeed } from "./server-speed.js";
 
 /** Why a server may not take a request now. */
-type ExclusionReason = "draining" | "leaving" | "replaced" | "unlisted" | "doubted" | "limited" | "ejected" | "cold";
+type ExclusionReason =
+    | "draining"
+    | "leaving"
+    | "replaced"
+    | "unlisted"
+    | "doubted"
+    | "resting"
+    | "limited"
+    | "ejected"
+    | "cold";
 
 /** State of one life of a server as this box sees it. */
 export interface ServerState {
@@ -31,6 +40,10 @@
      * seconds later, or never.
      */
     readonly onLeaving: () => void;
+    /** The server wants nothing from this box for so long, `longestRest` at most. Of two such words the one that ends later counts. */
+    readonly onRest: (at: Milliseconds, duration: Milliseconds) => void;
+    /** When the rest that the server asked for is over; in the past if it asked for none. */
+    readonly restUntil: () => Milliseconds;
     /** Discovery no longer lists the server. */
     readonly onUnlisted: () => void;
     /** True while discovery lists the server. */
@@ -86,6 +99,12 @@
     readonly recordDelay: Milliseconds;
 }
 
+/**
+ * Milliseconds for which a server is left alone by one word at most; it may ask again. A mistaken figure must not take it away
+ * for the rest of its life.
+ */
+const longestRest = 300_000;
+
 /** Severity of an ejected server, which serves nothing: above that of an outlier, whose most is 3.3 by failures. */
 const ejectedSeverity = 4;
 
@@ -108,6 +127,7 @@
     let replaced = false;
     let doubted = false;
     let leaving = false;
+    let restUntil = milliseconds(-Infinity);
     let coldUntil = coldEnd(first, at);
 
     return {
@@ -125,6 +145,10 @@
         onLeaving() {
             leaving = true;
         },
+        onRest(now, duration) {
+            restUntil = milliseconds(Math.max(restUntil, now + Math.min(duration, longestRest)));
+        },
+        restUntil: () => restUntil,
         onUnlisted() {
             unlisted = true;
         },
@@ -165,7 +189,7 @@
         slowness: speed.slowness,
         severity: now => ejection.isEjected() ? ejectedSeverity : Math.max(outliers.severity(now), speed.severity(now)),
         inFlight: load.inFlight,
-        healthCheckDueAt: () => replaced || unlisted || leaving ? undefined : ejection.healthCheckDueAt(),
+        healthCheckDueAt,
         onHealthCheck(now, healthy) {
             if (healthy) {
                 ejection.onHealthy();
@@ -200,6 +224,9 @@
         if (leaving !== undefined) {
             return leaving;
         }
+        if (now < restUntil) {
+            return "resting";
+        }
         // A server that is ejected may get a trial, which its limit bounds as well.
         if (limitShare?.allows(now) === false) {
             return "limited";
@@ -210,6 +237,15 @@
         return isCold(now) && !slowStart.allows(now) ? "cold" : undefined;
     }
 
+    /** A check is a request to the server as well, and waits until it has had its rest. */
+    function healthCheckDueAt(): Milliseconds | undefined {
+        const dueAt = ejection.healthCheckDueAt();
+        if (dueAt === undefined || replaced || unlisted || leaving) {
+            return undefined;
+        }
+        return milliseconds(Math.max(dueAt, restUntil));
+    }
+
     function isCold(now: Milliseconds): boolean {
         return now < coldUntil;
     }
--- a/packages/decisions/test/come-back.test.ts
+++ b/packages/decisions/test/come-back.test.ts
@@ -1,6 +1,15 @@
 import { milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
-import { comeBackAfter } from "../src/index.js";
+import { comeBackAfter, comeBackAfterRest } from "../src/index.js";
+
+describe("the time to come back after servers' rest", () => {
+    it("is when the first one is back, spread, and never far off", () => {
+        expect(comeBackAfterRest(milliseconds(800), 0)).to.equal(800);
+        expect(comeBackAfterRest(milliseconds(800), 1)).to.equal(1300);
+        expect(comeBackAfterRest(milliseconds(0), 0)).to.equal(50);
+        expect(comeBackAfterRest(milliseconds(60_000), 1)).to.equal(2000);
+    });
+});
 
 describe("the time to come back", () => {
     const after = (refusal: Parameters<typeof comeBackAfter>[0], loadPerSlot: number) =>
--- a/packages/decisions/test/retry.test.ts
+++ b/packages/decisions/test/retry.test.ts
@@ -76,7 +76,15 @@
     const free = { running: 1, waiting: 0, slots: 4 };
     const full = { running: 4, waiting: 2, slots: 4 };
     const judge = (changes: Partial<AnswerInputs>) =>
-        judgeAnswer({ status: 200, saysNotRun: false, load: free, isCold: false, isOverdue: false, ...changes });
+        judgeAnswer({
+            status: 200,
+            saysNotRun: false,
+            asksRest: false,
+            load: free,
+            isCold: false,
+            isOverdue: false,
+            ...changes,
+        });
 
     it("of another server at the address is none of this one", () => {
         expect(judge({ status: 421, saysNotRun: true })).to.deep.equal({ kind: "otherServer" });
@@ -90,6 +98,12 @@
         expect(judge({ status: 503, saysNotRun: true, load: undefined })).to.include({ isFailure: false });
     });
 
+    it("that asks for rest is no failure, also where the server has free slots or does not say that it has not run the request", () => {
+        const asksRest = { status: 503, asksRest: true };
+        expect(judge({ ...asksRest, saysNotRun: true })).to.deep.equal({ kind: "resting", mayHaveRun: false });
+        expect(judge(asksRest)).to.deep.equal({ kind: "resting", mayHaveRun: true });
+    });
+
     it("is a failure from 500 on, but for 504 within the expected time", () => {
         expect(judge({})).to.deep.equal({ kind: "ran", isFailure: false, isSuccess: true });
         expect(judge({ status: 404 })).to.deep.equal({ kind: "ran", isFailure: false, isSuccess: false });
--- a/packages/decisions/test/server-choice.test.ts
+++ b/packages/decisions/test/server-choice.test.ts
@@ -314,6 +314,33 @@
         });
     });
 
+    describe("servers that ask for rest", () => {
+        const rest = milliseconds(3000);
+        const names = ["s-1", "s-2", "s-3"];
+
+        function setUp(resting: readonly string[]) {
+            const setup = createSetup(names.map(name => createRecord(name)));
+            resting.forEach(name => setup.catalog.get(backendServerId(name))!.state.onRest(at, rest));
+            return setup;
+        }
+
+        it("get nothing, first tries and trials alike, and are back when it is over", () => {
+            const { chosen } = setUp(["s-1", "s-2"]);
+            expect(chosen()).to.equal("s-3");
+            expect(chosen({ tried: new Set([backendServerId("s-3")]) })).to.equal("noServer");
+            const over = { at: milliseconds(at + rest), tried: new Set([backendServerId("s-3")]) };
+            expect(chosen(over)).to.be.oneOf(["s-1", "s-2"]);
+        });
+
+        it("are known to be resting where no other is left, also by a request that has tried one", () => {
+            const { catalog, chosen } = setUp(names);
+            expect(chosen()).to.equal("allResting");
+            expect(chosen({ tried: new Set(names.map(backendServerId)) })).to.equal("allResting");
+            catalog.get(backendServerId("s-1"))!.state.onFailure(at, "unreachable");
+            expect(chosen()).to.equal("allResting");
+        });
+    });
+
     describe("servers that name limits", () => {
         const names = Array.from({ length: 8 }, (_, index) => `s-${index}`);
         const keyOf = (index: number) => hashText(`key-${index}`);
--- a/packages/decisions/test/server-life.test.ts
+++ b/packages/decisions/test/server-life.test.ts
@@ -72,6 +72,7 @@
             const before = catalog.get(id)!;
             before.state.onReplaced();
             before.state.onLeaving();
+            before.state.onRest(now, milliseconds(60_000));
             before.state.onFailure(now, "unreachable");
             before.state.onSent();
             before.state.onAnswerTime(now, 9);
--- a/packages/decisions/test/server-state.test.ts
+++ b/packages/decisions/test/server-state.test.ts
@@ -96,6 +96,26 @@
         });
     });
 
+    describe("a server that asks for rest", () => {
+        it("gets nothing until it is over, and no health check", () => {
+            const state = create();
+            state.onFailure(at(0), "unreachable");
+            state.onRest(at(100), milliseconds(3000));
+            expect(state.exclusion(at(3099))).to.equal("resting");
+            expect(state.healthCheckDueAt()).to.equal(3100);
+            expect(state.exclusion(at(3100))).to.equal("ejected");
+        });
+
+        it("has the longer of two rests, and a bounded one by a figure beyond all reason", () => {
+            const state = create();
+            state.onRest(at(0), milliseconds(3000));
+            state.onRest(at(100), milliseconds(1000));
+            expect(state.restUntil()).to.equal(3000);
+            state.onRest(at(200), milliseconds(1e12));
+            expect(state.exclusion(at(400_000))).to.equal(undefined);
+        });
+    });
+
     describe("cold time", () => {
         it("goes by what the server says, and bounds what it gets [P14]", () => {
             const state = create();
