--- a/packages/testing/src/standins/deployment.ts
+++ b/packages/testing/src/standins/deployment.ts
@@ -72,6 +72,8 @@
 interface DeploymentOptions {
     /** Bounds of the settings besides those that every deployment of the tests has. */
     readonly bounds?: readonly string[];
+    /** Era that the store tells from the start; it tells none if this is left out, until it is restored. */
+    readonly storeEra?: number;
 }
 
 /** Host that all rules of the tests are for. */
@@ -85,7 +87,7 @@
 /** Starts the store; servers, boxes and configurations follow by calls. */
 export async function startDeployment(options: DeploymentOptions = {}): Promise<Deployment> {
     const clock = () => milliseconds(performance.now());
-    const store = createMetadataStore({ clock });
+    const store = createMetadataStore({ clock, era: options.storeEra });
     const storeServer = await serveMetadataStore(store);
     const backends: ServerStandIn[] = [];
     const boxes: TestBox[] = [];
--- a/packages/testing/src/standins/metadata-store-server.ts
+++ b/packages/testing/src/standins/metadata-store-server.ts
@@ -36,6 +36,8 @@
     /** Calls so far, by method. */
     readonly calls: () => Readonly<Record<string, number>>;
     setFault: (fault: (call: StoreCall) => StoreFault) => void;
+    /** Ends all connections, as a store that goes away does. */
+    readonly cut: () => void;
     readonly close: () => void;
 }
 
@@ -56,6 +58,7 @@
         setFault: fault => {
             faultOf = fault;
         },
+        cut: () => server.closeAllConnections(),
         close() {
             clearInterval(timer);
             server.close();
@@ -73,6 +76,10 @@
             answer(response, { status: 404 });
             return;
         }
+        const era = store.era();
+        if (era !== undefined) {
+            response.setHeader("Store-Era", String(era));
+        }
         const [, kind, name, statusPath] = match;
         const isStatus = statusPath !== undefined;
         const isWatch = url.searchParams.has("watch");
--- a/packages/testing/src/standins/metadata-store.ts
+++ b/packages/testing/src/standins/metadata-store.ts
@@ -39,6 +39,13 @@
     readonly revision?: number;
 }
 
+/** What a store held at one time, from which it can be restored. */
+export interface StoreCopy {
+    readonly at: number;
+    readonly kinds: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+    readonly history: readonly HistoryEntry[];
+}
+
 /** A list is asked by page. */
 interface ListRequest {
     /** The page begins after this name. */
@@ -73,11 +80,19 @@
     /** Ends watches whose wait is over. */
     readonly step: () => void;
     readonly revision: () => number;
+    /** What the store holds now. */
+    readonly copy: () => StoreCopy;
+    /** Comes back from a copy: what was written since is gone, revisions go on from the copy's, and the era rises by one. */
+    readonly restore: (from: StoreCopy) => void;
+    /** The era as the store tells it; undefined for one that tells none. */
+    readonly era: () => number | undefined;
 }
 
 export interface MetadataStoreOptions {
     readonly clock: Clock;
     readonly pageSize?: number;
+    /** Era that it tells from the start; none if it is left out, until it is restored. */
+    readonly era?: number;
 }
 
 interface HistoryEntry {
@@ -103,9 +118,8 @@
     let history: HistoryEntry[] = [];
     let latest = 0;
     let forgottenUpTo = 0;
-    let heldBack:
-        | { readonly at: number; readonly kinds: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>; }
-        | undefined;
+    let heldBack: StoreCopy | undefined;
+    let era = options.era;
 
     return {
         list,
@@ -131,8 +145,18 @@
             }
         },
         holdBack() {
-            heldBack = { at: latest, kinds: new Map([...kinds].map(([kind, objects]) => [kind, new Map(objects)])) };
+            heldBack = copy();
+        },
+        copy,
+        restore(from) {
+            latest = from.at;
+            history = [...from.history];
+            kinds.clear();
+            from.kinds.forEach((objects, kind) => kinds.set(kind, new Map(objects)));
+            era = (era ?? 0) + 1;
+            watchers.clear();
         },
+        era: () => era,
         compact() {
             history = [];
             forgottenUpTo = latest;
@@ -143,6 +167,14 @@
         revision: () => latest,
     };
 
+    function copy(): StoreCopy {
+        return {
+            at: latest,
+            kinds: new Map([...kinds].map(([kind, objects]) => [kind, new Map(objects)])),
+            history: [...history],
+        };
+    }
+
     function objectsOf(kind: string): Map<string, StoredObject> {
         let objects = kinds.get(kind);
         if (objects === undefined) {
@@ -207,7 +239,7 @@
         wait: Milliseconds,
         answer: (answer: StoreAnswer) => void,
     ): () => void {
-        if (since < forgottenUpTo) {
+        if (since < forgottenUpTo || since > latest) {
             answer({ status: 410 });
             return () => undefined;
         }
