--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -14,6 +14,7 @@
     createSharedEvidence,
     createSharedLimits,
     createTurnedAwayBoxes,
+    describePosition,
     digestRounds,
     type MemberRecord,
     type RestartedServer,
@@ -309,6 +310,7 @@
         upkeep() {
             noticeStall();
             updateOwnRecord();
+            state.expireHeld();
             requests.sweep();
             runDueHealthChecks();
         },
@@ -358,7 +360,7 @@
             server: server.id,
             bornAt: server.state.record().bornAt,
             previousBornAt: before.state.record().bornAt,
-            revision: server.state.record().revision,
+            revision: describePosition(server.state.record().revision),
             inFlightBefore: before.state.inFlight(),
             sends: recentSends.describe(server.id),
         });
--- a/packages/box/src/metrics-text.ts
+++ b/packages/box/src/metrics-text.ts
@@ -6,7 +6,7 @@
  * Owns nothing.
  */
 
-import type { Membership, SharedLimits } from "@chalkdale/decisions";
+import { eraOf, type Membership, type SharedLimits } from "@chalkdale/decisions";
 import type { Clock } from "@chalkdale/kernel";
 import type { CallerConnections } from "./callers/caller-connections.js";
 import type { DeadlyGuard } from "./deadly/deadly-guard.js";
@@ -59,9 +59,11 @@
     function readGauges(): Record<string, number | undefined> {
         const replicator = options.replicator();
         const callers = options.callers();
+        const revision = state.replica("servers").revision();
         return {
             configuration_version: state.configuration()?.version,
-            servers_revision: state.replica("servers").revision(),
+            store_era: revision === undefined ? undefined : eraOf(revision),
+            servers_revision: revision,
             servers_age_milliseconds: Math.round(replicator.confirmedAge("servers")),
             store_lost_milliseconds: replicator.storeLostFor(),
             servers_resting: options.serverNotices.restingCount(),
--- a/packages/box/src/peers/peer-reads.ts
+++ b/packages/box/src/peers/peer-reads.ts
@@ -19,7 +19,7 @@
 } from "@chalkdale/decisions";
 import { get, type IncomingMessage, type RequestListener, type ServerResponse } from "node:http";
 import { gunzipSync, gzipSync } from "node:zlib";
-import { isMissingChanges, isSharedItem } from "../state/state-messages.js";
+import { isItemChange, isMissingChanges, isSharedItem } from "../state/state-messages.js";
 import type { StatePeer, StateRead, StateReader } from "../state/state-reader.js";
 import type { TrafficPlace, TrafficPurpose } from "../traffic-meter.js";
 
@@ -133,8 +133,11 @@
     if (isMissingChanges(kind, body)) {
         return { kind: "missing", missing: body };
     }
-    const { items, revision } = body;
-    if (!Number.isFinite(revision) || !Array.isArray(items) || !items.every(item => isSharedItem(kind, item))) {
+    const { held = [], items, revision } = body;
+    const isSnapshot = Number.isFinite(revision)
+        && Array.isArray(items) && items.every(item => isSharedItem(kind, item))
+        && Array.isArray(held) && held.every(change => isItemChange(kind, change));
+    if (!isSnapshot) {
         throw new Error("not a snapshot");
     }
     return { kind: "snapshot", snapshot: body as Snapshot<SharedItems[Kind]> };
--- a/packages/box/src/requests/request-log.ts
+++ b/packages/box/src/requests/request-log.ts
@@ -3,7 +3,7 @@
  * how it ended. Every refusal leaves a line with the request's id, within the budget of lines.
  */
 
-import type { ChosenServer, QuotaDenied, RefusalKind } from "@chalkdale/decisions";
+import { type ChosenServer, describePosition, type QuotaDenied, type RefusalKind } from "@chalkdale/decisions";
 import type { BackendServerId, Clock, CustomerId, Milliseconds, RequestFingerprint } from "@chalkdale/kernel";
 import type { Log, LogFields } from "@chalkdale/runtime";
 import type { BoxMetrics } from "../metrics.js";
@@ -139,8 +139,9 @@
 
     /** How far the copy of the servers reaches, and how long ago the store confirmed that. */
     function serversFields(): LogFields {
+        const revision = state.replica("servers").revision();
         return {
-            serversRevision: state.replica("servers").revision(),
+            serversRevision: revision === undefined ? undefined : describePosition(revision),
             serversAge: Math.round(options.serversAge()),
         };
     }
--- a/packages/box/src/rollouts/rollout-writer.ts
+++ b/packages/box/src/rollouts/rollout-writer.ts
@@ -7,7 +7,14 @@
  * writes, by which one of several writers wins.
  */
 
-import { firstBackoff, nextBackoff, type RolloutOrder, type RolloutState, spreadBackoff } from "@chalkdale/decisions";
+import {
+    describePosition,
+    firstBackoff,
+    nextBackoff,
+    type RolloutOrder,
+    type RolloutState,
+    spreadBackoff,
+} from "@chalkdale/decisions";
 import type { Clock, Milliseconds, ServiceId } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { StateStore } from "../state/state-store.js";
@@ -63,7 +70,7 @@
             }
             const stored = await store.writeRolloutState(order, state, signal);
             failures.delete(service);
-            const revision = stored?.revision;
+            const revision = stored && describePosition(stored.revision);
             log.info("rollout.written", { service, targetVersion, wanted: state, stored: stored?.state, revision });
             options.onOrder(service, stored);
         }
--- a/packages/box/src/servers/server-notices.ts
+++ b/packages/box/src/servers/server-notices.ts
@@ -6,7 +6,7 @@
  * said, and on whoever calls it to leave out answers of another server.
  */
 
-import type { BackendServer, ServerCatalog } from "@chalkdale/decisions";
+import { type BackendServer, describePosition, type ServerCatalog } from "@chalkdale/decisions";
 import type { Clock, Milliseconds } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
 import type { AnswerHead, AskedRest, CallerProtocol } from "../callers/caller-protocol.js";
@@ -78,7 +78,10 @@
         server.state.onLeaving();
         if (!leaving.has(server)) {
             leaving.add(server);
-            log.info("server.saysLeaving", { server: server.id, recordRevision: server.state.record().revision });
+            log.info("server.saysLeaving", {
+                server: server.id,
+                recordRevision: describePosition(server.state.record().revision),
+            });
         }
     }
 }
--- a/packages/box/src/state/shared-state.ts
+++ b/packages/box/src/state/shared-state.ts
@@ -13,12 +13,15 @@
     createReplica,
     createRouteTable,
     createWeightedSplit,
+    describePosition,
     type KeyTable,
     openPlaces,
     type PlaceSettings,
     type Replica,
     resolvePlace,
     type RestartedServer,
+    type RestoreOptions,
+    restorePolicies,
     type RolloutOrder,
     type Route,
     type RouteTable,
@@ -34,6 +37,8 @@
 /** The copies and their use. */
 export interface SharedState {
     readonly replica: <Kind extends SharedKind>(kind: Kind) => Replica<SharedItems[Kind]>;
+    /** Ends what was held against the word of a store that came back older. Due some times a second. */
+    readonly expireHeld: () => void;
     readonly configuration: () => Configuration | undefined;
     readonly routes: () => RouteTable | undefined;
     readonly keys: () => KeyTable | undefined;
@@ -75,14 +80,15 @@
     let admission = new Map<AvailabilityZoneId, boolean>();
 
     const replicas: { readonly [Kind in SharedKind]: Replica<SharedItems[Kind]>; } = {
-        configuration: createReplica<Configuration>(() => "main", applyConfiguration),
-        servers: createReplica<BackendServerRecord>(record => record.id, applyServers),
-        closedZones: createReplica<AvailabilityZoneId>(zone => zone, applyClosedZones),
-        rollouts: createReplica<RolloutOrder>(order => order.service, applyRollouts),
+        configuration: createReplica<Configuration>(() => "main", applyConfiguration, restoreOf("configuration")),
+        servers: createReplica<BackendServerRecord>(record => record.id, applyServers, restoreOf("servers")),
+        closedZones: createReplica<AvailabilityZoneId>(zone => zone, applyClosedZones, restoreOf("closedZones")),
+        rollouts: createReplica<RolloutOrder>(order => order.service, applyRollouts, restoreOf("rollouts")),
     };
 
     return {
         replica: kind => replicas[kind],
+        expireHeld: () => Object.values(replicas).forEach(replica => replica.expireHeld()),
         configuration: () => configuration,
         routes: () => routes,
         keys: () => keys,
@@ -95,6 +101,20 @@
             && replicas.closedZones.revision() !== undefined,
     };
 
+    function restoreOf<Kind extends SharedKind>(kind: Kind): RestoreOptions<SharedItems[Kind]> {
+        return {
+            clock,
+            policy: restorePolicies[kind],
+            onRestored: (revision, previous, held) =>
+                log.warn("state.restored", {
+                    kind,
+                    revision: describePosition(revision),
+                    previous: describePosition(previous),
+                    held: held.slice(0, 8).join(",") || "none",
+                }),
+        };
+    }
+
     function applyConfiguration(items: readonly Configuration[]): void {
         const [next] = items;
         if (next === undefined || (configuration !== undefined && next.version <= configuration.version)) {
@@ -126,7 +146,7 @@
                 removed: removed.slice(0, 8).join(","),
                 draining: startedDraining.slice(0, 8).join(","),
                 restarted: restarted.map(({ server }) => server.id).slice(0, 8).join(","),
-                revision: replicas.servers.revision(),
+                revision: shownRevision("servers"),
                 unconfirmedFor: Math.round(options.confirmedAge("servers")),
             });
         }
@@ -141,8 +161,8 @@
         log.info("server.leaving", {
             server,
             as,
-            recordRevision: known?.record().revision,
-            revision: replicas.servers.revision(),
+            recordRevision: known && describePosition(known.record().revision),
+            revision: shownRevision("servers"),
             unconfirmedFor: Math.round(options.confirmedAge("servers")),
             inFlight: known?.inFlight(),
             sends: options.describeRecentSends(server),
@@ -160,10 +180,15 @@
         log.info("rollouts.changed", {
             orders: orders.map(({ service, state, targetVersion }) => `${service}:${targetVersion}:${state ?? "new"}`)
                 .slice(0, 8).join(",") || "none",
-            revision: replicas.rollouts.revision(),
+            revision: shownRevision("rollouts"),
         });
     }
 
+    function shownRevision(kind: SharedKind): string | undefined {
+        const revision = replicas[kind].revision();
+        return revision === undefined ? undefined : describePosition(revision);
+    }
+
     function admitsZone(zone: AvailabilityZoneId): boolean {
         let admits = admission.get(zone);
         if (admits === undefined) {
--- a/packages/box/src/state/snapshot-catch-up.ts
+++ b/packages/box/src/state/snapshot-catch-up.ts
@@ -6,7 +6,7 @@
  * Owns the reads that wait; relies on the copies to refuse what is older.
  */
 
-import { farMessageAge, type SharedKind, snapshotHeadStart } from "@chalkdale/decisions";
+import { describePosition, farMessageAge, type SharedKind, snapshotHeadStart } from "@chalkdale/decisions";
 import type { Clock, RegionId } from "@chalkdale/kernel";
 import { type Log, sleep } from "@chalkdale/runtime";
 import { type CopyStatus, unconfirmedAge } from "./copy-status.js";
@@ -92,7 +92,7 @@
         try {
             const told = await options.readState(peer, kind, state.replica(kind).revision());
             if (apply(kind, told)) {
-                const revision = state.replica(kind).revision();
+                const revision = describePosition(state.replica(kind).revision() ?? 0);
                 log.info("state.fromPeer", { kind, peer: peer.peerAddress, as: told.kind, revision });
                 statuses[kind].watch?.abort();
                 if (peer.region !== options.region) {
--- a/packages/box/src/state/state-messages.ts
+++ b/packages/box/src/state/state-messages.ts
@@ -151,7 +151,8 @@
         && [state.changed, state.complete, state.age, state.provenAge ?? 0].every(Number.isFinite);
 }
 
-function isItemChange(kind: SharedKind, value: unknown): boolean {
+/** True for one change of a kind, as boxes send it. */
+export function isItemChange(kind: SharedKind, value: unknown): boolean {
     const change = value as Partial<ItemChange<unknown>> & { readonly item?: unknown; } | undefined;
     if (typeof change !== "object" || change === null || typeof change.name !== "string") {
         return false;
--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -12,13 +12,17 @@
  */
 
 import {
+    describePosition,
+    eraOf,
     firstBackoff,
     listOverdueAfter,
     nextBackoff,
     overdueAfter,
     pauseAfterChange,
     type RelayRole,
+    type SharedItems,
     type SharedKind,
+    type Snapshot,
     spreadBackoff,
     type TurnedAwayBoxes,
 } from "@chalkdale/decisions";
@@ -27,7 +31,7 @@
 import type { CopyStatus } from "./copy-status.js";
 import type { SharedState } from "./shared-state.js";
 import type { StateUpdate } from "./state-messages.js";
-import { type StateStore, StoreError } from "./state-store.js";
+import { type ListAge, type StateStore, StoreError } from "./state-store.js";
 
 /** Wait in milliseconds of the first watch after a list that may be old: it comes back at once with what has changed since. */
 const noWait = milliseconds(1);
@@ -164,9 +168,9 @@
         const askedAt = clock();
         const known = state.replica(kind).revision();
         const isFirst = known === undefined;
-        const listed = await timed(kind, store.list(kind, isFirst ? "mayBeOld" : "newest", signal), listOverdueAfter);
+        const listed = isFirst ? await readFirst(kind) : await listNow(kind, "newest");
         if (listed.revision < (known ?? 0)) {
-            throw new StoreError("unreadable", `list of ${kind} goes back to ${listed.revision}`);
+            throw new StoreError("unreadable", `list of ${kind} goes back to ${describePosition(listed.revision)}`);
         }
         state.replica(kind).applySnapshot(listed);
         if (!isFirst) {
@@ -181,6 +185,16 @@
         return false;
     }
 
+    /** A list that may be old may hold what a store has lost that came back older: of such a store only the newest one counts. */
+    async function readFirst<Kind extends SharedKind>(kind: Kind): Promise<Snapshot<SharedItems[Kind]>> {
+        const listed = await listNow(kind, "mayBeOld");
+        return eraOf(listed.revision) === 0 ? listed : listNow(kind, "newest");
+    }
+
+    function listNow<Kind extends SharedKind>(kind: Kind, age: ListAge): Promise<Snapshot<SharedItems[Kind]>> {
+        return timed(kind, store.list(kind, age, signal), listOverdueAfter);
+    }
+
     /** Waits for one batch of changes; false if the whole list must be read. */
     async function watchOnce<Kind extends SharedKind>(kind: Kind): Promise<boolean> {
         const since = state.replica(kind).revision();
@@ -253,7 +267,7 @@
         isConfirmed.add(kind);
         givenUp.delete(kind);
         if (outcome.kind === "historyLost") {
-            log.info("store.historyLost", { kind, since });
+            log.info("store.historyLost", { kind, since: describePosition(since) });
             return false;
         }
         const changedBefore = replica.changedRevision();
@@ -315,7 +329,12 @@
     }
 
     function logOverdue(kind: SharedKind, after: number): void {
-        log.info("store.overdue", { kind, after: Math.round(after), revision: state.replica(kind).revision() });
+        const revision = state.replica(kind).revision();
+        log.info("store.overdue", {
+            kind,
+            after: Math.round(after),
+            revision: revision === undefined ? undefined : describePosition(revision),
+        });
     }
 
     /** The first of a region tell the others at once, so that the next ones call. */
--- a/packages/box/test/peer-reads.test.ts
+++ b/packages/box/test/peer-reads.test.ts
@@ -49,6 +49,16 @@
         expect(counted[0].bytes).to.be.lessThan(JSON.stringify(snapshot).length / 2);
     });
 
+    it("bring what is held against the store's word beside what the store has, and refuse what makes no sense of it", async () => {
+        snapshot = { revision: 9, items: ["north-1"], held: [{ kind: "gone", name: "north-2" }] };
+        expect(await reads.readState(peer, "closedZones", undefined)).to.deep.equal({ kind: "snapshot", snapshot });
+        for (const held of [7, [{ kind: "put", name: "north-3", item: 7 }], [{ name: "north-3" }]]) {
+            snapshot = { revision: 9, items: [], held } as Snapshot<unknown>;
+            const error = await reads.readState(peer, "closedZones", undefined).catch((reason: unknown) => reason);
+            expect(String(error)).to.include("not a snapshot");
+        }
+    });
+
     it("bring only what is missing, if the other box still has these changes", async () => {
         kept = { since: 7, revision: 9, changes: [{ kind: "gone", name: "north-1" }] };
         expect(await reads.readState(peer, "closedZones", 7)).to.deep.equal({ kind: "missing", missing: kept });
--- a/packages/cli/src/boxes.ts
+++ b/packages/cli/src/boxes.ts
@@ -3,7 +3,7 @@
  * force. A large fleet is summed up by zone, with the odd boxes by name.
  */
 
-import { advertisedBoxes } from "@chalkdale/decisions";
+import { advertisedBoxes, describePosition } from "@chalkdale/decisions";
 import { type ExitCode, exitCodes } from "@chalkdale/runtime";
 import { valueOf } from "./box-metrics.js";
 import type { Command } from "./context.js";
@@ -77,11 +77,12 @@
         return [...place, "unreachable", "", "", "", ""];
     }
     const value = (name: string) => valueOf(metrics, name);
+    const revision = value("servers_revision");
     const lostFor = value("store_lost_milliseconds") ?? 0;
     return [
         ...place,
         String(value("configuration_version") ?? "none"),
-        String(value("servers_revision") ?? "none"),
+        revision === undefined ? "none" : describePosition(revision),
         lostFor === 0 ? "answers" : `lost for ${(lostFor / second).toFixed(1)} s`,
         String(value("callers_in_flight") ?? 0),
         `${((value("memory_bytes") ?? 0) / megabyte).toFixed(0)} MB`,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -77,4 +77,6 @@
 export * from "./shared-state/kinds.js";
 export * from "./shared-state/relay-role.js";
 export * from "./shared-state/replica.js";
+export * from "./shared-state/restore-policies.js";
+export * from "./shared-state/store-position.js";
 export * from "./shared-state/turned-away.js";
--- /dev/null
+++ b/packages/decisions/test/restored-store.test.ts
@@ -0,0 +1,255 @@
+/**
+ * A store that comes back from an older copy of its own, seen by copies that hear of it in any order.
+ */
+
+import { milliseconds } from "@chalkdale/kernel";
+import { expect } from "chai";
+import fc from "fast-check";
+import {
+    type BackendServerRecord,
+    type Configuration,
+    createReplica,
+    type ItemChange,
+    type Replica,
+    restorePolicies,
+    type Snapshot,
+    storePosition,
+} from "../src/index.js";
+import { createRecord } from "./choice-setup.js";
+
+const position = (era: number, revision: number) => storePosition(era, revision)!;
+
+describe("a copy of a store that comes back older", () => {
+    let now: number;
+    let seen: readonly BackendServerRecord[];
+    let restored: string[][];
+    let replica: Replica<BackendServerRecord>;
+
+    beforeEach(() => {
+        now = 0;
+        seen = [];
+        restored = [];
+        replica = createServers();
+    });
+
+    function createServers(): Replica<BackendServerRecord> {
+        return createReplica<BackendServerRecord>(
+            record => record.id,
+            items => {
+                seen = items;
+            },
+            {
+                clock: () => milliseconds(now),
+                policy: restorePolicies.servers,
+                onRestored: (_at, _previous, held) => restored.push([...held]),
+            },
+        );
+    }
+
+    const server = (name: string, draining = false) => createRecord(name, { draining });
+    const put = (item: BackendServerRecord) => ({ kind: "put", name: item.id, item }) as const;
+    const shown = () => seen.map(({ draining, id }) => draining ? `${id} draining` : String(id)).sort();
+
+    it("takes its lists though their revisions are lower", () => {
+        replica.applySnapshot({ revision: position(1, 53), items: [server("a")] });
+        expect(replica.applySnapshot({ revision: position(2, 50), items: [server("a"), server("b")] })).to.equal(true);
+        expect(shown()).to.deep.equal(["a", "b"]);
+        expect(replica.applySnapshot({ revision: position(1, 60), items: [] })).to.equal(false);
+        expect(replica.applyChanges(position(1, 53), [put(server("c"))], position(1, 54))).to.equal(false);
+    });
+
+    describe("holds what was acknowledged and is lost", () => {
+        beforeEach(() => {
+            replica.applySnapshot({
+                revision: position(1, 50),
+                items: [server("left"), server("leaving"), server("stays")],
+            });
+            const changes: ItemChange<BackendServerRecord>[] = [
+                { kind: "gone", name: "left" },
+                put(server("leaving", true)),
+                put(server("added")),
+            ];
+            replica.applyChanges(position(1, 50), changes, position(1, 53));
+            replica.applySnapshot({
+                revision: position(2, 50),
+                items: [server("left"), server("leaving"), server("stays")],
+            });
+        });
+
+        it("until it is written again", () => {
+            expect(restored).to.deep.equal([["leaving", "added", "left"]]);
+            expect(shown()).to.deep.equal(["added", "leaving draining", "stays"]);
+            const changes = [put(server("added")), put(server("leaving", true))];
+            replica.applyChanges(position(2, 50), [...changes, { kind: "gone", name: "left" }], position(2, 54));
+            now = 60_000;
+            replica.expireHeld();
+            expect(shown()).to.deep.equal(["added", "leaving draining", "stays"]);
+            expect(replica.snapshot()?.held).to.equal(undefined);
+        });
+
+        it("as long as a server that lives may take to write again, and no longer", () => {
+            now = 2499;
+            replica.expireHeld();
+            expect(shown()).to.deep.equal(["added", "leaving draining", "stays"]);
+            now = 2500;
+            replica.expireHeld();
+            expect(shown()).to.deep.equal(["leaving draining", "stays"]);
+            now = 6000;
+            replica.expireHeld();
+            expect(shown()).to.deep.equal(["leaving", "left", "stays"]);
+        });
+
+        it("through a second return of the store", () => {
+            now = 2000;
+            replica.applySnapshot({ revision: position(3, 49), items: [server("left"), server("leaving")] });
+            expect(shown()).to.deep.equal(["added", "leaving draining", "stays"]);
+        });
+
+        it("through a list of the same era that lacks it still", () => {
+            replica.applySnapshot({
+                revision: position(2, 52),
+                items: [server("leaving"), server("stays"), server("left")],
+            });
+            expect(shown()).to.deep.equal(["added", "leaving draining", "stays"]);
+            replica.applySnapshot({
+                revision: position(2, 53),
+                items: [server("added"), server("leaving", true), server("stays")],
+            });
+            now = 60_000;
+            replica.expireHeld();
+            expect(shown()).to.deep.equal(["added", "leaving draining", "stays"]);
+        });
+
+        it("and tells boxes that start of it apart from what the store has", () => {
+            const other = createServers();
+            const told = replica.snapshot()!;
+            expect(told.items.map(({ id }) => String(id))).to.deep.equal(["left", "leaving", "stays"]);
+            other.applySnapshot(told);
+            expect(shown()).to.deep.equal(["added", "leaving draining", "stays"]);
+            now = 60_000;
+            other.expireHeld();
+            expect(shown()).to.deep.equal(["leaving", "left", "stays"]);
+        });
+    });
+
+    it("takes a server that starts again in its later life, and none of an earlier one", () => {
+        const born = (bornAt: number, draining = false) =>
+            createRecord("a", { draining, bornAt: bornAt as BackendServerRecord["bornAt"] });
+        replica.applySnapshot({ revision: position(1, 50), items: [born(2, true)] });
+        replica.applySnapshot({ revision: position(2, 40), items: [born(1)] });
+        expect(shown()).to.deep.equal(["a draining"]);
+        replica.applyChanges(position(2, 40), [put(born(3))], position(2, 41));
+        expect(shown()).to.deep.equal(["a"]);
+    });
+
+    describe("of the configuration", () => {
+        const version = (number: number) => ({ version: number }) as Configuration;
+        let inForce: number[];
+        let copy: Replica<Configuration>;
+
+        beforeEach(() => {
+            inForce = [];
+            copy = createReplica<Configuration>(
+                () => "main",
+                ([item]) => inForce.push(item.version),
+                {
+                    clock: () => milliseconds(now),
+                    policy: restorePolicies.configuration,
+                    onRestored: () => undefined,
+                },
+            );
+        });
+
+        it("goes back to no older version, however long it takes to be written again", () => {
+            copy.applySnapshot({ revision: position(0, 53), items: [version(24)] });
+            copy.applySnapshot({ revision: position(1, 50), items: [version(22)] });
+            copy.applyChanges(position(1, 50), [{ kind: "put", name: "main", item: version(23) }], position(1, 51));
+            now = 3_600_000;
+            copy.expireHeld();
+            copy.applyChanges(position(1, 51), [{ kind: "put", name: "main", item: version(24) }], position(1, 52));
+            copy.applyChanges(position(1, 52), [{ kind: "put", name: "main", item: version(26) }], position(1, 53));
+            expect(inForce).to.deep.equal([24, 24, 24, 24, 26]);
+        });
+    });
+
+    describe("among others that hear of it in any order", () => {
+        /** The store as the property plays it: items by name, with copies to come back from. */
+        interface PlayedStore {
+            era: number;
+            revision: number;
+            version: number;
+            readonly copies: { readonly revision: number; readonly version: number; }[];
+        }
+
+        type Step =
+            | { readonly kind: "write"; }
+            | { readonly kind: "copy"; }
+            | { readonly kind: "restore"; readonly copy: number; }
+            | { readonly kind: "list"; readonly box: number; }
+            | { readonly kind: "tell"; readonly from: number; readonly to: number; };
+
+        const boxCount = 4;
+        const box = fc.integer({ min: 0, max: boxCount - 1 });
+        const step: fc.Arbitrary<Step> = fc.oneof(
+            fc.constant<Step>({ kind: "write" }),
+            fc.constant<Step>({ kind: "copy" }),
+            fc.record({ kind: fc.constant("restore" as const), copy: fc.nat(9) }),
+            fc.record({ kind: fc.constant("list" as const), box }),
+            fc.record({ kind: fc.constant("tell" as const), from: box, to: box }),
+        );
+
+        it("no box goes back to an older version, and all end with the last one that is written", () => {
+            fc.assert(
+                fc.property(fc.array(step, { maxLength: 60 }), steps => {
+                    const store: PlayedStore = { era: 0, revision: 1, version: 1, copies: [] };
+                    const inForce: number[][] = Array.from({ length: boxCount }, () => []);
+                    const copies = inForce.map(versions =>
+                        createReplica<Configuration>(() => "main", ([item]) => versions.push(item.version), {
+                            clock: () => milliseconds(0),
+                            policy: restorePolicies.configuration,
+                            onRestored: () => undefined,
+                        })
+                    );
+                    let acknowledged = 1;
+                    const list = (): Snapshot<Configuration> => ({
+                        revision: position(store.era, store.revision),
+                        items: [{ version: store.version } as Configuration],
+                    });
+                    const play = (next: Step) => {
+                        switch (next.kind) {
+                            case "write":
+                                store.revision += 1;
+                                store.version = acknowledged += 1;
+                                return;
+                            case "copy":
+                                store.copies.push({ revision: store.revision, version: store.version });
+                                return;
+                            case "restore":
+                                Object.assign(store, store.copies[next.copy % store.copies.length] ?? {});
+                                store.era += 1;
+                                return;
+                            case "list":
+                                copies[next.box].applySnapshot(list());
+                                return;
+                            case "tell": {
+                                const told = copies[next.from].snapshot();
+                                if (told !== undefined) {
+                                    copies[next.to].applySnapshot(told);
+                                }
+                                return;
+                            }
+                        }
+                    };
+                    steps.forEach(play);
+                    play({ kind: "write" });
+                    copies.forEach(copy => copy.applySnapshot(list()));
+                    for (const versions of inForce) {
+                        expect(versions).to.deep.equal([...versions].sort((a, b) => a - b));
+                        expect(versions.at(-1)).to.equal(acknowledged);
+                    }
+                }),
+                { seed: 54, numRuns: 2000 },
+            );
+        });
+    });
+});
--- a/packages/testing/src/standins/metadata-store-server.ts
+++ b/packages/testing/src/standins/metadata-store-server.ts
@@ -76,15 +76,11 @@
             answer(response, { status: 404 });
             return;
         }
-        const era = store.era();
-        if (era !== undefined) {
-            response.setHeader("Store-Era", String(era));
-        }
         const [, kind, name, statusPath] = match;
         const isStatus = statusPath !== undefined;
         const isWatch = url.searchParams.has("watch");
         const fault = faultOf({ method, kind, caller: request.socket.remoteAddress ?? "", isWatch, isStatus });
-        if (applyFault(fault, request, response)) {
+        if (applyFault(fault, request, found => answer(response, found))) {
             return;
         }
         if (isWatch) {
@@ -108,6 +104,19 @@
         answer(response, done);
     }
 
+    /** Tells the era of the store as it answers, which may not be that in which it was asked. */
+    function answer(response: ServerResponse, found: StoreAnswer): void {
+        if (response.destroyed) {
+            return;
+        }
+        const era = store.era();
+        response.writeHead(found.status, {
+            "content-type": "application/json",
+            ...era === undefined ? {} : { "store-era": String(era) },
+        });
+        response.end(found.body === undefined ? "" : JSON.stringify(found.body));
+    }
+
     function perform({ body, isStatus, kind, method, name, url }: PerformedCall): StoreAnswer {
         switch (method) {
             case "GET":
@@ -127,14 +136,18 @@
     }
 }
 
-function applyFault(fault: StoreFault, request: IncomingMessage, response: ServerResponse): boolean {
+function applyFault(
+    fault: StoreFault,
+    request: IncomingMessage,
+    refuse: (found: StoreAnswer) => void,
+): boolean {
     switch (fault.kind) {
         case "none":
         case "answerLost":
         case "late":
             return false;
         case "refused":
-            answer(response, { status: fault.status });
+            refuse({ status: fault.status });
             return true;
         case "silent":
             return true;
@@ -177,11 +190,3 @@
     const text = Buffer.concat(chunks).toString("utf8");
     return text === "" ? undefined : JSON.parse(text);
 }
-
-function answer(response: ServerResponse, found: StoreAnswer): void {
-    if (response.destroyed) {
-        return;
-    }
-    response.writeHead(found.status, { "content-type": "application/json" });
-    response.end(found.body === undefined ? "" : JSON.stringify(found.body));
-}
--- a/packages/testing/test/metadata-store.test.ts
+++ b/packages/testing/test/metadata-store.test.ts
@@ -60,6 +60,19 @@
         store.watch("things", 0, milliseconds(100), answer => answers.push(answer));
         expect(answers[2].status).to.equal(410);
     });
+
+    it("comes back from a copy, in a later era, and gives its revisions out again", () => {
+        store.put("things", "a", 1);
+        const copy = store.copy();
+        store.put("things", "b", 1);
+        store.restore(copy);
+        expect([store.era(), store.revision(), itemsOf(store.list("things"))]).to.deep.equal([1, 1, ["a"]]);
+        const answers: StoreAnswer[] = [];
+        store.watch("things", 2, milliseconds(100), answer => answers.push(answer));
+        expect(answers[0].status).to.equal(410);
+        store.put("things", "c", 1);
+        expect(store.revision()).to.equal(2);
+    });
 });
 
 function itemsOf(answer: StoreAnswer): string[] {
--- /dev/null
+++ b/packages/testing/test/store-eras.test.ts
@@ -0,0 +1,168 @@
+/**
+ * Calls of a store that has come back from an older copy of its own.
+ */
+
+import { createTrafficMeter, type StateStore, StoreError } from "@chalkdale/box";
+import { describePosition, eraOf, type SharedKind, storePosition } from "@chalkdale/decisions";
+import { availabilityZoneId, milliseconds, regionId, serviceId } from "@chalkdale/kernel";
+import { createLog } from "@chalkdale/runtime";
+import { createObjectReader, createStoreClient } from "@chalkdale/users-platform";
+import { expect } from "chai";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { type MetadataStoreServer, serveMetadataStore } from "../src/standins/metadata-store-server.js";
+import { createMetadataStore, type MetadataStore } from "../src/standins/metadata-store.js";
+import { rolloutObject } from "../src/standins/platform-objects.js";
+
+const { signal } = new AbortController();
+const service = serviceId("profiles");
+const pageSize = 2;
+
+function createClient(address: string): StateStore {
+    return createStoreClient({
+        address,
+        localAddress: "127.0.0.1",
+        reader: createObjectReader(new Map([[availabilityZoneId("north-a"), regionId("north")]])),
+        log: createLog({ write: () => undefined }),
+        traffic: createTrafficMeter(),
+        random: Math.random,
+    });
+}
+
+/** The failure of a call that must fail; undefined for one that did not. */
+async function failureOf(call: Promise<unknown>): Promise<string | undefined> {
+    try {
+        await call;
+        return undefined;
+    }
+    catch (error) {
+        return error instanceof StoreError ? error.failure : String(error);
+    }
+}
+
+describe("the eras of the platform's store", () => {
+    describe("that tells them", () => {
+        let store: MetadataStore;
+        let server: MetadataStoreServer;
+        let client: StateStore;
+
+        beforeEach(async () => {
+            store = createMetadataStore({ clock: () => milliseconds(performance.now()), pageSize, era: 7 });
+            server = await serveMetadataStore(store);
+            client = createClient(server.address());
+        });
+
+        afterEach(() => server.close());
+
+        const list = (kind: SharedKind) => client.list(kind, "newest", signal);
+        const shut = (...names: readonly string[]) => names.forEach(name => store.put("evacuations", name, {}));
+
+        it("stand before its revisions in what boxes go by, and not in what the store is asked", async () => {
+            shut("z-1");
+            const listed = await list("closedZones");
+            expect(describePosition(listed.revision)).to.equal("7/1");
+            shut("z-2");
+            const outcome = await client.watch("closedZones", listed.revision, signal, milliseconds(1000));
+            expect(outcome).to.deep.include({ kind: "changes", revision: storePosition(7, 2) });
+        });
+
+        it("end a watch from a revision that was given out again, whether the store has it or not", async () => {
+            shut("z-1");
+            const copy = store.copy();
+            shut("z-2", "z-3");
+            const { revision } = await list("closedZones");
+            for (const names of [[], ["z-4", "z-5", "z-6"]]) {
+                store.restore(copy);
+                shut(...names);
+                const outcome = await client.watch("closedZones", revision, signal, milliseconds(1));
+                expect(outcome.kind).to.equal("historyLost");
+            }
+            const listed = await list("closedZones");
+            expect(describePosition(listed.revision)).to.equal("9/4");
+            expect(listed.items).to.deep.equal(["z-1", "z-4", "z-5", "z-6"]);
+        });
+
+        it("end a watch that waits, once another call tells of a later one", async () => {
+            const { revision } = await list("closedZones");
+            const watch = client.watch("closedZones", revision, signal, milliseconds(20_000));
+            await new Promise(resolve => setTimeout(resolve, 50));
+            store.restore(store.copy());
+            await list("configuration");
+            expect((await watch).kind).to.equal("historyLost");
+        });
+
+        it("do not mix in one list", async () => {
+            shut("z-1", "z-2", "z-3");
+            const copy = store.copy();
+            server.setFault(({ kind }) => {
+                if (kind === "evacuations" && pages++ === 1) {
+                    store.restore(copy);
+                }
+                return { kind: "none" };
+            });
+            let pages = 0;
+            expect(await failureOf(list("closedZones"))).to.equal("refused");
+            expect((await list("closedZones")).items).to.deep.equal(["z-1", "z-2", "z-3"]);
+        });
+
+        it("keep a write that was meant for an earlier one from another object's revision", async () => {
+            store.put("rollouts", service, rolloutObject(service, "v2", "40s"));
+            const copy = store.copy();
+            store.put("rollouts", service, rolloutObject(service, "v2", "50s"));
+            const order = (await client.readRollout(service, signal))!;
+            store.restore(copy);
+            store.put("rollouts", service, rolloutObject(service, "v3", "40s"));
+            await list("rollouts");
+            const stored = await client.writeRolloutState(order, "completed", signal);
+            expect(stored).to.include({ targetVersion: "v3", state: undefined });
+            const written = await client.writeRolloutState(stored!, "running", signal);
+            expect(written).to.include({ targetVersion: "v3", state: "running" });
+        });
+    });
+
+    describe("whose answers tell none, or something else", () => {
+        let era: string | undefined;
+        let server: Server;
+        let client: StateStore;
+
+        beforeEach(async () => {
+            era = undefined;
+            server = createServer((_request, response) => {
+                if (era !== undefined) {
+                    response.setHeader("Store-Era", era);
+                }
+                response.end(JSON.stringify({ items: [], more: false, at: 5 }));
+            });
+            await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+            client = createClient(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+        });
+
+        afterEach(() => {
+            server.close();
+            server.closeAllConnections();
+        });
+
+        const listedEra = async () => eraOf((await client.list("closedZones", "newest", signal)).revision);
+
+        it("are of era 0, or of the newest that it told", async () => {
+            expect(await listedEra()).to.equal(0);
+            era = "3";
+            expect(await listedEra()).to.equal(3);
+            era = undefined;
+            expect(await listedEra()).to.equal(3);
+        });
+
+        it("are not taken if they were given in an earlier one, or make no sense", async () => {
+            era = "3";
+            await listedEra();
+            era = "2";
+            expect(await failureOf(listedEra())).to.equal("refused");
+            for (const text of ["", "-1", "1.5", "soon", "1e3", "3, 3", "9".repeat(30)]) {
+                era = text;
+                expect(await failureOf(listedEra()), text).to.equal("unreadable");
+            }
+            era = "8192";
+            expect(await failureOf(listedEra())).to.equal("unreadable");
+        });
+    });
+});
