--- a/packages/box/test/rollout-boxes.ts
+++ b/packages/box/test/rollout-boxes.ts
@@ -7,11 +7,13 @@
     createServerCatalog,
     createServerState,
     createSlowStart,
+    eraOf,
     type MemberRecord,
     type Membership,
     type RolloutOrder,
     type Route,
     type ServerCatalog,
+    storePosition,
 } from "@chalkdale/decisions";
 import {
     availabilityZoneId,
@@ -59,6 +61,8 @@
     /** When the 50th failure was, and the last request to the version. */
     readonly times: { fiftiethFailure: number; lastToTrial: number; };
     failShare: number;
+    /** The store comes back from a copy in which the order was so; all boxes learn of it. */
+    readonly restoreStore: (older: Partial<RolloutOrder>) => void;
     /** Replaces a box by a new life of it. */
     readonly restart: (index: number) => void;
     /** Lets so many milliseconds pass. */
@@ -104,6 +108,11 @@
         counts,
         times,
         failShare: 0,
+        restoreStore(older) {
+            const revision = storePosition(eraOf(order.revision) + 1, 1)!;
+            order = { ...order, ...older, revision };
+            boxes.filter(getsCopies).forEach(box => box.rollouts.onOrders([order]));
+        },
         restart: index => startBox(index, now),
         run,
         async runUntil(state, longest) {
--- a/packages/box/test/rollouts.test.ts
+++ b/packages/box/test/rollouts.test.ts
@@ -2,6 +2,7 @@
  * Roll-outs on several boxes while boxes, links and the store fail halfway.
  */
 
+import type { RolloutOrder } from "@chalkdale/decisions";
 import { serverVersion } from "@chalkdale/kernel";
 import { expect } from "chai";
 import { bounds, type RolloutBoxes, service, startRolloutBoxes } from "./rollout-boxes.js";
@@ -65,6 +66,65 @@
         expect(rollouts.versions.provenVersion(service)).to.equal("v2");
     });
 
+    describe("whose states the store has lost, since it came back from an older copy", () => {
+        const failedVersion = async () => {
+            await begin();
+            isTried(20);
+            world.failShare = 0.5;
+            expect(await world.runUntil("rolledBack", duration)).to.equal(true);
+            world.run(1000);
+        };
+
+        it("keep a failed version from requests, and write its end again [P24]", async () => {
+            await failedVersion();
+            const { toTrial } = world.counts;
+            world.restoreStore({ state: "running" });
+            expect(await world.runUntil("rolledBack", 3000)).to.equal(true);
+            world.run(2000);
+            expect(world.counts.toTrial).to.equal(toTrial);
+            expectOneOutcome("running", "rolledBack", "rolledBack");
+        });
+
+        it("keep it from requests though the order seems new, and another box decides by then [P24]", async () => {
+            await failedVersion();
+            const { toTrial } = world.counts;
+            takeOver(2);
+            world.restoreStore({ state: undefined });
+            expect(await world.runUntil("rolledBack", 3000)).to.equal(true);
+            expect(world.counts.toTrial).to.equal(toTrial);
+        });
+
+        it("leave all requests with a version that was completed, and write that again [P24]", async () => {
+            expect(await world.runUntil("completed", duration)).to.equal(true);
+            world.run(1000);
+            world.restoreStore({ state: "running" });
+            const { all, toTrial } = world.counts;
+            expect(await world.runUntil("completed", 3000)).to.equal(true);
+            world.run(1000);
+            expect(world.counts.all - all).to.equal(world.counts.toTrial - toTrial);
+            expectOneOutcome("running", "completed", "completed");
+        });
+
+        /** The store comes back five times, each time when the version is tried again, and another box decides after each. */
+        const restoreOftenWith = async (older: (time: number) => Partial<RolloutOrder>) => {
+            await begin();
+            for (let time = 1; time <= 5; time++) {
+                isTried(world.counts.toTrial + 15);
+                takeOver(time);
+                world.restoreStore(older(time));
+                expect(await begin()).to.equal(true);
+            }
+            const { all, toTrial } = world.counts;
+            expect(toTrial).to.be.at.most(bounds.exposedShare * all + bounds.exposedAllowance);
+        };
+
+        it("count on what was granted, whoever decides then [P23]", () =>
+            restoreOftenWith(() => ({ state: undefined })));
+
+        it("count on what was granted where the order is lost and is written again as another object [P23]", () =>
+            restoreOftenWith(time => ({ state: undefined, createdAt: 70 + time })));
+    });
+
     describe("of a version that fails", () => {
         beforeEach(async () => {
             await begin();
