Roll-outs go on through a store that comes back older: outcomes are written again

Cause: an outcome counted only while the store had it or news of it was fresh; news was written again for roll-backs alone. Boxes now remember how far the store had each order: a lost outcome is told like news and written again by whoever decides, completed ones too; a box that takes over an order that has run first hears what was granted; an order that is written again as another object in a later era keeps its identity, so that exposure counts on.

--- a/packages/box/src/rollouts/deciding.ts
+++ b/packages/box/src/rollouts/deciding.ts
@@ -41,6 +41,8 @@
     /** True while this box decides for a service. */
     readonly isDecider: (service: ServiceId) => boolean;
     /** A decision on the order is known already; whoever made it has it written. */
+    /** True if the store has had the order running. */
+    readonly hasRun: (order: RolloutOrder) => boolean;
     readonly isDecided: (order: RolloutOrder) => boolean;
     readonly isStoreReachable: (service: ServiceId) => boolean;
     readonly sendGrant: (box: BoxId, grant: RolloutGrant) => void;
@@ -133,6 +135,7 @@
             bounds: options.bounds,
             at,
             age,
+            hasRun: options.hasRun(order),
             serverCount: () => options.serverCount(order),
         });
         return { order, decider, loggedStage: undefined, isTold: false };
--- a/packages/box/src/rollouts/outcome-writes.ts
+++ b/packages/box/src/rollouts/outcome-writes.ts
@@ -1,7 +1,7 @@
 /**
  * Who writes an order's state besides its decider: a box that the decider asks,
- * as the store turns the decider away, and the decider's successor, when news of a
- * roll-back was told and not written.
+ * as the store turns the decider away, and the decider's successor, when news of an
+ * outcome was told and the store does not have it.
  *
  * Owns no state; relies on the writer, and on the store's revision for one outcome.
  */
@@ -33,7 +33,10 @@
     readonly isDecidedInStore: (rollout: RolloutId) => boolean;
     /** Writes what the deciding box can't, as long as the order is the one that it knew. */
     readonly writeFor: (entry: WantedEntry) => void;
-    /** A decider may end between its news and its write; then boxes report no more, and its successor goes by the news. */
+    /**
+     * A decider may end between its news and its write, and the store may lose what was written; then boxes report no more, and whoever
+     * decides goes by the news.
+     */
     readonly writeByNews: (order: RolloutOrder) => void;
 }
 
@@ -62,9 +65,9 @@
             }
         },
         writeByNews(order) {
-            const isToWrite = news.decisionOf(order) === "rolledBack" && !isDecidedInStore(order);
-            if (isToWrite && decidingBox.isSelf(order.service)) {
-                writer.write(order, "rolledBack");
+            const decision = news.decisionOf(order);
+            if (decision !== undefined && !isDecidedInStore(order) && decidingBox.isSelf(order.service)) {
+                writer.write(order, decision);
             }
         },
     };
--- a/packages/box/src/rollouts/rollouts.ts
+++ b/packages/box/src/rollouts/rollouts.ts
@@ -10,6 +10,7 @@
 
 import {
     type CountingBoxes,
+    createRestoredOrders,
     createServedVersions,
     isSameRollout,
     type MemberRecord,
@@ -98,6 +99,7 @@
 export function createRollouts(options: RolloutsOptions): Rollouts {
     const { clock, log, membership, self } = options;
     const orders = createNewestOrders();
+    const restoredOrders = createRestoredOrders();
     const knownNews = createKnownNews(clock, isOpen);
     const wholeReports = createWholeReports();
     const lastReports = new Map<ServiceId, RolloutReport>();
@@ -112,7 +114,7 @@
     const writer = createRolloutWriter({
         ...options,
         onOrder(service, order) {
-            orders.onStored(service, order);
+            orders.onStored(service, order && restoredOrders.take(order));
             refresh();
         },
     });
@@ -124,6 +126,7 @@
         trials,
         versions,
         writer,
+        hasRun: restoredOrders.hasRun,
         isDecided: order => knownNews.find(order) !== undefined,
         serverCount,
         isDecider: decidingBox.isSelf,
@@ -140,7 +143,9 @@
         versions,
         requests: trials,
         onOrders(copied) {
-            orders.onCopy(copied);
+            restoredOrders.keepOnly(new Set(copied.map(({ service }) => service)));
+            orders.onCopy(copied.map(restoredOrders.take));
+            orders.all().forEach(learnLostOutcome);
             wholeReports.keepOnly(isOpen);
             refresh();
         },
@@ -178,6 +183,15 @@
             })),
     };
 
+    /** An outcome holds though the store has lost it: it is told as if it had just been decided, and written again. */
+    function learnLostOutcome(order: RolloutOrder): void {
+        const decision = restoredOrders.outcomeOf(order);
+        if (decision !== undefined) {
+            const { createdAt, service, targetVersion } = order;
+            learn({ rollout: { createdAt, service, targetVersion }, decision, reason: "lost by the store" }, self);
+        }
+    }
+
     function refresh(): void {
         trials.refresh();
         versions.refresh();
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -52,6 +52,7 @@
 export * from "./rollouts/exposure-account.js";
 export * from "./rollouts/proven-versions.js";
 export * from "./rollouts/rank-sum.js";
+export * from "./rollouts/restored-orders.js";
 export * from "./rollouts/rollout-action.js";
 export * from "./rollouts/rollout-decider.js";
 export * from "./rollouts/rollout-messages.js";
--- a/packages/decisions/src/rollouts/rollout-decider.ts
+++ b/packages/decisions/src/rollouts/rollout-decider.ts
@@ -45,6 +45,8 @@
     readonly serverCount: () => number;
     /** Time since the order, as far as this box knows; undefined if it can't know. */
     readonly age: Milliseconds | undefined;
+    /** The store has had the order running, and may have lost that: boxes may have been granted requests. */
+    readonly hasRun: boolean;
     readonly at: Milliseconds;
 }
 
@@ -86,7 +88,7 @@
     let move: Move | undefined;
     let knowsTotal = false;
     /** Since when this box waits to hear what boxes were granted before: another box let the order run. */
-    let takenOverAt = options.order.state === "running" ? options.at : undefined;
+    let takenOverAt = options.order.state === "running" || options.hasRun ? options.at : undefined;
     let isSettled = takenOverAt === undefined;
     let hasAskedToRun = false;
     let workTime = firstWorkTime;
--- a/packages/decisions/test/emulated-rollout.ts
+++ b/packages/decisions/test/emulated-rollout.ts
@@ -179,7 +179,14 @@
     }
 
     function createDecider(): RolloutDecider {
-        return createRolloutDecider({ order, bounds, serverCount: () => options.servers, age: undefined, at: now });
+        return createRolloutDecider({
+            order,
+            bounds,
+            serverCount: () => options.servers,
+            age: undefined,
+            hasRun: false,
+            at: now,
+        });
     }
 
     function isBurst(): boolean {
--- a/packages/decisions/test/rollout-decider.test.ts
+++ b/packages/decisions/test/rollout-decider.test.ts
@@ -21,6 +21,7 @@
 
         function createDecider(state?: RolloutState, age = 0) {
             return createRolloutDecider({
+                hasRun: false,
                 order: orderIn(state),
                 bounds,
                 serverCount: () => 24,
