--- a/packages/testing/test/box-store-restored.test.ts
+++ b/packages/testing/test/box-store-restored.test.ts
@@ -6,7 +6,14 @@
 import { expect } from "chai";
 import type { ServerStandIn } from "../src/standins/backend-server.js";
 import { type ClientAnswer, sendRequest } from "../src/standins/client.js";
-import { type Deployment, pause, startDeployment, type TestBox, testHost } from "../src/standins/deployment.js";
+import {
+    type Deployment,
+    eventually,
+    pause,
+    startDeployment,
+    type TestBox,
+    testHost,
+} from "../src/standins/deployment.js";
 import type { StoreCopy } from "../src/standins/metadata-store.js";
 import type { RuleOptions } from "../src/standins/platform-objects.js";
 
@@ -138,6 +145,22 @@
         });
     });
 
+    it("write their records again where they have started since the copy", async () => {
+        const recordedBoxes = () => {
+            const { items } = deployment.store.list("chalkdale-boxes").body as {
+                items: { metadata: { name: string; }; }[];
+            };
+            return items.map(({ metadata }) => metadata.name).sort();
+        };
+        const copy = deployment.store.copy();
+        const added = deployment.startBox({ zone: "south-a", host: "127.0.0.40", seeds: [boxes[0].peers] });
+        await eventually(() => added.running.isReady() && recordedBoxes().includes(added.name), "it is recorded");
+        await restore(copy);
+        expect(recordedBoxes()).not.to.include(added.name);
+        await eventually(() => recordedBoxes().includes(added.name), "it is recorded again");
+        expect(recordedBoxes()).to.have.length(boxes.length + 1);
+    });
+
     describe("keep in force what it had acknowledged and has lost", () => {
         it("until it is written again: a route, a closed zone, servers that left, drain or were added", async () => {
             const copy = deployment.store.copy();
