Boxes that have just started write their record again once the store has come back older

Cause: a box wrote its record once, at its first start; a store that comes back from a copy of some seconds before has lost the youngest ones. For a minute after it is recorded a box writes it again whenever its copies reach a later era.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -337,6 +337,7 @@
         random,
         relayRole,
         store,
+        storeEra: state.storeEra,
         sendGossip: peerLink.sendGossip,
         signal,
     });
--- a/packages/box/src/join.ts
+++ b/packages/box/src/join.ts
@@ -7,6 +7,9 @@
  *
  * Each call is tried by itself until it succeeds: with two to succeed in a row,
  * boxes had not met after 20 s while the store turned two of three calls away.
+ *
+ * A store that comes back from an older copy of its own may have lost a record that is
+ * a few seconds old, so a box that has just started writes it again then.
  */
 
 import { gossipInterval, type MemberRecord, type Membership, type RelayRole } from "@chalkdale/decisions";
@@ -21,6 +24,8 @@
     readonly membership: Membership;
     readonly relayRole: RelayRole;
     readonly store: StateStore;
+    /** Era of the store as far as the copies tell; undefined before the first. */
+    readonly storeEra: () => number | undefined;
     /** Gives numbers from 0 to 1. */
     readonly random: () => number;
     /** Sends what this box knows of all boxes to another. */
@@ -30,7 +35,7 @@
 
 /** Milliseconds until a failed call is made again; a box need not be known before it is ready. */
 const retryPause = 1000;
-/** Milliseconds between two looks whether this box follows the store now. */
+/** Milliseconds between two looks whether this box follows the store now, and whether the store has come back older. */
 const roleCheckInterval = 1000;
 /**
  * Boxes of the own region that are greeted at once; and of others. Some may be gone: the store keeps their records. With
@@ -40,6 +45,9 @@
 /** Boxes of other regions that are greeted at once. */
 const farGreetings = 4;
 
+/** Milliseconds after which a record is in every copy from which the store may come back: these are some seconds old. */
+const recordMayBeLostFor = 60_000;
+
 /** Joins the other boxes. Resolves once that is done or the signal aborts. */
 export async function joinMembers(options: JoinOptions): Promise<void> {
     const { membership, relayRole, signal, store } = options;
@@ -52,6 +60,7 @@
     if (!isRecorded) {
         await untilDone(options, () => store.announce(membership.own(), signal));
     }
+    void keepRecorded(options);
     await sleep(relayRole.settleTime, signal);
     while (!signal.aborted && !relayRole.alwaysFollows()) {
         await sleep(roleCheckInterval, signal);
@@ -59,6 +68,20 @@
     await untilDone(options, async () => greetUnknown(options, await store.listBoxes("newest", signal)));
 }
 
+/** Writes the own record again whenever the store has come back older, for as long as it may have lost it. */
+async function keepRecorded({ clock, membership, signal, store, storeEra, ...options }: JoinOptions): Promise<void> {
+    const recordedAt = clock();
+    let era = storeEra();
+    while (!signal.aborted && clock() - recordedAt < recordMayBeLostFor) {
+        await sleep(roleCheckInterval, signal);
+        const newest = storeEra();
+        if (era !== undefined && newest !== undefined && newest > era) {
+            await untilDone({ ...options, signal }, () => store.announce(membership.own(), signal));
+        }
+        era = newest;
+    }
+}
+
 /** True for the record of an earlier life, which tells others all they need: where the box is. */
 function isSameBox(recorded: MemberRecord, own: MemberRecord): boolean {
     return recorded.box === own.box && recorded.peerAddress === own.peerAddress && recorded.region === own.region;
@@ -93,7 +116,10 @@
         .map(({ record }) => record);
 }
 
-async function untilDone({ log, signal }: JoinOptions, call: () => Promise<void>): Promise<void> {
+async function untilDone(
+    { log, signal }: Pick<JoinOptions, "log" | "signal">,
+    call: () => Promise<void>,
+): Promise<void> {
     while (!signal.aborted) {
         try {
             await call();
--- a/packages/box/src/metrics-text.ts
+++ b/packages/box/src/metrics-text.ts
@@ -6,7 +6,7 @@
  * Owns nothing.
  */
 
-import { eraOf, type Membership, type SharedLimits } from "@chalkdale/decisions";
+import type { Membership, SharedLimits } from "@chalkdale/decisions";
 import type { Clock } from "@chalkdale/kernel";
 import type { CallerConnections } from "./callers/caller-connections.js";
 import type { DeadlyGuard } from "./deadly/deadly-guard.js";
@@ -59,11 +59,10 @@
     function readGauges(): Record<string, number | undefined> {
         const replicator = options.replicator();
         const callers = options.callers();
-        const revision = state.replica("servers").revision();
         return {
             configuration_version: state.configuration()?.version,
-            store_era: revision === undefined ? undefined : eraOf(revision),
-            servers_revision: revision,
+            store_era: state.storeEra(),
+            servers_revision: state.replica("servers").revision(),
             servers_age_milliseconds: Math.round(replicator.confirmedAge("servers")),
             store_lost_milliseconds: replicator.storeLostFor(),
             servers_resting: options.serverNotices.restingCount(),
