--- a/packages/box/test/emulated-fleet.ts
+++ b/packages/box/test/emulated-fleet.ts
@@ -12,9 +12,11 @@
     createReplica,
     createTurnedAwayBoxes,
     digestRounds,
+    eraOf,
     gossipInterval,
     type MemberRecord,
     type SharedKind,
+    storePosition,
 } from "@chalkdale/decisions";
 import {
     availabilityZoneId,
@@ -86,6 +88,8 @@
     setMaxListeners(0, lifetime.signal);
     const pending = new Set<Watch>();
     let revision = firstRevision;
+    let era = 0;
+    let isAway = false;
     const changedAt = new Map<SharedKind, number>();
     let turnedAway: (box: MemberRecord) => TurnedAwayBy | undefined = () => undefined;
     let calls = 0;
@@ -113,6 +117,16 @@
         silence(isSilent: (box: MemberRecord) => boolean) {
             [...pending].filter(watch => isSilent(watch.box)).forEach(watch => watch.fallSilent());
         },
+        /** The store goes away, and comes back from an older copy after so long: its revisions go back, in a new era. */
+        restore(after: number) {
+            isAway = true;
+            pending.forEach(watch => watch.end(new StoreError("unreachable", "reset")));
+            clock.after(after, () => {
+                isAway = false;
+                era += 1;
+                revision = storePosition(era, firstRevision)!;
+            });
+        },
         /** A change is acknowledged now. */
         change(kind: SharedKind = "configuration") {
             revision += 1;
@@ -221,7 +235,7 @@
 
     function createStore(box: MemberRecord): StateStore {
         return {
-            list: () => answerAfter(2 * wayTo(box), { revision: firstRevision, items: [] }),
+            list: () => answerAfter(2 * wayTo(box), undefined).then(list),
             watch: (kind, since, signal, wait = milliseconds(defaultWait)) =>
                 watch(box, kind, since, signal, wait) as Promise<WatchOutcome<never>>,
             announce: () => new Promise(() => undefined),
@@ -248,11 +262,15 @@
             ends.push(clock.after(wayTo(box), arrive));
 
             function arrive(): void {
-                const fault = turnedAway(box);
+                const fault = isAway ? "reset" : turnedAway(box);
                 if (fault === "reset" || fault === "refused") {
                     clock.after(wayTo(box), () => end(new StoreError("unreachable", fault)));
                     return;
                 }
+                if (eraOf(since) < era) {
+                    clock.after(wayTo(box), () => end({ kind: "historyLost" }));
+                    return;
+                }
                 pending.add(entry);
                 cancelAnswer = clock.after(isChangedSince(kind, since) ? 0 : wait, answer);
                 ends.push(cancelAnswer);
@@ -281,6 +299,14 @@
         });
     }
 
+    function list() {
+        calls += 1;
+        if (isAway) {
+            throw new StoreError("unreachable", "reset");
+        }
+        return { revision: era === 0 ? firstRevision : revision, items: [] };
+    }
+
     /** A whole configuration is too large for a datagram. */
     function changesSince({ kind, since }: Watch): WatchOutcome<never> {
         return { kind: "changes", changes: isChangedSince(kind, since) ? [change] : [], revision };
@@ -296,6 +322,9 @@
         await answerAfter(roundTrip, undefined);
         const known = peer.replicator.digest()[kind]!.complete;
         await answerAfter(roundTrip, undefined);
+        if (eraOf(known) > eraOf(since)) {
+            return { kind: "snapshot" as const, snapshot: { revision: known, items: [] } };
+        }
         return {
             kind: "missing" as const,
             missing: { since, revision: known, changes: known > since ? [change] : [] },
