Soak: servers that leave and ask for rest by their answers, and a store that comes back older

A set of its own, so that seeds of the others stay what they were. Every 1.5 to 5.5 s the store is away for 0.2 to 1 s and comes back from a copy of up to 4 s before; what the operators and servers had written is written again within 2 s, at times while it comes back once more. Checks by the users' words: nothing that a caller sent later than 2.5 s after a box had passed on that a server leaves, two requests of a box at most in a rest.

--- a/packages/testing/src/soak/checks.ts
+++ b/packages/testing/src/soak/checks.ts
@@ -4,6 +4,7 @@
 
 import { inTouchBreaches } from "./in-touch-checks.js";
 import { limitBreaches } from "./limit-checks.js";
+import { noticeBreaches } from "./notice-checks.js";
 import type { Breach, Interval, Observations, ObservedRun } from "./observations.js";
 import { pipeliningBreaches } from "./pipelining-checks.js";
 import { returnBreaches } from "./return-checks.js";
@@ -33,6 +34,7 @@
         ...inTouchBreaches(seen),
         ...returnBreaches(seen),
         ...limitBreaches(seen),
+        ...noticeBreaches(seen),
     ];
 }
 
--- a/packages/testing/src/soak/fault-tools.ts
+++ b/packages/testing/src/soak/fault-tools.ts
@@ -13,9 +13,10 @@
 /**
  * What is drawn from a seed; a seed that once failed stays what it was, by the set that it was drawn from. `first`: the faults that
  * the soak began with. `silences`: beside them connections that fall silent for good. `all`: beside these servers that start again and
- * entries of another writer. `limits`: beside these servers that name limits.
+ * entries of another writer. `limits`: beside these servers that name limits. `notices`: beside those of `all`, servers that say they are
+ * leaving or ask for rest, and a store that comes back from older copies.
  */
-export type FaultSet = "first" | "silences" | "all" | "limits";
+export type FaultSet = "first" | "silences" | "all" | "limits" | "notices";
 
 /** Shortest time of a fault that lasts, in milliseconds. */
 const shortestFault = 500;
--- a/packages/testing/src/soak/faults.ts
+++ b/packages/testing/src/soak/faults.ts
@@ -10,8 +10,10 @@
 import { injectLaterFaults, type LaterFaultCounts } from "./later-faults.js";
 import { nameLimits } from "./limit-faults.js";
 import { allLinks, createLinkHarm, createLinkReset } from "./link-faults.js";
-import type { BoxEnd, Interval, ObservedLimit } from "./observations.js";
+import { injectNotices } from "./notice-faults.js";
+import type { BoxEnd, Interval, ObservedLeaving, ObservedLimit, ObservedRest } from "./observations.js";
 import { createPlannedChanges, type PlannedChanges } from "./planned-changes.js";
+import { restoreStore } from "./restore-faults.js";
 import { createMisbehaviour, createStoreFailure, createTurningAway } from "./service-faults.js";
 import type { SoakRollouts } from "./soak-rollouts.js";
 import type { SoakWorld } from "./soak-world.js";
@@ -30,6 +32,9 @@
     readonly rollouts: SoakRollouts;
     /** Limits that servers named; undefined if none were drawn. */
     readonly limits: readonly ObservedLimit[] | undefined;
+    /** What servers said of themselves; undefined if none was drawn. */
+    readonly leaving?: readonly ObservedLeaving[];
+    readonly rests?: readonly ObservedRest[];
     /** What operators do once all faults are over: a server is replaced and the configuration changes. */
     readonly changeInCalm: () => Promise<void>;
 }
@@ -50,6 +55,8 @@
     const rollouts = changes.rollouts.orderUntil(end);
     const later = set === "first" ? undefined : injectLaterFaults(world, changes, end, set);
     const limits = set === "limits" ? nameLimits(world, end) : undefined;
+    const notices = set === "notices" ? injectNotices(world, end) : undefined;
+    const restores = set === "notices" ? restoreStore(world, end) : undefined;
     while (now() < end) {
         ends.push(pick(faults, random)());
         await pause(milliseconds(shortestPause + random() * longestAddition));
@@ -57,6 +64,8 @@
     await Promise.all(ends);
     const laterCounts = await later;
     const namedLimits = await limits;
+    const observedNotices = await notices;
+    await restores;
     makeWhole(world);
     await rollouts;
     const { drained, evacuated } = changes;
@@ -68,6 +77,7 @@
         boxEnds,
         rollouts: changes.rollouts,
         limits: namedLimits,
+        ...observedNotices,
         async changeInCalm() {
             await changes.changeConfiguration();
             await changes.release();
--- a/packages/testing/src/soak/main.ts
+++ b/packages/testing/src/soak/main.ts
@@ -11,7 +11,7 @@
   Runs boxes as real processes under faults drawn from seeds, and checks what callers and servers see.
 
   Usage
-    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5] [--first-faults] [--limits]
+    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5] [--first-faults] [--limits] [--notices]
 
   Exit codes
     0 no breach, 1 a breach or a run that failed, 2 wrong command line
@@ -24,6 +24,7 @@
             boxes: { type: "number", default: 5 },
             firstFaults: { type: "boolean", default: false },
             limits: { type: "boolean", default: false },
+            notices: { type: "boolean", default: false },
             quiet: { type: "boolean", default: false },
         },
     },
@@ -49,7 +50,7 @@
                 }
             },
         });
-        const { attempts, breaches, faults, folder, inTouch, later, limits, rollouts, served } = result;
+        const { attempts, breaches, faults, folder, inTouch, later, limits, notices, rollouts, served } = result;
         const counts = later === undefined ? "none" : Object.entries(later).map(pair => pair.join(":")).join(",");
         const outcomes = rollouts.map(({ isBad, states }) =>
             `${isBad ? "bad" : "good"}:${states.at(-1)?.state ?? "none"}`
@@ -58,9 +59,9 @@
         process.stdout.write(
             `seed=${seed} attempts=${attempts} served=${served} faults=${faults} later=${counts} inTouch=${
                 Object.entries(inTouch).map(pair => pair.join(":")).join(",")
-            } limits=${limits.checked}/${limits.named} rollouts=${
-                outcomes.join(",")
-            } breaches=${breaches.length} logs=${folder}\n`,
+            } limits=${limits.checked}/${limits.named} notices=${
+                Object.entries(notices).map(pair => pair.join(":")).join(",")
+            } rollouts=${outcomes.join(",")} breaches=${breaches.length} logs=${folder}\n`,
         );
     }
     process.stdout.write(`${last - first + 1 - failed} seeds without a breach, ${failed} with one\n`);
@@ -71,6 +72,9 @@
     if (cli.flags.firstFaults) {
         return "first";
     }
+    if (cli.flags.notices) {
+        return "notices";
+    }
     return cli.flags.limits ? "limits" : "all";
 }
 
--- a/packages/testing/src/soak/observations.ts
+++ b/packages/testing/src/soak/observations.ts
@@ -30,6 +30,8 @@
         | "route in touch"
         | "quota"
         | "limit"
+        | "leaving"
+        | "rest"
         | "return";
     readonly at: number;
     readonly detail: string;
@@ -83,6 +85,28 @@
     readonly rate: number;
 }
 
+/** A server that says in its answers that it is leaving, from when on. */
+export interface ObservedLeaving {
+    readonly server: string;
+    readonly from: number;
+}
+
+/** Requests that came to a server which asks for rest. */
+export interface ObservedRest {
+    readonly server: string;
+    /** Milliseconds of each rest. */
+    readonly rest: number;
+    /** Those that it turned away and answered so, and all that came; which box sent them, and when. */
+    readonly asked: readonly ObservedArrival[];
+    readonly arrived: readonly ObservedArrival[];
+}
+
+/** A request that came to a server. */
+export interface ObservedArrival {
+    readonly caller: string;
+    readonly at: number;
+}
+
 /** An order to move a service onto servers of a version, and the states that were seen in the store. */
 export interface ObservedRollout extends Interval {
     readonly service: string;
@@ -118,6 +142,9 @@
     readonly rollouts: readonly ObservedRollout[];
     /** Limits that servers named; undefined where none was drawn. */
     readonly limits?: readonly ObservedLimit[];
+    /** What servers said of themselves in their answers; undefined where none was drawn. */
+    readonly leaving?: readonly ObservedLeaving[];
+    readonly rests?: readonly ObservedRest[];
     /** From here on all faults are over, and enough time has passed to recover. */
     readonly recoveredFrom: number;
     /** True if no fault has struck the box of an address for a while; undefined where that was not noted. */
--- a/packages/testing/src/soak/proxy.ts
+++ b/packages/testing/src/soak/proxy.ts
@@ -20,6 +20,8 @@
     readonly silenceOpen: () => void;
     /** Resets the open connections. */
     readonly reset: () => void;
+    /** True if bytes may have been held back or lost in a span, by the steady clock. */
+    readonly wasHarmed: (from: number, to: number) => boolean;
     readonly close: () => void;
 }
 
@@ -37,16 +39,20 @@
     const pairs = new Set<SocketPair>();
     const silenced = new Set<SocketPair>();
     let state: LinkState = "whole";
+    /** Spans of the steady clock in which the link was harmed; the last one may go on. */
+    const harms: { readonly from: number; to: number; }[] = [];
     const server: Server = createServer(onConnection);
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
 
     return {
         address: () => `127.0.0.1:${(server.address() as AddressInfo).port}`,
         setState(next) {
+            noteHarm(next === "whole" ? 0 : Infinity);
             state = next;
             pairs.forEach(resume);
         },
         silenceOpen() {
+            noteHarm(0);
             pairs.forEach(pair => {
                 silenced.add(pair);
                 pair.forEach(socket => socket.pause());
@@ -54,17 +60,28 @@
             pairs.clear();
         },
         reset() {
+            noteHarm(0);
             pairs.forEach(([caller, called]) => {
                 caller.resetAndDestroy();
                 called.destroy();
             });
         },
+        wasHarmed: (from, to) => harms.some(harm => harm.from <= to && harm.to >= from),
         close() {
             server.close();
             [...pairs, ...silenced].forEach(pair => pair.forEach(socket => socket.destroy()));
         },
     };
 
+    function noteHarm(duration: number): void {
+        const at = performance.now();
+        const last = harms.at(-1);
+        if (last !== undefined && last.to === Infinity) {
+            last.to = at;
+        }
+        harms.push({ from: at, to: at + duration });
+    }
+
     function onConnection(caller: Socket): void {
         const [host, port] = target.split(":");
         const localAddress = as.kind === "fixed" ? as.host : caller.remoteAddress;
--- a/packages/testing/src/soak/soak-rollouts.ts
+++ b/packages/testing/src/soak/soak-rollouts.ts
@@ -134,17 +134,25 @@
         drained.set(server.backend.id, { from: now() + inForceWithin, to: Infinity });
     }
 
+    /** A store that came back from an older copy may show an earlier state once more. */
+    function isNews(state: string, states: ObservedRollout["states"]): boolean {
+        return store.era() === undefined
+            ? state !== states.at(-1)?.state
+            : !states.some(known => known.state === state);
+    }
+
     async function noteStates({ service, states, version }: ObservedRollout): Promise<void> {
         while (!isOver) {
             const { body } = store.get("rollouts", service);
-            const { spec, status } = body as {
-                spec: { target_version: string; };
+            const { spec, status } = (body ?? {}) as {
+                spec?: { target_version: string; };
                 status?: { state: string; target_version: string; };
             };
-            if (spec.target_version !== version) {
+            const isReplaced = spec !== undefined && spec.target_version !== version;
+            if (isReplaced && store.lost().every(({ kind }) => kind !== "rollouts")) {
                 return;
             }
-            if (status?.target_version === version && status.state !== states.at(-1)?.state) {
+            if (status?.target_version === version && isNews(status.state, states)) {
                 states.push({ state: status.state, at: now() });
             }
             await pause(pollInterval);
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -13,6 +13,7 @@
 import { countInTouch, type InTouchCounts } from "./in-touch-checks.js";
 import type { LaterFaultCounts } from "./later-faults.js";
 import { countLimits } from "./limit-checks.js";
+import { countNotices, type NoticeCounts } from "./notice-checks.js";
 import type { Breach, ObservedRollout } from "./observations.js";
 import { startPipeliningCallers } from "./pipelining-callers.js";
 import { probeReturn } from "./return-probe.js";
@@ -45,6 +46,8 @@
     readonly inTouch: InTouchCounts;
     /** Limits that the check could see kept or broken, and all that were named. */
     readonly limits: { readonly checked: number; readonly named: number; };
+    /** What servers said, as far as the checks could see boxes that had been told, and how often the store came back older. */
+    readonly notices: NoticeCounts & { readonly restores: number; };
     /** Where the logs of the boxes lie. */
     readonly folder: string;
 }
@@ -56,7 +59,13 @@
 const defaultBoxes = 5;
 const defaultCallers = 6;
 /** Servers in a run of each set of faults beyond which none is replaced. */
-const mostServers: Readonly<Record<FaultSet, number>> = { first: 24, silences: 60, all: 60, limits: 60 };
+const mostServers: Readonly<Record<FaultSet, number>> = {
+    first: 24,
+    silences: 60,
+    all: 60,
+    limits: 60,
+    notices: 80,
+};
 const pipeliningCallers = 2;
 /** Part of the callers' requests that are given up early. */
 const leavingShare = 0.05;
@@ -123,6 +132,7 @@
     const { observed } = rollouts;
     const inTouch = countInTouch(seen);
     const limits = { checked: countLimits(seen), named: seen.limits?.length ?? 0 };
+    const notices = { ...countNotices(seen), restores: world.store.era() ?? 0 };
     return {
         seed,
         attempts: attempts.length,
@@ -133,6 +143,7 @@
         breaches,
         inTouch,
         limits,
+        notices,
         folder,
     };
 }
--- a/packages/testing/src/standins/metadata-store.ts
+++ b/packages/testing/src/standins/metadata-store.ts
@@ -46,6 +46,13 @@
     readonly history: readonly HistoryEntry[];
 }
 
+/** A write that the store has lost; `again` does it once more, unless a later one has replaced it. */
+export interface LostWrite {
+    readonly kind: string;
+    readonly name: string;
+    readonly again: () => void;
+}
+
 /** A list is asked by page. */
 interface ListRequest {
     /** The page begins after this name. */
@@ -84,6 +91,8 @@
     readonly copy: () => StoreCopy;
     /** Comes back from a copy: what was written since is gone, revisions go on from the copy's, and the era rises by one. */
     readonly restore: (from: StoreCopy) => void;
+    /** What the operator and the servers have written last and the store no longer has so, since it came back from a copy. */
+    readonly lost: () => readonly LostWrite[];
     /** The era as the store tells it; undefined for one that tells none. */
     readonly era: () => number | undefined;
 }
@@ -101,6 +110,13 @@
     readonly event: StoreEvent;
 }
 
+/** A write of the operator or a server; `spec` is undefined for one that removes the object. */
+interface ForeignWrite {
+    readonly kind: string;
+    readonly name: string;
+    readonly spec: unknown;
+}
+
 interface Watcher {
     readonly kind: string;
     readonly since: number;
@@ -115,6 +131,8 @@
     const { clock } = options;
     const kinds = new Map<string, Map<string, StoredObject>>();
     const watchers = new Set<Watcher>();
+    /** The last write of the operator or a server to each object. */
+    const written = new Map<string, ForeignWrite>();
     let history: HistoryEntry[] = [];
     let latest = 0;
     let forgottenUpTo = 0;
@@ -134,16 +152,15 @@
         replace: (kind, write) => replaceIfMet(kind, write, known => ({ ...write, status: known.status })),
         replaceStatus: (kind, write) => replaceIfMet(kind, write, known => ({ ...write, spec: known.spec })),
         watch,
-        put: (kind, name, spec) => {
-            const known = objectsOf(kind).get(name);
-            store(kind, { name, spec, status: known?.status }, known);
+        put(kind, name, spec) {
+            written.set(`${kind}/${name}`, { kind, name, spec });
+            put(kind, name, spec);
         },
         delete(kind, name) {
-            const known = objectsOf(kind).get(name);
-            if (known !== undefined) {
-                drop(kind, known);
-            }
+            written.set(`${kind}/${name}`, { kind, name, spec: undefined });
+            remove(kind, name);
         },
+        lost: () => [...written.values()].filter(isLost).map(write => ({ ...write, again: () => writeAgain(write) })),
         holdBack() {
             heldBack = copy();
         },
@@ -167,6 +184,35 @@
         revision: () => latest,
     };
 
+    function put(kind: string, name: string, spec: unknown): void {
+        const known = objectsOf(kind).get(name);
+        store(kind, { name, spec, status: known?.status }, known);
+    }
+
+    function remove(kind: string, name: string): void {
+        const known = objectsOf(kind).get(name);
+        if (known !== undefined) {
+            drop(kind, known);
+        }
+    }
+
+    function isLost({ kind, name, spec }: ForeignWrite): boolean {
+        return JSON.stringify(objectsOf(kind).get(name)?.spec) !== JSON.stringify(spec);
+    }
+
+    function writeAgain(write: ForeignWrite): void {
+        const { kind, name, spec } = write;
+        if (written.get(`${kind}/${name}`) !== write) {
+            return;
+        }
+        if (spec === undefined) {
+            remove(kind, name);
+        }
+        else {
+            put(kind, name, spec);
+        }
+    }
+
     function copy(): StoreCopy {
         return {
             at: latest,
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -13,6 +13,7 @@
     { seed: 106, length: 12_000, faults: "silences" },
     { seed: 202, length: 6000, faults: "all" },
     { seed: 2001, length: 12_000, faults: "limits" },
+    { seed: 3001, length: 12_000, faults: "notices" },
 ];
 
 describe("the fault soak", () => {
@@ -138,6 +139,42 @@
         expect(limitsBroken(runsEach(300, "127.0.0.9").filter(({ at }) => at < 2900))).to.equal(0);
     });
 
+    it("find requests at a server that leaves by its answers, from a box that has passed one on", () => {
+        const leaving = [{ server: "i-1", from: 0 }];
+        const asked = (requestId: string, at: number) => ({ ...attempt(200), requestId, at });
+        const runAt = (requestId: string, at: number, caller = "127.0.0.9") => run({ requestId, at, caller });
+        const broken = (sentAt: number, caller: string, wasStruck = false) =>
+            found({
+                leaving,
+                attempts: [asked("r-1", 90), asked("r-2", sentAt)],
+                runs: [runAt("r-1", 100), runAt("r-2", sentAt + 10, caller)],
+                wasStruck: () => wasStruck,
+            }).includes("leaving");
+        expect(broken(3700, "127.0.0.9")).to.equal(true);
+        expect(broken(3500, "127.0.0.9")).to.equal(false);
+        expect(broken(3700, "127.0.0.8")).to.equal(false);
+        expect(broken(3700, "127.0.0.9", true)).to.equal(false);
+    });
+
+    it("find more than two requests of a box in the rest that a server asked it for", () => {
+        const arrival = (at: number, caller = "127.0.0.9") => ({ at, caller });
+        const broken = (times: readonly number[], caller?: string, wasStruck = false) =>
+            found({
+                rests: [{
+                    server: "i-1",
+                    rest: 3000,
+                    asked: [arrival(100)],
+                    arrived: times.map(at => arrival(at, caller)),
+                }],
+                wasStruck: () => wasStruck,
+            }).includes("rest");
+        expect(broken([700, 800, 3000])).to.equal(true);
+        expect(broken([700, 800, 3100])).to.equal(false);
+        expect(broken([300, 500, 700, 800])).to.equal(false);
+        expect(broken([700, 800, 3000], "127.0.0.8")).to.equal(false);
+        expect(broken([700, 800, 3000], undefined, true)).to.equal(false);
+    });
+
     it("find what does not come back", () => {
         const back = { zones: ["north-a", "north-b"], boxes: [{ box: "box", status: 200 }] };
         expect(found({ back })).to.deep.equal(["return"]);
