--- a/packages/testing/src/soak/notice-faults.ts
+++ b/packages/testing/src/soak/notice-faults.ts
@@ -19,6 +19,8 @@
 const leavingShare = 0.4;
 /** Part of the rests for which all servers of a service ask at once. */
 const wholeServiceShare = 0.25;
+/** Servers that are left to the other faults at least. */
+const leftToOthers = 2;
 /** Milliseconds after which the record says that the server leaves at least, and what chance adds at most. */
 const recordedAfter = 3500;
 const addedDelay = 3000;
@@ -56,7 +58,7 @@
         const free = servers.filter(({ gone, isDown, isEnded, isScripted }) =>
             !gone && !isDown && !isEnded && !isScripted
         );
-        if (free.length === 0) {
+        if (free.length <= leftToOthers) {
             return [];
         }
         const server = pick(free, random);
@@ -66,6 +68,9 @@
         const resting = random() < wholeServiceShare
             ? free.filter(({ service }) => service === server.service)
             : [server];
+        if (free.length - resting.length < leftToOthers) {
+            return [];
+        }
         const rest = Math.round(shortestRest + random() * (longestRest - shortestRest));
         return resting.map(one => askForRest(one, rest));
     }
