--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -11,7 +11,6 @@
     createCountingBoxes,
     createMembership,
     createRelayRole,
-    createSharedEvidence,
     createSharedLimits,
     createTurnedAwayBoxes,
     describePosition,
@@ -33,18 +32,14 @@
 import { createOwnRecord } from "./own-record.js";
 import { startPeerLink } from "./peers/peer-link.js";
 import { createPeerReads } from "./peers/peer-reads.js";
-import { createServerReports } from "./peers/server-reports.js";
 import { createPlannedStop } from "./planned-stop.js";
 import { createCustomerQuotas } from "./quotas/customer-quotas.js";
 import { createRequestPath } from "./requests/request-path.js";
 import { createRollouts, type Rollouts } from "./rollouts/rollouts.js";
 import { noTrials } from "./rollouts/trials.js";
 import { startRounds, upkeepInterval } from "./rounds.js";
-import { createCatalog } from "./servers/catalog.js";
 import { createHealthChecker } from "./servers/health-checker.js";
-import { createLimitedServers } from "./servers/limited-servers.js";
-import { createRecentSends } from "./servers/recent-sends.js";
-import { createServerNotices } from "./servers/server-notices.js";
+import { createServerKnowledge } from "./servers/server-knowledge.js";
 import type { BoxSettings } from "./settings.js";
 import { createStallWatch } from "./stall-watch.js";
 import { startReplicator } from "./state/replicator.js";
@@ -98,22 +93,17 @@
         onAdvertisedChanged: (advertised, alive) =>
             log.info("carriers.changed", { carriers: advertised, alive: alive.length, load: sumOfLoads(alive) }),
     });
-    // A cold server of a service that the configuration doesn't name gets nothing.
-    const catalog = createCatalog(settings, limits, service => state.service(service)?.coldRate ?? 0);
-    const evidence = createSharedEvidence(boxId(settings.box));
-    const serverReports = createServerReports({ clock, self: boxId(settings.box), catalog, evidence });
-    const recentSends = createRecentSends(clock);
-    const limitedServers = createLimitedServers({
+    const servers = createServerKnowledge({
         clock,
         random,
         log,
+        settings,
         protocol,
-        catalog,
-        others: () => limits.advertised().filter(({ box }) => box !== settings.box),
-        sharesLimit: ({ box }, server) => limits.boxesNear(server.state.record().region).includes(box),
-        send: (box, reports) => peerLink.sendLimits(box, reports),
+        limits,
+        coldRate: service => state.service(service)?.coldRate ?? 0,
+        sendLimits: (box, reports) => peerLink.sendLimits(box, reports),
     });
-    const serverNotices = createServerNotices({ catalog, clock, log, protocol });
+    const { catalog, evidence, limitedServers, recentSends } = servers;
     const deadlyGuard = createDeadlyGuard({
         clock,
         log,
@@ -186,19 +176,15 @@
         protocol,
         settings,
         state,
-        catalog,
+        ...servers,
         limits,
         quotas,
-        evidence,
         deadlyGuard,
         versions: rollouts?.versions ?? { admits: () => true, version: () => 0 },
         trials: rollouts?.requests ?? noTrials,
         phase: plannedStop.phase,
         configurationAge: () => replicator.configurationAge(),
         serversAge: () => replicator.confirmedAge("servers"),
-        recentSends,
-        limitedServers,
-        serverNotices,
         onRestarted: onServerRestarted,
         copyAgeBounds: { changeInForce: bounds.changeInForce, revocation: bounds.strictRevocation },
         countTraffic,
@@ -229,8 +215,7 @@
             loadMeter,
             quotas,
             deadlyGuard,
-            limitedServers,
-            serverNotices,
+            ...servers,
             rollouts,
             traffic,
             requests,
@@ -279,7 +264,7 @@
         isFollowing: replicator.isFollowing,
         digestRounds: digestRounds(bounds.changeInForce),
         isAdvertised: limits.isAdvertised,
-        serverReports,
+        serverReports: servers.serverReports,
         onDeadly: deadlyGuard.onReports,
         deadlyRequests: deadlyGuard.gossipPart,
         onLimits: limitedServers.onReports,
@@ -299,9 +284,7 @@
         clock,
         log,
         protocol,
-        catalog,
-        limitedServers,
-        serverNotices,
+        ...servers,
         localAddress: settings.callers.host,
         healthPathOf: server => state.service(server.state.record().service)?.healthPath,
         signal,
--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -32,14 +32,10 @@
 import type { SharedState } from "./shared-state.js";
 import type { StateUpdate } from "./state-messages.js";
 import { type ListAge, type StateStore, StoreError } from "./state-store.js";
+import { createWatchPatience } from "./watch-patience.js";
 
 /** Wait in milliseconds of the first watch after a list that may be old: it comes back at once with what has changed since. */
 const noWait = milliseconds(1);
-/**
- * Milliseconds after which urgent watches in a row are given up for another connection; later ones have the call's own time, for
- * a store that is slow. A second silence then costs a change 0.3 s more, and not the 1.5 s of a call.
- */
-const urgentLimits: readonly number[] = [overdueAfter, 2 * overdueAfter];
 /** Milliseconds between two looks whether the store answers another kind's calls again. */
 const lostPollInterval = milliseconds(150);
 
@@ -77,9 +73,11 @@
     let lostBy: SharedKind | undefined;
     /** Kinds whose copy a watch has confirmed since the list that may have been old. */
     const isConfirmed = new Set<SharedKind>();
-    /** Urgent watches that were given up since the store last answered, by kind. */
-    const givenUp = new Map<SharedKind, number>();
-
+    const patience = createWatchPatience({
+        ageOf,
+        askAnewAfterAge: relayRole.askAnewAfterAge,
+        onOverdue: logOverdue,
+    });
     const sleepers = new Set<AbortController>();
     signal.addEventListener("abort", wake, { once: true });
 
@@ -204,7 +202,7 @@
         const controller = new AbortController();
         statuses[kind].watch = controller;
         const isUrgent = isProofUrgent(kind);
-        const stopChecking = isUrgent ? abortUrgent(kind, controller) : abortOnceUnconfirmed(kind, controller);
+        const stopChecking = patience.limit(kind, controller, isUrgent);
         try {
             return await applyWatch(kind, since, isUrgent, AbortSignal.any([signal, controller.signal]));
         }
@@ -221,36 +219,6 @@
         }
     }
 
-    /** Gives an urgent watch up, unless others were before it; returns the function that keeps it. */
-    function abortUrgent(kind: SharedKind, controller: AbortController): () => void {
-        const before = givenUp.get(kind) ?? 0;
-        if (before >= urgentLimits.length) {
-            return () => undefined;
-        }
-        const timer = setTimeout(() => {
-            givenUp.set(kind, before + 1);
-            controller.abort();
-        }, urgentLimits[before]);
-        return () => clearTimeout(timer);
-    }
-
-    /** Gives a watch up once nobody has confirmed the copy in time; returns the function that ends the checks. */
-    function abortOnceUnconfirmed(kind: SharedKind, controller: AbortController): () => void {
-        let timer: NodeJS.Timeout;
-        check();
-        return () => clearTimeout(timer);
-
-        function check(): void {
-            const left = relayRole.askAnewAfterAge(kind) - ageOf(kind);
-            if (left > 0) {
-                timer = setTimeout(check, left);
-                return;
-            }
-            logOverdue(kind, ageOf(kind));
-            controller.abort();
-        }
-    }
-
     async function applyWatch<Kind extends SharedKind>(
         kind: Kind,
         since: number,
@@ -265,7 +233,7 @@
             (wait ?? Infinity) + overdueAfter,
         );
         isConfirmed.add(kind);
-        givenUp.delete(kind);
+        patience.onAnswered(kind);
         if (outcome.kind === "historyLost") {
             log.info("store.historyLost", { kind, since: describePosition(since) });
             return false;
--- a/packages/decisions/src/rollouts/restored-orders.ts
+++ b/packages/decisions/src/rollouts/restored-orders.ts
@@ -13,7 +13,7 @@
 import type { RolloutId, RolloutOrder, RolloutState } from "./rollout-order.js";
 
 /** An outcome that the store had. */
-export type RolloutOutcome = Exclude<RolloutState, "running">;
+type RolloutOutcome = Exclude<RolloutState, "running">;
 
 /** The orders of one box. */
 export interface RestoredOrders {
--- a/packages/decisions/src/shared-state/restored-entries.ts
+++ b/packages/decisions/src/shared-state/restored-entries.ts
@@ -27,7 +27,7 @@
 }
 
 /** What a copy knew when the store came back. */
-export interface KnownEntries<Item> {
+interface KnownEntries<Item> {
     readonly items: ReadonlyMap<string, Item>;
     /** Entries that were gone. */
     readonly gone: Iterable<string>;
--- a/packages/decisions/src/shared-state/store-position.ts
+++ b/packages/decisions/src/shared-state/store-position.ts
@@ -12,7 +12,7 @@
 /** Revisions of one era: enough for 50 years of 690 changes a second. */
 const revisionsOfEra = 2 ** 40;
 /** Eras that fit into a number beside them. */
-export const mostEras = 2 ** 13;
+const mostEras = 2 ** 13;
 
 /** Returns the position of a revision; undefined for what is none. */
 export function storePosition(era: number, revision: number): number | undefined {
--- a/packages/testing/src/standins/metadata-store.ts
+++ b/packages/testing/src/standins/metadata-store.ts
@@ -47,7 +47,7 @@
 }
 
 /** A write that the store has lost; `again` does it once more, unless a later one has replaced it. */
-export interface LostWrite {
+interface LostWrite {
     readonly kind: string;
     readonly name: string;
     readonly again: () => void;
