--- a/packages/decisions/test/restored-store.test.ts
+++ b/packages/decisions/test/restored-store.test.ts
@@ -19,7 +19,7 @@
 
 const position = (era: number, revision: number) => storePosition(era, revision)!;
 
-describe("a copy of a store that comes back older", () => {
+describe("a copy of a store that comes back older [P8]", () => {
     let now: number;
     let seen: readonly BackendServerRecord[];
     let restored: string[][];
--- a/packages/decisions/test/server-choice.test.ts
+++ b/packages/decisions/test/server-choice.test.ts
@@ -314,7 +314,7 @@
         });
     });
 
-    describe("servers that ask for rest", () => {
+    describe("servers that ask for rest [P28]", () => {
         const rest = milliseconds(3000);
         const names = ["s-1", "s-2", "s-3"];
 
--- a/packages/testing/src/promises/box-mechanisms.ts
+++ b/packages/testing/src/promises/box-mechanisms.ts
@@ -202,7 +202,7 @@
         promise: "P24",
         name: "the revision under which an outcome is written",
         file: "platform/dist/src/store-client.js",
-        find: "metadata: { name: service, revision }",
+        find: "metadata: { name: service, revision: revisionWithin(revision) }",
         replace: "metadata: { name: service }",
         specs: [wholeTest("rollout-writes")],
     },
@@ -254,6 +254,14 @@
         replace: "return undefined;",
         specs: [wholeTest("box-deadly-requests")],
     },
+    {
+        promise: "P6",
+        name: "what a server says of its leaving in its answers",
+        file: box("servers/server-notices"),
+        find: "server.state.onLeaving();",
+        replace: "",
+        specs: [wholeTest("box-server-notices")],
+    },
     {
         promise: "P27",
         name: "the limits that gossip tells on",
--- a/packages/testing/test/box-server-notices.test.ts
+++ b/packages/testing/test/box-server-notices.test.ts
@@ -134,7 +134,7 @@
     const servedShare = (played: readonly PlayedRequest[]) =>
         played.filter(({ status }) => status === 200).length / played.length;
 
-    describe("that they want nothing from a box for a while", () => {
+    describe("that they want nothing from a box for a while [P28]", () => {
         it("keep to it where some servers of a service say so, and serve by the others", async () => {
             await play(1500);
             const resting = servers.slice(0, 4).map(server => askForRest(server));
@@ -156,7 +156,7 @@
         });
     });
 
-    describe("that they are leaving", () => {
+    describe("that they are leaving [P6]", () => {
         it("send nothing more to servers that say so, though their records do not", async () => {
             await play(1500);
             const leaving = servers.slice(0, 3);
--- a/packages/testing/test/box-store-restored.test.ts
+++ b/packages/testing/test/box-store-restored.test.ts
@@ -33,7 +33,7 @@
 const lostRoute: RuleOptions = { name: "lost", path: "/lost/", kind: "safe" };
 const newRoute: RuleOptions = { name: "new", path: "/new/", kind: "safe" };
 
-describe("boxes and a store that comes back from an older copy", () => {
+describe("boxes and a store that comes back from an older copy [P8]", () => {
     let deployment: Deployment;
     let boxes: readonly TestBox[];
     let servers: readonly ServerStandIn[];
