A box that has started since learns by which identity others know an order that was written again

Boxes that knew it kept its identity, one that had started since did not; as the deciding box it counted the order's age from nothing and completed it 15 s after it was given, for 8 s, when the operator had taken the version away again.

Such a box now takes over the identity that reports and grants of others name.

--- a/packages/box/src/rollouts/newest-orders.ts
+++ b/packages/box/src/rollouts/newest-orders.ts
@@ -24,8 +24,8 @@
     readonly copied: RolloutOrder | undefined;
 }
 
-/** Creates it without orders. */
-export function createNewestOrders(): NewestOrders {
+/** Creates it without orders; `identify` returns an order under the identity by which boxes know it. */
+export function createNewestOrders(identify: (order: RolloutOrder) => RolloutOrder): NewestOrders {
     let copy = new Map<ServiceId, RolloutOrder>();
     const stored = new Map<ServiceId, StoredOrder>();
 
@@ -42,6 +42,11 @@
     };
 
     function of(service: ServiceId): RolloutOrder | undefined {
+        const order = newestOf(service);
+        return order && identify(order);
+    }
+
+    function newestOf(service: ServiceId): RolloutOrder | undefined {
         const copied = copy.get(service);
         const answer = stored.get(service);
         if (copied === undefined || answer === undefined) {
--- a/packages/box/src/rollouts/rollouts.ts
+++ b/packages/box/src/rollouts/rollouts.ts
@@ -98,8 +98,8 @@
 /** Creates the roll-outs of a box; no order is known yet. */
 export function createRollouts(options: RolloutsOptions): Rollouts {
     const { clock, log, membership, self } = options;
-    const orders = createNewestOrders();
     const restoredOrders = createRestoredOrders();
+    const orders = createNewestOrders(restoredOrders.identify);
     const knownNews = createKnownNews(clock, isOpen);
     const wholeReports = createWholeReports();
     const lastReports = new Map<ServiceId, RolloutReport>();
@@ -114,7 +114,10 @@
     const writer = createRolloutWriter({
         ...options,
         onOrder(service, order) {
-            orders.onStored(service, order && restoredOrders.take(order));
+            if (order !== undefined) {
+                restoredOrders.note(order, clock());
+            }
+            orders.onStored(service, order);
             refresh();
         },
     });
@@ -144,7 +147,8 @@
         requests: trials,
         onOrders(copied) {
             restoredOrders.keepOnly(new Set(copied.map(({ service }) => service)));
-            orders.onCopy(copied.map(restoredOrders.take));
+            copied.forEach(order => restoredOrders.note(order, clock()));
+            orders.onCopy(copied);
             orders.all().forEach(learnLostOutcome);
             wholeReports.keepOnly(isOpen);
             refresh();
@@ -159,10 +163,14 @@
         },
         onMessage(from, message) {
             if (message.report !== undefined) {
-                onReport(from, readReport(message.report));
+                const told = readReport(message.report);
+                adoptIdentity(told.rollout);
+                onReport(from, told);
             }
             if (message.grant !== undefined) {
-                trials.onGrant(readGrant(message.grant));
+                const grant = readGrant(message.grant);
+                adoptIdentity(grant.rollout);
+                trials.onGrant(grant);
             }
             if (message.wanted !== undefined) {
                 outcomes.writeFor(message.wanted);
@@ -192,6 +200,14 @@
         }
     }
 
+    /** The box that speaks of the roll-out knew it before the store lost it. */
+    function adoptIdentity(rollout: RolloutId): void {
+        if (restoredOrders.adopt(rollout, clock())) {
+            log.info("rollout.identified", { ...rollout });
+            refresh();
+        }
+    }
+
     function refresh(): void {
         trials.refresh();
         versions.refresh();
--- a/packages/box/test/rollout-writer.test.ts
+++ b/packages/box/test/rollout-writer.test.ts
@@ -114,7 +114,7 @@
     const running: RolloutOrder = { ...order, state: "running", revision: 5 };
 
     it("is what the store answered to a write, until the copy has more", () => {
-        const orders = createNewestOrders();
+        const orders = createNewestOrders(order => order);
         orders.onCopy([order]);
         orders.onStored(service, running);
         expect(orders.of(service)).to.equal(running);
@@ -124,7 +124,7 @@
     });
 
     it("is gone once the store or the copy says so, and is a new one when that comes", () => {
-        const orders = createNewestOrders();
+        const orders = createNewestOrders(order => order);
         orders.onCopy([order]);
         orders.onStored(service, undefined);
         expect([orders.of(service), orders.all()]).to.deep.equal([undefined, []]);
--- a/packages/box/test/rollouts.test.ts
+++ b/packages/box/test/rollouts.test.ts
@@ -105,6 +105,16 @@
             expectOneOutcome("running", "completed", "completed");
         });
 
+        it("are decided in time, though the order is another object and the deciding box has started since [P25]", async () => {
+            const orderedAt = world.now();
+            await begin();
+            isTried(20);
+            world.run(4000);
+            world.restoreStore({ state: undefined, createdAt: 77 });
+            world.restart(0);
+            expect(await world.runUntil("completed", orderedAt + duration - world.now())).to.equal(true);
+        });
+
         /** The store comes back five times, each time when the version is tried again, and another box decides after each. */
         const restoreOftenWith = async (older: (time: number) => Partial<RolloutOrder>) => {
             await begin();
--- a/packages/decisions/src/rollouts/restored-orders.ts
+++ b/packages/decisions/src/rollouts/restored-orders.ts
@@ -2,13 +2,14 @@
  * Orders of roll-outs through returns of the store from an older copy, which lose states
  * that boxes had written, or the order itself until its operator writes it again.
  *
- * An order that is there in a later era with the same target goes on as the one that was known, so that what
- * was granted and sent for it counts on.
+ * An order that is there in a later era with the same target goes on as the one that was known, so that its age, and what
+ * was granted and sent for it, count on. A box that has started since learns from the others by which
+ * identity they know it.
  *
  * Owns how far each order had come; relies on the copy to hold an order that the store has lost for a while.
  */
 
-import type { ServiceId } from "@chalkdale/kernel";
+import type { Milliseconds, ServiceId } from "@chalkdale/kernel";
 import { eraOf } from "../shared-state/store-position.js";
 import type { RolloutId, RolloutOrder, RolloutState } from "./rollout-order.js";
 
@@ -17,8 +18,12 @@
 
 /** The orders of one box. */
 export interface RestoredOrders {
-    /** Takes an order as the store has it; returns it under the identity that it had. */
-    readonly take: (order: RolloutOrder) => RolloutOrder;
+    /** Takes an order as the store has it. */
+    readonly note: (order: RolloutOrder, at: Milliseconds) => void;
+    /** Returns an order as the store has it under the identity by which boxes know it. */
+    readonly identify: (order: RolloutOrder) => RolloutOrder;
+    /** Another box speaks of a roll-out; true if it is one that this box knew by another identity until now. */
+    readonly adopt: (rollout: RolloutId, at: Milliseconds) => boolean;
     /** Forgets the orders of other services. */
     readonly keepOnly: (services: ReadonlySet<ServiceId>) => void;
     /** The outcome that the store has had of an order, whether it has it now or not. */
@@ -32,20 +37,41 @@
     readonly stored: RolloutOrder;
     /** Creation of the object by which boxes first knew the order. */
     readonly createdAt: number;
+    /** When this box first knew of it. */
+    readonly since: Milliseconds;
     /** The furthest state that the store has had. */
     readonly reached: RolloutState | undefined;
 }
 
+/** Milliseconds for which a box learns by which identity others know an order: longer than a restored store's orders take to be written again. */
+const adoptedFor = 15_000;
+
 /** Creates it without orders. */
 export function createRestoredOrders(): RestoredOrders {
     const known = new Map<ServiceId, KnownOrder>();
 
     return {
-        take(order) {
+        note(order, at) {
             const before = known.get(order.service);
-            const next = before !== undefined && isSameOrder(order, before) ? goOn(order, before) : begin(order);
-            known.set(order.service, next);
-            return { ...order, createdAt: next.createdAt };
+            if (before !== undefined && order.revision < before.stored.revision) {
+                return;
+            }
+            const goesOn = before !== undefined && isSameOrder(order, before);
+            known.set(order.service, goesOn ? goOn(order, before) : begin(order, at));
+        },
+        identify(order) {
+            const newest = known.get(order.service);
+            return newest !== undefined && order.createdAt === newest.stored.createdAt
+                ? { ...order, createdAt: newest.createdAt }
+                : order;
+        },
+        adopt(rollout, at) {
+            const order = known.get(rollout.service);
+            if (order === undefined || !isOtherIdentity(rollout, order) || at - order.since >= adoptedFor) {
+                return false;
+            }
+            known.set(rollout.service, { ...order, createdAt: rollout.createdAt });
+            return true;
         },
         keepOnly(services) {
             [...known.keys()].filter(service => !services.has(service)).forEach(service => known.delete(service));
@@ -69,12 +95,23 @@
     return order.targetVersion === stored.targetVersion && (order.createdAt === stored.createdAt || isOfLaterEra);
 }
 
-function begin(order: RolloutOrder): KnownOrder {
-    return { stored: order, createdAt: order.createdAt, reached: order.state };
+/**
+ * True for the identity by which boxes know an order that the store has under another one. Of two such identities, after two
+ * returns of the store, the smaller one counts.
+ */
+function isOtherIdentity({ createdAt, targetVersion }: RolloutId, { createdAt: own, stored }: KnownOrder): boolean {
+    const isOfOrder = targetVersion === stored.targetVersion && eraOf(stored.revision) > 0;
+    const isFromStore = own === stored.createdAt;
+    return isOfOrder && createdAt !== stored.createdAt && (isFromStore || createdAt < own);
+}
+
+function begin(order: RolloutOrder, at: Milliseconds): KnownOrder {
+    return { stored: order, createdAt: order.createdAt, since: at, reached: order.state };
 }
 
 /** An outcome is final, and `running` is never taken back. */
-function goOn(order: RolloutOrder, { createdAt, reached }: KnownOrder): KnownOrder {
+function goOn(order: RolloutOrder, before: KnownOrder): KnownOrder {
+    const { reached } = before;
     const isDecided = reached === "completed" || reached === "rolledBack";
-    return { stored: order, createdAt, reached: isDecided ? reached : order.state ?? reached };
+    return { ...before, stored: order, reached: isDecided ? reached : order.state ?? reached };
 }
