A rest that is asked for before the record of a new life comes is kept

Cause: its record came 2.4 s after the answers; the rest was taken for one of the earlier life, of which nothing holds on. A rest that was asked for within 5 s before the record goes over to the new life.

--- a/packages/decisions/src/servers/server-catalog.ts
+++ b/packages/decisions/src/servers/server-catalog.ts
@@ -75,6 +75,8 @@
     readonly restarted: readonly RestartedServer[];
 }
 
+/** Milliseconds by which a server's answers may come before the record of their life: a store is away for some seconds. */
+const recordLag = 5000;
 /** Time for which an unlisted server is remembered, in case its record comes back: records lapse while the store is away. */
 const unlistedLifetime = milliseconds(20_000);
 
@@ -199,11 +201,16 @@
         return server;
     }
 
-    /** Nothing of the earlier life holds for the new one. */
+    /** Nothing of the earlier life holds for the new one, but for what the new one may have said itself before its record came. */
     function beginAgain(before: BackendServer, record: BackendServerRecord, at: Milliseconds): RestartedServer {
         unlistedAt.delete(record.id);
         doubted.delete(record.id);
-        return { server: begin(record, at), before };
+        const server = begin(record, at);
+        const rest = before.state.restUntil() - at;
+        if (rest > 0 && at - before.state.restAskedAt() < recordLag) {
+            server.state.onRest(at, milliseconds(rest));
+        }
+        return { server, before };
     }
 
     /** Until it is known which of the two lives goes on, the server gets nothing. */
--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -44,6 +44,8 @@
     readonly onRest: (at: Milliseconds, duration: Milliseconds) => void;
     /** When the rest that the server asked for is over; in the past if it asked for none. */
     readonly restUntil: () => Milliseconds;
+    /** When it asked for rest last; long ago if it never did. */
+    readonly restAskedAt: () => Milliseconds;
     /** Discovery no longer lists the server. */
     readonly onUnlisted: () => void;
     /** True while discovery lists the server. */
@@ -128,6 +130,7 @@
     let doubted = false;
     let leaving = false;
     let restUntil = milliseconds(-Infinity);
+    let restAskedAt = milliseconds(-Infinity);
     let coldUntil = coldEnd(first, at);
 
     return {
@@ -146,9 +149,11 @@
             leaving = true;
         },
         onRest(now, duration) {
+            restAskedAt = now;
             restUntil = milliseconds(Math.max(restUntil, now + Math.min(duration, longestRest)));
         },
         restUntil: () => restUntil,
+        restAskedAt: () => restAskedAt,
         onUnlisted() {
             unlisted = true;
         },
