Names: a server's back-off, and the epoch of the store, as the field calls them

What a server asks a box for is a back-off; rest is what connections have. The store's era is an epoch everywhere but in the header and the stand-in that speaks it.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -320,7 +320,7 @@
         random,
         relayRole,
         store,
-        storeEra: state.storeEra,
+        storeEpoch: state.storeEpoch,
         sendGossip: peerLink.sendGossip,
         signal,
     });
--- a/packages/box/src/callers/caller-protocol.ts
+++ b/packages/box/src/callers/caller-protocol.ts
@@ -42,7 +42,7 @@
     | { readonly kind: "unreadable"; readonly text: string; };
 
 /** What an answer of a server says of the time for which the server wants nothing from this box. */
-export type AskedRest =
+export type AskedBackoff =
     | { readonly kind: "asked"; readonly duration: Milliseconds; }
     | { readonly kind: "none"; }
     /** Something stands there that is no time. */
@@ -63,7 +63,7 @@
     /** True if a server says that it is leaving. */
     readonly readLeaving: (headers: NodeJS.Dict<string | string[]>) => boolean;
     /** Reads for how long a server that turns a request away wants nothing from this box. */
-    readonly readRest: (answer: AnswerHead) => AskedRest;
+    readonly readBackoff: (answer: AnswerHead) => AskedBackoff;
     /** Reads the rate that a server names. */
     readonly readLimit: (headers: NodeJS.Dict<string | string[]>) => AnsweredLimit;
     readonly readServerId: (headers: NodeJS.Dict<string | string[]>) => BackendServerId | undefined;
--- a/packages/box/src/join.ts
+++ b/packages/box/src/join.ts
@@ -25,7 +25,7 @@
     readonly relayRole: RelayRole;
     readonly store: StateStore;
     /** Era of the store as far as the copies tell; undefined before the first. */
-    readonly storeEra: () => number | undefined;
+    readonly storeEpoch: () => number | undefined;
     /** Gives numbers from 0 to 1. */
     readonly random: () => number;
     /** Sends what this box knows of all boxes to another. */
@@ -69,16 +69,16 @@
 }
 
 /** Writes the own record again whenever the store has come back older, for as long as it may have lost it. */
-async function keepRecorded({ clock, membership, signal, store, storeEra, ...options }: JoinOptions): Promise<void> {
+async function keepRecorded({ clock, membership, signal, store, storeEpoch, ...options }: JoinOptions): Promise<void> {
     const recordedAt = clock();
-    let era = storeEra();
+    let epoch = storeEpoch();
     while (!signal.aborted && clock() - recordedAt < recordMayBeLostFor) {
         await sleep(roleCheckInterval, signal);
-        const newest = storeEra();
-        if (era !== undefined && newest !== undefined && newest > era) {
+        const newest = storeEpoch();
+        if (epoch !== undefined && newest !== undefined && newest > epoch) {
             await untilDone({ ...options, signal }, () => store.announce(membership.own(), signal));
         }
-        era = newest;
+        epoch = newest;
     }
 }
 
--- a/packages/box/src/metrics-text.ts
+++ b/packages/box/src/metrics-text.ts
@@ -34,7 +34,7 @@
     readonly quotas: CustomerQuotas;
     readonly deadlyGuard: Pick<DeadlyGuard, "heldCount">;
     readonly limitedServers: Pick<LimitedServers, "limited">;
-    readonly serverNotices: Pick<ServerNotices, "restingCount">;
+    readonly serverNotices: Pick<ServerNotices, "backedOffCount">;
     readonly rollouts: Rollouts | undefined;
     readonly traffic: TrafficMeter;
     readonly requests: RequestPath;
@@ -61,11 +61,11 @@
         const callers = options.callers();
         return {
             configuration_version: state.configuration()?.version,
-            store_era: state.storeEra(),
+            store_epoch: state.storeEpoch(),
             servers_revision: state.replica("servers").revision(),
             servers_age_milliseconds: Math.round(replicator.confirmedAge("servers")),
             store_lost_milliseconds: replicator.storeLostFor(),
-            servers_resting: options.serverNotices.restingCount(),
+            servers_backed_off: options.serverNotices.backedOffCount(),
             servers_limited: options.limitedServers.limited().length,
             requests_held: options.deadlyGuard.heldCount(),
             boxes_alive: membership.alive(clock()).length,
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -256,8 +256,8 @@
             return "serversCold";
         case "allLimited":
             return "serversLimited";
-        case "allResting":
-            return "serversResting";
+        case "allBackedOff":
+            return "serversBackedOff";
         case "tooLate":
             return "tooLate";
         case "crowded":
--- a/packages/box/src/requests/attempt-request.ts
+++ b/packages/box/src/requests/attempt-request.ts
@@ -9,8 +9,8 @@
 
 /** How an attempt ended. */
 export type AttemptOutcome =
-    /** The server's own answer, success or failure. `asksRest`: a failure by which it only asks for rest, though the request may have run. */
-    | { readonly kind: "answered"; readonly answer: ServerAnswer; readonly asksRest?: true; }
+    /** The server's own answer, success or failure. `asksBackoff`: a failure by which it only asks for back-off, though the request may have run. */
+    | { readonly kind: "answered"; readonly answer: ServerAnswer; readonly asksBackoff?: true; }
     /** Nothing reached the server. */
     | { readonly kind: "notSent"; readonly reason: string; }
     /** The server says that it did not run the request. `hasRoom`: though it has free slots. */
--- a/packages/box/src/requests/attempt.ts
+++ b/packages/box/src/requests/attempt.ts
@@ -110,7 +110,7 @@
         if (state.hasLeft() || options.hasNewLife(server) || !options.admitsZone(state.record().zone)) {
             return "left while its connection came up";
         }
-        return clock() < state.restUntil() ? "asked for rest while its connection came up" : undefined;
+        return clock() < state.backoffUntil() ? "asked for back-off while its connection came up" : undefined;
     }
 
     async function send(request: AttemptRequest, { rested, socket }: ServerConnection): Promise<AttemptOutcome> {
--- a/packages/box/src/requests/request-path.ts
+++ b/packages/box/src/requests/request-path.ts
@@ -8,7 +8,7 @@
 import {
     type BackendServer,
     comeBackAfter,
-    comeBackAfterRest,
+    comeBackAfterBackoff,
     connectTimeout,
     type CopyAgeBounds,
     createBodyMemory,
@@ -191,8 +191,8 @@
         if (refusal === "serversLimited") {
             return limitedReturns.next(service, limitedRate(service), clock());
         }
-        if (refusal === "serversResting") {
-            return comeBackAfterRest(firstBackIn(service), options.random());
+        if (refusal === "serversBackedOff") {
+            return comeBackAfterBackoff(firstBackIn(service), options.random());
         }
         const loadPerSlot = serviceLoad.perSlot(service);
         return comeBackAfter(refusal, { loadPerSlot, queuedWork: work.ofQueue(service, route) });
@@ -205,10 +205,12 @@
         return total / Math.max(1, limits.advertised().length);
     }
 
-    /** Time until the first server of a service has had the rest that it asked this box for. */
+    /** Time until the first server of a service is over with the back-off that it asked this box for. */
     function firstBackIn(service: ServiceId): Milliseconds {
         const now = clock();
-        const ends = catalog.ofService(service).map(({ state: server }) => server.restUntil()).filter(end => end > now);
+        const ends = catalog.ofService(service).map(({ state: server }) => server.backoffUntil()).filter(end =>
+            end > now
+        );
         return milliseconds(Math.max(0, Math.min(...ends) - now));
     }
 
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -86,7 +86,7 @@
             const verdict = judgeAnswer({
                 status: answer.status,
                 saysNotRun: answer.headers[protocol.headers.notRun] !== undefined,
-                asksRest: asksRest(answer),
+                asksBackoff: asksBackoff(answer),
                 load,
                 isCold: state.isCold(clock()),
                 isOverdue: isOverdue(request, sentAt),
@@ -133,9 +133,9 @@
     }
 
     /** True for an answer by which a server wants nothing for some time. */
-    function asksRest(answer: ServerAnswer): boolean {
-        const rest = protocol.readRest(answer);
-        return rest.kind === "asked" && rest.duration > 0;
+    function asksBackoff(answer: ServerAnswer): boolean {
+        const asked = protocol.readBackoff(answer);
+        return asked.kind === "asked" && asked.duration > 0;
     }
 
     /** True if the server has had the request for far longer than expected. */
@@ -164,9 +164,9 @@
                     state.onFull(now);
                 }
                 return { kind: "notRun", status: answer.status, hasRoom: verdict.isFailure };
-            case "resting":
+            case "backedOff":
                 return verdict.mayHaveRun
-                    ? { kind: "answered", answer, asksRest: true }
+                    ? { kind: "answered", answer, asksBackoff: true }
                     : { kind: "notRun", status: answer.status, hasRoom: false };
             case "ran":
                 state.onHealthy();
--- a/packages/box/src/requests/watched-try.ts
+++ b/packages/box/src/requests/watched-try.ts
@@ -109,7 +109,7 @@
             case "cancelled":
                 return isOverdue ? failure : undefined;
             case "answered":
-                return outcome.asksRest === true
+                return outcome.asksBackoff === true
                     ? undefined
                     : evidenceOfAnswer(outcome.answer, isOverdue, slowness);
         }
--- a/packages/box/src/servers/server-notices.ts
+++ b/packages/box/src/servers/server-notices.ts
@@ -9,20 +9,20 @@
 import { type BackendServer, describePosition, type ServerCatalog } from "@chalkdale/decisions";
 import type { Clock, Milliseconds } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
-import type { AnswerHead, AskedRest, CallerProtocol } from "../callers/caller-protocol.js";
+import type { AnswerHead, AskedBackoff, CallerProtocol } from "../callers/caller-protocol.js";
 
 /** The notices of one box. */
 export interface ServerNotices {
     /** An answer of the server, to a request or to a health check. */
     readonly onAnswer: (server: BackendServer, answer: AnswerHead) => void;
     /** Servers that want nothing from this box now. */
-    readonly restingCount: () => number;
+    readonly backedOffCount: () => number;
 }
 
 export interface ServerNoticesOptions {
     readonly clock: Clock;
     readonly log: Log;
-    readonly protocol: Pick<CallerProtocol, "readLeaving" | "readRest">;
+    readonly protocol: Pick<CallerProtocol, "readLeaving" | "readBackoff">;
     readonly catalog: Pick<ServerCatalog, "all">;
 }
 
@@ -40,18 +40,18 @@
             if (protocol.readLeaving(answer.headers)) {
                 onLeaving(server);
             }
-            onRest(server, protocol.readRest(answer));
+            onBackoff(server, protocol.readBackoff(answer));
         },
-        restingCount: () => [...catalog.all()].filter(({ state }) => state.restUntil() > clock()).length,
+        backedOffCount: () => [...catalog.all()].filter(({ state }) => state.backoffUntil() > clock()).length,
     };
 
-    function onRest(server: BackendServer, rest: AskedRest): void {
-        switch (rest.kind) {
+    function onBackoff(server: BackendServer, asked: AskedBackoff): void {
+        switch (asked.kind) {
             case "asked":
-                startRest(server, rest.duration);
+                startBackoff(server, asked.duration);
                 return;
             case "unreadable":
-                reportUnreadable(server, rest.text);
+                reportUnreadable(server, asked.text);
                 return;
             case "none":
                 return;
@@ -61,16 +61,16 @@
     function reportUnreadable(server: BackendServer, text: string): void {
         if (!unreadable.has(server)) {
             unreadable.add(server);
-            log.warn("server.restUnreadable", { server: server.id, text: text.slice(0, longestShown) });
+            log.warn("server.backoffUnreadable", { server: server.id, text: text.slice(0, longestShown) });
         }
     }
 
     /** Logged as it begins: each request that was under way brings such an answer. */
-    function startRest(server: BackendServer, duration: Milliseconds): void {
-        const wasResting = server.state.restUntil() > clock();
-        server.state.onRest(clock(), duration);
-        if (!wasResting) {
-            log.info("server.asksRest", { server: server.id, duration });
+    function startBackoff(server: BackendServer, duration: Milliseconds): void {
+        const wasBackedOff = server.state.backoffUntil() > clock();
+        server.state.onBackoff(clock(), duration);
+        if (!wasBackedOff) {
+            log.info("server.asksBackoff", { server: server.id, duration });
         }
     }
 
--- a/packages/box/src/state/shared-state.ts
+++ b/packages/box/src/state/shared-state.ts
@@ -14,7 +14,7 @@
     createRouteTable,
     createWeightedSplit,
     describePosition,
-    eraOf,
+    epochOf,
     type KeyTable,
     openPlaces,
     type PlaceSettings,
@@ -38,8 +38,8 @@
 /** The copies and their use. */
 export interface SharedState {
     readonly replica: <Kind extends SharedKind>(kind: Kind) => Replica<SharedItems[Kind]>;
-    /** The newest era of the store that a copy has reached; undefined before the first. */
-    readonly storeEra: () => number | undefined;
+    /** The newest epoch of the store that a copy has reached; undefined before the first. */
+    readonly storeEpoch: () => number | undefined;
     /** Ends what was held against the word of a store that came back older. Due some times a second. */
     readonly expireHeld: () => void;
     readonly configuration: () => Configuration | undefined;
@@ -91,10 +91,10 @@
 
     return {
         replica: kind => replicas[kind],
-        storeEra() {
+        storeEpoch() {
             const revisions = Object.values(replicas).map(replica => replica.revision() ?? -1);
             const newest = Math.max(...revisions);
-            return newest < 0 ? undefined : eraOf(newest);
+            return newest < 0 ? undefined : epochOf(newest);
         },
         expireHeld: () => Object.values(replicas).forEach(replica => replica.expireHeld()),
         configuration: () => configuration,
--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -13,7 +13,7 @@
 
 import {
     describePosition,
-    eraOf,
+    epochOf,
     firstBackoff,
     listOverdueAfter,
     nextBackoff,
@@ -186,7 +186,7 @@
     /** A list that may be old may hold what a store has lost that came back older: of such a store only the newest one counts. */
     async function readFirst<Kind extends SharedKind>(kind: Kind): Promise<Snapshot<SharedItems[Kind]>> {
         const listed = await listNow(kind, "mayBeOld");
-        return eraOf(listed.revision) === 0 ? listed : listNow(kind, "newest");
+        return epochOf(listed.revision) === 0 ? listed : listNow(kind, "newest");
     }
 
     function listNow<Kind extends SharedKind>(kind: Kind, age: ListAge): Promise<Snapshot<SharedItems[Kind]>> {
--- a/packages/box/test/attempt.test.ts
+++ b/packages/box/test/attempt.test.ts
@@ -147,13 +147,13 @@
         return attempt(request);
     }
 
-    it("sends nothing to a server that leaves or asks for rest while its connection comes up", async () => {
+    it("sends nothing to a server that leaves or asks for back-off while its connection comes up", async () => {
         const changes: readonly (() => void)[] = [
             () => server.state.applyRecord({ ...record, draining: true }, milliseconds(0)),
             () => server.state.onUnlisted(),
             () => server.state.onReplaced(),
             () => server.state.onLeaving(),
-            () => server.state.onRest(milliseconds(performance.now()), milliseconds(3000)),
+            () => server.state.onBackoff(milliseconds(performance.now()), milliseconds(3000)),
             () => closedZones.add(record.zone),
         ];
         for (const change of changes) {
--- a/packages/box/test/emulated-fleet.ts
+++ b/packages/box/test/emulated-fleet.ts
@@ -12,7 +12,7 @@
     createReplica,
     createTurnedAwayBoxes,
     digestRounds,
-    eraOf,
+    epochOf,
     gossipInterval,
     type MemberRecord,
     type SharedKind,
@@ -88,7 +88,7 @@
     setMaxListeners(0, lifetime.signal);
     const pending = new Set<Watch>();
     let revision = firstRevision;
-    let era = 0;
+    let epoch = 0;
     let isAway = false;
     const changedAt = new Map<SharedKind, number>();
     let turnedAway: (box: MemberRecord) => TurnedAwayBy | undefined = () => undefined;
@@ -117,14 +117,14 @@
         silence(isSilent: (box: MemberRecord) => boolean) {
             [...pending].filter(watch => isSilent(watch.box)).forEach(watch => watch.fallSilent());
         },
-        /** The store goes away, and comes back from an older copy after so long: its revisions go back, in a new era. */
+        /** The store goes away, and comes back from an older copy after so long: its revisions go back, in a new epoch. */
         restore(after: number) {
             isAway = true;
             pending.forEach(watch => watch.end(new StoreError("unreachable", "reset")));
             clock.after(after, () => {
                 isAway = false;
-                era += 1;
-                revision = storePosition(era, firstRevision)!;
+                epoch += 1;
+                revision = storePosition(epoch, firstRevision)!;
             });
         },
         /** A change is acknowledged now. */
@@ -267,7 +267,7 @@
                     clock.after(wayTo(box), () => end(new StoreError("unreachable", fault)));
                     return;
                 }
-                if (eraOf(since) < era) {
+                if (epochOf(since) < epoch) {
                     clock.after(wayTo(box), () => end({ kind: "historyLost" }));
                     return;
                 }
@@ -304,7 +304,7 @@
         if (isAway) {
             throw new StoreError("unreachable", "reset");
         }
-        return { revision: era === 0 ? firstRevision : revision, items: [] };
+        return { revision: epoch === 0 ? firstRevision : revision, items: [] };
     }
 
     /** A whole configuration is too large for a datagram. */
@@ -322,7 +322,7 @@
         await answerAfter(roundTrip, undefined);
         const known = peer.replicator.digest()[kind]!.complete;
         await answerAfter(roundTrip, undefined);
-        if (eraOf(known) > eraOf(since)) {
+        if (epochOf(known) > epochOf(since)) {
             return { kind: "snapshot" as const, snapshot: { revision: known, items: [] } };
         }
         return {
--- a/packages/box/test/rollout-boxes.ts
+++ b/packages/box/test/rollout-boxes.ts
@@ -7,7 +7,7 @@
     createServerCatalog,
     createServerState,
     createSlowStart,
-    eraOf,
+    epochOf,
     type MemberRecord,
     type Membership,
     type RolloutOrder,
@@ -109,7 +109,7 @@
         times,
         failShare: 0,
         restoreStore(older) {
-            const revision = storePosition(eraOf(order.revision) + 1, 1)!;
+            const revision = storePosition(epochOf(order.revision) + 1, 1)!;
             order = { ...order, ...older, revision };
             boxes.filter(getsCopies).forEach(box => box.rollouts.onOrders([order]));
         },
--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -23,10 +23,10 @@
     isPublic: false,
 };
 
-/** Only what the feedback reads of the protocol: the load and a rest, each told in one header, and the header of a request that did not run. */
+/** Only what the feedback reads of the protocol: the load and a back-off, each told in one header, and the header of a request that did not run. */
 const protocol = {
     headers: { notRun: "not-run" },
-    readRest: ({ headers }) =>
+    readBackoff: ({ headers }) =>
         headers.rest === undefined ? { kind: "none" } : { kind: "asked", duration: milliseconds(Number(headers.rest)) },
     readLoad: headers => headers.load === undefined ? undefined : JSON.parse(String(headers.load)) as LoadReport,
 } as CallerProtocol;
@@ -110,7 +110,7 @@
         });
     });
 
-    describe("that refuses a request unrun and asks for rest", () => {
+    describe("that refuses a request unrun and asks for back-off", () => {
         it("takes it neither for failing nor for full, and does not ask it again", () => {
             const { clock, refuseUnrun, state } = createSetup();
             const outcome = refuseUnrun({ running: 1, waiting: 0, slots: sampleSlots }, { rest: "3000" });
--- a/packages/cli/src/request-story.ts
+++ b/packages/cli/src/request-story.ts
@@ -34,7 +34,7 @@
     bodiesFull: "the memory for bodies was spent, and as many as may wait were waiting",
     noServer: "no server may take the request",
     serversCold: "the servers that are left are in slow start and had their share",
-    serversResting: "the servers that are left want nothing from this box for a while",
+    serversBackedOff: "the servers that are left want nothing from this box for a while",
     serversLimited: "the servers that are left name limits, and had what they take from all boxes",
     tooLate: "no server could answer in the time that was left",
     crowded: "the wait for a free slot was too long for the route's goal",
--- a/packages/decisions/src/choose/choice.ts
+++ b/packages/decisions/src/choose/choice.ts
@@ -57,7 +57,7 @@
     /** Servers that name limits have had what they take for now. */
     | { readonly kind: "allLimited"; }
     /** Servers want nothing from this box for a while. */
-    | { readonly kind: "allResting"; }
+    | { readonly kind: "allBackedOff"; }
     /** Not even the least time fits into what is left. */
     | { readonly kind: "tooLate"; readonly expected: Milliseconds; }
     /** The wait for a free slot, of this length, is longer than the request may wait. */
--- a/packages/decisions/src/choose/server-choice.ts
+++ b/packages/decisions/src/choose/server-choice.ts
@@ -109,14 +109,14 @@
         if (reasons.has("cold")) {
             return { kind: "allCold" };
         }
-        return { kind: areAllResting(request) ? "allResting" : "noServer" };
+        return { kind: areAllBackedOff(request) ? "allBackedOff" : "noServer" };
     }
 
-    /** True if this box's next request for the service can only go to a server that asked it for rest, whatever this one has tried. */
-    function areAllResting(request: ChoiceRequest): boolean {
+    /** True if this box's next request for the service can only go to a server that asked it for back-off, whatever this one has tried. */
+    function areAllBackedOff(request: ChoiceRequest): boolean {
         const servers = eligibleServers.candidates({ ...request, tried: new Set() });
         const reasons = servers.map(({ state }) => state.exclusion(request.at));
-        return reasons.includes("resting") && !reasons.includes(undefined);
+        return reasons.includes("backedOff") && !reasons.includes(undefined);
     }
 
     function fastest(ranked: readonly BackendServer[], request: ChoiceRequest): ChosenServer {
--- a/packages/decisions/src/give-up/come-back.ts
+++ b/packages/decisions/src/give-up/come-back.ts
@@ -27,17 +27,17 @@
 /** Milliseconds of a second. */
 const second = 1000;
 /** Milliseconds over which callers are spread for whom one server is back before the others. */
-const restSpread = 500;
+const backoffSpread = 500;
 /** Milliseconds after which a caller may come back at the latest: another box may be wanted before this one. */
-const longestAfterRest = 2000;
+const longestAfterBackoff = 2000;
 
 /**
  * Returns the time for a request whose servers want nothing from this box: until the first of them is back, spread by `chance`,
  * which is from 0 to 1.
  */
-export function comeBackAfterRest(firstBackIn: Milliseconds, chance: number): Milliseconds {
-    const earliest = Math.max(soonest, Math.min(firstBackIn, longestAfterRest - restSpread));
-    return milliseconds(earliest + restSpread * chance);
+export function comeBackAfterBackoff(firstBackIn: Milliseconds, chance: number): Milliseconds {
+    const earliest = Math.max(soonest, Math.min(firstBackIn, longestAfterBackoff - backoffSpread));
+    return milliseconds(earliest + backoffSpread * chance);
 }
 
 /** Returns the time for a refusal; undefined when coming back cannot help. */
--- a/packages/decisions/src/give-up/refusals.ts
+++ b/packages/decisions/src/give-up/refusals.ts
@@ -19,7 +19,7 @@
     | "noServer"
     | "serversCold"
     | "serversLimited"
-    | "serversResting"
+    | "serversBackedOff"
     | "tooLate"
     | "crowded"
     | "serversFull"
@@ -66,7 +66,7 @@
     noServer: { status: 503, retryAfter: later },
     serversCold: { status: 503, retryAfter: afterOverload },
     serversLimited: { status: 503, retryAfter: afterOverload },
-    serversResting: { status: 503, retryAfter: afterOverload },
+    serversBackedOff: { status: 503, retryAfter: afterOverload },
     crowded: { status: 503, retryAfter: afterOverload },
     tooLate: { status: 503, retryAfter: afterOverload },
     serversFull: { status: 503, retryAfter: afterOverload },
--- a/packages/decisions/src/retry/answer-verdict.ts
+++ b/packages/decisions/src/retry/answer-verdict.ts
@@ -15,7 +15,7 @@
     /** The server says that it did not run the request. */
     readonly saysNotRun: boolean;
     /** The server wants nothing from this box for a while. */
-    readonly asksRest: boolean;
+    readonly asksBackoff: boolean;
     /** Load that the server reported with the answer. */
     readonly load: LoadReport | undefined;
     /** The server is in slow start. */
@@ -30,8 +30,8 @@
     | { readonly kind: "otherServer"; }
     /** The request did not run since the server is full, or, with free slots, since the server fails: then it is not full. */
     | { readonly kind: "full"; readonly isFailure: boolean; }
-    /** The server turned the request away and asks for rest, which is no failure of it. `mayHaveRun`: it doesn't say that it has not run the request. */
-    | { readonly kind: "resting"; readonly mayHaveRun: boolean; }
+    /** The server turned the request away and asks for back-off, which is no failure of it. `mayHaveRun`: it doesn't say that it has not run the request. */
+    | { readonly kind: "backedOff"; readonly mayHaveRun: boolean; }
     /** The server ran the request. */
     | { readonly kind: "ran"; readonly isFailure: boolean; readonly isSuccess: boolean; };
 
@@ -48,8 +48,8 @@
     if (status === statusMisdirected) {
         return { kind: "otherServer" };
     }
-    if (inputs.asksRest) {
-        return { kind: "resting", mayHaveRun: !inputs.saysNotRun };
+    if (inputs.asksBackoff) {
+        return { kind: "backedOff", mayHaveRun: !inputs.saysNotRun };
     }
     if (inputs.saysNotRun) {
         return { kind: "full", isFailure: !isCold && load !== undefined && hasRoom(load) };
--- a/packages/decisions/src/rollouts/restored-orders.ts
+++ b/packages/decisions/src/rollouts/restored-orders.ts
@@ -2,7 +2,7 @@
  * Orders of roll-outs through returns of the store from an older copy, which lose states
  * that boxes had written, or the order itself until its operator writes it again.
  *
- * An order that is there in a later era with the same target goes on as the one that was known, so that its age, and what
+ * An order that is there in a later epoch with the same target goes on as the one that was known, so that its age, and what
  * was granted and sent for it, count on. A box that has started since learns from the others by which
  * identity they know it.
  *
@@ -10,7 +10,7 @@
  */
 
 import type { Milliseconds, ServiceId } from "@chalkdale/kernel";
-import { eraOf } from "../shared-state/store-position.js";
+import { epochOf } from "../shared-state/store-position.js";
 import type { RolloutId, RolloutOrder, RolloutState } from "./rollout-order.js";
 
 /** An outcome that the store had. */
@@ -91,8 +91,8 @@
 }
 
 function isSameOrder(order: RolloutOrder, { stored }: KnownOrder): boolean {
-    const isOfLaterEra = eraOf(order.revision) > eraOf(stored.revision);
-    return order.targetVersion === stored.targetVersion && (order.createdAt === stored.createdAt || isOfLaterEra);
+    const isOfLaterEpoch = epochOf(order.revision) > epochOf(stored.revision);
+    return order.targetVersion === stored.targetVersion && (order.createdAt === stored.createdAt || isOfLaterEpoch);
 }
 
 /**
@@ -100,7 +100,7 @@
  * returns of the store, the smaller one counts.
  */
 function isOtherIdentity({ createdAt, targetVersion }: RolloutId, { createdAt: own, stored }: KnownOrder): boolean {
-    const isOfOrder = targetVersion === stored.targetVersion && eraOf(stored.revision) > 0;
+    const isOfOrder = targetVersion === stored.targetVersion && epochOf(stored.revision) > 0;
     const isFromStore = own === stored.createdAt;
     return isOfOrder && createdAt !== stored.createdAt && (isFromStore || createdAt < own);
 }
--- a/packages/decisions/src/servers/server-catalog.ts
+++ b/packages/decisions/src/servers/server-catalog.ts
@@ -206,9 +206,9 @@
         unlistedAt.delete(record.id);
         doubted.delete(record.id);
         const server = begin(record, at);
-        const rest = before.state.restUntil() - at;
-        if (rest > 0 && at - before.state.restAskedAt() < recordLag) {
-            server.state.onRest(at, milliseconds(rest));
+        const backoff = before.state.backoffUntil() - at;
+        if (backoff > 0 && at - before.state.backoffAskedAt() < recordLag) {
+            server.state.onBackoff(at, milliseconds(backoff));
         }
         return { server, before };
     }
--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -23,7 +23,7 @@
     | "replaced"
     | "unlisted"
     | "doubted"
-    | "resting"
+    | "backedOff"
     | "limited"
     | "ejected"
     | "cold";
@@ -40,12 +40,12 @@
      * seconds later, or never.
      */
     readonly onLeaving: () => void;
-    /** The server wants nothing from this box for so long, `longestRest` at most. Of two such words the one that ends later counts. */
-    readonly onRest: (at: Milliseconds, duration: Milliseconds) => void;
-    /** When the rest that the server asked for is over; in the past if it asked for none. */
-    readonly restUntil: () => Milliseconds;
-    /** When it asked for rest last; long ago if it never did. */
-    readonly restAskedAt: () => Milliseconds;
+    /** The server wants nothing from this box for so long, `longestBackoff` at most. Of two such words the one that ends later counts. */
+    readonly onBackoff: (at: Milliseconds, duration: Milliseconds) => void;
+    /** When the back-off that the server asked for is over; in the past if it asked for none. */
+    readonly backoffUntil: () => Milliseconds;
+    /** When it asked for back-off last; long ago if it never did. */
+    readonly backoffAskedAt: () => Milliseconds;
     /** Discovery no longer lists the server. */
     readonly onUnlisted: () => void;
     /** True while discovery lists the server. */
@@ -105,7 +105,7 @@
  * Milliseconds for which a server is left alone by one word at most; it may ask again. A mistaken figure must not take it away
  * for the rest of its life.
  */
-const longestRest = 300_000;
+const longestBackoff = 300_000;
 
 /** Severity of an ejected server, which serves nothing: above that of an outlier, whose most is 3.3 by failures. */
 const ejectedSeverity = 4;
@@ -129,8 +129,8 @@
     let replaced = false;
     let doubted = false;
     let leaving = false;
-    let restUntil = milliseconds(-Infinity);
-    let restAskedAt = milliseconds(-Infinity);
+    let backoffUntil = milliseconds(-Infinity);
+    let backoffAskedAt = milliseconds(-Infinity);
     let coldUntil = coldEnd(first, at);
 
     return {
@@ -148,12 +148,12 @@
         onLeaving() {
             leaving = true;
         },
-        onRest(now, duration) {
-            restAskedAt = now;
-            restUntil = milliseconds(Math.max(restUntil, now + Math.min(duration, longestRest)));
+        onBackoff(now, duration) {
+            backoffAskedAt = now;
+            backoffUntil = milliseconds(Math.max(backoffUntil, now + Math.min(duration, longestBackoff)));
         },
-        restUntil: () => restUntil,
-        restAskedAt: () => restAskedAt,
+        backoffUntil: () => backoffUntil,
+        backoffAskedAt: () => backoffAskedAt,
         onUnlisted() {
             unlisted = true;
         },
@@ -229,8 +229,8 @@
         if (leaving !== undefined) {
             return leaving;
         }
-        if (now < restUntil) {
-            return "resting";
+        if (now < backoffUntil) {
+            return "backedOff";
         }
         // A server that is ejected may get a trial, which its limit bounds as well.
         if (limitShare?.allows(now) === false) {
@@ -242,13 +242,13 @@
         return isCold(now) && !slowStart.allows(now) ? "cold" : undefined;
     }
 
-    /** A check is a request to the server as well, and waits until it has had its rest. */
+    /** A check is a request to the server as well, and waits until its back-off is over. */
     function healthCheckDueAt(): Milliseconds | undefined {
         const dueAt = ejection.healthCheckDueAt();
         if (dueAt === undefined || replaced || unlisted || leaving) {
             return undefined;
         }
-        return milliseconds(Math.max(dueAt, restUntil));
+        return milliseconds(Math.max(dueAt, backoffUntil));
     }
 
     function isCold(now: Milliseconds): boolean {
--- a/packages/decisions/src/shared-state/replica.ts
+++ b/packages/decisions/src/shared-state/replica.ts
@@ -15,7 +15,7 @@
 
 import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { createRestoredEntries, type RestorePolicy } from "./restored-entries.js";
-import { eraOf } from "./store-position.js";
+import { epochOf } from "./store-position.js";
 
 /** A complete copy as of a revision. */
 export interface Snapshot<Item> {
@@ -112,7 +112,7 @@
                 return false;
             }
             const next = new Map(snapshot.items.map(item => [nameOf(item), item]));
-            if (revision !== undefined && eraOf(snapshot.revision) > eraOf(revision)) {
+            if (revision !== undefined && epochOf(snapshot.revision) > epochOf(revision)) {
                 onRestored(next, snapshot.revision, revision);
             }
             else {
@@ -193,7 +193,7 @@
         restore?.onRestored(at, previous, [...held.all().keys()]);
     }
 
-    /** A whole list of the era that goes on: what it has of the held entries was written again. */
+    /** A whole list of the epoch that goes on: what it has of the held entries was written again. */
     function onListed(next: ReadonlyMap<string, Item>): void {
         items.forEach((_, name) => next.has(name) ? undefined : noteGone(name));
         held.all().forEach((item, name) => {
--- a/packages/decisions/test/come-back.test.ts
+++ b/packages/decisions/test/come-back.test.ts
@@ -1,13 +1,13 @@
 import { milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
-import { comeBackAfter, comeBackAfterRest } from "../src/index.js";
+import { comeBackAfter, comeBackAfterBackoff } from "../src/index.js";
 
-describe("the time to come back after servers' rest", () => {
+describe("the time to come back after servers' back-off", () => {
     it("is when the first one is back, spread, and never far off", () => {
-        expect(comeBackAfterRest(milliseconds(800), 0)).to.equal(800);
-        expect(comeBackAfterRest(milliseconds(800), 1)).to.equal(1300);
-        expect(comeBackAfterRest(milliseconds(0), 0)).to.equal(50);
-        expect(comeBackAfterRest(milliseconds(60_000), 1)).to.equal(2000);
+        expect(comeBackAfterBackoff(milliseconds(800), 0)).to.equal(800);
+        expect(comeBackAfterBackoff(milliseconds(800), 1)).to.equal(1300);
+        expect(comeBackAfterBackoff(milliseconds(0), 0)).to.equal(50);
+        expect(comeBackAfterBackoff(milliseconds(60_000), 1)).to.equal(2000);
     });
 });
 
--- a/packages/decisions/test/restored-orders.test.ts
+++ b/packages/decisions/test/restored-orders.test.ts
@@ -10,13 +10,13 @@
         orders = createRestoredOrders();
     });
 
-    const order = (era: number, changes: Partial<RolloutOrder> = {}): RolloutOrder => ({
+    const order = (epoch: number, changes: Partial<RolloutOrder> = {}): RolloutOrder => ({
         service,
         targetVersion: serverVersion("v2"),
         duration: milliseconds(20_000),
         state: undefined,
         createdAt: 9,
-        revision: storePosition(era, 30)!,
+        revision: storePosition(epoch, 30)!,
         ...changes,
     });
 
@@ -65,7 +65,7 @@
         });
     });
 
-    it("are others with another target, with another creation in the same era, and after they were gone", () => {
+    it("are others with another target, with another creation in the same epoch, and after they were gone", () => {
         take(order(1, { state: "rolledBack" }));
         const others = [
             order(2, { targetVersion: serverVersion("v3"), createdAt: 40 }),
--- a/packages/decisions/test/restored-store.test.ts
+++ b/packages/decisions/test/restored-store.test.ts
@@ -17,7 +17,7 @@
 } from "../src/index.js";
 import { createRecord } from "./choice-setup.js";
 
-const position = (era: number, revision: number) => storePosition(era, revision)!;
+const position = (epoch: number, revision: number) => storePosition(epoch, revision)!;
 
 describe("a copy of a store that comes back older [P8]", () => {
     let now: number;
@@ -105,7 +105,7 @@
             expect(shown()).to.deep.equal(["added", "leaving draining", "stays"]);
         });
 
-        it("through a list of the same era that lacks it still", () => {
+        it("through a list of the same epoch that lacks it still", () => {
             replica.applySnapshot({
                 revision: position(2, 52),
                 items: [server("leaving"), server("stays"), server("left")],
@@ -175,7 +175,7 @@
     describe("among others that hear of it in any order", () => {
         /** The store as the property plays it: items by name, with copies to come back from. */
         interface PlayedStore {
-            era: number;
+            epoch: number;
             revision: number;
             version: number;
             readonly copies: { readonly revision: number; readonly version: number; }[];
@@ -201,7 +201,7 @@
         it("no box goes back to an older version, and all end with the last one that is written", () => {
             fc.assert(
                 fc.property(fc.array(step, { maxLength: 60 }), steps => {
-                    const store: PlayedStore = { era: 0, revision: 1, version: 1, copies: [] };
+                    const store: PlayedStore = { epoch: 0, revision: 1, version: 1, copies: [] };
                     const inForce: number[][] = Array.from({ length: boxCount }, () => []);
                     const copies = inForce.map(versions =>
                         createReplica<Configuration>(() => "main", ([item]) => versions.push(item.version), {
@@ -212,7 +212,7 @@
                     );
                     let acknowledged = 1;
                     const list = (): Snapshot<Configuration> => ({
-                        revision: position(store.era, store.revision),
+                        revision: position(store.epoch, store.revision),
                         items: [{ version: store.version } as Configuration],
                     });
                     const play = (next: Step) => {
@@ -226,7 +226,7 @@
                                 return;
                             case "restore":
                                 Object.assign(store, store.copies[next.copy % store.copies.length] ?? {});
-                                store.era += 1;
+                                store.epoch += 1;
                                 return;
                             case "list":
                                 copies[next.box].applySnapshot(list());
--- a/packages/decisions/test/retry.test.ts
+++ b/packages/decisions/test/retry.test.ts
@@ -79,7 +79,7 @@
         judgeAnswer({
             status: 200,
             saysNotRun: false,
-            asksRest: false,
+            asksBackoff: false,
             load: free,
             isCold: false,
             isOverdue: false,
@@ -98,10 +98,10 @@
         expect(judge({ status: 503, saysNotRun: true, load: undefined })).to.include({ isFailure: false });
     });
 
-    it("that asks for rest is no failure, also where the server has free slots or does not say that it has not run the request", () => {
-        const asksRest = { status: 503, asksRest: true };
-        expect(judge({ ...asksRest, saysNotRun: true })).to.deep.equal({ kind: "resting", mayHaveRun: false });
-        expect(judge(asksRest)).to.deep.equal({ kind: "resting", mayHaveRun: true });
+    it("that asks for back-off is no failure, also where the server has free slots or does not say that it has not run the request", () => {
+        const asksBackoff = { status: 503, asksBackoff: true };
+        expect(judge({ ...asksBackoff, saysNotRun: true })).to.deep.equal({ kind: "backedOff", mayHaveRun: false });
+        expect(judge(asksBackoff)).to.deep.equal({ kind: "backedOff", mayHaveRun: true });
     });
 
     it("is a failure from 500 on, but for 504 within the expected time", () => {
--- a/packages/decisions/test/server-choice.test.ts
+++ b/packages/decisions/test/server-choice.test.ts
@@ -314,13 +314,13 @@
         });
     });
 
-    describe("servers that ask for rest [P28]", () => {
+    describe("servers that ask for back-off [P28]", () => {
         const rest = milliseconds(3000);
         const names = ["s-1", "s-2", "s-3"];
 
         function setUp(resting: readonly string[]) {
             const setup = createSetup(names.map(name => createRecord(name)));
-            resting.forEach(name => setup.catalog.get(backendServerId(name))!.state.onRest(at, rest));
+            resting.forEach(name => setup.catalog.get(backendServerId(name))!.state.onBackoff(at, rest));
             return setup;
         }
 
@@ -332,12 +332,12 @@
             expect(chosen(over)).to.be.oneOf(["s-1", "s-2"]);
         });
 
-        it("are known to be resting where no other is left, also by a request that has tried one", () => {
+        it("are known to have asked for back-off where no other is left, also by a request that has tried one", () => {
             const { catalog, chosen } = setUp(names);
-            expect(chosen()).to.equal("allResting");
-            expect(chosen({ tried: new Set(names.map(backendServerId)) })).to.equal("allResting");
+            expect(chosen()).to.equal("allBackedOff");
+            expect(chosen({ tried: new Set(names.map(backendServerId)) })).to.equal("allBackedOff");
             catalog.get(backendServerId("s-1"))!.state.onFailure(at, "unreachable");
-            expect(chosen()).to.equal("allResting");
+            expect(chosen()).to.equal("allBackedOff");
         });
     });
 
--- a/packages/decisions/test/server-life.test.ts
+++ b/packages/decisions/test/server-life.test.ts
@@ -83,19 +83,19 @@
             expect(state().healthCheckDueAt()).to.equal(undefined);
         });
 
-        it("keeps a rest that was asked for just now: its answers come before its record", () => {
+        it("keeps a back-off that was asked for just now: its answers come before its record", () => {
             apply(born(firstBirth));
-            state().onRest(now, milliseconds(3000));
+            state().onBackoff(now, milliseconds(3000));
             now = milliseconds(2500);
             apply(born(firstBirth + 1000));
-            expect(exclusion()).to.equal("resting");
+            expect(exclusion()).to.equal("backedOff");
             now = milliseconds(4000);
             expect(exclusion()).to.equal(undefined);
         });
 
-        it("has nothing of a rest that was asked for long before", () => {
+        it("has nothing of a back-off that was asked for long before", () => {
             apply(born(firstBirth));
-            state().onRest(now, milliseconds(60_000));
+            state().onBackoff(now, milliseconds(60_000));
             now = milliseconds(10_000);
             apply(born(firstBirth + 9000));
             expect(exclusion()).to.equal(undefined);
--- a/packages/decisions/test/server-state.test.ts
+++ b/packages/decisions/test/server-state.test.ts
@@ -96,22 +96,22 @@
         });
     });
 
-    describe("a server that asks for rest", () => {
+    describe("a server that asks for back-off", () => {
         it("gets nothing until it is over, and no health check", () => {
             const state = create();
             state.onFailure(at(0), "unreachable");
-            state.onRest(at(100), milliseconds(3000));
-            expect(state.exclusion(at(3099))).to.equal("resting");
+            state.onBackoff(at(100), milliseconds(3000));
+            expect(state.exclusion(at(3099))).to.equal("backedOff");
             expect(state.healthCheckDueAt()).to.equal(3100);
             expect(state.exclusion(at(3100))).to.equal("ejected");
         });
 
-        it("has the longer of two rests, and a bounded one by a figure beyond all reason", () => {
+        it("has the longer of two back-offs, and a bounded one by a figure beyond all reason", () => {
             const state = create();
-            state.onRest(at(0), milliseconds(3000));
-            state.onRest(at(100), milliseconds(1000));
-            expect(state.restUntil()).to.equal(3000);
-            state.onRest(at(200), milliseconds(1e12));
+            state.onBackoff(at(0), milliseconds(3000));
+            state.onBackoff(at(100), milliseconds(1000));
+            expect(state.backoffUntil()).to.equal(3000);
+            state.onBackoff(at(200), milliseconds(1e12));
             expect(state.exclusion(at(400_000))).to.equal(undefined);
         });
     });
--- a/packages/decisions/test/store-position.test.ts
+++ b/packages/decisions/test/store-position.test.ts
@@ -1,23 +1,23 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { describePosition, eraOf, revisionWithin, storePosition } from "../src/index.js";
+import { describePosition, epochOf, revisionWithin, storePosition } from "../src/index.js";
 
 describe("a position in the store's history", () => {
-    const eras = fc.integer({ min: 0, max: 2 ** 13 - 1 });
+    const epochs = fc.integer({ min: 0, max: 2 ** 13 - 1 });
     const revisions = fc.integer({ min: 0, max: 2 ** 40 - 1 });
 
-    it("goes by the era first and by the revision within it", () => {
-        fc.assert(fc.property(eras, revisions, eras, revisions, (era, revision, otherEra, otherRevision) => {
-            const position = storePosition(era, revision)!;
-            const other = storePosition(otherEra, otherRevision)!;
+    it("goes by the epoch first and by the revision within it", () => {
+        fc.assert(fc.property(epochs, revisions, epochs, revisions, (epoch, revision, otherEpoch, otherRevision) => {
+            const position = storePosition(epoch, revision)!;
+            const other = storePosition(otherEpoch, otherRevision)!;
             expect(Number.isSafeInteger(position)).to.equal(true);
-            expect([eraOf(position), revisionWithin(position)]).to.deep.equal([era, revision]);
-            const isBefore = era < otherEra || era === otherEra && revision < otherRevision;
+            expect([epochOf(position), revisionWithin(position)]).to.deep.equal([epoch, revision]);
+            const isBefore = epoch < otherEpoch || epoch === otherEpoch && revision < otherRevision;
             expect(position < other).to.equal(isBefore);
         }));
     });
 
-    it("is the revision itself for a store that tells no era", () => {
+    it("is the revision itself for a store that tells no epoch", () => {
         expect(storePosition(0, 53)).to.equal(53);
         expect(describePosition(53)).to.equal("53");
         expect(describePosition(storePosition(7, 53)!)).to.equal("7/53");
@@ -25,9 +25,9 @@
 
     it("is none beyond its range", () => {
         for (
-            const [era, revision] of [[-1, 5], [2 ** 13, 5], [0, -1], [0, 2 ** 40], [NaN, 5], [0, Infinity]] as const
+            const [epoch, revision] of [[-1, 5], [2 ** 13, 5], [0, -1], [0, 2 ** 40], [NaN, 5], [0, Infinity]] as const
         ) {
-            expect(storePosition(era, revision)).to.equal(undefined);
+            expect(storePosition(epoch, revision)).to.equal(undefined);
         }
     });
 });
--- a/packages/testing/src/promises/promise-texts.ts
+++ b/packages/testing/src/promises/promise-texts.ts
@@ -34,5 +34,5 @@
     P25: "a version that turns out bad gets nothing more within its bound, and a good one gets everything",
     P26: "a request that ends the servers that run it is kept from the others",
     P27: "a server that names a limit gets no more than that from all boxes together",
-    P28: "a server that asks a box for rest gets nothing from it until then",
+    P28: "a server that asks a box for back-off gets nothing from it until then",
 };
--- a/packages/testing/src/soak/foreign-entries.ts
+++ b/packages/testing/src/soak/foreign-entries.ts
@@ -16,7 +16,7 @@
 
 /** Ways in which a sound record of a server is broken. */
 const breakings: readonly ((sound: Fields) => unknown)[] = [
-    sound => ({ ...sound, state: "resting" }),
+    sound => ({ ...sound, state: "backedOff" }),
     sound => ({ ...sound, slots: "4" }),
     sound => ({ ...sound, slots: 0 }),
     sound => ({ ...sound, service: undefined }),
--- a/packages/testing/test/box-lives.test.ts
+++ b/packages/testing/test/box-lives.test.ts
@@ -90,7 +90,10 @@
         const draining = serverObject(first.address(), { state: "draining" }) as object;
         const withoutSlots = Object.fromEntries(Object.entries(draining).filter(([field]) => field !== "slots"));
         deployment.store.put("servers", first.id, withoutSlots);
-        deployment.store.put("servers", "i-odd", { ...serverObject(first.address(), {}) as object, state: "resting" });
+        deployment.store.put("servers", "i-odd", {
+            ...serverObject(first.address(), {}) as object,
+            state: "backedOff",
+        });
         deployment.store.put("servers", "i-bytes", "\u0000\ufffd");
         await logged("removed=i-1");
         const runsBefore = first.runs.length;
--- a/packages/testing/test/metadata-store.test.ts
+++ b/packages/testing/test/metadata-store.test.ts
@@ -61,7 +61,7 @@
         expect(answers[2].status).to.equal(410);
     });
 
-    it("comes back from a copy, in a later era, and gives its revisions out again", () => {
+    it("comes back from a copy, in a later epoch, and gives its revisions out again", () => {
         store.put("things", "a", 1);
         const copy = store.copy();
         store.put("things", "b", 1);
--- a/packages/testing/test/store-eras.test.ts
+++ b/packages/testing/test/store-epochs.test.ts
@@ -3,7 +3,7 @@
  */
 
 import { createTrafficMeter, type StateStore, StoreError } from "@chalkdale/box";
-import { describePosition, eraOf, type SharedKind, storePosition } from "@chalkdale/decisions";
+import { describePosition, epochOf, type SharedKind, storePosition } from "@chalkdale/decisions";
 import { availabilityZoneId, milliseconds, regionId, serviceId } from "@chalkdale/kernel";
 import { createLog } from "@chalkdale/runtime";
 import { createObjectReader, createStoreClient } from "@chalkdale/users-platform";
@@ -40,7 +40,7 @@
     }
 }
 
-describe("the eras of the platform's store", () => {
+describe("the epochs of the platform's store", () => {
     describe("that tells them", () => {
         let store: MetadataStore;
         let server: MetadataStoreServer;
@@ -121,15 +121,15 @@
     });
 
     describe("whose answers tell none, or something else", () => {
-        let era: string | undefined;
+        let epoch: string | undefined;
         let server: Server;
         let client: StateStore;
 
         beforeEach(async () => {
-            era = undefined;
+            epoch = undefined;
             server = createServer((_request, response) => {
-                if (era !== undefined) {
-                    response.setHeader("Store-Era", era);
+                if (epoch !== undefined) {
+                    response.setHeader("Store-Era", epoch);
                 }
                 response.end(JSON.stringify({ items: [], more: false, at: 5 }));
             });
@@ -142,27 +142,27 @@
             server.closeAllConnections();
         });
 
-        const listedEra = async () => eraOf((await client.list("closedZones", "newest", signal)).revision);
+        const listedEpoch = async () => epochOf((await client.list("closedZones", "newest", signal)).revision);
 
-        it("are of era 0, or of the newest that it told", async () => {
-            expect(await listedEra()).to.equal(0);
-            era = "3";
-            expect(await listedEra()).to.equal(3);
-            era = undefined;
-            expect(await listedEra()).to.equal(3);
+        it("are of epoch 0, or of the newest that it told", async () => {
+            expect(await listedEpoch()).to.equal(0);
+            epoch = "3";
+            expect(await listedEpoch()).to.equal(3);
+            epoch = undefined;
+            expect(await listedEpoch()).to.equal(3);
         });
 
         it("are not taken if they were given in an earlier one, or make no sense", async () => {
-            era = "3";
-            await listedEra();
-            era = "2";
-            expect(await failureOf(listedEra())).to.equal("refused");
+            epoch = "3";
+            await listedEpoch();
+            epoch = "2";
+            expect(await failureOf(listedEpoch())).to.equal("refused");
             for (const text of ["", "-1", "1.5", "soon", "1e3", "3, 3", "9".repeat(30)]) {
-                era = text;
-                expect(await failureOf(listedEra()), text).to.equal("unreadable");
+                epoch = text;
+                expect(await failureOf(listedEpoch()), text).to.equal("unreadable");
             }
-            era = "8192";
-            expect(await failureOf(listedEra())).to.equal("unreadable");
+            epoch = "8192";
+            expect(await failureOf(listedEpoch())).to.equal("unreadable");
         });
     });
 });
