--- a/packages/box/src/join.ts
+++ b/packages/box/src/join.ts
@@ -24,7 +24,7 @@
     readonly membership: Membership;
     readonly relayRole: RelayRole;
     readonly store: StateStore;
-    /** Era of the store as far as the copies tell; undefined before the first. */
+    /** Epoch of the store as far as the copies tell; undefined before the first. */
     readonly storeEpoch: () => number | undefined;
     /** Gives numbers from 0 to 1. */
     readonly random: () => number;
