Retries are counted by service, in a log line each second and in metrics

Cause: hypotheses 1 and 2 of the incident look alike in the logs, and 3 can't be seen at all: no line tells how many boxes a box counts, nor its requests and retries of the window.

Change: `retries.counted` with the boxes counted, the requests and retries of the last window and the retries granted and denied since the start, once a second while retries are asked for; the same as metrics.

No decision has changed.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -36,6 +36,7 @@
 import { createPoisonRequestGuard } from "./poison-requests/poison-request-guard.js";
 import { createCustomerQuotas } from "./quotas/customer-quotas.js";
 import { createDataPlane, type DataPlane } from "./requests/data-plane.js";
+import { createRetryReport } from "./retry-report.js";
 import { createRollouts, type Rollouts } from "./rollouts/rollouts.js";
 import { noTrials } from "./rollouts/trials.js";
 import { createHealthChecker } from "./servers/health-checker.js";
@@ -284,6 +285,7 @@
         signal,
     });
 
+    const reportRetries = createRetryReport(log);
     const detectStall = createStallDetector(suspendAwareClock, log, maintenanceInterval);
     const runDueHealthChecks = createHealthChecker({
         clock,
@@ -312,6 +314,7 @@
         decideRollouts: rollouts?.step,
         measure() {
             loadMeter.measure();
+            reportRetries(limits.retryBudgets());
             log.report();
         },
         reportTraffic,
--- a/packages/box/src/metrics-text.ts
+++ b/packages/box/src/metrics-text.ts
@@ -1,7 +1,7 @@
 /**
  * All metrics of a box as the text that its metrics address serves: counters and
  * latencies, gauges that are read at each request for metrics, and the lines of
- * quotas, roll-outs and messages.
+ * quotas, retries, roll-outs and messages.
  *
  * Owns nothing.
  */
@@ -15,6 +15,7 @@
 import type { CustomerQuotas } from "./quotas/customer-quotas.js";
 import { quotaMetricLines } from "./quotas/quota-metrics.js";
 import type { DataPlane } from "./requests/data-plane.js";
+import { retryMetricLines } from "./retry-report.js";
 import { rolloutMetricLines } from "./rollouts/rollout-metrics.js";
 import type { Rollouts } from "./rollouts/rollouts.js";
 import type { LimitedServers } from "./servers/limited-servers.js";
@@ -52,6 +53,7 @@
             metrics.text(readGauges()).trimEnd(),
             ...quotaMetricLines(quotas.counts()),
             ...rolloutMetricLines(rollouts?.summaries() ?? [], state.configuration()?.routes ?? []),
+            ...retryMetricLines(limits.retryBudgets()),
             ...traffic.metricLines(),
             "",
         ].join("\n");
--- a/packages/box/src/periodic-tasks.ts
+++ b/packages/box/src/periodic-tasks.ts
@@ -15,7 +15,7 @@
     readonly gossip: () => void;
     /** Decides on roll-outs; undefined if the box has none. */
     readonly decideRollouts: (() => void) | undefined;
-    /** Measures the load, and logs the counts of suppressed lines. */
+    /** Measures the load, and logs the retries and the counts of suppressed lines. */
     readonly measure: () => void;
     /** Logs the counts of all messages. */
     readonly reportTraffic: () => void;
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -34,7 +34,7 @@
 
 export interface AttemptLoopOptions extends Omit<SingleAttemptOptions, "isVerified"> {
     readonly choose: (request: ChoiceRequest) => Choice;
-    readonly retryBudgetOf: (service: ServiceId) => RetryBudget;
+    readonly retryBudgetOf: (service: ServiceId) => Pick<RetryBudget, "onRequest" | "tryConsume">;
     /** Requests at the service's servers for each of their slots; see `ServiceLoad`. */
     readonly loadPerSlot: (service: ServiceId) => number;
     readonly poisonRequestGuard: Pick<PoisonRequestGuard, "track">;
--- a/packages/decisions/src/limits/shared-limits.ts
+++ b/packages/decisions/src/limits/shared-limits.ts
@@ -13,7 +13,12 @@
 import { advertisedBoxes, eligibleSenders } from "../locality/advertised-boxes.js";
 import type { MemberRecord } from "../membership/member-record.js";
 import type { Membership } from "../membership/membership.js";
-import { createRetryBudget, type RetryBudget, type RetryBudgetOptions } from "../retry/retry-budget.js";
+import {
+    createRetryBudget,
+    type RetryBudget,
+    type RetryBudgetOptions,
+    type RetryBudgetSummary,
+} from "../retry/retry-budget.js";
 import { createTimedCache } from "./timed-cache.js";
 
 /** The limits to share, and what the shares depend on. */
@@ -42,6 +47,8 @@
      */
     readonly eligibleSenders: (region: RegionId) => readonly BoxId[];
     readonly retryBudgetOf: (service: ServiceId) => RetryBudget;
+    /** State of the retry budgets of all services that this box has had requests for. */
+    readonly retryBudgets: () => ReadonlyMap<ServiceId, RetryBudgetSummary>;
     /** Connections to one server that this box may open. */
     readonly maxConnectionsPerServer: (service: ServiceId) => number;
 }
@@ -80,6 +87,7 @@
         isAdvertised,
         eligibleSenders: sendersOf,
         retryBudgetOf,
+        retryBudgets: () => new Map([...budgets].map(([service, budget]) => [service, budget.summary(clock())])),
         maxConnectionsPerServer(service) {
             const accepted = options.serverConnectionLimit(service) ?? defaultConnectionLimit;
             return Math.max(minConnections, Math.floor(accepted * usedConnectionsFraction / sharingBoxCount()));
--- a/packages/decisions/src/retry/retry-budget.ts
+++ b/packages/decisions/src/retry/retry-budget.ts
@@ -37,6 +37,20 @@
      * `combinedPriority`).
      */
     readonly tryConsume: (at: Milliseconds, priority: number) => boolean;
+    readonly summary: (at: Milliseconds) => RetryBudgetSummary;
+}
+
+/** What a retry budget counted, and what its decisions depend on. */
+export interface RetryBudgetSummary {
+    /** Boxes that share the allowance, as this box counts them. */
+    readonly boxCount: number;
+    /** Requests of this box in the last window. */
+    readonly requests: number;
+    /** Retries granted in the last window. */
+    readonly retries: number;
+    /** Retries granted and denied since the box started. */
+    readonly granted: number;
+    readonly denied: number;
 }
 
 /**
@@ -53,6 +67,8 @@
     const retries = createSlidingWindowCounter(options.window);
     /** Retries asked for, granted or not, by priority. */
     const demandByPriority = new Map<number, SlidingWindowCounter>();
+    let granted = 0;
+    let denied = 0;
 
     return {
         onRequest: at => requests.add(at),
@@ -62,11 +78,20 @@
             const allowanceShare = options.allowance * usedAllowanceFraction / Math.max(1, options.boxCount());
             const used = Math.max(retries.total(at), demandOfMoreUrgent(at, priority));
             if (used + 1 > requestShare + allowanceShare) {
+                denied += 1;
                 return false;
             }
+            granted += 1;
             retries.add(at);
             return true;
         },
+        summary: at => ({
+            boxCount: options.boxCount(),
+            requests: requests.total(at),
+            retries: retries.total(at),
+            granted,
+            denied,
+        }),
     };
 
     function demandOf(priority: number): SlidingWindowCounter {
