--- a/packages/testing/src/standins/partition.ts
+++ b/packages/testing/src/standins/partition.ts
@@ -1,14 +1,16 @@
 /**
  * Partitions boxes from servers: their open connections go silent, are reset or stay
  * usable, and new ones hang or are refused. Other boxes, callers and the store are
- * not affected.
+ * not affected. Partitions boxes from each other as well: no datagram and no new
+ * connection passes between them.
  *
  * Relies on a proxy before each server for the open connections, and on the rules for
- * new ones.
+ * new ones and for datagrams.
  */
 
 import type { FaultProxy } from "../soak/fault-proxy.js";
 import { addConnectionCutRule, type ConnectionCutKind } from "./connection-cuts.js";
+import { addDatagramCutRule } from "./datagram-cuts.js";
 
 /**
  * How links are cut: `silent` and `reset` say what happens to open connections; with `newOnly`, they stay usable. New
@@ -55,3 +57,19 @@
         ends.forEach(end => end());
     };
 }
+
+/**
+ * Partitions boxes of this process from each other, each from all others; returns the function that ends it.
+ * `peerAddresses` are the addresses at which boxes reach each other.
+ */
+export function partitionFromEachOther(peerAddresses: readonly string[]): () => void {
+    const addresses = new Set(peerAddresses);
+    const removeDatagramRule = addDatagramCutRule(remoteAddress => addresses.has(remoteAddress));
+    const removeConnectionRule = addConnectionCutRule((_, remoteAddress) =>
+        addresses.has(remoteAddress) ? "hang" : undefined
+    );
+    return () => {
+        removeDatagramRule();
+        removeConnectionRule();
+    };
+}
