The retry allowance is divided among all boxes known to exist, not those seen now

Callers saw: nothing directly; servers got more retries than the budget while boxes were partitioned from each other.

Cause: a box divided the common allowance by the advertised boxes that it saw, and by one where it saw nobody. Twelve boxes apart took twelve allowances.

Change: `fleet-size` counts every box ever heard from or recorded in the store. A box that knows nobody and has read no records has no share. The store's records reach it through the join, which reads them anyway; no message changes.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -330,6 +330,7 @@
         relayRole,
         store,
         storeEpoch: state.storeEpoch,
+        onRecorded: limits.onBoxesRecorded,
         sendGossip: peerLink.sendGossip,
         signal,
     });
--- a/packages/box/src/join.ts
+++ b/packages/box/src/join.ts
@@ -31,6 +31,8 @@
     readonly storeEpoch: () => number | undefined;
     /** Returns a random number from 0 to 1. */
     readonly random: () => number;
+    /** Called with the boxes that the store has records of, each time they were read. */
+    readonly onRecorded: (boxes: readonly BoxId[]) => void;
     /** Sends another box what this box knows about all boxes. */
     readonly sendGossip: (peer: MemberRecord) => void;
     readonly signal: AbortSignal;
@@ -59,7 +61,7 @@
     const { membership, relayRole, signal, store } = options;
     let isRecorded = false;
     await retryUntilDone(options, async () => {
-        const recorded = await store.listBoxes("mayBeOld", signal);
+        const recorded = await listBoxes(options, "mayBeOld");
         isRecorded = recorded.some(record => isSameBox(record, membership.ownRecord()));
         void contactRecorded(options, recorded);
     });
@@ -71,7 +73,16 @@
     while (!signal.aborted && !relayRole.alwaysFollowsStore()) {
         await sleep(roleCheckInterval, signal);
     }
-    await retryUntilDone(options, async () => contactUnknown(options, await store.listBoxes("newest", signal)));
+    await retryUntilDone(options, async () => contactUnknown(options, await listBoxes(options, "newest")));
+}
+
+async function listBoxes(
+    { onRecorded, signal, store }: JoinOptions,
+    freshness: Parameters<StateStore["listBoxes"]>[0],
+): Promise<readonly MemberRecord[]> {
+    const recorded = await store.listBoxes(freshness, signal);
+    onRecorded(recorded.map(({ box }) => box));
+    return recorded;
 }
 
 /** Writes the record of this box again whenever the store was restored, for as long as the store may have lost it. */
--- a/packages/decisions/src/limits/shared-limits.ts
+++ b/packages/decisions/src/limits/shared-limits.ts
@@ -2,9 +2,10 @@
  * One box's share of the limits that apply to all boxes together: retries and connections to servers, and which boxes
  * may send to cold and limited servers.
  *
- * The advertised boxes, those that the directory returns, have equal shares. Any other box has none, since only callers
- * with an outdated answer of the directory reach it. The shares need no coordinator: they add up to the limit as long
- * as the boxes know each other, and a box that is cut off uses the full limit.
+ * The shares need no coordinator. All boxes that are known to exist have equal shares of the retries, so that boxes
+ * which don't see each other don't use the shares of the others; a box that knows nobody has none. The advertised
+ * boxes, those that the directory returns, have equal shares of the connections, and any other box has none, since
+ * only callers with an outdated answer of the directory reach it.
  *
  * Owns the retry budgets; relies on the membership for the running boxes.
  */
@@ -19,6 +20,7 @@
     type RetryBudgetOptions,
     type RetryBudgetSummary,
 } from "../retry/retry-budget.js";
+import { createFleetSize, type FleetSize } from "./fleet-size.js";
 import { createTimedCache } from "./timed-cache.js";
 
 /** The limits to share, and what the shares depend on. */
@@ -46,6 +48,8 @@
      * unchanged.
      */
     readonly eligibleSenders: (region: RegionId) => readonly BoxId[];
+    /** The store's records of boxes were read: shares are divided among these boxes as well. */
+    readonly onBoxesRecorded: FleetSize["onRecorded"];
     readonly retryBudgetOf: (service: ServiceId) => RetryBudget;
     /** State of the retry budgets of all services that this box has had requests for. */
     readonly retryBudgets: () => ReadonlyMap<ServiceId, RetryBudgetSummary>;
@@ -75,7 +79,8 @@
 
 /** Creates the limits of one box. */
 export function createSharedLimits(options: SharedLimitsOptions): SharedLimits {
-    const { clock, membership } = options;
+    const { clock, membership, self } = options;
+    const fleetSize = createFleetSize({ clock, membership, self });
     const budgets = new Map<ServiceId, RetryBudget>();
     const advertised = createTimedCache(clock, advertisedLifetime, findAdvertised);
     let lists: AdvertisedLists | undefined;
@@ -86,11 +91,12 @@
         advertisedIds: () => advertisedLists().ids,
         isAdvertised,
         eligibleSenders: sendersOf,
+        onBoxesRecorded: fleetSize.onRecorded,
         retryBudgetOf,
         retryBudgets: () => new Map([...budgets].map(([service, budget]) => [service, budget.summary(clock())])),
         maxConnectionsPerServer(service) {
             const accepted = options.serverConnectionLimit(service) ?? defaultConnectionLimit;
-            return Math.max(minConnections, Math.floor(accepted * usedConnectionsFraction / sharingBoxCount()));
+            return Math.max(minConnections, Math.floor(accepted * usedConnectionsFraction / connectingBoxCount()));
         },
     };
 
@@ -126,15 +132,15 @@
         return advertised().some(record => record.box === box);
     }
 
-    /** Returns the number of boxes with an equal share; infinite if this box has none. */
-    function sharingBoxCount(): number {
-        return isAdvertised(options.self) ? advertised().length : Infinity;
+    /** Returns the number of boxes with an equal share of the connections; infinite if this box has none. */
+    function connectingBoxCount(): number {
+        return isAdvertised(self) ? advertised().length : Infinity;
     }
 
     function retryBudgetOf(service: ServiceId): RetryBudget {
         let budget = budgets.get(service);
         if (budget === undefined) {
-            budget = createRetryBudget({ ...options.retries, boxCount: sharingBoxCount });
+            budget = createRetryBudget({ ...options.retries, boxCount: () => fleetSize.count() ?? Infinity });
             budgets.set(service, budget);
         }
         return budget;
--- a/packages/decisions/src/membership/membership.ts
+++ b/packages/decisions/src/membership/membership.ts
@@ -70,6 +70,8 @@
      * excluded.
      */
     readonly recentMembers: (at: Milliseconds) => readonly MemberRecord[];
+    /** Status of all other members that any box ever heard from, failed ones included. */
+    readonly known: (at: Milliseconds) => readonly MemberStatus[];
     /** Status of all members that have not failed, except this box. */
     readonly statuses: (at: Milliseconds) => readonly MemberStatus[];
     /** Returns the statuses for the next message: updates that were sent least often, and a few members in turn. */
@@ -152,6 +154,7 @@
             return suspects.map(entry => entry.record);
         },
         recentMembers: at => recordsOf(entry => at - entry.heardAt < gossipToFailedTime),
+        known: at => [...others.values()].map(entry => statusOf(entry, at)),
         statuses: at => [...others.values()].filter(entry => isAlive(entry, at)).map(entry => statusOf(entry, at)),
         nextUpdates: (count, at) =>
             updates.nextUpdates(count, box => at - (others.get(box)?.heardAt ?? -Infinity) < gossipToFailedTime)
--- a/packages/decisions/test/emulated-retries.ts
+++ b/packages/decisions/test/emulated-retries.ts
@@ -139,6 +139,7 @@
             serverConnectionLimit: () => undefined,
             onAdvertisedChanged: () => undefined,
         });
+        limits.onBoxesRecorded(records.map(({ box }) => box));
         return { limits, startedAt };
     }
 
@@ -146,7 +147,9 @@
     function membershipOf(index: number, startedAt: number): Membership {
         const own = records[index];
         const alive = () => [own, ...records.filter((_, other) => other !== index && isSeen(other, startedAt))];
-        return { alive, inService: alive, ownRecord: () => own } as Partial<Membership> as Membership;
+        const known: Membership["known"] = () =>
+            alive().slice(1).map(record => ({ record, heardAgo: 0, suspectedFor: undefined }));
+        return { alive, inService: alive, known, ownRecord: () => own } as Partial<Membership> as Membership;
     }
 
     function isSeen(other: number, startedAt: number): boolean {
