Connections to a server are divided among all boxes known to exist while not all of them are seen

A server could get more connections than it accepts once boxes had lost each other: twelve times the share of all.

Cause: the same as for retries, a part of a common bound computed from who is seen now.

Change: a box that doesn't see all boxes that are known to exist divides by their number. The soak learns the fault set `retries`: servers that fail most requests and boxes that are partitioned from each other, beside kills and the other faults; every run checks the retries of all boxes against the budget.

--- a/packages/decisions/src/limits/shared-limits.ts
+++ b/packages/decisions/src/limits/shared-limits.ts
@@ -4,8 +4,8 @@
  *
  * The shares need no coordinator. All boxes that are known to exist have equal shares of the retries, so that boxes
  * which don't see each other don't use the shares of the others; a box that knows nobody has none. The advertised
- * boxes, those that the directory returns, have equal shares of the connections, and any other box has none, since
- * only callers with an outdated answer of the directory reach it.
+ * boxes, those that the directory returns, have equal shares of the connections while each sees all others, and any
+ * other box has none, since only callers with an outdated answer of the directory reach it.
  *
  * Owns the retry budgets; relies on the membership for the running boxes.
  */
@@ -143,7 +143,12 @@
 
     /** Returns the number of boxes with an equal share of the connections; infinite if this box has none. */
     function connectingBoxCount(): number {
-        return isAdvertised(self) ? advertised().length : Infinity;
+        const known = fleetSize.count() ?? Infinity;
+        if (!isAdvertised(self)) {
+            return Infinity;
+        }
+        // Boxes that this one doesn't see may be running, and advertised elsewhere.
+        return membership.alive(clock()).length < known ? known : advertised().length;
     }
 
     function retryBudgetOf(service: ServiceId): RetryBudget {
--- a/packages/testing/src/soak/box-process.ts
+++ b/packages/testing/src/soak/box-process.ts
@@ -10,7 +10,8 @@
 import type { ConnectionCutKind } from "../standins/connection-cuts.js";
 import { workspaceRoot } from "../workspace-root.js";
 import { exposedAllowance, exposedShare } from "./checks.js";
-import { type ConnectionCut, cutFileVariable } from "./connection-cut-file.js";
+import { boxCutFileVariable, type ConnectionCut, cutFileVariable } from "./connection-cut-file.js";
+import { retryAllowance, retryRatio, retryWindow } from "./retry-checks.js";
 
 /** Where a box listens, which locality and peers it has, and where its files go. */
 export interface BoxProcessOptions {
@@ -45,6 +46,8 @@
     readonly signal: (signal: NodeJS.Signals) => void;
     /** Makes new connections to servers hang or be refused, also after a restart; undefined ends it. */
     readonly cutNewConnections: (kind: ConnectionCutKind | undefined) => void;
+    /** Discards the box's datagrams to other boxes and lets its connections to them hang, also after a restart. */
+    readonly cutFromBoxes: (isCut: boolean) => void;
     readonly isRunning: () => boolean;
     /** Resolves once the process has ended: with its exit code, or undefined if a signal ended it. */
     readonly waitForExit: () => Promise<number | undefined>;
@@ -63,6 +66,7 @@
     );
     const file = join(options.folder, `${options.name}.conf`);
     const cutFile = join(options.folder, `${options.name}.cut`);
+    const boxCutFile = join(options.folder, `${options.name}.box-cut`);
     writeFileSync(file, settingsOf(options, { callers, readiness, directory, peers }));
     const log: WriteStream = createWriteStream(join(options.folder, `${options.name}.log`), { flags: "a" });
     let child: ChildProcess | undefined;
@@ -80,6 +84,7 @@
                     CHALKDALE_SETTINGS: file,
                     NODE_OPTIONS: `--import=${cutModule}`,
                     [cutFileVariable]: cutFile,
+                    [boxCutFileVariable]: boxCutFile,
                 },
                 stdio: ["ignore", "pipe", "pipe"],
             });
@@ -102,6 +107,14 @@
             writeFileSync(`${cutFile}.new`, JSON.stringify(cut));
             renameSync(`${cutFile}.new`, cutFile);
         },
+        cutFromBoxes(isCut) {
+            if (!isCut) {
+                rmSync(boxCutFile, { force: true });
+                return;
+            }
+            writeFileSync(`${boxCutFile}.new`, options.host.slice(0, options.host.lastIndexOf(".") + 1));
+            renameSync(`${boxCutFile}.new`, boxCutFile);
+        },
         isRunning: () => child !== undefined && child.exitCode === null && child.signalCode === null,
         waitForExit() {
             const process = child;
@@ -124,7 +137,7 @@
         `listen.directory=${listen.directory}`,
         `listen.control=${listen.peers}`,
         `seeds=${options.seeds.join(",")}`,
-        `bounds=budget_ratio=0.2,budget_window=10s,budget_slack=58,grace=${grace},ttl_max=5s,${exposureBounds}`,
+        `bounds=budget_ratio=${retryRatio},budget_window=${retryWindow}ms,budget_slack=${retryAllowance},grace=${grace},ttl_max=5s,${exposureBounds}`,
         `platform.address=${options.store}`,
     ].join("\n");
 }
--- a/packages/testing/src/soak/checks.ts
+++ b/packages/testing/src/soak/checks.ts
@@ -10,6 +10,7 @@
 import { partitionBreaches } from "./partition-checks.js";
 import { pipeliningBreaches } from "./pipelining-checks.js";
 import { recoveryBreaches } from "./recovery-checks.js";
+import { retryBreaches } from "./retry-checks.js";
 
 /** Fraction of the requests that must be served once all faults are over. */
 const minServedAfterRecovery = 0.9;
@@ -44,6 +45,7 @@
         ...limitBreaches(seen),
         ...noticeBreaches(seen),
         ...partitionBreaches(seen),
+        ...retryBreaches(seen),
     ];
 }
 
--- a/packages/testing/src/soak/fault-tools.ts
+++ b/packages/testing/src/soak/fault-tools.ts
@@ -21,8 +21,9 @@
  * - `notices`: those of `all`, and servers that announce that they are leaving or ask for back-off, and a
  *   store that is restored from older snapshots.
  * - `partitions`: those of `all`, and boxes that are partitioned from all servers.
+ * - `retries`: those of `all`, servers that fail most requests, and boxes that are partitioned from each other.
  */
-export type FaultSet = "first" | "silences" | "all" | "limits" | "notices" | "partitions";
+export type FaultSet = "first" | "silences" | "all" | "limits" | "notices" | "partitions" | "retries";
 
 /** Minimum duration of a temporary fault, in milliseconds. */
 const minDuration = 500;
--- a/packages/testing/src/soak/faults.ts
+++ b/packages/testing/src/soak/faults.ts
@@ -22,6 +22,7 @@
 import { injectPartitions } from "./partition-faults.js";
 import { createPlannedChanges, type PlannedChanges } from "./planned-changes.js";
 import { injectStoreRestores } from "./restore-faults.js";
+import { injectRetryFaults } from "./retry-faults.js";
 import { createMisbehaviour, createPartialStoreFailure, createStoreFailure } from "./service-faults.js";
 import type { SoakEnvironment } from "./soak-environment.js";
 import type { SoakRollouts } from "./soak-rollouts.js";
@@ -73,6 +74,7 @@
     const limits = set === "limits" ? injectServerLimits(environment, end) : undefined;
     const notices = set === "notices" ? injectNotices(environment, end) : undefined;
     const partitions = set === "partitions" ? injectPartitions(environment, end) : undefined;
+    const retryFaults = set === "retries" ? injectRetryFaults(environment, end) : undefined;
     const restores = set === "notices" ? injectStoreRestores(environment, end) : undefined;
     while (now() < end) {
         ends.push(pickRandom(faults, random)());
@@ -84,6 +86,7 @@
     const observedNotices = await notices;
     const observedPartitions = await partitions;
     await restores;
+    await retryFaults;
     endAllFaults(environment);
     await rollouts;
     const { drained, zoneClosures } = changes;
--- a/packages/testing/src/soak/main.ts
+++ b/packages/testing/src/soak/main.ts
@@ -13,7 +13,7 @@
   Runs boxes as real processes under faults drawn from seeds, and checks what callers and servers see.
 
   Usage
-    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5] [--first-faults] [--limits] [--notices] [--partitions]
+    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5] [--first-faults] [--limits] [--notices] [--partitions] [--retries]
 
   Exit codes
     0 no breach, 1 a breach or a run that failed, 2 wrong command line
@@ -28,6 +28,7 @@
             limits: { type: "boolean", default: false },
             notices: { type: "boolean", default: false },
             partitions: { type: "boolean", default: false },
+            retries: { type: "boolean", default: false },
             quiet: { type: "boolean", default: false },
         },
     },
@@ -67,6 +68,7 @@
             partitions,
             rollouts,
             served,
+            usedRetryShare,
         } = result;
         const extendedFaultCounts = extendedFaults === undefined
             ? "none"
@@ -80,7 +82,7 @@
                 Object.entries(connectedBoxes).map(pair => pair.join(":")).join(",")
             } limits=${limits.checked}/${limits.named} notices=${
                 Object.entries(notices).map(pair => pair.join(":")).join(",")
-            } partitions=${partitions.compared}/${partitions.injected} rollouts=${
+            } partitions=${partitions.compared}/${partitions.injected} retries=${usedRetryShare.toFixed(2)} rollouts=${
                 outcomes.join(",")
             } breaches=${breaches.length} logs=${logFolder}\n`,
         );
@@ -99,6 +101,9 @@
     if (cli.flags.partitions) {
         return "partitions";
     }
+    if (cli.flags.retries) {
+        return "retries";
+    }
     return cli.flags.limits ? "limits" : "all";
 }
 
--- a/packages/testing/src/soak/observations.ts
+++ b/packages/testing/src/soak/observations.ts
@@ -34,7 +34,8 @@
         | "leaving"
         | "rest"
         | "partition"
-        | "return";
+        | "return"
+        | "retries";
     /** Milliseconds since the start of the run. */
     readonly at: number;
     readonly detail: string;
@@ -78,6 +79,12 @@
     readonly zone: string;
 }
 
+/** A request that arrived at a server; each further attempt of a request arrives with the same id. */
+export interface ObservedRequestArrival {
+    readonly requestId: string;
+    readonly at: number;
+}
+
 /** Times between which something must not get requests, or a configuration was in force. */
 export interface Interval {
     readonly from: number;
@@ -142,6 +149,8 @@
 export interface Observations {
     readonly attempts: readonly ObservedAttempt[];
     readonly runs: readonly ObservedRun[];
+    /** All requests that arrived at servers, in order of time; undefined if that was not recorded. */
+    readonly arrivals?: readonly ObservedRequestArrival[];
     readonly boxTerminations: readonly BoxTermination[];
     readonly unsolicitedBytes: readonly UnsolicitedBytes[];
     /** By server id: when it must not get requests. */
--- a/packages/testing/src/soak/soak-servers.ts
+++ b/packages/testing/src/soak/soak-servers.ts
@@ -11,7 +11,7 @@
 import type { MetadataStore } from "../standins/metadata-store.js";
 import { serverObject } from "../standins/platform-objects.js";
 import { type FaultProxy, startFaultProxy } from "./fault-proxy.js";
-import type { ObservedRun } from "./observations.js";
+import type { ObservedRequestArrival, ObservedRun } from "./observations.js";
 
 /** Milliseconds of work for a request with a key that the server does not know yet. */
 const serverWork = 40;
@@ -43,6 +43,8 @@
     readonly servers: readonly SoakServer[];
     /** Requests that began to run at any of the servers. */
     readonly runs: readonly ObservedRun[];
+    /** Requests that arrived at any of the servers, whether they ran or not. */
+    readonly arrivals: readonly ObservedRequestArrival[];
     /** Starts and lists a server; its version defaults to the one that the service runs. */
     readonly addServer: (service: string, zone: string, version?: string) => Promise<SoakServer>;
     /**
@@ -70,11 +72,13 @@
     const servers: SoakServer[] = [];
     const unlistedServers: ServerStandIn[] = [];
     const runs: ObservedRun[] = [];
+    const arrivals: ObservedRequestArrival[] = [];
     const versions = new Map<string, string>();
 
     return {
         servers,
         runs,
+        arrivals,
         addServer,
         restartServer,
         startUnlistedServer,
@@ -91,7 +95,7 @@
         zone: string,
         serverVersion = versions.get(service) ?? "v1",
     ): Promise<SoakServer> {
-        const backend = await startServerStandIn({ id: `i-${service}-${servers.length}` });
+        const backend = await startServerStandIn({ id: `i-${service}-${servers.length}`, onArrival });
         backend.setWork(serverWork);
         const proxy = await startFaultProxy(backend.address(), { kind: "own" });
         const server: SoakServer = {
@@ -112,6 +116,10 @@
         return server;
     }
 
+    function onArrival(requestId: string): void {
+        arrivals.push({ requestId, at: now() });
+    }
+
     async function restartServer(server: SoakServer, downFor: Milliseconds): Promise<boolean> {
         const { id } = server.backend;
         const port = Number(server.backend.address().split(":")[1]);
@@ -122,7 +130,7 @@
         if (server.isPermanentlyStopped) {
             return false;
         }
-        server.backend = await startServerStandIn({ id, port });
+        server.backend = await startServerStandIn({ id, port, onArrival });
         server.backend.setWork(serverWork);
         server.born = Date.now();
         observeRuns(server);
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -19,6 +19,7 @@
 import { countComparedPartitions } from "./partition-checks.js";
 import { startPipeliningCallers } from "./pipelining-callers.js";
 import { probeRecovery } from "./recovery-probe.js";
+import { usedRetryShare } from "./retry-checks.js";
 import { connectedAfter } from "./soak-bounds.js";
 import { type SoakEnvironment, startSoakEnvironment } from "./soak-environment.js";
 
@@ -53,6 +54,8 @@
     readonly partitions: { readonly compared: number; readonly injected: number; };
     /** Announcements of servers that reached boxes, and how often the store was restored. */
     readonly notices: NoticeCounts & { readonly restores: number; };
+    /** The largest fraction of the retry budget of a window that was used. */
+    readonly usedRetryShare: number;
     /** Directory of the boxes' settings and logs. */
     readonly logFolder: string;
 }
@@ -73,6 +76,7 @@
     limits: 60,
     notices: 80,
     partitions: 60,
+    retries: 60,
 };
 const pipeliningCallerCount = 2;
 /** Fraction of the callers' requests, and of the pipelining callers' rounds, that are abandoned early. */
@@ -123,12 +127,13 @@
     await environment.stopAll();
 
     const attempts = [...callers.attempts, ...pipelining.attempts, ...partitionCallers?.attempts ?? []];
-    const { destinations, logFolder, runs } = environment;
+    const { arrivals, destinations, logFolder, runs } = environment;
     const invalidFrom = environment.customers.keyInvalidFrom;
     const { unsolicitedBytes } = pipelining;
     const seen = {
         attempts,
         runs,
+        arrivals,
         unsolicitedBytes,
         ...injected,
         destinations,
@@ -159,6 +164,7 @@
         limits,
         notices,
         partitions,
+        usedRetryShare: usedRetryShare(seen),
         logFolder,
     };
 }
--- a/packages/testing/src/standins/backend-server.ts
+++ b/packages/testing/src/standins/backend-server.ts
@@ -58,6 +58,8 @@
     readonly host?: string;
     /** Port of a stopped server, to take over its address. */
     readonly port?: number;
+    /** Called with the id of each request that arrives, whether it runs or not. */
+    readonly onArrival?: (requestId: string) => void;
     /** Idle connections are closed after this time; Node announces it in answers, rounded down to seconds. */
     readonly idleMs?: number;
 }
@@ -139,6 +141,7 @@
             return;
         }
         arrivals += 1;
+        options.onArrival?.(String(request.headers["request-id"]));
         if (performance.now() - (lastUsed.get(request.socket) ?? Infinity) > idleBeforeReset) {
             request.socket.resetAndDestroy();
             return;
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -18,6 +18,7 @@
     { seed: 2001, faultDuration: 12_000, faults: "limits" },
     { seed: 3001, faultDuration: 12_000, faults: "notices" },
     { seed: 5001, faultDuration: 12_000, faults: "partitions" },
+    { seed: 6001, faultDuration: 14_000, faults: "retries" },
 ];
 
 describe("the fault soak", () => {
@@ -208,6 +209,19 @@
         expect(isReported(503, 2000, false, 0)).to.equal(false);
     });
 
+    it("report retries beyond the budget of a window", () => {
+        const arrivals = (count: number) =>
+            Array.from({ length: count + 1 }, (_, index) => ({ requestId: "r-1", at: 100 + index * 50 }));
+        expect(found({ arrivals: arrivals(116) })).to.deep.equal([]);
+        expect(found({ arrivals: arrivals(117) })).to.deep.equal(["retries"]);
+        expect(
+            found({
+                arrivals: [...arrivals(100), ...arrivals(100).map(({ at }) => ({ requestId: "r-1", at: at + 20_000 }))],
+            }),
+        )
+            .to.deep.equal([]);
+    });
+
     it("report what does not recover, and a refusal within the quota", () => {
         const recoveryProbe = { zones: ["north-a", "north-b"], boxes: [{ box: "box", status: 200 }] };
         expect(found({ recoveryProbe })).to.deep.equal(["return"]);
