--- a/packages/testing/src/standins/backend-server.ts
+++ b/packages/testing/src/standins/backend-server.ts
@@ -60,6 +60,8 @@
     readonly port?: number;
     /** Called with the id of each request that arrives, whether it runs or not. */
     readonly onArrival?: (requestId: string) => void;
+    /** Called with each request that arrives. */
+    readonly onRequest?: (request: IncomingMessage) => void;
     /** Idle connections are closed after this time; Node announces it in answers, rounded down to seconds. */
     readonly idleMs?: number;
 }
@@ -142,6 +144,7 @@
         }
         arrivals += 1;
         options.onArrival?.(String(request.headers["request-id"]));
+        options.onRequest?.(request);
         if (performance.now() - (lastUsed.get(request.socket) ?? Infinity) > idleBeforeReset) {
             request.socket.resetAndDestroy();
             return;
@@ -154,6 +157,9 @@
             return;
         }
         const behaviour = behaviourOf(request);
+        if (behaviour.kind === "shed" && behaviour.afterMs !== undefined) {
+            await new Promise(resolve => setTimeout(resolve, behaviour.afterMs).unref());
+        }
         if (behaviour.kind === "shed" || queue.isFull()) {
             const extraHeaders = behaviour.kind === "shed" ? shedHeaders(behaviour) : {};
             response.writeHead(503, {
--- a/packages/testing/src/standins/server-answers.ts
+++ b/packages/testing/src/standins/server-answers.ts
@@ -7,8 +7,16 @@
 /** What the server does with a request. */
 export type ServerBehaviour =
     | { readonly kind: "serve"; }
-    /** Refuses the request without running it. `includesLoad` adds the load header; `retryAfter` is a header's text. */
-    | { readonly kind: "shed"; readonly includesLoad?: boolean; readonly retryAfter?: string; }
+    /**
+     * Refuses the request without running it, at once or after a delay in milliseconds. `includesLoad` adds the load
+     * header; `retryAfter` is a header's text.
+     */
+    | {
+        readonly kind: "shed";
+        readonly includesLoad?: boolean;
+        readonly retryAfter?: string;
+        readonly afterMs?: number;
+    }
     /** Runs the request, then answers with an error status. */
     | { readonly kind: "fail"; readonly status: number; }
     /** Runs the request, then ends the connection or stays silent instead of answering. */
