Log lines and metrics tell how long the event loop was held up, and how old requests are when they are sent

Change: `request.callerLeft` has `sentAfter` and `unreadFor`, `eventLoop.delayed` is written each second in which the loop was held up, metrics have the age of requests when they are sent and count callers that left before anything was sent. No change of logic.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -24,6 +24,7 @@
 import { createBoxLog } from "./box-log.js";
 import type { CallerProtocol } from "./callers/caller-protocol.js";
 import { startCallerServer } from "./callers/caller-server.js";
+import { startEventLoopMonitor } from "./event-loop-monitor.js";
 import { createGracefulShutdown } from "./graceful-shutdown.js";
 import { joinMembers } from "./join.js";
 import { createLoadMeter } from "./load-meter.js";
@@ -85,6 +86,7 @@
     const startedAt = clock();
     const uptime = () => milliseconds(clock() - startedAt);
     const loadMeter = createLoadMeter(settings.capacity);
+    const eventLoop = startEventLoopMonitor(clock, log, signal);
     const membership = createMembership(createOwnRecord(settings, options.incarnation));
     const limits = createSharedLimits({
         clock,
@@ -202,6 +204,7 @@
         settings,
         pipelines: {
             clock,
+            unreadFor: eventLoop.unreadFor,
             isIdempotent: requests.handler.isIdempotent,
             isLeaving: () => gracefulShutdown.phase() !== "running",
             serve: requests.handler.serve,
@@ -219,6 +222,7 @@
             membership,
             limits,
             loadMeter,
+            eventLoop,
             quotas,
             poisonRequestGuard,
             ...servers,
@@ -315,6 +319,7 @@
         decideRollouts: rollouts?.step,
         measure() {
             loadMeter.measure();
+            eventLoop.report();
             reportRetries(limits.retryBudgets());
             log.report();
         },
--- a/packages/box/src/callers/caller-exchange.ts
+++ b/packages/box/src/callers/caller-exchange.ts
@@ -25,6 +25,8 @@
     readonly request: IncomingMessage;
     /** When its head was read, by the box's clock. */
     readonly arrivedAt: Milliseconds;
+    /** Upper bound of the time for which the head was unread before. */
+    readonly unreadFor: Milliseconds;
     /** Aborted when the connection closes; the code that serves the request may abort it as well. */
     readonly controller: AbortController;
     /** Sends 100 Continue to a caller that waits for it before it sends its body. */
--- a/packages/box/src/callers/caller-pipeline.ts
+++ b/packages/box/src/callers/caller-pipeline.ts
@@ -10,7 +10,7 @@
  */
 
 import { mayStartNext, shouldPauseReading } from "@chalkdale/decisions";
-import type { Clock } from "@chalkdale/kernel";
+import type { Clock, Milliseconds } from "@chalkdale/kernel";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { pauseReading, resumeReading } from "./backpressure.js";
@@ -21,6 +21,8 @@
 /** What the pipelines need from the box. */
 export interface CallerPipelinesOptions {
     readonly clock: Clock;
+    /** Upper bound of the time for which bytes that are read now were unread. */
+    readonly unreadFor: () => Milliseconds;
     /** Returns true if a request may run more than once. */
     readonly isIdempotent: (request: IncomingMessage) => boolean;
     /** Returns true once callers should use other boxes. */
@@ -112,6 +114,7 @@
             request,
             response,
             arrivedAt: options.clock(),
+            unreadFor: options.unreadFor(),
             controller: new AbortController(),
             isIdempotent: undefined,
             ready: undefined,
--- a/packages/box/src/metrics-text.ts
+++ b/packages/box/src/metrics-text.ts
@@ -9,6 +9,7 @@
 import type { Membership, SharedLimits } from "@chalkdale/decisions";
 import type { Clock } from "@chalkdale/kernel";
 import type { CallerConnections } from "./callers/caller-connections.js";
+import type { EventLoopMonitor } from "./event-loop-monitor.js";
 import type { LoadMeter } from "./load-meter.js";
 import type { BoxMetrics } from "./metrics.js";
 import type { PoisonRequestGuard } from "./poison-requests/poison-request-guard.js";
@@ -32,6 +33,7 @@
     readonly membership: Membership;
     readonly limits: SharedLimits;
     readonly loadMeter: LoadMeter;
+    readonly eventLoop: Pick<EventLoopMonitor, "totalDelay">;
     readonly quotas: CustomerQuotas;
     readonly poisonRequestGuard: Pick<PoisonRequestGuard, "heldCount">;
     readonly limitedServers: Pick<LimitedServers, "limited">;
@@ -72,6 +74,7 @@
             requests_held: options.poisonRequestGuard.heldCount(),
             boxes_alive: membership.alive(clock()).length,
             boxes_carrying: limits.advertised().length,
+            event_loop_delay_milliseconds_total: Math.round(options.eventLoop.totalDelay()),
             own_load_cores: loadMeter.cores(),
             callers_connections: callers.count(),
             callers_in_flight: callers.inFlight(),
--- a/packages/box/src/metrics.ts
+++ b/packages/box/src/metrics.ts
@@ -10,6 +10,8 @@
 export interface BoxMetrics {
     /** Called when a caller's request ended. Latency in milliseconds. */
     readonly onRequestEnded: (route: string, outcome: string, latency: number) => void;
+    /** Called when an attempt is sent. `age`: upper bound of the time since the request arrived, in milliseconds. */
+    readonly onSent: (age: number) => void;
     /** Called when an attempt at a server ended. */
     readonly onAttempt: (outcome: string) => void;
     /** Called when a server answered successfully. Duration at the server in milliseconds. */
@@ -37,6 +39,7 @@
     const attempts = new Map<string, number>();
     const requestLatency = createHistogram();
     const serverLatency = createHistogram();
+    const ageWhenSent = createHistogram();
     let lookups = 0;
     let restarts = 0;
 
@@ -45,6 +48,7 @@
             increment(requests, `route="${route}",outcome="${outcome}"`);
             requestLatency.recordValue(toTenths(latency));
         },
+        onSent: age => ageWhenSent.recordValue(toTenths(age)),
         onAttempt: outcome => increment(attempts, `outcome="${outcome}"`),
         onServed: duration => serverLatency.recordValue(toTenths(duration)),
         onLookup: () => {
@@ -61,6 +65,7 @@
                 `${prefix}_servers_restarted_total ${restarts}`,
                 ...histogramLines("request_milliseconds", requestLatency),
                 ...histogramLines("server_milliseconds", serverLatency),
+                ...histogramLines("sent_age_milliseconds", ageWhenSent),
                 ...gaugeLines(gauges),
                 "",
             ].join("\n");
--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -46,6 +46,10 @@
     readonly keyHash: number;
     readonly requestId: string | undefined;
     readonly startedAt: Milliseconds;
+    /** Upper bound of the time for which the request's head was unread before `startedAt`. */
+    readonly unreadFor: Milliseconds;
+    /** When the latest attempt was sent; undefined before the first. */
+    sentAt: Milliseconds | undefined;
     /** The caller retries a request that failed or was refused before; see `CallerRetryDetector`. */
     readonly isCallerRetry: boolean;
     /** The earlier of the caller's deadline and the route's time limit. */
@@ -91,6 +95,7 @@
     readonly isKeyRequired: boolean;
     readonly service: ServiceId;
     readonly startedAt: Milliseconds;
+    readonly unreadFor: Milliseconds;
     readonly callerRetryDetector: CallerRetryDetector;
     readonly random: () => number;
 }
@@ -118,6 +123,8 @@
             : hashText(String(random())),
         requestId: singleValue(request.headers[headers.requestId]),
         startedAt,
+        unreadFor: inputs.unreadFor,
+        sentAt: undefined,
         isCallerRetry: inputs.callerRetryDetector.isCallerRetry(route.name, callerTimeout, startedAt),
         deadlineAt: startedAt + timeout,
         rawHeaders: headersToServer(request, headers, inputs),
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -120,6 +120,7 @@
             isKeyRequired: state.keys()?.isKeyRequired ?? false,
             service: state.pickDestination(route),
             startedAt: exchange.arrivedAt,
+            unreadFor: exchange.unreadFor,
             callerRetryDetector,
             random: options.random,
         });
--- a/packages/box/src/requests/request-log.ts
+++ b/packages/box/src/requests/request-log.ts
@@ -134,11 +134,14 @@
             });
         },
         callerLeft(active) {
-            metrics.onRequestEnded(active.route.name, "callerLeft", ageOf(active));
+            const outcome = active.sent > 0 ? "callerLeft" : "callerLeftUnsent";
+            metrics.onRequestEnded(active.route.name, outcome, ageOf(active));
             log.info("request.callerLeft", {
                 request: active.requestId,
                 route: active.route.name,
                 sent: active.sent,
+                sentAfter: active.sentAt && Math.round(active.sentAt - active.startedAt),
+                unreadFor: Math.round(active.unreadFor),
                 after: Math.round(ageOf(active)),
             });
         },
--- a/packages/box/src/requests/single-attempt.ts
+++ b/packages/box/src/requests/single-attempt.ts
@@ -79,7 +79,9 @@
             signal,
             onSend: () => {
                 active.sent += 1;
+                active.sentAt = clock();
                 isSent = true;
+                metrics.onSent(active.sentAt - active.startedAt + active.unreadFor);
                 options.workEstimate.onSent(active.service, active.route);
                 observed.onSent();
                 options.recentSends.add(server.id, {
--- a/packages/box/test/caller-connections.test.ts
+++ b/packages/box/test/caller-connections.test.ts
@@ -15,6 +15,7 @@
         server = createServer();
         connections = serveCallers(server, {
             clock: () => milliseconds(0),
+            unreadFor: () => milliseconds(0),
             isIdempotent: () => true,
             isLeaving: () => false,
             serve: exchange =>
--- a/packages/box/test/caller-pipeline.test.ts
+++ b/packages/box/test/caller-pipeline.test.ts
@@ -33,6 +33,7 @@
         server = createServer();
         connections = serveCallers(server, {
             clock: () => milliseconds(0),
+            unreadFor: () => milliseconds(0),
             isIdempotent: request => request.method === "GET",
             isLeaving: () => isLeaving,
             serve: exchange => {
--- /dev/null
+++ b/packages/box/test/event-loop-monitor.test.ts
@@ -0,0 +1,47 @@
+import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
+import { createLog } from "@chalkdale/runtime";
+import { expect } from "chai";
+import { type EventLoopMonitor, startEventLoopMonitor } from "../src/event-loop-monitor.js";
+
+describe("the monitor of the event loop", () => {
+    let lifetime: AbortController;
+    let lines: string[];
+    let monitor: EventLoopMonitor;
+
+    beforeEach(() => {
+        lifetime = new AbortController();
+        lines = [];
+        const clock = () => milliseconds(performance.now());
+        monitor = startEventLoopMonitor(clock, createLog({ write: line => lines.push(line) }), lifetime.signal);
+    });
+
+    afterEach(() => lifetime.abort());
+
+    const sleep = (duration: Milliseconds) => new Promise(resolve => setTimeout(resolve, duration));
+
+    function holdUpLoop(duration: number): void {
+        const end = performance.now() + duration;
+        while (performance.now() < end) {
+            // Nothing else runs meanwhile.
+        }
+    }
+
+    it("bounds how long bytes may have been unread, right after a delay and after its timer", async () => {
+        await sleep(milliseconds(120));
+        holdUpLoop(400);
+        expect(monitor.unreadFor()).to.be.at.least(400);
+        await new Promise(resolve => setTimeout(resolve, 1));
+        expect(monitor.unreadFor()).to.be.at.least(400);
+    });
+
+    it("reports each delay once", async () => {
+        await sleep(milliseconds(120));
+        holdUpLoop(400);
+        await sleep(milliseconds(120));
+        monitor.report();
+        monitor.report();
+        expect(lines.filter(line => /event=eventLoop.delayed count=\d+ longest=\d+ total=\d+/.test(line)))
+            .to.have.length(1);
+        expect(monitor.totalDelay()).to.be.at.least(300);
+    });
+});
--- a/packages/box/test/request-handler.test.ts
+++ b/packages/box/test/request-handler.test.ts
@@ -103,7 +103,12 @@
             trials: noTrials,
             poisonRequestGuard: { track: unused },
         });
-        serveCallers(server, { ...handler, clock, isLeaving: () => phase !== "running" });
+        serveCallers(server, {
+            ...handler,
+            clock,
+            unreadFor: () => milliseconds(0),
+            isLeaving: () => phase !== "running",
+        });
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
     });
--- a/packages/cli/src/burn-rate.ts
+++ b/packages/cli/src/burn-rate.ts
@@ -61,7 +61,13 @@
 const ticketRate = 1;
 
 /** Outcomes that callers cause; they consume no budget. */
-const callerOutcomes: ReadonlySet<string> = new Set(["callerLeft", "noRoute", "bodyTooLarge", "bodyStalled"]);
+const callerOutcomes: ReadonlySet<string> = new Set([
+    "callerLeft",
+    "callerLeftUnsent",
+    "noRoute",
+    "bodyTooLarge",
+    "bodyStalled",
+]);
 /** Lowest HTTP status that counts as a failure. */
 const minFailureStatus = 500;
 
--- a/packages/cli/src/request-trace.ts
+++ b/packages/cli/src/request-trace.ts
@@ -89,7 +89,7 @@
                 reasonOf(line)
             }; configuration ${line.version}`;
         case "request.callerLeft":
-            return `the caller disconnected after ${line.after} ms`;
+            return `the caller disconnected after ${line.after} ms${unreadOf(line)}`;
         case "request.noRoute":
             return `answered 404: no route for ${line.host}${line.path} in configuration ${line.version}`;
         case "server.leaving":
@@ -179,3 +179,12 @@
     const { status } = refusals[end.refusal as RefusalKind];
     return status === statusNotRun || Number(end.sent ?? 0) === 0;
 }
+
+/** Describes a request that was read late, and when it was sent after that; empty for one that was read in time. */
+function unreadOf(line: LogLine): string {
+    if (Number(line.unreadFor ?? 0) === 0) {
+        return "";
+    }
+    const sent = line.sentAfter === undefined ? "nothing was sent" : `sent ${line.sentAfter} ms after it was read`;
+    return `; it had been unread for up to ${line.unreadFor} ms, ${sent}`;
+}
--- a/packages/testing/test/departing-callers.ts
+++ b/packages/testing/test/departing-callers.ts
@@ -25,7 +25,7 @@
 }
 
 /** A request of a caller. */
-export interface CallerRequest {
+interface CallerRequest {
     readonly requestId: string;
     readonly sentAt: number;
     /** When the caller closed its connection without having an answer. */
