Before each send a box reads all that has arrived from the caller

Callers saw: nothing, they had left.

Cause: what a process knows is as old as its last read. One pass of the event loop reads the head, a later one the end of the connection; choice and send follow the head without a pass in between. Besides, requests were aborted by "close", which comes passes after the end was read.

Change: `nextPoll` waits until a poll of all sockets has ended that began after the call and not long ago; `confirmOpen` repeats that until a poll finds nothing to read. It stands before the admission, after a body, before a retry, a hedged attempt and a send on a new connection, before a request goes to another box, and at that box for the box that sent it. The end of a connection aborts its requests; Node closes the other side then, so no answer was possible before either. Reading that pauses behind many pipelined requests resumes for the check, up to 256. A server that ends a new connection before anything is sent counts as not reached.

Callers that stay are served.

--- a/packages/box/src/callers/backpressure.ts
+++ b/packages/box/src/callers/backpressure.ts
@@ -10,7 +10,7 @@
 
 /** Pauses reading from a socket, unless it is paused already. */
 export function pauseReading(socket: Socket): void {
-    if (!isPaused(socket)) {
+    if (!isReadingPaused(socket)) {
         // Node's HTTP server resumes a socket on its own after each request that it has parsed.
         socket.resume = () => socket;
         socket.pause();
@@ -19,12 +19,13 @@
 
 /** Resumes reading from a socket that {@link pauseReading} paused. */
 export function resumeReading(socket: Socket): void {
-    if (isPaused(socket)) {
+    if (isReadingPaused(socket)) {
         Reflect.deleteProperty(socket, "resume");
         socket.resume();
     }
 }
 
-function isPaused(socket: Socket): boolean {
+/** True while reading from a socket is paused by {@link pauseReading}. */
+export function isReadingPaused(socket: Socket): boolean {
     return Object.hasOwn(socket, "resume");
 }
--- a/packages/box/src/callers/caller-connections.ts
+++ b/packages/box/src/callers/caller-connections.ts
@@ -36,6 +36,7 @@
 
     server.on("connection", socket => {
         openPipelines.set(socket, pipelines.open(socket));
+        socket.once("end", () => withPipeline(socket, pipelines.onEnded));
         socket.once("close", () => {
             withPipeline(socket, pipelines.onClosed);
             openPipelines.delete(socket);
--- a/packages/box/src/callers/caller-exchange.ts
+++ b/packages/box/src/callers/caller-exchange.ts
@@ -27,8 +27,13 @@
     readonly arrivedAt: Milliseconds;
     /** Upper bound of the time for which the head was unread before. */
     readonly unreadFor: Milliseconds;
-    /** Aborted when the connection closes; the code that serves the request may abort it as well. */
+    /** Aborted when the caller's end of the connection closes; the code that serves the request may abort it as well. */
     readonly controller: AbortController;
+    /**
+     * Resolves with false if the request was aborted, once everything was read that has arrived from the caller: after
+     * a pause of the process, the close of a connection is read later than the requests before it. Never rejects.
+     */
+    readonly confirmCaller: () => Promise<boolean>;
     /** Sends 100 Continue to a caller that waits for it before it sends its body. */
     readonly sendContinue: () => void;
     /** True if later requests were started. If the answer to this one closed the connection, theirs would be lost. */
@@ -53,6 +58,10 @@
     isFinished: boolean;
     /** Raw bytes to send once all requests that could be parsed are answered. */
     pendingErrorResponse: string | undefined;
+    /** Checks whether the caller is still connected; they resume reading, and it stays so until the last has ended. */
+    checksInProgress: number;
+    /** How often reading was paused because too many requests were unanswered. */
+    pauseCount: number;
 }
 
 /** A request that was read, with the state that only the pipeline uses. */
--- a/packages/box/src/callers/caller-pipeline.ts
+++ b/packages/box/src/callers/caller-pipeline.ts
@@ -5,16 +5,17 @@
  * Owns the order of the answers, the number of requests in progress, and the
  * choice of the answer that closes the connection. Keeps this as plain state per
  * connection, since closures would cost 2 KB for each idle connection. Relies on
- * Node for parsing. Requests are aborted by the socket's "close" event, since Node
- * reports a closed connection only to the first response of that connection.
+ * Node for parsing. Requests are aborted by the socket's "end" and "close" events, since
+ * Node reports a closed connection only to the first response of that connection.
  */
 
-import { mayStartNext, shouldPauseReading } from "@chalkdale/decisions";
+import { mayReadAhead, mayStartNext, shouldPauseReading } from "@chalkdale/decisions";
 import type { Clock, Milliseconds } from "@chalkdale/kernel";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { pauseReading, resumeReading } from "./backpressure.js";
+import { isReadingPaused, pauseReading, resumeReading } from "./backpressure.js";
 import type { CallerExchange, CallerPipeline, QueuedExchange } from "./caller-exchange.js";
+import { confirmOpen } from "./connection-check.js";
 import { closeGracefully } from "./graceful-close.js";
 import { errorAnswer, rawErrorResponse } from "./invalid-requests.js";
 
@@ -44,6 +45,11 @@
     ) => void;
     /** Handles bytes that can't be parsed: the status is sent after all other answers and closes the connection. */
     readonly onInvalidRequest: (pipeline: CallerPipeline, status: number) => void;
+    /**
+     * Aborts all unanswered requests of a connection that its caller has ended. Node ends the other side at once, so no
+     * further answer could be sent.
+     */
+    readonly onEnded: (pipeline: CallerPipeline) => void;
     /** Aborts all unanswered requests of a connection that has closed. */
     readonly onClosed: (pipeline: CallerPipeline) => void;
     /** Closes the connection if no request waits for its answer. */
@@ -65,6 +71,8 @@
                 isClosing: false,
                 isFinished: false,
                 pendingErrorResponse: undefined,
+                checksInProgress: 0,
+                pauseCount: 0,
             };
         },
         onRequest(pipeline, request, response, expectsContinue) {
@@ -75,9 +83,7 @@
             const exchange = createExchange(pipeline, request, response, expectsContinue);
             pipeline.latest = exchange;
             pipeline.exchanges.push(exchange);
-            if (shouldPauseReading(pipeline.exchanges.length)) {
-                pauseReading(pipeline.socket);
-            }
+            pauseIfDue(pipeline);
             advance(pipeline);
         },
         onInvalidRequest(pipeline, status) {
@@ -90,12 +96,16 @@
             }
             advance(pipeline);
         },
+        onEnded(pipeline) {
+            pipeline.isFinished = true;
+            abortAll(pipeline.exchanges);
+        },
         onClosed(pipeline) {
             const { exchanges } = pipeline;
             pipeline.isFinished = true;
             pipeline.exchanges = [];
             pipeline.startedCount = 0;
-            exchanges.forEach(exchange => exchange.controller.abort());
+            abortAll(exchanges);
         },
         closeIfIdle(pipeline) {
             if (pipeline.exchanges.length === 0) {
@@ -119,6 +129,7 @@
             isIdempotent: undefined,
             ready: undefined,
             expectsContinue,
+            confirmCaller: () => confirmCaller(pipeline, exchange.controller.signal),
             sendContinue() {
                 exchange.expectsContinue = false;
                 response.writeContinue();
@@ -136,6 +147,39 @@
         return exchange;
     }
 
+    async function confirmCaller(pipeline: CallerPipeline, signal: AbortSignal): Promise<boolean> {
+        const { socket } = pipeline;
+        pipeline.checksInProgress += 1;
+        const isOpen = await confirmOpen(socket, {
+            clock: options.clock,
+            signal,
+            reading: {
+                isPaused: () => isReadingPaused(socket),
+                pauseCount: () => pipeline.pauseCount,
+                resume() {
+                    const mayResume = mayReadAhead(pipeline.exchanges.length);
+                    if (mayResume) {
+                        resumeReading(socket);
+                    }
+                    return mayResume;
+                },
+            },
+        });
+        pipeline.checksInProgress -= 1;
+        if (pipeline.checksInProgress === 0) {
+            pauseIfDue(pipeline);
+        }
+        return isOpen;
+    }
+
+    /** Pauses reading while too many requests are unanswered. */
+    function pauseIfDue(pipeline: CallerPipeline): void {
+        if (shouldPauseReading(pipeline.exchanges.length) && !isReadingPaused(pipeline.socket)) {
+            pipeline.pauseCount += 1;
+            pauseReading(pipeline.socket);
+        }
+    }
+
     /** Rejects the latest request, whose body can't be read to its end; it has not reached any server. */
     function rejectIncomplete(pipeline: CallerPipeline, exchange: QueuedExchange, status: number): void {
         if (pipeline.exchanges.indexOf(exchange) >= pipeline.startedCount) {
@@ -234,6 +278,10 @@
     return headers.upgrade !== undefined && /\bupgrade\b/i.test(headers.connection ?? "");
 }
 
+function abortAll(exchanges: readonly QueuedExchange[]): void {
+    exchanges.forEach(exchange => exchange.controller.abort());
+}
+
 function closeIfDue(pipeline: CallerPipeline): void {
     if (pipeline.pendingErrorResponse !== undefined) {
         pipeline.socket.write(pipeline.pendingErrorResponse);
--- a/packages/box/src/metrics.ts
+++ b/packages/box/src/metrics.ts
@@ -10,6 +10,8 @@
 export interface BoxMetrics {
     /** Called when a caller's request ended. Latency in milliseconds. */
     readonly onRequestEnded: (route: string, outcome: string, latency: number) => void;
+    /** Called when a request is dropped before its admission because its caller has left. */
+    readonly onCallerLeftUnread: () => void;
     /** Called when an attempt is sent. `age`: upper bound of the time since the request arrived, in milliseconds. */
     readonly onSent: (age: number) => void;
     /** Called when an attempt at a server ended. */
@@ -40,6 +42,7 @@
     const requestLatency = createHistogram();
     const serverLatency = createHistogram();
     const ageWhenSent = createHistogram();
+    let leftUnread = 0;
     let lookups = 0;
     let restarts = 0;
 
@@ -48,6 +51,9 @@
             increment(requests, `route="${route}",outcome="${outcome}"`);
             requestLatency.recordValue(toTenths(latency));
         },
+        onCallerLeftUnread: () => {
+            leftUnread += 1;
+        },
         onSent: age => ageWhenSent.recordValue(toTenths(age)),
         onAttempt: outcome => increment(attempts, `outcome="${outcome}"`),
         onServed: duration => serverLatency.recordValue(toTenths(duration)),
@@ -61,6 +67,7 @@
             return [
                 ...counterLines("requests_total", requests),
                 ...counterLines("attempts_total", attempts),
+                `${prefix}_callers_left_unread_total ${leftUnread}`,
                 `${prefix}_lookups_total ${lookups}`,
                 `${prefix}_servers_restarted_total ${restarts}`,
                 ...histogramLines("request_milliseconds", requestLatency),
--- a/packages/box/src/paths/forwarding-client.ts
+++ b/packages/box/src/paths/forwarding-client.ts
@@ -41,6 +41,8 @@
     /** Time limit from then until the other box has sent the request; undefined for none. */
     readonly sendTimeout: Milliseconds | undefined;
     readonly signal: AbortSignal;
+    /** Awaited before the request is written: the signal is aborted if the caller has left. */
+    readonly confirmCaller: () => Promise<boolean>;
     /** Called when the other box states that it has sent the request. */
     readonly onSent: () => void;
 }
@@ -105,16 +107,7 @@
             const onAbort = () => settle({ kind: "cancelled", mayBeSent: isConnected });
             signal.addEventListener("abort", onAbort, { once: true });
             let timer = setTimeout(() => settle({ kind: "notSent", reason: "noAnswer" }), call.connectTimeout);
-            onConnected(request, () => {
-                isConnected = true;
-                clearTimeout(timer);
-                if (call.sendTimeout !== undefined) {
-                    timer = setTimeout(() => settle({ kind: "lost", reason: "box did not answer" }), call.sendTimeout);
-                }
-                // Written only now: a request whose connection was never opened has certainly not been sent.
-                parts.forEach(part => request.write(part));
-                request.end();
-            });
+            onConnected(request, () => void onOpen());
             request.on("error", error => settle(lostOrNotSent(error.message)));
             request.on("close", () => {
                 if (!hasResponse) {
@@ -123,6 +116,21 @@
             });
             request.on("response", response => void onResponse(response));
 
+            async function onOpen(): Promise<void> {
+                clearTimeout(timer);
+                await call.confirmCaller();
+                if (settled) {
+                    return;
+                }
+                isConnected = true;
+                if (call.sendTimeout !== undefined) {
+                    timer = setTimeout(() => settle({ kind: "lost", reason: "box did not answer" }), call.sendTimeout);
+                }
+                // Written only now: a request whose connection was never opened has certainly not been sent.
+                parts.forEach(part => request.write(part));
+                request.end();
+            }
+
             async function onResponse(response: IncomingMessage): Promise<void> {
                 hasResponse = true;
                 clearTimeout(timer);
--- a/packages/box/src/paths/forwarding-endpoint.ts
+++ b/packages/box/src/paths/forwarding-endpoint.ts
@@ -16,6 +16,7 @@
 import { backendServerId, type BoxId, type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { type Log, splitAddress } from "@chalkdale/runtime";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
+import { confirmOpen } from "../callers/connection-check.js";
 import type { AttemptRequest } from "../requests/attempt-request.js";
 import type { DirectAttempt, DirectEnd } from "../requests/direct-attempt.js";
 import { readBody } from "../requests/request-body.js";
@@ -57,6 +58,14 @@
     readonly inProgress: () => number;
 }
 
+/** The box that sent an attempt, while it waits for the outcome. */
+interface Sender {
+    /** Aborted once its connection has ended, which withdraws the attempt. */
+    readonly signal: AbortSignal;
+    /** Resolves with false if it has withdrawn the attempt, once everything was read that has arrived from it. */
+    readonly confirmSender: () => Promise<boolean>;
+}
+
 type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 
 /** Attempts that a box has in progress for others. */
@@ -115,16 +124,25 @@
         }
         inProgress += 1;
         const controller = new AbortController();
-        response.on("close", () => controller.abort());
+        const { signal } = controller;
+        const abort = () => controller.abort();
+        response.on("close", abort);
+        // Comes before the "close" event, which waits until this side has ended too.
+        request.socket.once("end", abort);
+        const confirmSender = () => confirmOpen(request.socket, { clock, signal });
         const body = await readBody({ request, sendContinue: () => response.writeContinue() }, {
             clock,
             maxBytes: maxMessageBytes,
             memory: options.bodyMemory,
-            signal: controller.signal,
+            signal,
         });
         try {
-            if (body.kind === "whole") {
-                await forwardMessage(from, body.body, response, controller.signal);
+            if (body.kind === "whole" && !await confirmSender()) {
+                log.info("attempt.withdrawn", { from: from.box });
+                response.destroy();
+            }
+            else if (body.kind === "whole") {
+                await forwardMessage(from, body.body, response, { signal, confirmSender });
             }
             else {
                 refuse(request, response, "busy");
@@ -132,6 +150,7 @@
         }
         finally {
             inProgress -= 1;
+            request.socket.removeListener("end", abort);
             if (body.kind === "whole") {
                 body.release();
             }
@@ -142,7 +161,7 @@
         from: MemberRecord,
         message: Buffer,
         response: ServerResponse,
-        signal: AbortSignal,
+        sender: Sender,
     ): Promise<void> {
         const decoded = decodeMessage(message);
         if (decoded === undefined || !isForwardedRequestHead(decoded.head)) {
@@ -161,7 +180,7 @@
             writeRefusal(response, "unreachable");
             return;
         }
-        const request = attemptRequestOf(head, body, server, signal, () => response.writeHead(200).flushHeaders());
+        const request = attemptRequestOf(head, body, server, sender, () => response.writeHead(200).flushHeaders());
         const ended = await options.attemptDirectly(request);
         if (ended.kind === "ended") {
             logEnd(from.box, head, ended.exchanged.kind, startedAt);
@@ -181,7 +200,7 @@
         head: ForwardedRequestHead,
         body: Buffer,
         server: BackendServer,
-        signal: AbortSignal,
+        { confirmSender, signal }: Sender,
         onSend: () => void,
     ): AttemptRequest {
         const deadlineAt = clock() + head.timeLeft;
@@ -199,6 +218,7 @@
             roundTrip: options.roundTrip(server),
             expected: expectedDuration,
             signal,
+            confirmCaller: confirmSender,
             onSend,
             onServed: () => undefined,
         };
--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -48,6 +48,8 @@
     readonly startedAt: Milliseconds;
     /** Upper bound of the time for which the request's head was unread before `startedAt`. */
     readonly unreadFor: Milliseconds;
+    /** Resolves with false if the request was aborted; see `CallerExchange`. */
+    readonly confirmCaller: () => Promise<boolean>;
     /** When the latest attempt was sent; undefined before the first. */
     sentAt: Milliseconds | undefined;
     /** The caller retries a request that failed or was refused before; see `CallerRetryDetector`. */
@@ -96,6 +98,7 @@
     readonly service: ServiceId;
     readonly startedAt: Milliseconds;
     readonly unreadFor: Milliseconds;
+    readonly confirmCaller: () => Promise<boolean>;
     readonly callerRetryDetector: CallerRetryDetector;
     readonly random: () => number;
 }
@@ -124,6 +127,7 @@
         requestId: singleValue(request.headers[headers.requestId]),
         startedAt,
         unreadFor: inputs.unreadFor,
+        confirmCaller: inputs.confirmCaller,
         sentAt: undefined,
         isCallerRetry: inputs.callerRetryDetector.isCallerRetry(route.name, callerTimeout, startedAt),
         deadlineAt: startedAt + timeout,
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -80,10 +80,14 @@
             if (permission === "callerLeft") {
                 return { kind: "callerLeft" };
             }
+            const isFirstAttempt = active.sent + active.notSent === 0;
+            // Before the first attempt the caller was confirmed just now, unless the request had to wait.
+            if ((!isFirstAttempt || tracked.isExcludedFromHedging()) && !await active.confirmCaller()) {
+                return tracked.isStopped() ? giveUpStopped(active) : { kind: "callerLeft" };
+            }
             if (options.isIsolated()) {
                 return giveUp(active, "noPath");
             }
-            const isFirstAttempt = active.sent + active.notSent === 0;
             const choice = (isFirstAttempt ? chooseForTrial(active) : undefined)
                 ?? options.choose(choiceRequest(active, false));
             if (choice.kind !== "chosen") {
@@ -205,6 +209,7 @@
         }
         return attemptHedged(choice, signal, {
             attemptOnce: attempt,
+            confirmCaller: active.confirmCaller,
             chooseSecond: () => {
                 const second = tracked.isExcludedFromHedging() ? undefined : decideHedge(hedgeInputs(active));
                 if (second !== undefined) {
--- a/packages/box/src/requests/attempt-request.ts
+++ b/packages/box/src/requests/attempt-request.ts
@@ -53,6 +53,8 @@
     /** Expected time until the answer of a server at normal speed. */
     readonly expected: Milliseconds;
     readonly signal: AbortSignal;
+    /** Resolves with false if the attempt was aborted, once everything was read that has arrived from the caller. */
+    readonly confirmCaller: () => Promise<boolean>;
     /** Called immediately before the request is sent. */
     readonly onSend: () => void;
     /** Called after a success with the time that the server took, without the round trip. */
--- a/packages/box/src/requests/direct-attempt.ts
+++ b/packages/box/src/requests/direct-attempt.ts
@@ -19,6 +19,7 @@
     milliseconds,
     type ServiceId,
 } from "@chalkdale/kernel";
+import type { Socket } from "node:net";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import type { DirectAttempts } from "../paths/direct-attempts.js";
 import type { PathMonitor } from "../paths/path-monitor.js";
@@ -91,6 +92,10 @@
         const { idleTime, socket } = connected.val;
         if (idleTime === 0) {
             paths.onConnected(request.server);
+            const isOpen = await staysOpen(socket, request);
+            if (!isOpen && !request.signal.aborted) {
+                return { kind: "notConnected", failure: "ended" };
+            }
         }
         if (request.signal.aborted) {
             socket.destroy();
@@ -104,6 +109,21 @@
         return send(request, connected.val);
     };
 
+    /** Resolves with false if a new connection has ended by the time the caller is confirmed; nothing was sent then. */
+    async function staysOpen(socket: Socket, request: AttemptRequest): Promise<boolean> {
+        let isOpen = true;
+        const onEnd = () => {
+            isOpen = false;
+            socket.destroy();
+        };
+        endEvents.forEach(event => socket.on(event, onEnd));
+        await request.confirmCaller();
+        if (isOpen) {
+            endEvents.forEach(event => socket.removeListener(event, onEnd));
+        }
+        return isOpen;
+    }
+
     /**
      * Returns why the server must not get the request after all. Its state may have changed since it was chosen,
      * because a connection takes seconds to open if packets are lost.
@@ -217,4 +237,6 @@
     }
 }
 
+/** Events that end a connection. */
+const endEvents = ["end", "error", "close"];
 const methodsWithoutBody = new Set(["GET", "HEAD", "DELETE", "OPTIONS"]);
--- a/packages/box/src/requests/hedged-attempt.ts
+++ b/packages/box/src/requests/hedged-attempt.ts
@@ -17,6 +17,8 @@
 
 export interface HedgedAttemptOptions {
     readonly attemptOnce: (choice: ChosenServer, signal: AbortSignal) => Promise<AttemptOutcome>;
+    /** Resolves with false if the caller has left, once everything was read that has arrived from it. */
+    readonly confirmCaller: () => Promise<boolean>;
     /** Chooses the second server, once the first attempt is overdue; undefined if the request keeps waiting. */
     readonly chooseSecond: () => ChosenServer | undefined;
     /** True for an outcome that ends the request. */
@@ -45,6 +47,10 @@
     if (endedInTime !== undefined) {
         return endedInTime;
     }
+    const endedMeanwhile = await Promise.race([first.ended, options.confirmCaller().then(() => undefined)]);
+    if (endedMeanwhile !== undefined || signal.aborted) {
+        return endedMeanwhile ?? first.ended;
+    }
     const secondChoice = chooseSecond(first, options);
     if (secondChoice === undefined) {
         return first.ended;
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -85,6 +85,10 @@
 
     async function handle(exchange: CallerExchange): Promise<void> {
         const { request } = exchange;
+        if (!await exchange.confirmCaller()) {
+            requestLog.callerLeftUnread(describe(request), exchange.unreadFor);
+            return;
+        }
         const key = singleValue(request.headers[headers.customerKey]);
         const admission = admit({
             routes: state.routes(),
@@ -121,6 +125,7 @@
             service: state.pickDestination(route),
             startedAt: exchange.arrivedAt,
             unreadFor: exchange.unreadFor,
+            confirmCaller: exchange.confirmCaller,
             callerRetryDetector,
             random: options.random,
         });
@@ -151,6 +156,10 @@
                 return outcomeWithoutBody(body.kind);
             }
             try {
+                // The caller was confirmed before its body was read.
+                if (body.body.length > 0 && !await exchange.confirmCaller()) {
+                    return { kind: "callerLeft" };
+                }
                 return await runAttempts(active, body.body, controller);
             }
             finally {
--- a/packages/box/src/requests/request-log.ts
+++ b/packages/box/src/requests/request-log.ts
@@ -33,6 +33,8 @@
     /** A request was refused at admission or by its customer's quota. */
     readonly notAdmitted: (request: UnadmittedRequest, refusal: RefusalKind) => void;
     readonly callerLeft: (active: ActiveRequest) => void;
+    /** A caller had left before its request was admitted; `unreadFor`: see `CallerExchange`. */
+    readonly callerLeftUnread: (request: UnadmittedRequest, unreadFor: Milliseconds) => void;
 }
 
 /** A request that was refused before it became active. */
@@ -133,6 +135,10 @@
                 ...serversFields(),
             });
         },
+        callerLeftUnread({ requestId }, unreadFor) {
+            metrics.onCallerLeftUnread();
+            log.info("request.callerLeft", { request: requestId, sent: 0, unreadFor: Math.round(unreadFor) });
+        },
         callerLeft(active) {
             const outcome = active.sent > 0 ? "callerLeft" : "callerLeftUnsent";
             metrics.onRequestEnded(active.route.name, outcome, ageOf(active));
--- a/packages/box/src/requests/server-feedback.ts
+++ b/packages/box/src/requests/server-feedback.ts
@@ -74,6 +74,9 @@
                     return { kind: "cancelled" };
                 case "tooMany":
                     return { kind: "notSent", reason: failure };
+                case "ended":
+                    request.server.state.onFailure(clock(), "brokeOff");
+                    return { kind: "notSent", reason: "connection ended before anything was sent" };
                 case "unreachable":
                     request.server.state.onFailure(clock(), "unreachable");
                     connections.closeIdle(request.server.id);
--- a/packages/box/src/requests/single-attempt.ts
+++ b/packages/box/src/requests/single-attempt.ts
@@ -77,6 +77,7 @@
             roundTrip: options.roundTrip(server),
             expected: choice.expectedAtNormalSpeed,
             signal,
+            confirmCaller: async () => await active.confirmCaller() && !signal.aborted,
             onSend: () => {
                 active.sent += 1;
                 active.sentAt = clock();
--- a/packages/box/src/servers/server-connections.ts
+++ b/packages/box/src/servers/server-connections.ts
@@ -19,8 +19,11 @@
 import { connect, type Socket } from "node:net";
 import { createIdleConnections, type ServerConnection } from "./idle-connections.js";
 
-/** Why there is no connection. Nothing was sent in any of these cases. */
-export type ConnectFailure = "unreachable" | "tooMany" | "cancelled";
+/**
+ * Why there is no connection. Nothing was sent in any of these cases. `ended`: the server accepted the connection and
+ * ended it at once.
+ */
+export type ConnectFailure = "unreachable" | "tooMany" | "ended" | "cancelled";
 
 /** A request for a connection. */
 interface ConnectionRequest {
--- a/packages/box/test/forwarding.test.ts
+++ b/packages/box/test/forwarding.test.ts
@@ -63,6 +63,7 @@
             connectTimeout: milliseconds(200),
             sendTimeout: undefined,
             signal: options.signal ?? new AbortController().signal,
+            confirmCaller: () => Promise.resolve(true),
             onSent: () => {
                 sends += 1;
             },
@@ -168,6 +169,7 @@
                 expected: milliseconds(400),
                 roundTrip: milliseconds(1),
                 signal,
+                confirmCaller: () => Promise.resolve(!signal.aborted),
                 onSend: () => {
                     sends += 1;
                 },
--- a/packages/box/test/hedged-attempt.test.ts
+++ b/packages/box/test/hedged-attempt.test.ts
@@ -17,6 +17,7 @@
                 first = signal;
                 return new Promise<AttemptOutcome>(() => undefined);
             },
+            confirmCaller: () => Promise.resolve(true),
             chooseSecond() {
                 throw error;
             },
--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -47,6 +47,7 @@
         roundTrip: milliseconds(2),
         expected: milliseconds(150),
         signal: new AbortController().signal,
+        confirmCaller: () => Promise.resolve(true),
         onSend: () => undefined,
         onServed: () => undefined,
     };
--- a/packages/decisions/src/admit/pipelining.ts
+++ b/packages/decisions/src/admit/pipelining.ts
@@ -32,6 +32,9 @@
  */
 const maxUnanswered = 32;
 
+/** Unanswered requests of one connection from which it is not read even to find its end. */
+const maxReadAhead = 256;
+
 /** True if the next request of a connection may be started; always true if none is in progress. */
 export function mayStartNext(
     { inProgress, isClosing, isIdempotent, bufferedBytes }: PipelineState,
@@ -44,3 +47,8 @@
 export function shouldPauseReading(unanswered: number): boolean {
     return unanswered >= maxUnanswered;
 }
+
+/** True if reading from a connection with that many unanswered requests may resume to find its end behind them. */
+export function mayReadAhead(unanswered: number): boolean {
+    return unanswered < maxReadAhead;
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,5 +7,6 @@
 export * from "./exit-codes.js";
 export * from "./line-output.js";
 export * from "./log.js";
+export * from "./next-poll.js";
 export * from "./rate-limited-log.js";
 export * from "./streams.js";
--- a/packages/testing/src/promises/box-mutations.ts
+++ b/packages/testing/src/promises/box-mutations.ts
@@ -143,6 +143,14 @@
         replace: "",
         testFiles: [integrationTestFile("box-requests"), integrationTestFile("box-pipelining")],
     },
+    {
+        promise: "P12",
+        name: "the poll before a request is sent",
+        file: boxFile("callers/connection-check"),
+        find: "await nextPoll(clock);",
+        replace: "",
+        testFiles: [integrationTestFile("box-departed-callers")],
+    },
     {
         promise: "P13",
         name: "the timer for the route's time limit",
