A server gets the time that is left since a request can have arrived, not since it was read

Callers saw: nothing.

Cause: the deadline of a request counts from when its head was read. A request that lay unread for 1.5 s was handed on with its whole time.

Change: `timeLeftAtServer` takes off the time for which the head may have been unread, down to a quarter of what is left since the reading: the caller is known to be there still, and a server that gets no time can't answer it. The monitor of the event loop bounds that time from the beat before a delay until the loop has been idle again. A box that forwards an attempt does the same with its own delay. The refusal of a request goes by the reading, as before.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -190,6 +190,7 @@
         versions: rollouts?.versions ?? { admits: () => true, version: () => 0 },
         trials: rollouts?.trialHooks ?? noTrials,
         phase: gracefulShutdown.phase,
+        unreadFor: eventLoop.unreadFor,
         configurationAge: () => replicator.configurationAge(),
         serversAge: () => replicator.confirmedAge("servers"),
         onServerRestarted,
--- a/packages/box/src/event-loop-monitor.ts
+++ b/packages/box/src/event-loop-monitor.ts
@@ -20,17 +20,26 @@
 
 /** Milliseconds between two beats of the timer. */
 const beatInterval = 50;
-/** Beats after a delay in which what is read may still have arrived during it. */
-const backlogBeats = 4;
+/** Milliseconds after a delay in which what is read may still have arrived during it. */
+const maxBacklogTime = 1000;
 /** Milliseconds of delay from which the loop counts as held up. */
 const minDelay = milliseconds(100);
 
+/** What arrived during a delay and may be unread. Times are those of the clock. */
+interface Backlog {
+    /** The beat before the delay. */
+    readonly arrivesFrom: Milliseconds;
+    /** The late beat, which may run before the sockets are read. */
+    readonly since: Milliseconds;
+    /** Idle time of the loop until then, in milliseconds: once it grows, nothing is unread. */
+    readonly idleBefore: number;
+}
+
 /** Starts the monitor. */
 export function startEventLoopMonitor(clock: Clock, log: Log, signal: AbortSignal): EventLoopMonitor {
     let latestBeat = clock();
-    /** The beat before a late one, until the backlog of the delay is read: the timer may run before the sockets are. */
-    let beatBeforeDelay: Milliseconds | undefined;
-    let beatsSinceDelay = 0;
+    /** The latest delay, until the loop has read its backlog. */
+    let backlog: Backlog | undefined;
     let total = 0;
     let sinceReport = { count: 0, longest: 0 };
     const timer = setInterval(onBeat, beatInterval).unref();
@@ -38,7 +47,7 @@
 
     return {
         unreadFor() {
-            const unread = milliseconds(clock() - (beatBeforeDelay ?? latestBeat));
+            const unread = milliseconds(clock() - (backlog?.arrivesFrom ?? latestBeat));
             return unread >= minDelay ? unread : milliseconds(0);
         },
         report() {
@@ -54,13 +63,12 @@
     function onBeat(): void {
         const now = clock();
         const delay = now - latestBeat - beatInterval;
-        beatsSinceDelay += 1;
-        if (beatsSinceDelay >= backlogBeats) {
-            beatBeforeDelay = undefined;
+        const { idle } = performance.eventLoopUtilization();
+        if (backlog !== undefined && (idle > backlog.idleBefore || now - backlog.since >= maxBacklogTime)) {
+            backlog = undefined;
         }
         if (delay >= minDelay) {
-            beatBeforeDelay ??= latestBeat;
-            beatsSinceDelay = 0;
+            backlog = { arrivesFrom: latestBeat, since: now, idleBefore: idle };
             total += delay;
             sinceReport = { count: sinceReport.count + 1, longest: Math.max(sinceReport.longest, delay) };
         }
--- a/packages/box/src/paths/forwarding-endpoint.ts
+++ b/packages/box/src/paths/forwarding-endpoint.ts
@@ -12,6 +12,7 @@
     type MemberRecord,
     type ServerCatalog,
     type ShutdownPhase,
+    timeLeftAtServer,
 } from "@chalkdale/decisions";
 import { backendServerId, type BoxId, type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { type Log, splitAddress } from "@chalkdale/runtime";
@@ -42,6 +43,8 @@
     /** Boxes that were heard from lately. */
     readonly boxes: () => readonly MemberRecord[];
     readonly bodyMemory: BodyMemory;
+    /** Upper bound of the time for which bytes that are read now were unread. */
+    readonly unreadFor: () => Milliseconds;
     readonly attemptDirectly: DirectAttempt;
     readonly feedback: Pick<ServerFeedback, "onConnectFailure">;
     readonly roundTrip: (server: BackendServer) => Milliseconds;
@@ -203,7 +206,7 @@
         { confirmSender, signal }: Sender,
         onSend: () => void,
     ): AttemptRequest {
-        const deadlineAt = clock() + head.timeLeft;
+        const deadlineAt = clock() + timeLeftAtServer(milliseconds(head.timeLeft), options.unreadFor());
         return {
             isIdempotent: head.isIdempotent,
             allowedRegions: undefined,
--- a/packages/box/src/requests/attempt-request.ts
+++ b/packages/box/src/requests/attempt-request.ts
@@ -47,7 +47,7 @@
     readonly rawHeaders: readonly string[];
     readonly body: Buffer;
     readonly requestId: string | undefined;
-    /** Returns the time until the request's deadline. */
+    /** Returns the time that a server gets: until the request's deadline, less what it may have lain unread before. */
     readonly timeLeft: () => Milliseconds;
     readonly roundTrip: Milliseconds;
     /** Expected time until the answer of a server at normal speed. */
--- a/packages/box/src/requests/attempts.ts
+++ b/packages/box/src/requests/attempts.ts
@@ -54,6 +54,8 @@
     readonly roundTrips: RoundTrips;
     readonly serviceLoad: ServiceLoad;
     readonly bodyMemory: BodyMemory;
+    /** Upper bound of the time for which bytes that are read now were unread. */
+    readonly unreadFor: () => Milliseconds;
     readonly limitedServers: Pick<LimitedServers, "onAnswer">;
     readonly serverNotices: Pick<ServerNotices, "onAnswer">;
     readonly phase: () => ShutdownPhase;
@@ -132,6 +134,7 @@
         catalog,
         boxes: () => membership.recentMembers(clock()),
         bodyMemory: options.bodyMemory,
+        unreadFor: options.unreadFor,
         attemptDirectly,
         feedback,
         roundTrip: roundTripTo,
--- a/packages/box/src/requests/data-plane.ts
+++ b/packages/box/src/requests/data-plane.ts
@@ -68,6 +68,8 @@
     readonly versions: Pick<ServedVersions, "admits" | "version">;
     readonly trials: TrialHooks;
     readonly phase: () => ShutdownPhase;
+    /** Upper bound of the time for which bytes that are read now were unread. */
+    readonly unreadFor: () => Milliseconds;
     readonly configurationAge: () => Milliseconds;
     /** Time since the store confirmed the list of servers. */
     readonly serversAge: () => Milliseconds;
--- a/packages/box/src/requests/single-attempt.ts
+++ b/packages/box/src/requests/single-attempt.ts
@@ -12,6 +12,7 @@
     isIdempotent,
     isSuccessStatus,
     type RecentKeys,
+    timeLeftAtServer,
     type TransferSizes,
     type WorkEstimate,
 } from "@chalkdale/decisions";
@@ -73,7 +74,7 @@
             rawHeaders: active.rawHeaders,
             body,
             requestId: active.requestId,
-            timeLeft: () => milliseconds(active.deadlineAt - clock()),
+            timeLeft: () => timeLeftAtServer(milliseconds(active.deadlineAt - clock()), active.unreadFor),
             roundTrip: options.roundTrip(server),
             expected: choice.expectedAtNormalSpeed,
             signal,
--- a/packages/box/test/forwarding.test.ts
+++ b/packages/box/test/forwarding.test.ts
@@ -203,6 +203,7 @@
             const state = createSampleState(createSampleRecord("s-1"), milliseconds(0));
             options = {
                 clock,
+                unreadFor: () => milliseconds(0),
                 log: createLog({ write: () => undefined }),
                 phase: () => "running",
                 catalog: { get: id => id === known ? { id, idHash: 1, addedAt: undefined, state } : undefined },
--- a/packages/decisions/src/limits/timeouts.ts
+++ b/packages/decisions/src/limits/timeouts.ts
@@ -48,6 +48,17 @@
     return milliseconds(isValid ? Math.min(callerTimeout, routeTimeout) : routeTimeout);
 }
 
+/** Fraction of the remaining time that a server gets at least, since the caller of a request that waited is still there. */
+const minFractionAtServer = 0.25;
+
+/**
+ * Returns the time that a server gets for a request with `timeLeft` since it was read. It may have arrived up to
+ * `unreadFor` earlier, and its caller's time runs from then.
+ */
+export function timeLeftAtServer(timeLeft: Milliseconds, unreadFor: Milliseconds): Milliseconds {
+    return milliseconds(Math.max(timeLeft - unreadFor, timeLeft * minFractionAtServer));
+}
+
 /** Milliseconds for which a connection may be idle. Servers close idle connections after a few seconds. */
 const maxIdleTime = milliseconds(4000);
 /**
