--- a/packages/box/src/paths/forwarding-client.ts
+++ b/packages/box/src/paths/forwarding-client.ts
@@ -8,7 +8,7 @@
 
 import type { MemberRecord } from "@chalkdale/decisions";
 import type { BackendServerId, Milliseconds } from "@chalkdale/kernel";
-import { splitAddress } from "@chalkdale/runtime";
+import { splitAddress, startTimeout } from "@chalkdale/runtime";
 import {
     Agent,
     type ClientRequest,
@@ -106,7 +106,10 @@
             });
             const onAbort = () => settle({ kind: "cancelled", mayBeSent: isConnected });
             signal.addEventListener("abort", onAbort, { once: true });
-            let timer = setTimeout(() => settle({ kind: "notSent", reason: "noAnswer" }), call.connectTimeout);
+            let cancelTimeout = startTimeout(
+                call.connectTimeout,
+                () => settle({ kind: "notSent", reason: "noAnswer" }),
+            );
             onConnected(request, () => void onOpen());
             request.on("error", error => settle(lostOrNotSent(error.message)));
             request.on("close", () => {
@@ -117,14 +120,17 @@
             request.on("response", response => void onResponse(response));
 
             async function onOpen(): Promise<void> {
-                clearTimeout(timer);
+                cancelTimeout();
                 await call.confirmCaller();
                 if (settled) {
                     return;
                 }
                 isConnected = true;
                 if (call.sendTimeout !== undefined) {
-                    timer = setTimeout(() => settle({ kind: "lost", reason: "box did not answer" }), call.sendTimeout);
+                    cancelTimeout = startTimeout(
+                        call.sendTimeout,
+                        () => settle({ kind: "lost", reason: "box did not answer" }),
+                    );
                 }
                 // Written only now: a request whose connection was never opened has certainly not been sent.
                 parts.forEach(part => request.write(part));
@@ -133,7 +139,7 @@
 
             async function onResponse(response: IncomingMessage): Promise<void> {
                 hasResponse = true;
-                clearTimeout(timer);
+                cancelTimeout();
                 const isSent = response.statusCode === statusSent;
                 if (isSent && !settled) {
                     call.onSent();
@@ -155,7 +161,7 @@
                     return;
                 }
                 settled = true;
-                clearTimeout(timer);
+                cancelTimeout();
                 signal.removeEventListener("abort", onAbort);
                 if (outcome.kind === "cancelled" || outcome.kind === "lost" || !isConnected) {
                     request.on("error", () => undefined);
@@ -170,14 +176,14 @@
         return new Promise(resolve => {
             const request = open(box, { method: "GET", path: `${reachPathPrefix}${encodeURIComponent(server)}` });
             const settle = (reply: ReachReply) => {
-                clearTimeout(timer);
+                cancelTimeout();
                 request.on("error", () => undefined);
                 if (reply === "noAnswer") {
                     request.destroy();
                 }
                 resolve(reply);
             };
-            const timer = setTimeout(() => settle("noAnswer"), timeout);
+            const cancelTimeout = startTimeout(timeout, () => settle("noAnswer"));
             request.on("error", () => settle("noAnswer"));
             request.on("response", response => {
                 void readAll(response).then(body => settle(body === undefined ? "noAnswer" : replyOf(response, body)));
--- a/packages/box/src/paths/test-connection.ts
+++ b/packages/box/src/paths/test-connection.ts
@@ -3,7 +3,7 @@
  */
 
 import type { Milliseconds } from "@chalkdale/kernel";
-import { splitAddress } from "@chalkdale/runtime";
+import { splitAddress, startTimeout } from "@chalkdale/runtime";
 import { connect } from "node:net";
 
 export interface TestConnectionOptions {
@@ -19,11 +19,11 @@
     return new Promise(resolve => {
         const socket = connect({ host, port, localAddress });
         const settle = (accepts: boolean) => {
-            clearTimeout(timer);
+            cancelTimeout();
             socket.destroy();
             resolve(accepts);
         };
-        const timer = setTimeout(() => settle(false), timeout);
+        const cancelTimeout = startTimeout(timeout, () => settle(false));
         socket.on("error", () => settle(false));
         socket.on("connect", () => settle(true));
     });
--- a/packages/box/src/requests/attempt-observer.ts
+++ b/packages/box/src/requests/attempt-observer.ts
@@ -20,6 +20,7 @@
     type WorkEstimate,
 } from "@chalkdale/decisions";
 import type { Clock, Milliseconds } from "@chalkdale/kernel";
+import { startTimeout } from "@chalkdale/runtime";
 import type { TrialHooks } from "../rollouts/trials.js";
 import type { ServerAnswer } from "../servers/exchange.js";
 import type { ActiveRequest } from "./active-request.js";
@@ -64,20 +65,23 @@
         let sentAt: Milliseconds | undefined;
         let slowness: number | undefined;
         let isReported = false;
-        let timer: NodeJS.Timeout | undefined;
+        let cancelTimeout: (() => void) | undefined;
         return {
             onSent() {
                 sentAt = clock();
                 trials.onSent(service, server);
                 const reportAfter = workEstimate.durationAtSlowness(route, warm, earlyReportSlowness, wait)
                     + options.roundTrip(server);
-                timer = setTimeout(() => report({ isFailure: false, slowness: earlyReportSlowness }), reportAfter);
+                cancelTimeout = startTimeout(
+                    reportAfter,
+                    () => report({ isFailure: false, slowness: earlyReportSlowness }),
+                );
             },
             onServed(duration) {
                 slowness = workEstimate.slownessOf(route, warm, duration, wait);
             },
             onEnded(outcome) {
-                clearTimeout(timer);
+                cancelTimeout?.();
                 if (sentAt === undefined) {
                     return;
                 }
--- a/packages/box/src/requests/overdue-check.ts
+++ b/packages/box/src/requests/overdue-check.ts
@@ -4,6 +4,8 @@
  * Owns the timer and the signal of one attempt.
  */
 
+import { startTimeout } from "@chalkdale/runtime";
+
 /** The watch over one attempt. */
 export interface OverdueCheck {
     /** Aborted once no answer will come. */
@@ -26,14 +28,14 @@
  */
 export function startOverdueCheck(overdueAfter: number, hasEnded: () => Promise<boolean>): OverdueCheck {
     const controller = new AbortController();
-    let timer = setTimeout(() => void check(), overdueAfter);
+    let cancelTimeout = startTimeout(overdueAfter, () => void check());
     let isStopped = false;
     return {
         signal: controller.signal,
         abort: () => controller.abort(),
         end() {
             isStopped = true;
-            clearTimeout(timer);
+            cancelTimeout();
         },
     };
 
@@ -42,7 +44,7 @@
             controller.abort();
         }
         else if (!isStopped) {
-            timer = setTimeout(() => void check(), checkInterval);
+            cancelTimeout = startTimeout(checkInterval, () => void check());
         }
     }
 }
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -19,7 +19,7 @@
     type ShutdownPhase,
 } from "@chalkdale/decisions";
 import { customerKey, type Milliseconds } from "@chalkdale/kernel";
-import { type Log, nextPoll } from "@chalkdale/runtime";
+import { type Log, startTimeout } from "@chalkdale/runtime";
 import type { IncomingMessage } from "node:http";
 import type { CallerExchange } from "../callers/caller-exchange.js";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
@@ -130,25 +130,17 @@
             random: options.random,
         });
         let timedOut = false;
-        let isFinished = false;
-        const timer = setTimeout(() => void onDeadline(), Math.max(0, active.deadlineAt - clock()));
+        const cancelTimeout = startTimeout(Math.max(0, active.deadlineAt - clock()), () => {
+            timedOut = true;
+            controller.abort();
+        });
         options.retryBudgetOf(active.service).onRequest(exchange.arrivedAt);
         try {
             const outcome = await readBodyAndRun();
             finish(exchange, active, outcome.kind === "callerLeft" && timedOut ? timeoutOutcome(active) : outcome);
         }
         finally {
-            isFinished = true;
-            clearTimeout(timer);
-        }
-
-        /** Aborts the request, unless its answer has arrived and is read only now. */
-        async function onDeadline(): Promise<void> {
-            await nextPoll(clock);
-            if (!isFinished) {
-                timedOut = true;
-                controller.abort();
-            }
+            cancelTimeout();
         }
 
         async function readBodyAndRun(): Promise<RequestOutcome> {
--- a/packages/box/src/servers/health-checker.ts
+++ b/packages/box/src/servers/health-checker.ts
@@ -8,7 +8,7 @@
 
 import type { BackendServer, ServerCatalog } from "@chalkdale/decisions";
 import type { Clock } from "@chalkdale/kernel";
-import { type Log, splitAddress } from "@chalkdale/runtime";
+import { type Log, splitAddress, startTimeout } from "@chalkdale/runtime";
 import { type IncomingMessage, request as httpRequest } from "node:http";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import type { PathMonitor } from "../paths/path-monitor.js";
@@ -93,14 +93,17 @@
             });
             let isConnected = false;
             const settle = (healthy: boolean) => {
-                clearTimeout(timer);
+                cancelTimeout();
                 resolve(healthy ? "healthy" : isConnected ? "unhealthy" : "unreachable");
             };
             request.on("socket", socket =>
                 socket.once("connect", () => {
                     isConnected = true;
                 }));
-            const timer = setTimeout(() => request.destroy(new Error("health check timed out")), healthCheckTimeout);
+            const cancelTimeout = startTimeout(
+                healthCheckTimeout,
+                () => request.destroy(new Error("health check timed out")),
+            );
             request.on("response", response => {
                 response.resume();
                 const isFromServer = applyAnswer(server, response);
--- a/packages/box/src/servers/server-connections.ts
+++ b/packages/box/src/servers/server-connections.ts
@@ -15,7 +15,7 @@
     Ok,
     type Result,
 } from "@chalkdale/kernel";
-import { splitAddress } from "@chalkdale/runtime";
+import { splitAddress, startTimeout } from "@chalkdale/runtime";
 import { connect, type Socket } from "node:net";
 import { createIdleConnections, type ServerConnection } from "./idle-connections.js";
 
@@ -91,7 +91,7 @@
             const socket = connect({ host, port, noDelay: true, localAddress: options.localAddress });
             changeOpenCount(request.server, 1);
             socket.once("close", () => changeOpenCount(request.server, -1));
-            const timer = setTimeout(() => finish("unreachable"), request.connectTimeout);
+            const cancelTimeout = startTimeout(request.connectTimeout, () => finish("unreachable"));
             const onAbort = () => finish("cancelled");
             const onError = () => finish("unreachable");
             request.signal.addEventListener("abort", onAbort, { once: true });
@@ -99,7 +99,7 @@
             socket.once("connect", () => finish(undefined));
 
             function finish(failure: ConnectFailure | undefined): void {
-                clearTimeout(timer);
+                cancelTimeout();
                 request.signal.removeEventListener("abort", onAbort);
                 if (failure !== undefined) {
                     // Later errors of the socket are ignored; the attempt logs the failure itself.
--- a/packages/runtime/src/next-poll.ts
+++ b/packages/runtime/src/next-poll.ts
@@ -7,6 +7,7 @@
  */
 
 import type { Clock } from "@chalkdale/kernel";
+import { monotonicClock } from "./clock.js";
 
 /** Milliseconds from the beginning of a poll for which its results are up to date. */
 const maxPollAge = 50;
@@ -14,7 +15,7 @@
 const maxPolls = 8;
 
 /** Resolves once a poll has ended that began after the call and recently. Never rejects. */
-export function nextPoll(clock: Clock): Promise<void> {
+export function nextPoll(clock: Clock = monotonicClock): Promise<void> {
     return new Promise(resolve => {
         let polls = 0;
         let polledAfter: number | undefined;
@@ -34,3 +35,23 @@
         }
     });
 }
+
+/**
+ * Calls `onTimeout` once a duration in milliseconds has passed and what had arrived by then was read: the loop runs
+ * expired timers first. Returns the function that cancels the call.
+ */
+export function startTimeout(duration: number, onTimeout: () => void): () => void {
+    let isCancelled = false;
+    const timer = setTimeout(() => void onExpired(), duration);
+    return () => {
+        isCancelled = true;
+        clearTimeout(timer);
+    };
+
+    async function onExpired(): Promise<void> {
+        await nextPoll();
+        if (!isCancelled) {
+            onTimeout();
+        }
+    }
+}
