A request is confirmed again if its process was held up between the check of the caller and the first byte

Callers saw: nothing, they had left.

Cause: a box that is stopped between the check and the write goes on with the write. request.callerLeft of one: sentAfter=1100, aborted 3 ms later.

Change: `exchange` asks at the last moment whether the confirmation is at most 20 ms old, and confirms again if not. New soak set `departures`: callers that leave early on each box, boxes that get processor time only now and then, beside all other faults; its check counts what servers receive, in all sets.

--- a/packages/box/src/callers/caller-exchange.ts
+++ b/packages/box/src/callers/caller-exchange.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds } from "@chalkdale/kernel";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { ConfirmedCaller } from "../servers/exchange.js";
 
 /** An answer that can be held until all earlier ones of its connection are written. */
 export interface CallerAnswer {
@@ -29,11 +30,8 @@
     readonly unreadFor: Milliseconds;
     /** Aborted when the caller's end of the connection closes; the code that serves the request may abort it as well. */
     readonly controller: AbortController;
-    /**
-     * Resolves with false if the request was aborted, once everything was read that has arrived from the caller: after
-     * a pause of the process, the close of a connection is read later than the requests before it. Never rejects.
-     */
-    readonly confirmCaller: () => Promise<boolean>;
+    /** Tells whether the caller is still there: the close of a connection is read later than the requests before it. */
+    readonly caller: ConfirmedCaller;
     /** Sends 100 Continue to a caller that waits for it before it sends its body. */
     readonly sendContinue: () => void;
     /** True if later requests were started. If the answer to this one closed the connection, theirs would be lost. */
--- a/packages/box/src/callers/caller-pipeline.ts
+++ b/packages/box/src/callers/caller-pipeline.ts
@@ -15,7 +15,7 @@
 import type { Socket } from "node:net";
 import { isReadingPaused, pauseReading, resumeReading } from "./backpressure.js";
 import type { CallerExchange, CallerPipeline, QueuedExchange } from "./caller-exchange.js";
-import { confirmOpen } from "./connection-check.js";
+import { confirmOpen, createConfirmedCaller } from "./connection-check.js";
 import { closeGracefully } from "./graceful-close.js";
 import { errorAnswer, rawErrorResponse } from "./invalid-requests.js";
 
@@ -129,7 +129,7 @@
             isIdempotent: undefined,
             ready: undefined,
             expectsContinue,
-            confirmCaller: () => confirmCaller(pipeline, exchange.controller.signal),
+            caller: createConfirmedCaller(options.clock, () => confirmCaller(pipeline, exchange.controller.signal)),
             sendContinue() {
                 exchange.expectsContinue = false;
                 response.writeContinue();
--- a/packages/box/src/callers/connection-check.ts
+++ b/packages/box/src/callers/connection-check.ts
@@ -5,9 +5,10 @@
  * Owns nothing; relies on its caller to abort the signal when the connection ends.
  */
 
-import type { Clock } from "@chalkdale/kernel";
+import type { Clock, Milliseconds } from "@chalkdale/kernel";
 import { nextPoll } from "@chalkdale/runtime";
 import type { Socket } from "node:net";
+import type { ConfirmedCaller } from "../servers/exchange.js";
 
 export interface ConnectionCheckOptions {
     readonly clock: Clock;
@@ -51,3 +52,19 @@
     }
     return true;
 }
+
+/** Milliseconds for which a confirmation counts: longer than a request takes from then to its first byte. */
+const maxConfirmationAge = 20;
+
+/** Wraps a check of a caller's connection, and keeps when it last found the connection open. */
+export function createConfirmedCaller(clock: Clock, check: () => Promise<boolean>): ConfirmedCaller {
+    let confirmedAt: Milliseconds | undefined;
+    return {
+        isConfirmed: () => confirmedAt !== undefined && clock() - confirmedAt <= maxConfirmationAge,
+        async confirm() {
+            const isOpen = await check();
+            confirmedAt = isOpen ? clock() : undefined;
+            return isOpen;
+        },
+    };
+}
--- a/packages/box/src/paths/forwarding-endpoint.ts
+++ b/packages/box/src/paths/forwarding-endpoint.ts
@@ -17,12 +17,12 @@
 import { backendServerId, type BoxId, type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { type Log, splitAddress } from "@chalkdale/runtime";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
-import { confirmOpen } from "../callers/connection-check.js";
+import { confirmOpen, createConfirmedCaller } from "../callers/connection-check.js";
 import type { AttemptRequest } from "../requests/attempt-request.js";
 import type { DirectAttempt, DirectEnd } from "../requests/direct-attempt.js";
 import { readBody } from "../requests/request-body.js";
 import type { ServerFeedback } from "../requests/server-feedback.js";
-import type { ExchangeOutcome } from "../servers/exchange.js";
+import type { ConfirmedCaller, ExchangeOutcome } from "../servers/exchange.js";
 import {
     attemptsPath,
     decodeMessage,
@@ -65,8 +65,8 @@
 interface Sender {
     /** Aborted once its connection has ended, which withdraws the attempt. */
     readonly signal: AbortSignal;
-    /** Resolves with false if it has withdrawn the attempt, once everything was read that has arrived from it. */
-    readonly confirmSender: () => Promise<boolean>;
+    /** Tells whether it has withdrawn the attempt. */
+    readonly caller: ConfirmedCaller;
 }
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
@@ -132,7 +132,7 @@
         response.on("close", abort);
         // Comes before the "close" event, which waits until this side has ended too.
         request.socket.once("end", abort);
-        const confirmSender = () => confirmOpen(request.socket, { clock, signal });
+        const caller = createConfirmedCaller(clock, () => confirmOpen(request.socket, { clock, signal }));
         const body = await readBody({ request, sendContinue: () => response.writeContinue() }, {
             clock,
             maxBytes: maxMessageBytes,
@@ -140,12 +140,12 @@
             signal,
         });
         try {
-            if (body.kind === "whole" && !await confirmSender()) {
+            if (body.kind === "whole" && !await caller.confirm()) {
                 log.info("attempt.withdrawn", { from: from.box });
                 response.destroy();
             }
             else if (body.kind === "whole") {
-                await forwardMessage(from, body.body, response, { signal, confirmSender });
+                await forwardMessage(from, body.body, response, { signal, caller });
             }
             else {
                 refuse(request, response, "busy");
@@ -203,7 +203,7 @@
         head: ForwardedRequestHead,
         body: Buffer,
         server: BackendServer,
-        { confirmSender, signal }: Sender,
+        { caller, signal }: Sender,
         onSend: () => void,
     ): AttemptRequest {
         const deadlineAt = clock() + timeLeftAtServer(milliseconds(head.timeLeft), options.unreadFor());
@@ -221,7 +221,7 @@
             roundTrip: options.roundTrip(server),
             expected: expectedDuration,
             signal,
-            confirmCaller: confirmSender,
+            caller,
             onSend,
             onServed: () => undefined,
         };
--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -26,7 +26,7 @@
 } from "@chalkdale/kernel";
 import type { IncomingMessage } from "node:http";
 import type { HeaderNames } from "../callers/caller-protocol.js";
-import type { ServerAnswer } from "../servers/exchange.js";
+import type { ConfirmedCaller, ServerAnswer } from "../servers/exchange.js";
 import { forwardableHeaders } from "./headers.js";
 import { hostOf, urlOf } from "./request-target.js";
 
@@ -48,8 +48,7 @@
     readonly startedAt: Milliseconds;
     /** Upper bound of the time for which the request's head was unread before `startedAt`. */
     readonly unreadFor: Milliseconds;
-    /** Resolves with false if the request was aborted; see `CallerExchange`. */
-    readonly confirmCaller: () => Promise<boolean>;
+    readonly caller: ConfirmedCaller;
     /** When the latest attempt was sent; undefined before the first. */
     sentAt: Milliseconds | undefined;
     /** The caller retries a request that failed or was refused before; see `CallerRetryDetector`. */
@@ -98,7 +97,7 @@
     readonly service: ServiceId;
     readonly startedAt: Milliseconds;
     readonly unreadFor: Milliseconds;
-    readonly confirmCaller: () => Promise<boolean>;
+    readonly caller: ConfirmedCaller;
     readonly callerRetryDetector: CallerRetryDetector;
     readonly random: () => number;
 }
@@ -127,7 +126,7 @@
         requestId: singleValue(request.headers[headers.requestId]),
         startedAt,
         unreadFor: inputs.unreadFor,
-        confirmCaller: inputs.confirmCaller,
+        caller: inputs.caller,
         sentAt: undefined,
         isCallerRetry: inputs.callerRetryDetector.isCallerRetry(route.name, callerTimeout, startedAt),
         deadlineAt: startedAt + timeout,
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -82,7 +82,7 @@
             }
             const isFirstAttempt = active.sent + active.notSent === 0;
             // Before the first attempt the caller was confirmed just now, unless the request had to wait.
-            if ((!isFirstAttempt || tracked.isExcludedFromHedging()) && !await active.confirmCaller()) {
+            if ((!isFirstAttempt || tracked.isExcludedFromHedging()) && !await active.caller.confirm()) {
                 return tracked.isStopped() ? giveUpStopped(active) : { kind: "callerLeft" };
             }
             if (options.isIsolated()) {
@@ -209,7 +209,7 @@
         }
         return attemptHedged(choice, signal, {
             attemptOnce: attempt,
-            confirmCaller: active.confirmCaller,
+            confirmCaller: active.caller.confirm,
             chooseSecond: () => {
                 const second = tracked.isExcludedFromHedging() ? undefined : decideHedge(hedgeInputs(active));
                 if (second !== undefined) {
--- a/packages/box/src/requests/attempt-request.ts
+++ b/packages/box/src/requests/attempt-request.ts
@@ -5,7 +5,7 @@
 
 import type { BackendServer } from "@chalkdale/decisions";
 import type { Milliseconds, RegionId, ServiceId } from "@chalkdale/kernel";
-import type { ServerAnswer } from "../servers/exchange.js";
+import type { ConfirmedCaller, ServerAnswer } from "../servers/exchange.js";
 
 /** How an attempt ended. */
 export type AttemptOutcome =
@@ -53,8 +53,7 @@
     /** Expected time until the answer of a server at normal speed. */
     readonly expected: Milliseconds;
     readonly signal: AbortSignal;
-    /** Resolves with false if the attempt was aborted, once everything was read that has arrived from the caller. */
-    readonly confirmCaller: () => Promise<boolean>;
+    readonly caller: ConfirmedCaller;
     /** Called immediately before the request is sent. */
     readonly onSend: () => void;
     /** Called after a success with the time that the server took, without the round trip. */
--- a/packages/box/src/requests/direct-attempt.ts
+++ b/packages/box/src/requests/direct-attempt.ts
@@ -117,7 +117,7 @@
             socket.destroy();
         };
         endEvents.forEach(event => socket.on(event, onEnd));
-        await request.confirmCaller();
+        await request.caller.confirm();
         if (isOpen) {
             endEvents.forEach(event => socket.removeListener(event, onEnd));
         }
@@ -157,6 +157,7 @@
             body: request.body,
             requestId: request.requestId,
             headers: protocol.headers,
+            caller: request.caller,
             signal: AbortSignal.any([request.signal, overdueCheck.signal]),
             onHead() {
                 overdueCheck.end();
--- a/packages/box/src/requests/forwarded-attempt.ts
+++ b/packages/box/src/requests/forwarded-attempt.ts
@@ -81,7 +81,7 @@
             connectTimeout: connectTimeout(options.roundTripToBox(box)),
             sendTimeout: request.isIdempotent ? sendTimeoutOf(request, box) : undefined,
             signal: AbortSignal.any([request.signal, overdueCheck.signal]),
-            confirmCaller: request.confirmCaller,
+            confirmCaller: request.caller.confirm,
             onSent: markSent,
         });
         overdueCheck.end();
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -85,7 +85,7 @@
 
     async function handle(exchange: CallerExchange): Promise<void> {
         const { request } = exchange;
-        if (!await exchange.confirmCaller()) {
+        if (!await exchange.caller.confirm()) {
             requestLog.callerLeftUnread(describe(request), exchange.unreadFor);
             return;
         }
@@ -125,7 +125,7 @@
             service: state.pickDestination(route),
             startedAt: exchange.arrivedAt,
             unreadFor: exchange.unreadFor,
-            confirmCaller: exchange.confirmCaller,
+            caller: exchange.caller,
             callerRetryDetector,
             random: options.random,
         });
@@ -157,7 +157,7 @@
             }
             try {
                 // The caller was confirmed before its body was read.
-                if (body.body.length > 0 && !await exchange.confirmCaller()) {
+                if (body.body.length > 0 && !await exchange.caller.confirm()) {
                     return { kind: "callerLeft" };
                 }
                 return await runAttempts(active, body.body, controller);
--- a/packages/box/src/requests/single-attempt.ts
+++ b/packages/box/src/requests/single-attempt.ts
@@ -78,7 +78,10 @@
             roundTrip: options.roundTrip(server),
             expected: choice.expectedAtNormalSpeed,
             signal,
-            confirmCaller: async () => await active.confirmCaller() && !signal.aborted,
+            caller: {
+                isConfirmed: active.caller.isConfirmed,
+                confirm: async () => await active.caller.confirm() && !signal.aborted,
+            },
             onSend: () => {
                 active.sent += 1;
                 active.sentAt = clock();
--- a/packages/box/src/servers/exchange.ts
+++ b/packages/box/src/servers/exchange.ts
@@ -35,6 +35,14 @@
     /** Aborted by `ExchangeOptions.signal`. */
     | { readonly kind: "cancelled"; };
 
+/** The caller of a request, as the box knows it. */
+export interface ConfirmedCaller {
+    /** True while the latest confirmation is recent: the process was not held up since. */
+    readonly isConfirmed: () => boolean;
+    /** Resolves with false if the caller has left, once everything was read that has arrived from it. Never rejects. */
+    readonly confirm: () => Promise<boolean>;
+}
+
 export interface ExchangeOptions {
     readonly socket: Socket;
     readonly method: string;
@@ -45,6 +53,8 @@
     readonly requestId: string | undefined;
     readonly headers: Pick<HeaderNames, "requestId">;
     readonly signal: AbortSignal;
+    /** Who waits for the answer, checked at the last moment before the first byte. */
+    readonly caller: ConfirmedCaller;
     /** Called when the head of the answer arrives. */
     readonly onHead?: () => void;
 }
@@ -87,7 +97,24 @@
             }
         });
         request.on("response", onResponse);
-        request.end(options.body);
+        if (options.caller.isConfirmed()) {
+            request.end(options.body);
+        }
+        else {
+            void sendOnceConfirmed();
+        }
+
+        async function sendOnceConfirmed(): Promise<void> {
+            const isThere = await options.caller.confirm();
+            if (settled) {
+                return;
+            }
+            if (isThere) {
+                request.end(options.body);
+                return;
+            }
+            settle({ kind: "cancelled" });
+        }
 
         function onResponse(response: IncomingMessage): void {
             options.onHead?.();
--- a/packages/box/test/attempt-loop.test.ts
+++ b/packages/box/test/attempt-loop.test.ts
@@ -65,7 +65,7 @@
         sent: 0,
         notSent: 0,
         deadlineAt: 1000,
-        confirmCaller: () => Promise.resolve(true),
+        caller: { isConfirmed: () => true, confirm: () => Promise.resolve(true) },
     } as unknown as ActiveRequest;
     await runAttempts(active, Buffer.alloc(60_000), new AbortController());
     return learned;
--- a/packages/box/test/attempt.test.ts
+++ b/packages/box/test/attempt.test.ts
@@ -173,7 +173,7 @@
             roundTrip: milliseconds(1),
             expected: milliseconds(400) as Milliseconds,
             signal: controller.signal,
-            confirmCaller: () => Promise.resolve(!controller.signal.aborted),
+            caller: { isConfirmed: () => true, confirm: () => Promise.resolve(!controller.signal.aborted) },
             onSend: () => {
                 sends += 1;
             },
--- a/packages/box/test/exchange.test.ts
+++ b/packages/box/test/exchange.test.ts
@@ -1,12 +1,15 @@
 import { expect } from "chai";
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import { Duplex } from "node:stream";
-import { exchange, type ExchangeOutcome } from "../src/servers/exchange.js";
+import { type ConfirmedCaller, exchange, type ExchangeOutcome } from "../src/servers/exchange.js";
+
+/** A caller that is known to be there. */
+const thereCaller: ConfirmedCaller = { isConfirmed: () => true, confirm: () => Promise.resolve(true) };
 
 /** Runs a server that answers each request on one connection as scripted. */
 async function withServer(
     answer: (socket: Socket, request: string) => void,
-    run: (send: (requestId?: string) => Promise<ExchangeOutcome>) => Promise<void>,
+    run: (send: (requestId?: string, caller?: ConfirmedCaller) => Promise<ExchangeOutcome>) => Promise<void>,
 ): Promise<void> {
     const server: Server = createServer(socket => {
         socket.on("error", () => undefined);
@@ -16,7 +19,7 @@
     const { port } = server.address() as AddressInfo;
     const socket = connect(port, "127.0.0.1");
     await new Promise(resolve => socket.once("connect", resolve));
-    const send = (requestId = "r-1") =>
+    const send = (requestId = "r-1", caller = thereCaller) =>
         exchange({
             socket,
             method: "GET",
@@ -26,6 +29,7 @@
             requestId,
             headers: { requestId: "request-id" },
             signal: new AbortController().signal,
+            caller,
         });
     try {
         await run(send);
@@ -100,11 +104,34 @@
                 requestId: "r-1",
                 headers: { requestId: "request-id" },
                 signal: new AbortController().signal,
+                caller: thereCaller,
             });
             expect(outcome.kind).to.equal("broken");
         });
     });
 
+    describe("a request whose caller was confirmed too long ago", () => {
+        const staleCaller = (isThere: boolean): ConfirmedCaller => ({
+            isConfirmed: () => false,
+            confirm: () => new Promise(resolve => setTimeout(() => resolve(isThere), 20)),
+        });
+
+        it("is not sent if the caller turns out to have left", async () => {
+            const received: string[] = [];
+            await withServer((_, request) => received.push(request), async send => {
+                expect((await send("r-1", staleCaller(false))).kind).to.equal("cancelled");
+                await new Promise(resolve => setTimeout(resolve, 50));
+            });
+            expect(received).to.deep.equal([]);
+        });
+
+        it("is sent once the caller is confirmed again", async () => {
+            await withServer(socket => socket.write(framed("whole")), async send => {
+                expect((await send("r-1", staleCaller(true))).kind).to.equal("answer");
+            });
+        });
+    });
+
     describe("data that does not belong to the request", () => {
         it("breaks the exchange when the answer has the id of another request", async () => {
             await withServer(socket => socket.write(framed("other", "r-0")), async send => {
--- a/packages/box/test/forwarding.test.ts
+++ b/packages/box/test/forwarding.test.ts
@@ -169,7 +169,7 @@
                 expected: milliseconds(400),
                 roundTrip: milliseconds(1),
                 signal,
-                confirmCaller: () => Promise.resolve(!signal.aborted),
+                caller: { isConfirmed: () => true, confirm: () => Promise.resolve(!signal.aborted) },
                 onSend: () => {
                     sends += 1;
                 },
--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -47,7 +47,7 @@
         roundTrip: milliseconds(2),
         expected: milliseconds(150),
         signal: new AbortController().signal,
-        confirmCaller: () => Promise.resolve(true),
+        caller: { isConfirmed: () => true, confirm: () => Promise.resolve(true) },
         onSend: () => undefined,
         onServed: () => undefined,
     };
--- a/packages/testing/src/soak/callers.ts
+++ b/packages/testing/src/soak/callers.ts
@@ -6,7 +6,7 @@
 import { milliseconds } from "@chalkdale/kernel";
 import { type Client, createClient } from "../standins/client.js";
 import { pause } from "../standins/deployment.js";
-import type { ObservedAttempt } from "./observations.js";
+import type { ObservedAttempt, ObservedDeparture } from "./observations.js";
 import { customerNames } from "./soak-customers.js";
 import { type SoakEnvironment, soakHost, soakRequests } from "./soak-environment.js";
 
@@ -14,6 +14,8 @@
 export interface Callers {
     /** Finished attempts so far. */
     readonly attempts: readonly ObservedAttempt[];
+    /** Requests whose callers have left without an answer. */
+    readonly departures: readonly ObservedDeparture[];
     /** Sends no further requests; resolves once every caller has its last answer. */
     readonly stop: () => Promise<void>;
 }
@@ -40,12 +42,14 @@
 export async function startCallers(environment: SoakEnvironment, options: CallersOptions): Promise<Callers> {
     const { now, random } = environment;
     const attempts: ObservedAttempt[] = [];
+    const departures: ObservedDeparture[] = [];
     let isStopped = false;
 
     await waitUntilServed();
     const callers = Array.from({ length: options.count }, (_, index) => runCaller(index));
     return {
         attempts,
+        departures,
         async stop() {
             isStopped = true;
             await Promise.all(callers);
@@ -103,6 +107,9 @@
             if (client.attempts() > before) {
                 const requestId = `${options.prefix}-c${index}-${client.attempts()}`;
                 attempts.push({ requestId, idempotent, at, box: "a box", answer, held });
+                if (answer.hasLeft === true) {
+                    departures.push({ requestId, at: now() });
+                }
             }
             await pause(milliseconds(10 + random() * 20));
         }
--- a/packages/testing/src/soak/checks.ts
+++ b/packages/testing/src/soak/checks.ts
@@ -4,6 +4,7 @@
  */
 
 import { connectedBoxBreaches } from "./connected-box-checks.js";
+import { departureBreaches } from "./departure-checks.js";
 import { limitBreaches } from "./limit-checks.js";
 import { noticeBreaches } from "./notice-checks.js";
 import type { Breach, Interval, Observations, ObservedRun } from "./observations.js";
@@ -46,6 +47,7 @@
         ...noticeBreaches(seen),
         ...partitionBreaches(seen),
         ...retryBreaches(seen),
+        ...departureBreaches(seen),
     ];
 }
 
--- a/packages/testing/src/soak/fault-tools.ts
+++ b/packages/testing/src/soak/fault-tools.ts
@@ -22,8 +22,17 @@
  *   store that is restored from older snapshots.
  * - `partitions`: those of `all`, and boxes that are partitioned from all servers.
  * - `retries`: those of `all`, servers that fail most requests, and boxes that are partitioned from each other.
+ * - `departures`: those of `all`, boxes that are starved or paused in series, and callers that often leave.
  */
-export type FaultSet = "first" | "silences" | "all" | "limits" | "notices" | "partitions" | "retries";
+export type FaultSet =
+    | "first"
+    | "silences"
+    | "all"
+    | "limits"
+    | "notices"
+    | "partitions"
+    | "retries"
+    | "departures";
 
 /** Minimum duration of a temporary fault, in milliseconds. */
 const minDuration = 500;
--- a/packages/testing/src/soak/faults.ts
+++ b/packages/testing/src/soak/faults.ts
@@ -6,6 +6,7 @@
 import { milliseconds } from "@chalkdale/kernel";
 import { pause } from "../standins/deployment.js";
 import { createBoxPause, createBoxRestart } from "./box-faults.js";
+import { injectDepartureFaults } from "./departure-faults.js";
 import { type ExtendedFaultCounts, injectExtendedFaults } from "./extended-faults.js";
 import { type Fault, type FaultSet, pickRandom } from "./fault-tools.js";
 import { injectServerLimits } from "./limit-faults.js";
@@ -75,6 +76,7 @@
     const notices = set === "notices" ? injectNotices(environment, end) : undefined;
     const partitions = set === "partitions" ? injectPartitions(environment, end) : undefined;
     const retryFaults = set === "retries" ? injectRetryFaults(environment, end) : undefined;
+    const departureFaults = set === "departures" ? injectDepartureFaults(environment, end) : undefined;
     const restores = set === "notices" ? injectStoreRestores(environment, end) : undefined;
     while (now() < end) {
         ends.push(pickRandom(faults, random)());
@@ -87,6 +89,7 @@
     const observedPartitions = await partitions;
     await restores;
     await retryFaults;
+    await departureFaults;
     endAllFaults(environment);
     await rollouts;
     const { drained, zoneClosures } = changes;
--- a/packages/testing/src/soak/main.ts
+++ b/packages/testing/src/soak/main.ts
@@ -13,7 +13,7 @@
   Runs boxes as real processes under faults drawn from seeds, and checks what callers and servers see.
 
   Usage
-    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5] [--first-faults] [--limits] [--notices] [--partitions] [--retries]
+    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5] [--first-faults] [--limits] [--notices] [--partitions] [--retries] [--departures]
 
   Exit codes
     0 no breach, 1 a breach or a run that failed, 2 wrong command line
@@ -29,6 +29,7 @@
             notices: { type: "boolean", default: false },
             partitions: { type: "boolean", default: false },
             retries: { type: "boolean", default: false },
+            departures: { type: "boolean", default: false },
             quiet: { type: "boolean", default: false },
         },
     },
@@ -62,6 +63,7 @@
             faults,
             logFolder,
             connectedBoxes,
+            departures,
             extendedFaults,
             limits,
             notices,
@@ -82,9 +84,9 @@
                 Object.entries(connectedBoxes).map(pair => pair.join(":")).join(",")
             } limits=${limits.checked}/${limits.named} notices=${
                 Object.entries(notices).map(pair => pair.join(":")).join(",")
-            } partitions=${partitions.compared}/${partitions.injected} retries=${usedRetryShare.toFixed(2)} rollouts=${
-                outcomes.join(",")
-            } breaches=${breaches.length} logs=${logFolder}\n`,
+            } partitions=${partitions.compared}/${partitions.injected} retries=${
+                usedRetryShare.toFixed(2)
+            } departures=${departures} rollouts=${outcomes.join(",")} breaches=${breaches.length} logs=${logFolder}\n`,
         );
     }
     process.stdout.write(`${last - first + 1 - failedSeeds} seeds without a breach, ${failedSeeds} with one\n`);
@@ -104,6 +106,9 @@
     if (cli.flags.retries) {
         return "retries";
     }
+    if (cli.flags.departures) {
+        return "departures";
+    }
     return cli.flags.limits ? "limits" : "all";
 }
 
--- a/packages/testing/src/soak/observations.ts
+++ b/packages/testing/src/soak/observations.ts
@@ -35,7 +35,8 @@
         | "rest"
         | "partition"
         | "return"
-        | "retries";
+        | "retries"
+        | "departed";
     /** Milliseconds since the start of the run. */
     readonly at: number;
     readonly detail: string;
@@ -83,6 +84,14 @@
 export interface ObservedRequestArrival {
     readonly requestId: string;
     readonly at: number;
+    /** True if the link of its server may have held it back since a time; undefined if that was not recorded. */
+    readonly wasHeldBack?: (since: number) => boolean;
+}
+
+/** A request whose caller closed its connection without having an answer, and when. */
+export interface ObservedDeparture {
+    readonly requestId: string;
+    readonly at: number;
 }
 
 /** Times between which something must not get requests, or a configuration was in force. */
@@ -151,6 +160,8 @@
     readonly runs: readonly ObservedRun[];
     /** All requests that arrived at servers, in order of time; undefined if that was not recorded. */
     readonly arrivals?: readonly ObservedRequestArrival[];
+    /** Requests whose callers have left; undefined if that was not recorded. */
+    readonly departures?: readonly ObservedDeparture[];
     readonly boxTerminations: readonly BoxTermination[];
     readonly unsolicitedBytes: readonly UnsolicitedBytes[];
     /** By server id: when it must not get requests. */
--- a/packages/testing/src/soak/partition-callers.ts
+++ b/packages/testing/src/soak/partition-callers.ts
@@ -26,7 +26,7 @@
 const giveUpAfter = 4000;
 
 /** Starts a caller for each box. */
-export function startPartitionCallers(environment: SoakEnvironment): Callers {
+export function startPartitionCallers(environment: SoakEnvironment): Pick<Callers, "attempts" | "stop"> {
     const { now } = environment;
     const attempts: ObservedAttempt[] = [];
     let isStopped = false;
--- a/packages/testing/src/soak/pipelining-callers.ts
+++ b/packages/testing/src/soak/pipelining-callers.ts
@@ -8,7 +8,7 @@
 import { pause } from "../standins/deployment.js";
 import { openPipeline, type PipelinedOutcome, type PipeliningConnection } from "../standins/pipelining-client.js";
 import type { Callers } from "./callers.js";
-import type { ObservedAttempt, UnsolicitedBytes } from "./observations.js";
+import type { ObservedAttempt, ObservedDeparture, UnsolicitedBytes } from "./observations.js";
 import { customerNames } from "./soak-customers.js";
 import { type SoakEnvironment, soakHost } from "./soak-environment.js";
 
@@ -16,6 +16,8 @@
 export interface PipeliningCallers extends Callers {
     /** Bytes that boxes sent while no request waited for an answer. */
     readonly unsolicitedBytes: readonly UnsolicitedBytes[];
+    /** Requests whose callers have left without an answer. */
+    readonly departures: readonly ObservedDeparture[];
 }
 
 export interface PipeliningCallersOptions {
@@ -49,12 +51,14 @@
 ): PipeliningCallers {
     const { now } = environment;
     const attempts: ObservedAttempt[] = [];
+    const departures: ObservedDeparture[] = [];
     const unsolicitedBytes: UnsolicitedBytes[] = [];
     let isStopped = false;
 
     const callers = Array.from({ length: options.count }, (_, index) => runCaller(index));
     return {
         attempts,
+        departures,
         unsolicitedBytes,
         async stop() {
             isStopped = true;
@@ -110,8 +114,11 @@
             })));
             if (random() < options.disconnectShare) {
                 await pause(milliseconds(disconnectAfter));
+                const leftAt = now();
                 connection.leave(random() < 0.5 ? "close" : "reset");
-                await Promise.all(outcomes);
+                const ended = await Promise.all(outcomes);
+                const unanswered = requestIds.filter((_, position) => ended[position].kind !== "answered");
+                departures.push(...unanswered.map(requestId => ({ requestId, at: leftAt })));
                 return;
             }
             await Promise.all(outcomes.map(async (outcome, position) => {
--- a/packages/testing/src/soak/soak-servers.ts
+++ b/packages/testing/src/soak/soak-servers.ts
@@ -95,7 +95,10 @@
         zone: string,
         serverVersion = versions.get(service) ?? "v1",
     ): Promise<SoakServer> {
-        const backend = await startServerStandIn({ id: `i-${service}-${servers.length}`, onArrival });
+        const backend = await startServerStandIn({
+            id: `i-${service}-${servers.length}`,
+            onArrival: requestId => onArrival(requestId, proxy),
+        });
         backend.setWork(serverWork);
         const proxy = await startFaultProxy(backend.address(), { kind: "own" });
         const server: SoakServer = {
@@ -116,8 +119,14 @@
         return server;
     }
 
-    function onArrival(requestId: string): void {
-        arrivals.push({ requestId, at: now() });
+    function onArrival(requestId: string, proxy: FaultProxy): void {
+        const at = now();
+        const startedAt = performance.now() - at;
+        arrivals.push({
+            requestId,
+            at,
+            wasHeldBack: since => proxy.wasImpaired(startedAt + since, startedAt + at),
+        });
     }
 
     async function restartServer(server: SoakServer, downFor: Milliseconds): Promise<boolean> {
@@ -130,7 +139,11 @@
         if (server.isPermanentlyStopped) {
             return false;
         }
-        server.backend = await startServerStandIn({ id, port, onArrival });
+        server.backend = await startServerStandIn({
+            id,
+            port,
+            onArrival: requestId => onArrival(requestId, server.proxy),
+        });
         server.backend.setWork(serverWork);
         server.born = Date.now();
         observeRuns(server);
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -9,6 +9,7 @@
 import { startCallers } from "./callers.js";
 import { findBreaches } from "./checks.js";
 import { type ConnectedBoxCounts, countConnectedBoxChecks } from "./connected-box-checks.js";
+import { startDepartingCallers } from "./departing-callers.js";
 import type { ExtendedFaultCounts } from "./extended-faults.js";
 import type { FaultSet } from "./fault-tools.js";
 import { injectFaults } from "./faults.js";
@@ -56,6 +57,8 @@
     readonly notices: NoticeCounts & { readonly restores: number; };
     /** The largest fraction of the retry budget of a window that was used. */
     readonly usedRetryShare: number;
+    /** Requests whose callers left without an answer. */
+    readonly departures: number;
     /** Directory of the boxes' settings and logs. */
     readonly logFolder: string;
 }
@@ -77,6 +80,7 @@
     notices: 80,
     partitions: 60,
     retries: 60,
+    departures: 60,
 };
 const pipeliningCallerCount = 2;
 /** Fraction of the callers' requests, and of the pipelining callers' rounds, that are abandoned early. */
@@ -113,6 +117,7 @@
         disconnectShare: abandonedFraction,
     });
     const partitionCallers = options.faults === "partitions" ? startPartitionCallers(environment) : undefined;
+    const departing = options.faults === "departures" ? startDepartingCallers(environment) : undefined;
     const injection = await injectFaults(environment, options.faultDuration, options.faults);
     const { changeAfterFaults, count: faults, extendedFaults, rollouts, ...injected } = injection;
     const recoveredFrom = now() + recoverWithin;
@@ -122,7 +127,7 @@
     const recoveryProbe = await probeRecovery(environment);
     await pause(milliseconds(recoveredFrom + observedAfterRecovery - now()));
     await changing;
-    await Promise.all([callers.stop(), pipelining.stop(), partitionCallers?.stop()]);
+    await Promise.all([callers.stop(), pipelining.stop(), partitionCallers?.stop(), departing?.stop()]);
     rollouts.stopObserving();
     await environment.stopAll();
 
@@ -134,6 +139,7 @@
         attempts,
         runs,
         arrivals,
+        departures: [...callers.departures, ...pipelining.departures, ...departing?.departures ?? []],
         unsolicitedBytes,
         ...injected,
         destinations,
@@ -165,6 +171,7 @@
         notices,
         partitions,
         usedRetryShare: usedRetryShare(seen),
+        departures: seen.departures.length,
         logFolder,
     };
 }
--- a/packages/testing/src/standins/client.ts
+++ b/packages/testing/src/standins/client.ts
@@ -11,6 +11,8 @@
     readonly status: number;
     readonly headers: NodeJS.Dict<string | string[]>;
     readonly body: string;
+    /** Set if the client closed the connection without having an answer. */
+    readonly hasLeft?: true;
 }
 
 /** One attempt of a client, and how to send it. */
@@ -78,7 +80,7 @@
         if (options.disconnectAfterMs !== undefined) {
             setTimeout(() => {
                 request.destroy();
-                resolve(lost);
+                resolve({ ...lost, hasLeft: true });
             }, options.disconnectAfterMs);
         }
     });
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -19,6 +19,7 @@
     { seed: 3001, faultDuration: 12_000, faults: "notices" },
     { seed: 5001, faultDuration: 12_000, faults: "partitions" },
     { seed: 6001, faultDuration: 14_000, faults: "retries" },
+    { seed: 7001, faultDuration: 12_000, faults: "departures" },
 ];
 
 describe("the fault soak", () => {
@@ -209,6 +210,16 @@
         expect(isReported(503, 2000, false, 0)).to.equal(false);
     });
 
+    it("report requests that reach a server over half a second after their callers have left", () => {
+        const departures = [{ requestId: "r-1", at: 100 }];
+        const arrivalAt = (at: number, isHeldBack = false) => [
+            { requestId: "r-1", at, wasHeldBack: () => isHeldBack },
+        ];
+        expect(found({ arrivals: arrivalAt(601), departures })).to.deep.equal(["departed"]);
+        expect(found({ arrivals: arrivalAt(600), departures })).to.deep.equal([]);
+        expect(found({ arrivals: arrivalAt(601, true), departures })).to.deep.equal([]);
+    });
+
     it("report retries beyond the budget of a window", () => {
         const arrivals = (count: number) =>
             Array.from({ length: count + 1 }, (_, index) => ({ requestId: "r-1", at: 100 + index * 50 }));
