--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -48,6 +48,7 @@
     readonly startedAt: Milliseconds;
     /** Upper bound of the time for which the request's head was unread before `startedAt`. */
     readonly unreadFor: Milliseconds;
+    /** Tells whether the caller is still there. */
     readonly caller: ConfirmedCaller;
     /** When the latest attempt was sent; undefined before the first. */
     sentAt: Milliseconds | undefined;
--- a/packages/box/src/requests/attempt-request.ts
+++ b/packages/box/src/requests/attempt-request.ts
@@ -53,6 +53,7 @@
     /** Expected time until the answer of a server at normal speed. */
     readonly expected: Milliseconds;
     readonly signal: AbortSignal;
+    /** Tells whether the caller is still there, or at a box that forwards, the box that sent the attempt. */
     readonly caller: ConfirmedCaller;
     /** Called immediately before the request is sent. */
     readonly onSend: () => void;
