A caller whose connection was reset counts as still there: failing test

Callers saw: nothing, they had left.

Cause: a reset without an end before it, as the kernel sends it for a connection that is closed with unread answers, is read as an error. Requests are aborted by "close", which Node emits in the closing phase behind the poll and the check, so the check of the caller passes in between. Trace: request.callerLeft with sentAfter=1527 and after=1528 for an attempt whose connection was being opened while the box stood still.

--- a/packages/box/test/caller-pipeline.test.ts
+++ b/packages/box/test/caller-pipeline.test.ts
@@ -142,6 +142,24 @@
             expect(connections.inFlight()).to.equal(0);
         });
 
+        it("is known to have closed once a poll has read its reset, without an end before it", async () => {
+            caller.write(requestText("/0"));
+            await until(() => exchanges.length === 1, "the request is started");
+            const handle = Reflect.get(caller, "_handle") as { readonly reset: (done: () => void) => void; };
+            // Begins within a poll, where requests are read.
+            const isThere = new Promise<boolean>(resolve =>
+                server.once("request", () => {
+                    handle.reset(() => undefined);
+                    void exchanges[0].caller.confirm().then(resolve);
+                })
+            );
+            const other = connect((server.address() as AddressInfo).port, "127.0.0.1");
+            other.write(requestText("/1"));
+            expect(await isThere).to.equal(false);
+            expect(exchanges[0].controller.signal.aborted).to.equal(true);
+            other.destroy();
+        });
+
         it("delivers a large last answer although requests behind it were not read [P7]", async () => {
             const size = 512 * 1024;
             isLeaving = true;
