A reset of a caller's connection aborts its requests when it is read

Cause: requests were aborted by "end" and "close"; a reset without an end brings "error" in the poll and "close" only after the check behind it.

Change: "error" aborts them as well, also the attempts of another box.

--- a/packages/box/src/callers/caller-connections.ts
+++ b/packages/box/src/callers/caller-connections.ts
@@ -36,6 +36,8 @@
 
     server.on("connection", socket => {
         openPipelines.set(socket, pipelines.open(socket));
+        // A reset without an end: "close" comes only after the checks that follow the poll.
+        socket.once("error", () => withPipeline(socket, pipelines.onEnded));
         socket.once("end", () => withPipeline(socket, pipelines.onEnded));
         socket.once("close", () => {
             withPipeline(socket, pipelines.onClosed);
--- a/packages/box/src/callers/caller-pipeline.ts
+++ b/packages/box/src/callers/caller-pipeline.ts
@@ -5,7 +5,7 @@
  * Owns the order of the answers, the number of requests in progress, and the
  * choice of the answer that closes the connection. Keeps this as plain state per
  * connection, since closures would cost 2 KB for each idle connection. Relies on
- * Node for parsing. Requests are aborted by the socket's "end" and "close" events, since
+ * Node for parsing. Requests are aborted by the socket's "end", "error" and "close" events, since
  * Node reports a closed connection only to the first response of that connection.
  */
 
--- a/packages/box/src/paths/forwarding-endpoint.ts
+++ b/packages/box/src/paths/forwarding-endpoint.ts
@@ -130,8 +130,9 @@
         const { signal } = controller;
         const abort = () => controller.abort();
         response.on("close", abort);
-        // Comes before the "close" event, which waits until this side has ended too.
+        // These come before the "close" event, which waits until this side has ended too.
         request.socket.once("end", abort);
+        request.socket.once("error", abort);
         const caller = createConfirmedCaller(clock, () => confirmOpen(request.socket, { clock, signal }));
         const body = await readBody({ request, sendContinue: () => response.writeContinue() }, {
             clock,
@@ -154,6 +155,7 @@
         finally {
             inProgress -= 1;
             request.socket.removeListener("end", abort);
+            request.socket.removeListener("error", abort);
             if (body.kind === "whole") {
                 body.release();
             }
