A box that is held up twice counts from the first delay until all is read

Cause: the monitor replaced the backlog of a delay by that of the next one, and after a second delay of a second dropped it, although the loop had not been idle in between. Change: a delay keeps the beginning of the one before it unless four polls without a new connection passed in between. Only time in which the loop ran counts towards the end of a backlog.

--- a/packages/box/src/event-loop-monitor.ts
+++ b/packages/box/src/event-loop-monitor.ts
@@ -2,11 +2,12 @@
  * Measures for how long the event loop of this process is held up: while the process is paused, lacks processor time or
  * is busy, what arrives stays unread.
  *
- * Owns a timer, which stops with the signal, and the delays since the last report.
+ * Owns a timer and a subscription, which end with the signal, and the delays since the last report.
  */
 
 import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
 
 /** Delays of one event loop. */
 export interface EventLoopMonitor {
@@ -25,6 +26,14 @@
 /** Milliseconds of delay from which the loop counts as held up. */
 const minDelay = milliseconds(100);
 
+/**
+ * Polls without a new connection after which all requests that had arrived are read: a poll accepts one connection of a
+ * listener, and its request is read in the next one.
+ */
+const pollsThatReadAll = 4;
+/** Channel of Node.js on which each accepted connection is announced. */
+const acceptedChannel = "net.server.socket";
+
 /** What arrived during a delay and may be unread. Times are those of the clock. */
 interface Backlog {
     /** The beat before the delay. */
@@ -33,6 +42,8 @@
     readonly since: Milliseconds;
     /** Idle time of the loop until then, in milliseconds: once it grows, nothing is unread. */
     readonly idleBefore: number;
+    /** Polls since then, counted anew with each accepted connection until `pollsThatReadAll` are reached. */
+    polls: number;
 }
 
 /** Starts the monitor. */
@@ -43,7 +54,11 @@
     let total = 0;
     let sinceReport = { count: 0, longest: 0 };
     const timer = setInterval(onBeat, beatInterval).unref();
-    signal.addEventListener("abort", () => clearInterval(timer), { once: true });
+    subscribe(acceptedChannel, onAccepted);
+    signal.addEventListener("abort", () => {
+        clearInterval(timer);
+        unsubscribe(acceptedChannel, onAccepted);
+    }, { once: true });
 
     return {
         unreadFor() {
@@ -64,14 +79,32 @@
         const now = clock();
         const delay = now - latestBeat - beatInterval;
         const { idle } = performance.eventLoopUtilization();
-        if (backlog !== undefined && (idle > backlog.idleBefore || now - backlog.since >= maxBacklogTime)) {
+        if (backlog !== undefined && (idle > backlog.idleBefore || latestBeat - backlog.since >= maxBacklogTime)) {
             backlog = undefined;
         }
         if (delay >= minDelay) {
-            backlog = { arrivesFrom: latestBeat, since: now, idleBefore: idle };
+            const earlier = backlog !== undefined && backlog.polls < pollsThatReadAll ? backlog : undefined;
+            backlog = { arrivesFrom: earlier?.arrivesFrom ?? latestBeat, since: now, idleBefore: idle, polls: 0 };
+            countPolls(backlog);
             total += delay;
             sinceReport = { count: sinceReport.count + 1, longest: Math.max(sinceReport.longest, delay) };
         }
         latestBeat = now;
     }
+
+    function onAccepted(): void {
+        if (backlog !== undefined && backlog.polls < pollsThatReadAll) {
+            backlog.polls = 0;
+        }
+    }
+}
+
+/** Counts polls of the event loop: one ends before each run of `setImmediate` callbacks. */
+function countPolls(backlog: Backlog): void {
+    setImmediate(() => {
+        backlog.polls += 1;
+        if (backlog.polls < pollsThatReadAll) {
+            countPolls(backlog);
+        }
+    });
 }
--- a/packages/box/test/event-loop-monitor.test.ts
+++ b/packages/box/test/event-loop-monitor.test.ts
@@ -26,6 +26,16 @@
         }
     }
 
+    /** Holds up the loop, which then runs its expired timers and polls its sockets without ever being idle. */
+    async function holdUpThenPoll(duration: number, polls: number): Promise<void> {
+        const timer = sleep(milliseconds(1));
+        holdUpLoop(duration);
+        await timer;
+        for (let poll = 0; poll < polls; poll++) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    }
+
     it("bounds how long bytes may have been unread, right after a delay and after its timer", async () => {
         await sleep(milliseconds(120));
         holdUpLoop(400);
@@ -37,14 +47,27 @@
     it("counts from the first of two delays between which nothing shows that all was read", async () => {
         await sleep(milliseconds(120));
         for (const duration of [400, 200]) {
-            const timer = sleep(milliseconds(1));
-            holdUpLoop(duration);
-            await timer;
-            await new Promise(resolve => setImmediate(resolve));
+            await holdUpThenPoll(duration, 1);
         }
         expect(monitor.unreadFor()).to.be.at.least(600);
     });
 
+    it("counts from the first of two delays, however long the second one is", async () => {
+        await sleep(milliseconds(120));
+        for (const duration of [400, 1200]) {
+            await holdUpThenPoll(duration, 1);
+        }
+        expect(monitor.unreadFor()).to.be.at.least(1600);
+    });
+
+    it("counts from the second of two delays between which all was read", async () => {
+        await sleep(milliseconds(120));
+        for (const duration of [400, 200]) {
+            await holdUpThenPoll(duration, 10);
+        }
+        expect(monitor.unreadFor()).to.be.within(200, 399);
+    });
+
     it("reports each delay once", async () => {
         await sleep(milliseconds(120));
         holdUpLoop(400);
