Failing test: a request is sent although the process was held up between the last check and the first byte

exchange checks the caller when it builds the request; Node writes the first byte in a later tick. The test fails: the server gets the request.

--- a/packages/box/test/exchange.test.ts
+++ b/packages/box/test/exchange.test.ts
@@ -125,6 +125,28 @@
             expect(received).to.deep.equal([]);
         });
 
+        it("is not sent if the process is held up right before the first byte and the caller has left", async () => {
+            const received: string[] = [];
+            await withServer((socket, request) => {
+                received.push(request);
+                socket.write(framed("whole"));
+            }, async send => {
+                const startedAt = performance.now();
+                const leavingCaller: ConfirmedCaller = {
+                    isConfirmed: () => performance.now() - startedAt < 20,
+                    confirm: () => Promise.resolve(false),
+                };
+                process.nextTick(() => {
+                    while (performance.now() - startedAt < 30) {
+                        // Stands for a process that is paused.
+                    }
+                });
+                expect((await send("r-1", leavingCaller)).kind).to.equal("cancelled");
+                await new Promise(resolve => setTimeout(resolve, 50));
+            });
+            expect(received).to.deep.equal([]);
+        });
+
         it("is sent once the caller is confirmed again", async () => {
             await withServer(socket => socket.write(framed("whole")), async send => {
                 expect((await send("r-1", staleCaller(true))).kind).to.equal("answer");
