exchange checks the caller in the tick in which the first byte is written

Cause: the last check stood before the request was built; Node assigns the socket and writes a tick later, and the process was stopped in between (sentAfter=68, then a stop of 0.9 s). Change: the check moves to the assignment of the socket, after which a write goes to the kernel at once. What is left between the check and the write is the encoding of a head.

--- a/packages/box/src/servers/exchange.ts
+++ b/packages/box/src/servers/exchange.ts
@@ -97,23 +97,17 @@
             }
         });
         request.on("response", onResponse);
-        if (options.caller.isConfirmed()) {
-            request.end(options.body);
-        }
-        else {
-            void sendOnceConfirmed();
-        }
+        // Node assigns the socket in a later tick; from then on it writes at once.
+        request.on("socket", () => void send());
 
-        async function sendOnceConfirmed(): Promise<void> {
-            const isThere = await options.caller.confirm();
-            if (settled) {
-                return;
+        /** Writes the request, in the tick in which its caller is found to be confirmed. */
+        async function send(): Promise<void> {
+            if (!options.caller.isConfirmed() && !await options.caller.confirm()) {
+                settle({ kind: "cancelled" });
             }
-            if (isThere) {
+            if (!settled) {
                 request.end(options.body);
-                return;
             }
-            settle({ kind: "cancelled" });
         }
 
         function onResponse(response: IncomingMessage): void {
