Tests of box-departed-callers and box-late-reads begin once their warm-up is over

In "delivers answers that arrived in time" r-59 to r-61, the last of twenty, had not reached a server before the pause, so there was no answer that had arrived. Change: the warm-up has its answers before the servers change; the pause begins once all twenty requests are at servers, instead of 30 ms after the last was sent. Bounds, counts and checks are unchanged.

--- a/packages/testing/test/box-departed-callers.test.ts
+++ b/packages/testing/test/box-departed-callers.test.ts
@@ -156,7 +156,7 @@
         });
 
         it("sends no retry for callers that left before it read the server's rejection", async () => {
-            await fixture.callRepeatedly(box, 300, 5, () => ({}));
+            await warmUp();
             setFirstAttempt({ kind: "shed", afterMs: 200 });
             await callThenPause(20);
             await expectNoneLate(16);
@@ -164,7 +164,7 @@
         });
 
         it("sends no hedged attempt for callers that left before it was due", async () => {
-            await fixture.callRepeatedly(box, 300, 5, () => ({}));
+            await warmUp();
             setFirstAttempt({ kind: "loseAnswer", by: "silence" });
             await callThenPause(20);
             await expectNoneLate(16);
@@ -215,6 +215,12 @@
         });
     });
 
+    /** Makes the box know how its servers answer. */
+    async function warmUp(): Promise<void> {
+        await fixture.callRepeatedly(box, 300, 5, () => ({}));
+        await fixture.settle();
+    }
+
     /** Makes the first attempt of each request fail in this way, whichever server gets it. */
     function setFirstAttempt(behaviour: ServerBehaviour): void {
         const attempted = new Set<string>();
--- a/packages/testing/test/box-late-reads.test.ts
+++ b/packages/testing/test/box-late-reads.test.ts
@@ -5,7 +5,7 @@
 
 import { milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
-import { pause } from "../src/standins/deployment.js";
+import { pause, waitUntil } from "../src/standins/deployment.js";
 import { type DepartureFixture, startDepartureFixture } from "./departing-callers.js";
 
 const pauseDuration = milliseconds(1500);
@@ -54,8 +54,10 @@
     it("delivers answers that arrived in time, although their deadline passed meanwhile", async () => {
         const [box] = fixture.boxes;
         fixture.servers.forEach(server => server.setWork(200));
-        await fixture.callRepeatedly(box, 20, 2, () => ({ deadlineMs: 1000 }));
-        await pause(signalDelay);
+        const count = 20;
+        const arrivalsBefore = fixture.arrivals.length;
+        await fixture.callRepeatedly(box, count, 2, () => ({ deadlineMs: 1000 }));
+        await waitUntil(() => fixture.arrivals.length === arrivalsBefore + count, "all are at servers");
         box.signal("SIGSTOP");
         await pause(pauseDuration);
         box.signal("SIGCONT");
