Failing tests: a box that has just read the records counts itself only, for up to a second

The harness of retry-fleet gave each life of a box the store's list of boxes at its start, which a box can't have. It now gets it 400 ms after its start, if the store answers. Cause: a box that was asked for a retry before it knew anybody caches "no other box" for a second; once it has read the records, that count stands for the whole fleet, and it takes the whole allowance for its own.

--- a/packages/decisions/test/emulated-retries.ts
+++ b/packages/decisions/test/emulated-retries.ts
@@ -29,6 +29,10 @@
     readonly kills?: readonly number[];
     /** Requests per second at a time, in place of `requestsPerSecond`. */
     readonly rateAt?: (at: number) => number;
+    /** Times from and to which the store answers no box. */
+    readonly storeAway?: readonly [from: number, to: number];
+    /** Fraction of the boxes that the store returns to a box, drawn anew for each life. */
+    readonly recordedFraction?: number;
 }
 
 /** The retries of a fleet against the bound on them. */
@@ -44,6 +48,7 @@
 interface EmulatedLife {
     readonly limits: SharedLimits;
     readonly startedAt: number;
+    hasReadRecords: boolean;
 }
 
 const retryRatio = 0.2;
@@ -53,6 +58,8 @@
 /** Milliseconds for which a killed box is down, and then until it hears from others. */
 const downTime = 500;
 const joinTime = 300;
+/** Milliseconds from the start of a box to when it has read the store's records, if the store answers. */
+const recordsReadTime = 400;
 /** Milliseconds without an answer after which a box counts as failed. */
 const failureTimeout = 2100;
 /** Retries that each request asks for. */
@@ -84,6 +91,7 @@
             kill();
         }
         restartDueBoxes();
+        readRecords();
         due += (options.rateAt?.(now) ?? options.requestsPerSecond) * step / 1000;
         for (; due >= 1; due--) {
             sendRequest();
@@ -141,8 +149,21 @@
             serverConnectionLimit: () => undefined,
             onAdvertisedChanged: () => undefined,
         });
-        limits.onBoxesRecorded(records.map(({ box }) => box));
-        return { limits, startedAt };
+        return { limits, startedAt, hasReadRecords: false };
+    }
+
+    function readRecords(): void {
+        const [awayFrom, awayTo] = options.storeAway ?? [Infinity, Infinity];
+        if (now >= awayFrom && now < awayTo) {
+            return;
+        }
+        for (const [index, life] of lives.entries()) {
+            if (!life.hasReadRecords && now >= downUntil[index] && now >= life.startedAt + recordsReadTime) {
+                life.hasReadRecords = true;
+                const recorded = records.filter(() => random() < (options.recordedFraction ?? 1));
+                life.limits.onBoxesRecorded(recorded.map(({ box }) => box));
+            }
+        }
     }
 
     /** What a life of a box knows of the others. */
--- a/packages/decisions/test/fleet-size.test.ts
+++ b/packages/decisions/test/fleet-size.test.ts
@@ -41,6 +41,13 @@
         expect(see(1000, boxes.slice(1, 3), 0)).to.equal(12);
     });
 
+    it("includes recorded boxes as soon as they are read", () => {
+        const { fleetSize, see } = createCount();
+        expect(see(0, [], 0)).to.equal(undefined);
+        fleetSize.onRecorded(boxes.map(({ box }) => box));
+        expect(see(10, [], 0)).to.equal(12);
+    });
+
     it("does not fall for a box that hears from half of the others or fewer, however long", () => {
         const { see } = createCount();
         expect(see(0, boxes.slice(1), 0)).to.equal(12);
