A box counts recorded boxes as soon as they are read

Cause: the number of boxes was cached for a second, also the "none" of a box that had just started; once the records were read, that none counted as a fleet of one, with the whole allowance. Change: what is cached is the reading of the membership; recorded boxes count from the call on.

--- a/packages/decisions/src/limits/fleet-size.ts
+++ b/packages/decisions/src/limits/fleet-size.ts
@@ -34,15 +34,15 @@
 
 /** Milliseconds for which a box that announced its shutdown still counts: it may retry requests until it ends. */
 const leavingPeriod = 20_000;
-/** Milliseconds for which the count is cached. */
-const countLifetime = milliseconds(1000);
+/** Milliseconds between two readings of the membership. */
+const readInterval = milliseconds(1000);
 
 /** Creates the count of a box that has just started. */
 export function createFleetSize({ clock, membership, self }: FleetSizeOptions): FleetSize {
     /** When each counted box other than this one was last heard from or read from the store. */
     const countedBoxes = new Map<BoxId, number>();
     let hasReadRecords = false;
-    const count = createTimedCache(clock, countLifetime, () => updateCount(clock()));
+    const readMembership = createTimedCache(clock, readInterval, () => updateCountedBoxes(clock()));
 
     return {
         onRecorded(boxes) {
@@ -50,13 +50,12 @@
             boxes.filter(box => box !== self && !countedBoxes.has(box)).forEach(box => countedBoxes.set(box, clock()));
         },
         count() {
-            const others = count();
-            return others > 0 || hasReadRecords ? others + 1 : undefined;
+            readMembership();
+            return countedBoxes.size > 0 || hasReadRecords ? countedBoxes.size + 1 : undefined;
         },
     };
 
-    /** Returns the number of counted boxes other than this one. */
-    function updateCount(at: Milliseconds): number {
+    function updateCountedBoxes(at: Milliseconds): void {
         for (const { heardAgo, record } of membership.known(at)) {
             if (record.leaving && heardAgo > leavingPeriod) {
                 countedBoxes.delete(record.box);
@@ -68,7 +67,6 @@
         if (membership.alive(at).length * 2 > countedBoxes.size + 1) {
             forgetSilentBoxes(at);
         }
-        return countedBoxes.size;
     }
 
     function forgetSilentBoxes(at: Milliseconds): void {
