retry-fleet: a started box hears from others one by one; the store away and records incomplete

Three more states of the fleet for each of the four sizes: the store away while half of the boxes are killed, a fleet that starts apart with half of the records each, and apart with the store away and kills. A started box hears of the others within a second, one by one, as by gossip, not of all at once.

--- a/packages/decisions/test/emulated-retries.ts
+++ b/packages/decisions/test/emulated-retries.ts
@@ -60,6 +60,8 @@
 const joinTime = 300;
 /** Milliseconds from the start of a box to when it has read the store's records, if the store answers. */
 const recordsReadTime = 400;
+/** Milliseconds from the first box that a started box hears from to the last one. */
+const hearingTime = 1000;
 /** Milliseconds without an answer after which a box counts as failed. */
 const failureTimeout = 2100;
 /** Retries that each request asks for. */
@@ -169,7 +171,11 @@
     /** What a life of a box knows of the others. */
     function membershipOf(index: number, startedAt: number): Membership {
         const own = records[index];
-        const others = () => isAlone(startedAt) ? [] : visible().filter(({ record }) => record !== own);
+        const others = () => {
+            const visibleOthers = isAlone(startedAt) ? [] : visible().filter(({ record }) => record !== own);
+            const heardFraction = startedAt === 0 ? 1 : (now - startedAt - joinTime) / hearingTime;
+            return visibleOthers.slice(0, Math.max(1, Math.ceil(visibleOthers.length * heardFraction)));
+        };
         const known: Membership["known"] = () => others();
         const alive = () => [own, ...others().map(({ record }) => record)];
         return { alive, inService: alive, known, ownRecord: () => own } as Partial<Membership> as Membership;
--- a/packages/decisions/test/retry-fleet.test.ts
+++ b/packages/decisions/test/retry-fleet.test.ts
@@ -14,15 +14,24 @@
         { boxes: 740, requestsPerSecond: 600, allowance: 58 },
     ];
     const whole = { duration: 34_000, failingFrom: 12_000 };
-    const states: readonly [name: string, state: Pick<RetryFleetOptions, "apart" | "kills">][] = [
+    type State = Pick<RetryFleetOptions, "apart" | "kills" | "recordedFraction" | "storeAway">;
+    const killTimes = [12_500, 14_500, 16_500, 18_500, 20_500, 22_500];
+    const states: readonly [name: string, state: State][] = [
         ["in calm", {}],
         ["while all boxes lose each other long before", { apart: [2000, 34_000] }],
         ["while all boxes lose each other just before", { apart: [9500, 20_000] }],
-        ["while half of the boxes are killed every 2 s", { kills: [12_500, 14_500, 16_500, 18_500, 20_500, 22_500] }],
+        ["while half of the boxes are killed every 2 s", { kills: killTimes }],
         ["while they lose each other and are killed", {
             apart: [6000, 24_000],
             kills: [11_000, 13_000, 15_000, 17_500, 19_000, 23_900],
         }],
+        ["while the store is away and half of the boxes are killed", { storeAway: [10_000, 34_000], kills: killTimes }],
+        ["while they start apart with half of the records", { apart: [0, 34_000], recordedFraction: 0.5 }],
+        ["while they are apart, the store is away and half are killed", {
+            apart: [6000, 34_000],
+            storeAway: [6000, 24_000],
+            kills: killTimes,
+        }],
     ];
 
     for (const size of sizes) {
