An isolated box asks a box that comes into service at once

Cause: the question was put only before a test connection, and every 0.5 s at most. Change: it is put on the tick, at once if a box came into service since the last one, otherwise every 0.5 s as before, about another server each time. Result: the test, which failed before (not asked), passes unchanged; a second one holds that 40 known boxes are not asked again within the interval.

--- a/packages/box/src/paths/path-monitor.ts
+++ b/packages/box/src/paths/path-monitor.ts
@@ -84,6 +84,7 @@
 const silenceChecks = 3;
 /** Milliseconds between two questions to other boxes while this box is isolated. */
 const isolatedAskInterval = 500;
+
 /** Creates the monitor; all servers count as reachable. */
 export function createPathMonitor(options: PathMonitorOptions): PathMonitor {
     const { catalog, clock, log } = options;
@@ -94,6 +95,7 @@
     const questions = createReachQuestions({ ...options, areServersSilent });
     let silenceCheckedAt = -Infinity;
     let askedWhileIsolatedAt = -Infinity;
+    let isolatedAskCount = 0;
     let isTesting = false;
     let lastReach = "all";
 
@@ -117,6 +119,7 @@
         reachesDirectly,
         tick() {
             checkSilentServers();
+            askWhileIsolated();
             startTests();
             reportChange();
         },
@@ -269,20 +272,31 @@
         while (isRestored) {
             const target = paths.nextToTest([...catalog.all()].map(targetOf), clock());
             const server = target && catalog.get(target.id);
-            isRestored = server !== undefined && await testCutPath(server);
+            isRestored = server !== undefined && await testDirectly(server);
         }
         isTesting = false;
     }
 
-    async function testCutPath(server: BackendServer): Promise<boolean> {
-        if (paths.isIsolated(clock()) && clock() - askedWhileIsolatedAt >= isolatedAskInterval) {
+    /** Asks others now and then, and at once when a box that was not asked has come into service. */
+    function askWhileIsolated(): void {
+        if (!paths.isIsolated(clock())) {
+            return;
+        }
+        const server = nextOf([...catalog.all()]);
+        const isDue = clock() - askedWhileIsolatedAt >= isolatedAskInterval;
+        if (server !== undefined && (isDue || questions.hasUnasked(server))) {
             askedWhileIsolatedAt = clock();
-            void askWhileIsolated(server);
+            void askAnew(server);
         }
-        return testDirectly(server);
     }
 
-    async function askWhileIsolated(server: BackendServer): Promise<void> {
+    /** Another server each time: the one that was asked about may be down for all boxes. */
+    function nextOf(servers: readonly BackendServer[]): BackendServer | undefined {
+        isolatedAskCount += 1;
+        return servers.at(isolatedAskCount % Math.max(1, servers.length));
+    }
+
+    async function askAnew(server: BackendServer): Promise<void> {
         if (await questions.askAnew(server)) {
             paths.onConnectFailed(targetOf(server), clock());
             onReachedByOthers(server);
--- a/packages/box/src/paths/reach-questions.ts
+++ b/packages/box/src/paths/reach-questions.ts
@@ -5,7 +5,7 @@
  */
 
 import type { BackendServer, ForwardingBoxes, MemberRecord } from "@chalkdale/decisions";
-import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
+import { type Clock, type IncarnationId, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import type { ForwardingClient, ReachReply } from "./forwarding-client.js";
 import { createSharedResults, resultLifetime } from "./shared-results.js";
 
@@ -26,8 +26,10 @@
      * serve. Never rejects.
      */
     readonly isReached: (server: BackendServer, notBefore?: Milliseconds) => Promise<boolean>;
-    /** The same, without earlier answers. */
+    /** The same, without earlier answers; notes which boxes are in service. */
     readonly askAnew: (server: BackendServer) => Promise<boolean>;
+    /** True if a box has come into service since the latest call of `askAnew`. */
+    readonly hasUnasked: (server: BackendServer) => boolean;
 }
 
 /** Boxes that are asked about one server at first; each further round asks twice as many. */
@@ -41,20 +43,30 @@
 export function createReachQuestions(options: ReachQuestionsOptions): ReachQuestions {
     const { clock, forwardingBoxes } = options;
     const answers = createSharedResults<BackendServer, boolean>(clock);
+    /** Boxes in service at the latest new question. */
+    let known: ReadonlySet<IncarnationId> = new Set();
 
     return {
         isReached: (server, notBefore = milliseconds(clock() - resultLifetime)) =>
             answers.get(server, notBefore, () => askOthers(server)),
-        askAnew: askOthers,
+        askAnew(server) {
+            known = new Set(rankedBoxes(server, Infinity).map(({ incarnation }) => incarnation));
+            return askOthers(server);
+        },
+        hasUnasked: server => rankedBoxes(server, Infinity).some(({ incarnation }) => !known.has(incarnation)),
     };
 
+    function rankedBoxes(server: BackendServer, count: number): readonly MemberRecord[] {
+        const request = { server: server.state.record(), allowedRegions: undefined };
+        return forwardingBoxes.ranked(request, count, clock());
+    }
+
     /**
      * Asks a few boxes, and more of them as long as none reaches the server and no other server answers this box
      * either: then few boxes may be left that have a path.
      */
     async function askOthers(server: BackendServer): Promise<boolean> {
-        const request = { server: server.state.record(), allowedRegions: undefined };
-        const boxes = forwardingBoxes.ranked(request, maxAsked, clock());
+        const boxes = rankedBoxes(server, maxAsked);
         for (let from = 0, count = firstAsked; from < boxes.length; from += count, count *= 2) {
             if (await askBoxes(server, boxes.slice(from, from + count))) {
                 return true;
--- a/packages/box/test/path-monitor.test.ts
+++ b/packages/box/test/path-monitor.test.ts
@@ -10,7 +10,7 @@
     type MemberRecord,
     type ServerCatalog,
 } from "@chalkdale/decisions";
-import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
+import { incarnationId, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { createLog } from "@chalkdale/runtime";
 import { expect } from "chai";
 import { createPathMonitor, type PathMonitor } from "../src/paths/path-monitor.js";
@@ -21,6 +21,7 @@
     let now: Milliseconds;
     let inService: readonly MemberRecord[];
     let asked: string[];
+    let reply: "reached" | "unreached";
     let catalog: ServerCatalog;
     let paths: PathMonitor;
     let servers: readonly BackendServer[];
@@ -29,6 +30,7 @@
         now = milliseconds(0);
         inService = [];
         asked = [];
+        reply = "reached";
         catalog = createServerCatalog((record, at) => createSampleState(record, at));
         catalog.applyList(
             ["i-0", "i-1", "i-2", "i-3"].map(name => ({ ...createSampleRecord(name), address: refusingAddress })),
@@ -46,7 +48,7 @@
             client: {
                 askReach(box) {
                     asked.push(box.box);
-                    return Promise.resolve("reached");
+                    return Promise.resolve(reply);
                 },
             },
             forwardingBoxes: createForwardingBoxes({
@@ -78,6 +80,20 @@
         expect(asked).to.deep.equal(["box-1"]);
         expect(paths.pathTo(servers[0])).to.equal("viaPeer");
     });
+
+    it("does not ask the same boxes again at once", async () => {
+        reply = "unreached";
+        inService = Array.from({ length: 40 }, (_, index) => ({
+            ...sampleMember(`box-${index + 1}`),
+            incarnation: incarnationId(`${index}`),
+        }));
+        await becomeIsolated();
+        const askedBefore = asked.length;
+        now = milliseconds(1050);
+        paths.tick();
+        await settle();
+        expect(asked.length).to.equal(askedBefore);
+    });
 });
 
 /** Nothing listens on the first port. */
