Soak: the partitions check counts a box from two seconds after it states that it is ready

Change: callers of the partitions ask for the readiness before each request; a box counts from its first served request or from two seconds after it became ready, whichever comes first, which is never later than before. The case of the check's own test, a box that never serves, is reported now if it is ready.

--- a/packages/testing/src/soak/box-process.ts
+++ b/packages/testing/src/soak/box-process.ts
@@ -41,6 +41,7 @@
     readonly zone: string;
     readonly callerAddress: string;
     readonly directoryAddress: string;
+    readonly readinessAddress: string;
     readonly start: () => void;
     /** Sends a signal to the process, if it was started. */
     readonly signal: (signal: NodeJS.Signals) => void;
@@ -77,6 +78,7 @@
         zone: options.zone,
         callerAddress: callers,
         directoryAddress: directory,
+        readinessAddress: readiness,
         start() {
             child = spawn(process.execPath, [resolve(workspaceRoot, "platform/dist/src/main.js")], {
                 env: {
--- a/packages/testing/src/soak/observations.ts
+++ b/packages/testing/src/soak/observations.ts
@@ -51,6 +51,8 @@
     readonly answer: ClientAnswer;
     /** Customer and key with which it was sent. */
     readonly held: CallerKey;
+    /** Time from which the box has stated that it is ready; undefined if it does not or was not asked. */
+    readonly readySince?: number;
     /**
      * Set if a pipelined request got no answer: an earlier answer ended the connection (`unread`), or the
      * connection was lost.
--- a/packages/testing/src/soak/partition-callers.ts
+++ b/packages/testing/src/soak/partition-callers.ts
@@ -3,6 +3,7 @@
  */
 
 import { milliseconds } from "@chalkdale/kernel";
+import { platformProtocol } from "@chalkdale/users-platform";
 import { Agent } from "node:http";
 import { sendRequest } from "../standins/client.js";
 import { pause } from "../standins/deployment.js";
@@ -24,6 +25,8 @@
 const deadline = 2000;
 /** Milliseconds after which a caller gives up. */
 const giveUpAfter = 4000;
+/** Milliseconds for a box to state that it is ready. */
+const readinessTimeout = 500;
 
 /** Starts a caller for each box. */
 export function startPartitionCallers(environment: SoakEnvironment): Pick<Callers, "attempts" | "stop"> {
@@ -45,10 +48,12 @@
 
     async function runCaller(box: BoxProcess, index: number): Promise<void> {
         const agent = new Agent({ keepAlive: true });
+        let readySince: number | undefined;
         for (let count = 0; !isStopped; count++) {
             const idempotent = count % writeEvery !== 0;
             const held = environment.customers.callerKeyOf(customerNames[index % customerNames.length]);
             const requestId = `part-${index}-${count}`;
+            readySince = await isReady(box) ? readySince ?? now() : undefined;
             const at = now();
             const answer = await sendRequest({
                 address: box.callerAddress,
@@ -63,9 +68,20 @@
                 disconnectAfterMs: giveUpAfter,
                 agent,
             });
-            attempts.push({ requestId, idempotent, at, box: box.callerAddress, answer, held });
+            attempts.push({ requestId, idempotent, at, box: box.callerAddress, answer, held, readySince });
             await pause(requestPause);
         }
         agent.destroy();
     }
 }
+
+async function isReady({ readinessAddress }: BoxProcess): Promise<boolean> {
+    const { status } = await sendRequest({
+        address: readinessAddress,
+        host: soakHost,
+        path: platformProtocol.readinessPath,
+        requestId: "readiness",
+        disconnectAfterMs: readinessTimeout,
+    });
+    return status === 200;
+}
--- a/packages/testing/src/soak/partition-checks.ts
+++ b/packages/testing/src/soak/partition-checks.ts
@@ -5,7 +5,7 @@
 
 import type { Breach, Observations, ObservedAttempt, ObservedPartition } from "./observations.js";
 
-/** Milliseconds after the cut from which its boxes must serve. */
+/** Milliseconds after the cut, and after they state that they are ready, from which its boxes must serve. */
 const servedWithin = 2000;
 /** Fraction of the other boxes' share of served requests that cut boxes must reach; the users' rule asks two thirds. */
 const minShareOfOthers = 0.9;
@@ -61,7 +61,7 @@
     const hostOf = ({ box }: ObservedAttempt) => box.split(":")[0];
     const ofCallers = attempts.filter(({ requestId }) => requestId.startsWith("part-"));
     const during = ofCallers.filter(attempt =>
-        attempt.at >= firstServedAt(ofCallers, attempt.box)
+        attempt.at >= Math.min(firstServedAt(ofCallers, attempt.box), (attempt.readySince ?? Infinity) + servedWithin)
         && attempt.at >= partition.from + servedWithin && attempt.at <= partition.to
         && !admissionStatuses.has(attempt.answer.status)
         && hadBoxFault?.(hostOf(attempt), attempt.at) !== true
@@ -81,7 +81,7 @@
         : { cut: servedShare(atCut), cutCount: atCut.length, others: servedShare(atOthers) };
 }
 
-/** A box that has not served yet may still wait for the store or for other boxes, whatever its links to servers do. */
+/** When the box is known to serve, whatever it states about itself. */
 function firstServedAt(attempts: readonly ObservedAttempt[], box: string): number {
     return attempts.find(attempt => attempt.box === box && attempt.answer.status === 200)?.at ?? Infinity;
 }
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -185,29 +185,38 @@
 
     it("report boxes that serve far less than others while they are partitioned from servers", () => {
         const partitions = [{ hosts: new Set(["127.0.0.8"]), kind: "silent" as const, from: 0, to: 10_000 }];
-        const attemptsAt = (host: string, from: number, status: number) =>
+        const attemptsAt = (host: string, from: number, status: number, readySince?: number) =>
             Array.from({ length: 40 }, (_, index) => ({
                 ...attempt(status),
+                readySince,
                 requestId: `part-${host}-${index}`,
                 at: from + index * 100,
                 box: `${host}:1`,
             }));
-        const isReported = (status: number, from = 2000, hadBoxFault = false, firstServed = 1) =>
-            found({
-                partitions,
-                attempts: [
-                    ...attemptsAt("127.0.0.8", from - 100, 200).slice(0, firstServed),
-                    ...attemptsAt("127.0.0.8", from, status),
-                    ...attemptsAt("127.0.0.9", from, 200),
-                ],
-                hadBoxFault: () => hadBoxFault,
-            }).includes("partition");
+        const isReported = (
+            status: number,
+            from = 2000,
+            hadBoxFault = false,
+            firstServed = 1,
+            readySince?: number,
+        ) => found({
+            partitions,
+            attempts: [
+                ...attemptsAt("127.0.0.8", from - 100, 200).slice(0, firstServed),
+                ...attemptsAt("127.0.0.8", from, status, readySince),
+                ...attemptsAt("127.0.0.9", from, 200),
+            ],
+            hadBoxFault: () => hadBoxFault,
+        }).includes("partition");
         expect(isReported(503)).to.equal(true);
         expect(isReported(200)).to.equal(false);
         expect(isReported(401)).to.equal(false);
         expect(isReported(503, -3000)).to.equal(false);
         expect(isReported(503, 2000, true)).to.equal(false);
         expect(isReported(503, 2000, false, 0)).to.equal(false);
+        expect(isReported(503, 2000, false, 0, 0)).to.equal(true);
+        expect(isReported(503, 2000, false, 0, 1500)).to.equal(true);
+        expect(isReported(503, 2000, false, 0, 3500)).to.equal(false);
     });
 
     it("report requests that reach a server over half a second after their callers have left", () => {
