--- a/packages/testing/test/box-customers.test.ts
+++ b/packages/testing/test/box-customers.test.ts
@@ -2,10 +2,12 @@
  * One box whose callers need keys, over real sockets: which requests are admitted, and which headers reach the servers.
  */
 
+import { milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
 import fc from "fast-check";
 import type { ClientRequest } from "../src/standins/client.js";
-import { waitUntil } from "../src/standins/deployment.js";
+import { pause, testHost, waitUntil } from "../src/standins/deployment.js";
+import { openPipeline } from "../src/standins/pipelining-client.js";
 import type { TenantOptions } from "../src/standins/platform-objects.js";
 import { type OneBox, rules, startOneBox } from "./one-box.js";
 
@@ -14,6 +16,9 @@
     { name: "southern", keys: ["key-of-southern"], homeRegions: ["south"] },
 ];
 
+/** Milliseconds after which a box has started and other rules apply to its first requests. */
+const startTime = milliseconds(2000);
+
 describe("a box whose callers need keys", () => {
     let world: OneBox;
     let version: number;
@@ -147,6 +152,21 @@
             );
         });
 
+        it("refuses no pipelined burst within it that its share does not admit at once [P22]", async () => {
+            await configure([...tenants, { name: "bursty", keys: ["key-of-bursty"], rate: 100, burst: 100 }]);
+            await pause(startTime);
+            const connection = openPipeline(world.box.callerAddress);
+            const outcomes = await Promise.all(connection.send(Array.from({ length: 60 }, (_, index) => ({
+                host: testHost,
+                path: "/lookup/",
+                requestId: `burst-${index}`,
+                headers: { Credential: "key-of-bursty" },
+            }))));
+            connection.leave("close");
+            expect(outcomes.map(outcome => outcome.kind === "answered" ? outcome.answer.status : outcome.kind))
+                .to.deep.equal(outcomes.map(() => 200));
+        });
+
         it("does not charge requests that no server ran", async () => {
             await configure([...tenants, limited]);
             world.misbehave({ kind: "shed" });
