Emulator: boxes that are paused while callers leave, at 9 and 198 boxes beside other faults

A box now has an input: while it runs it reads at once; after a pause a poll reads one piece of each connection, so the end of a connection comes behind its data. New fault pausedBoxes; callers leave at their deadlines while an emulation has it.

--- a/packages/testing/src/emulator/emulated-attempts.ts
+++ b/packages/testing/src/emulator/emulated-attempts.ts
@@ -32,12 +32,13 @@
     milliseconds,
     type ServiceId,
 } from "@chalkdale/kernel";
+import type { EmulatedConnection, EmulatedInput } from "./emulated-input.js";
 import type { EmulatedPath, EmulatedPaths } from "./emulated-paths.js";
 import type { EmulatedServer, ServerOutcome } from "./emulated-server.js";
 import type { EventQueue } from "./event-queue.js";
 
 /** How a request ended at a box. */
-export type EmulatedRequestOutcome = "answered" | "refused" | "timedOut";
+export type EmulatedRequestOutcome = "answered" | "refused" | "timedOut" | "callerLeft";
 
 /** A request as a box receives it. */
 export interface EmulatedRequest {
@@ -52,6 +53,12 @@
     readonly bytes: number | undefined;
     /** The caller repeats a request that a box refused. */
     readonly isCallerRetry: boolean;
+    /** The caller's connection. */
+    readonly connection: EmulatedConnection;
+    /** True once the box has read the end of the connection. */
+    readonly hasEnded: () => boolean;
+    /** Called when an attempt reaches a server. */
+    readonly onReached: () => void;
 }
 
 export interface EmulatedAttemptsOptions {
@@ -63,6 +70,7 @@
     /** Milliseconds from this box to the servers of a zone and back. */
     readonly roundTrip: (zone: AvailabilityZoneId) => number;
     readonly paths: EmulatedPaths;
+    readonly input: EmulatedInput;
     /** Called for each attempt, when it is sent, with its number within the request, from 1. */
     readonly onArrival: (server: BackendServerId, count: number) => void;
     /** Called for each attempt with the bytes that it is expected to transfer between the box and the server's zone. */
@@ -105,17 +113,31 @@
     const budgetRandom = createSeededRandom(hashText(options.id));
 
     return function serve(request, done) {
-        budgetOf(request.service).onRequest(events.now());
-        attempt({
+        const inProgress: RequestInProgress = {
             ...request,
             keyHash: hashKey(request.service, `${request.route.name} ${request.key}`),
             deadlineAt: events.now() + request.deadline,
             tried: new Set(),
             notSent: 0,
             done,
+        };
+        ifCallerStays(inProgress, () => {
+            budgetOf(request.service).onRequest(events.now());
+            attempt(inProgress);
         });
     };
 
+    /** Runs `action` if the caller is found to be there once everything that has arrived from it was read. */
+    function ifCallerStays(request: RequestInProgress, action: () => void): void {
+        options.input.confirm(request.connection, () => {
+            if (request.hasEnded()) {
+                request.done("callerLeft");
+                return;
+            }
+            action();
+        });
+    }
+
     function attempt(request: RequestInProgress): void {
         if (options.paths.isIsolated()) {
             refuse(request, "noPath");
@@ -138,7 +160,7 @@
             if (path.via !== undefined) {
                 reportDecision(request, `through ${path.via}`);
             }
-            send(request, choice, events.now(), path);
+            ifCallerStays(request, () => send(request, choice, events.now(), path));
         });
     }
 
@@ -155,9 +177,16 @@
         workEstimate.onSent(request.service, request.route);
         options.onArrival(server.id, request.tried.size);
         options.onTransferred(server.state.record().zone, transferSizes.expected(request.route));
+        const connection: EmulatedConnection = { unread: [] };
         const onAnswer = (outcome: ServerOutcome) =>
-            events.after(oneWay, () => onOutcome(request, choice, outcome, sentAt));
-        events.after(oneWay, () => options.server(server.id).receive(request.key, request.work, onAnswer));
+            events.after(
+                oneWay,
+                () => options.input.receive(connection, () => onOutcome(request, choice, outcome, sentAt)),
+            );
+        events.after(oneWay, () => {
+            request.onReached();
+            options.server(server.id).receive(request.key, request.work, onAnswer);
+        });
     }
 
     function onOutcome(
@@ -198,7 +227,7 @@
             refuse(request, decision.refusal);
             return;
         }
-        attempt(request);
+        ifCallerStays(request, () => attempt(request));
     }
 
     function updateEstimates(request: RequestInProgress, choice: ChosenServer, sentAt: Milliseconds): void {
--- a/packages/testing/src/emulator/emulated-box.ts
+++ b/packages/testing/src/emulator/emulated-box.ts
@@ -24,6 +24,7 @@
     type EmulatedRequest,
     type EmulatedRequestOutcome,
 } from "./emulated-attempts.js";
+import { createEmulatedInput, type EmulatedInput } from "./emulated-input.js";
 import { createEmulatedPaths, type EmulatedPathsOptions } from "./emulated-paths.js";
 import { createPolicy, type PolicyName } from "./policies.js";
 
@@ -36,11 +37,13 @@
     readonly applyServers: (records: readonly BackendServerRecord[]) => void;
     /** Sets the closed availability zones; they replace those set before. */
     readonly closeZones: (zones: ReadonlySet<AvailabilityZoneId>) => void;
-    /** Serves a caller's request and reports its outcome to `done`. */
+    /** What arrives at the box. */
+    readonly input: EmulatedInput;
+    /** Serves a caller's request that was read, and reports its outcome to `done`. */
     readonly serve: (request: EmulatedRequest, done: (outcome: EmulatedRequestOutcome) => void) => void;
 }
 
-export interface EmulatedBoxOptions extends Omit<EmulatedAttemptsOptions, "paths"> {
+export interface EmulatedBoxOptions extends Omit<EmulatedAttemptsOptions, "paths" | "input"> {
     readonly region: RegionId;
     readonly zone: AvailabilityZoneId;
     readonly policy: PolicyName;
@@ -49,6 +52,7 @@
     readonly links: Omit<EmulatedPathsOptions, "events" | "servers">;
     /** Requests a second that a cold server can serve, from all boxes together. */
     readonly coldRate: number;
+    readonly readsBeforeSending: boolean;
 }
 
 /** Creates a box without servers. */
@@ -59,6 +63,7 @@
     const serviceLoad = createServiceLoad();
     const workEstimate = createWorkEstimate();
     const transferSizes = createTransferSizes();
+    const input = createEmulatedInput(options);
     let closedZones: ReadonlySet<AvailabilityZoneId> = new Set();
     const choose = createPolicy(options.policy, {
         region,
@@ -79,6 +84,7 @@
         id,
         region,
         zone,
+        input,
         applyServers: records => {
             catalog.applyList(records, events.now());
         },
@@ -87,6 +93,7 @@
         },
         serve: createEmulatedAttempts({
             ...options,
+            input,
             paths: createEmulatedPaths({ ...options.links, events, servers: catalog.all }),
             choose,
             recentKeys,
--- a/packages/testing/src/emulator/emulation.ts
+++ b/packages/testing/src/emulator/emulation.ts
@@ -17,7 +17,9 @@
     serviceId,
 } from "@chalkdale/kernel";
 import type { EmulatedDeployment, RequestClass } from "./deployment.js";
-import type { EmulatedRequestOutcome } from "./emulated-attempts.js";
+import type { EmulatedRequest, EmulatedRequestOutcome } from "./emulated-attempts.js";
+import type { EmulatedBox } from "./emulated-box.js";
+import type { EmulatedConnection } from "./emulated-input.js";
 import type { EmulatedServer } from "./emulated-server.js";
 import { createEventQueue } from "./event-queue.js";
 import { createFleet } from "./fleet.js";
@@ -47,6 +49,8 @@
         readonly zone?: string;
         readonly share?: number;
     }
+    /** Box processes get no processor time, each with the probability `share`. Callers leave at their deadlines. */
+    | { readonly kind: "pausedBoxes"; readonly at: number; readonly duration: number; readonly share: number; }
     | { readonly kind: "burst"; readonly at: number; readonly duration: number; readonly factor: number; };
 
 export interface EmulationOptions {
@@ -63,6 +67,10 @@
     readonly onPartition?: (boxes: ReadonlySet<BoxId>) => void;
     /** Called when the first attempt of a request has ended. */
     readonly onFirstAttemptEnded?: (attempt: EmulatedFirstAttempt) => void;
+    /** Called when an attempt reaches a server, with the milliseconds since its caller left; undefined if it stays. */
+    readonly onReached?: (leftFor: number | undefined) => void;
+    /** False for boxes that act on what they have read, whatever is unread; true if undefined. */
+    readonly readsBeforeSending?: boolean;
     /** Called with each decision of a box, preceded by the simulated time. */
     readonly onDecision?: (line: string) => void;
 }
@@ -96,6 +104,9 @@
     const callerRetryRandom = createSeededRandom(options.seed * seedStride + 1);
     const faultRandom = createSeededRandom(options.seed * seedStride + 2);
     const tally = createTally();
+    const callersLeave = options.faults?.some(({ kind }) => kind === "pausedBoxes") === true;
+    /** How many faults pause each box now. */
+    const pauseCounts = new Map<BoxId, number>();
     let retries = 0;
     let burst = 1;
     const fleet = createFleet({
@@ -104,6 +115,7 @@
         random: policyRandom,
         pathRandom: createSeededRandom(options.seed * seedStride + 3),
         events,
+        readsBeforeSending: options.readsBeforeSending ?? true,
         onTransferred: countTransfer,
         onArrival: count => {
             retries += count > 1 ? 1 : 0;
@@ -162,7 +174,15 @@
             const box = reachableBoxes[Math.floor(drawn * reachableBoxes.length)];
             countTransfer(zone, box.zone, requestClass.bytes ?? 0);
             const deadline = milliseconds(requestClass.deadline - (events.now() - startedAt));
+            const connection: EmulatedConnection = { unread: [] };
+            let leftAt: number | undefined;
+            let isOver = false;
+            let hasEnded = false;
             const onOutcome = (outcome: EmulatedRequestOutcome) => {
+                if (isOver) {
+                    return;
+                }
+                isOver = true;
                 if (!isCallerRetry) {
                     const took = events.now() - startedAt;
                     options.onFirstAttemptEnded?.({ box: box.id, startedAt, took, outcome });
@@ -178,11 +198,35 @@
                 }
                 tally.onRefused(zone);
             };
-            events.after(deployment.callerLatency, () =>
-                box.serve(
-                    { ...request, deadline, isCallerRetry },
-                    outcome => events.after(deployment.callerLatency, () => onOutcome(outcome)),
-                ));
+            const arriving: EmulatedRequest = {
+                ...request,
+                deadline,
+                isCallerRetry,
+                connection,
+                hasEnded: () => hasEnded,
+                onReached: () => options.onReached?.(leftAt === undefined ? undefined : events.now() - leftAt),
+            };
+            const onEnded = (outcome: EmulatedRequestOutcome) =>
+                events.after(deployment.callerLatency, () => onOutcome(outcome));
+            events.after(
+                deployment.callerLatency,
+                () => box.input.receive(connection, () => box.serve(arriving, onEnded)),
+            );
+            if (callersLeave) {
+                events.after(deadline, leave);
+            }
+
+            function leave(): void {
+                if (isOver) {
+                    return;
+                }
+                leftAt = events.now();
+                onOutcome("callerLeft");
+                events.after(deployment.callerLatency, () =>
+                    box.input.receive(connection, () => {
+                        hasEnded = true;
+                    }));
+            }
         }
     }
 
@@ -207,12 +251,25 @@
             case "partition":
                 partition(new Set(boxesToPartition(fault).map(({ id }) => id)));
                 return;
+            case "pausedBoxes": {
+                const paused = drawSample(fleet.boxes, fault.share, faultRandom);
+                paused.forEach(box => countPause(box, 1));
+                events.after(fault.duration, () => paused.forEach(box => countPause(box, -1)));
+                return;
+            }
             case "burst":
                 burst = fault.factor;
                 return;
         }
     }
 
+    /** Pauses of one box may overlap. */
+    function countPause(box: EmulatedBox, change: number): void {
+        const count = (pauseCounts.get(box.id) ?? 0) + change;
+        pauseCounts.set(box.id, count);
+        box.input.setPaused(count > 0);
+    }
+
     function partition(boxes: ReadonlySet<BoxId>): void {
         fleet.partition(boxes);
         options.onPartition?.(boxes);
@@ -228,6 +285,9 @@
     }
 
     function endFault(fault: EmulatedFault): void {
+        if (fault.kind === "pausedBoxes") {
+            return;
+        }
         fleet.partition(new Set());
         fleet.servers.forEach(server => server.setSlowness(1));
         fleet.closeZones(new Set());
--- a/packages/testing/src/emulator/fleet.ts
+++ b/packages/testing/src/emulator/fleet.ts
@@ -42,6 +42,7 @@
     /** Source of the choice among equal forwarding boxes. */
     readonly pathRandom: RandomSource;
     readonly events: EventQueue;
+    readonly readsBeforeSending: boolean;
     /** Called for each attempt with the zones of the box and of the server, and the bytes transferred between them. */
     readonly onTransferred: (from: string, to: string, bytes: number) => void;
     /** Called for each attempt with its number within the request, from 1. */
@@ -131,6 +132,7 @@
                 policy: options.policy,
                 random: options.random,
                 events: options.events,
+                readsBeforeSending: options.readsBeforeSending,
                 server: serverId => servers.get(serverId)!,
                 roundTrip: serverZone => 2 * oneWayLatency(zone, serverZone),
                 coldRate,
--- a/packages/testing/test/partition-at-size.test.ts
+++ b/packages/testing/test/partition-at-size.test.ts
@@ -5,9 +5,9 @@
 
 import { milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
-import type { EmulatedDeployment } from "../src/emulator/deployment.js";
 import { pedala } from "../src/emulator/deployments.js";
 import { type EmulatedFault, type EmulatedFirstAttempt, runEmulation } from "../src/emulator/emulation.js";
+import { scaleDeployment } from "./scaled-deployment.js";
 
 /** Simulated milliseconds: when the partition begins, how long it lasts, and from when on its boxes must serve. */
 const cutAt = 3000;
@@ -20,18 +20,6 @@
 const maxForwardedFactor = 3;
 const forwardedAllowance = 10;
 
-/** Returns the deployment with `factor` times as many boxes, servers and requests. */
-function scale(deployment: EmulatedDeployment, factor: number): EmulatedDeployment {
-    const times = (counts: Readonly<Record<string, number>>) =>
-        Object.fromEntries(Object.entries(counts).map(([zone, count]) => [zone, count * factor]));
-    return {
-        ...deployment,
-        boxesPerZone: times(deployment.boxesPerZone),
-        services: deployment.services.map(service => ({ ...service, servers: times(service.servers) })),
-        classes: deployment.classes.map(requestClass => ({ ...requestClass, keys: requestClass.keys * factor })),
-    };
-}
-
 describe("boxes without links to servers, emulated [P29]", () => {
     const sizes = [
         { boxes: 9, factor: 1, load: 1 },
@@ -54,7 +42,7 @@
                         { kind: "partition", at: cutAt, duration: cutDuration, ...where },
                     ];
                     runEmulation({
-                        deployment: scale(pedala, factor),
+                        deployment: scaleDeployment(pedala, factor),
                         policy: "affinity",
                         seed: 11,
                         duration,
