Failing test: two boxes are paused, and the one that forwards sends for callers that have left the other

Listed as open by reading only until now: a box that stands still can't withdraw what it has handed to another box, which sends it when it goes on.

--- a/packages/testing/test/box-departed-callers.test.ts
+++ b/packages/testing/test/box-departed-callers.test.ts
@@ -37,6 +37,18 @@
         [box] = fixture.boxes;
     }
 
+    /** Starts two boxes of which the first one serves through the other. */
+    async function startConnectedBoxes(): Promise<void> {
+        await startBoxes(2);
+        box.cutNewConnections("refuse");
+        await pause(idleConnectionsClosed);
+        await waitUntil(async () => {
+            fixture.call(box);
+            await fixture.settle();
+            return fixture.arrivals.at(-1)!.boxHost === fixture.boxes[1].host;
+        }, "it serves through the other box");
+    }
+
     /** Most callers leave early, the others stay. */
     const mixed = (index: number, options: CallerOptions = {}): CallerOptions => ({
         deadlineMs: longDeadline,
@@ -192,16 +204,7 @@
     });
 
     describe("after a pause, with its links to servers cut", () => {
-        beforeEach(async () => {
-            await startBoxes(2);
-            box.cutNewConnections("refuse");
-            await pause(idleConnectionsClosed);
-            await waitUntil(async () => {
-                fixture.call(box);
-                await fixture.settle();
-                return fixture.arrivals.at(-1)!.boxHost === fixture.boxes[1].host;
-            }, "it serves through the other box");
-        });
+        beforeEach(() => startConnectedBoxes());
 
         it("sends nothing through another box for callers that have left", async () => {
             await pauseDuring(box, () => fixture.callRepeatedly(box, 40, 15, index => mixed(index)));
@@ -221,6 +224,26 @@
         await fixture.settle();
     }
 
+    describe("after a pause of two boxes, of which one forwards for the other", () => {
+        beforeEach(() => startConnectedBoxes());
+
+        it("sends nothing for callers that have left the one that goes on later", async () => {
+            const [, other] = fixture.boxes;
+            other.signal("SIGSTOP");
+            await pause(signalDelay);
+            await fixture.callRepeatedly(box, 20, 8, index => mixed(index, { path: "/save/", method: "POST" }));
+            await pause(signalDelay);
+            box.signal("SIGSTOP");
+            await pause(pauseDuration);
+            other.signal("SIGCONT");
+            await pause(observedAfter);
+            box.signal("SIGCONT");
+            await pause(observedAfter);
+            await expectNoneLate(16);
+            expectStayingServed();
+        });
+    });
+
     /** Makes the first attempt of each request fail in this way, whichever server gets it. */
     function setFirstAttempt(behaviour: ServerBehaviour): void {
         const attempted = new Set<string>();
--- a/packages/testing/test/departing-callers.ts
+++ b/packages/testing/test/departing-callers.ts
@@ -39,6 +39,7 @@
     /** Requests that are sent at once. */
     readonly pipelined?: number;
     readonly path?: string;
+    readonly method?: string;
     /** Makes the requests uploads. */
     readonly body?: string;
     readonly deadlineMs?: number;
@@ -197,7 +198,7 @@
         const outcomes = connection.send(sent.map(({ requestId }) => ({
             host: testHost,
             path: path ?? (body === undefined ? "/look/" : "/photos/"),
-            method: body === undefined ? "GET" : "POST",
+            method: options.method ?? (body === undefined ? "GET" : "POST"),
             body,
             requestId,
             headers: {
