A box that was held up asks the sender of a forwarded attempt to send it again

Callers saw nothing; servers got requests 1.4 s after their callers had left a box that stood still, from the box that forwards for it and went on earlier. Cause: a box that stands still can neither read its caller's close nor withdraw what it has handed to another box; to that one its connection looks open. Change: a box that may have had the message unread (its event loop was held up) refuses it unsent with the new refusal heldUp; the sender confirms its caller, as before each send, and sends it again, up to three times, before it tries another box. The head of the message says that the sender knows the refusal: for boxes of earlier releases nothing changes.

--- a/packages/box/src/paths/forwarding-endpoint.ts
+++ b/packages/box/src/paths/forwarding-endpoint.ts
@@ -67,6 +67,8 @@
     readonly signal: AbortSignal;
     /** Tells whether it has withdrawn the attempt. */
     readonly caller: ConfirmedCaller;
+    /** Upper bound of the time for which its message was unread. */
+    readonly unreadFor: Milliseconds;
 }
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
@@ -126,6 +128,7 @@
             return;
         }
         inProgress += 1;
+        const unreadFor = options.unreadFor();
         const controller = new AbortController();
         const { signal } = controller;
         const abort = () => controller.abort();
@@ -146,7 +149,7 @@
                 response.destroy();
             }
             else if (body.kind === "whole") {
-                await forwardMessage(from, body.body, response, { signal, caller });
+                await forwardMessage(from, body.body, response, { signal, caller, unreadFor });
             }
             else {
                 refuse(request, response, "busy");
@@ -174,6 +177,11 @@
             return;
         }
         const { body, head } = decoded;
+        // The sender may be held up as well, and unable to withdraw the attempt.
+        if (head.knowsHeldUp === true && sender.unreadFor > 0) {
+            writeRefusal(response, "heldUp");
+            return;
+        }
         const server = catalog.get(backendServerId(head.server));
         if (server === undefined) {
             writeRefusal(response, "outOfService");
@@ -205,10 +213,10 @@
         head: ForwardedRequestHead,
         body: Buffer,
         server: BackendServer,
-        { caller, signal }: Sender,
+        { caller, signal, unreadFor }: Sender,
         onSend: () => void,
     ): AttemptRequest {
-        const deadlineAt = clock() + timeLeftAtServer(milliseconds(head.timeLeft), options.unreadFor());
+        const deadlineAt = clock() + timeLeftAtServer(milliseconds(head.timeLeft), unreadFor);
         return {
             isIdempotent: head.isIdempotent,
             allowedRegions: undefined,
--- a/packages/box/src/paths/forwarding-messages.ts
+++ b/packages/box/src/paths/forwarding-messages.ts
@@ -26,6 +26,8 @@
     /** Milliseconds until the request's deadline. */
     readonly timeLeft: number;
     readonly isIdempotent: boolean;
+    /** True if the sender knows the refusal `heldUp`; boxes of earlier releases don't set it. */
+    readonly knowsHeldUp?: boolean;
 }
 
 /** Why a box does not forward an attempt; nothing was sent to the server. */
@@ -36,6 +38,8 @@
     | "outOfService"
     /** The box is shutting down, or has as many attempts in progress as it takes. */
     | "busy"
+    /** The message may have been unread for a while: its sender is asked to confirm the caller and to send it again. */
+    | "heldUp"
     /** The message is invalid, or its sender is no box. */
     | "invalid";
 
@@ -61,7 +65,13 @@
     readonly reaches: boolean;
 }
 
-const refusals: ReadonlySet<string> = new Set<ForwardingRefusal>(["unreachable", "outOfService", "busy", "invalid"]);
+const refusals: ReadonlySet<string> = new Set<ForwardingRefusal>([
+    "unreachable",
+    "outOfService",
+    "busy",
+    "heldUp",
+    "invalid",
+]);
 const lineEnd = 0x0a;
 
 /** Encodes a message as its head line and its body. */
@@ -99,7 +109,8 @@
         && areRawHeaders(head.rawHeaders)
         && (head.requestId === undefined || typeof head.requestId === "string")
         && Number.isFinite(head.timeLeft)
-        && typeof head.isIdempotent === "boolean";
+        && typeof head.isIdempotent === "boolean"
+        && (head.knowsHeldUp === undefined || typeof head.knowsHeldUp === "boolean");
 }
 
 /** True for a valid refusal. */
--- a/packages/box/src/requests/forwarded-attempt.ts
+++ b/packages/box/src/requests/forwarded-attempt.ts
@@ -36,6 +36,8 @@
 
 /** Boxes that are tried for one attempt. */
 const maxBoxes = 4;
+/** How often an attempt is sent again to a box that was held up when it arrived. */
+const maxRepeats = 3;
 /** Milliseconds that another box may take to read a request and to send it on, beyond round trips and connections. */
 const sendMargin = 250;
 
@@ -50,7 +52,7 @@
             if (signal.aborted) {
                 return { kind: "cancelled" };
             }
-            const outcome = await attemptThrough(request, box);
+            const outcome = await attemptThrough(request, box, maxRepeats);
             if (outcome !== undefined) {
                 return outcome;
             }
@@ -58,7 +60,11 @@
         return undefined;
     };
 
-    async function attemptThrough(request: AttemptRequest, box: MemberRecord): Promise<AttemptOutcome | undefined> {
+    async function attemptThrough(
+        request: AttemptRequest,
+        box: MemberRecord,
+        repeats: number,
+    ): Promise<AttemptOutcome | undefined> {
         const { server } = request;
         let sentAt: Milliseconds | undefined;
         const overdueCheck = startOverdueCheck(
@@ -76,6 +82,7 @@
                 requestId: request.requestId,
                 timeLeft: Math.floor(request.timeLeft()),
                 isIdempotent: request.isIdempotent,
+                knowsHeldUp: true,
             },
             body: request.body,
             connectTimeout: connectTimeout(options.roundTripToBox(box)),
@@ -90,6 +97,9 @@
             // It counts as sent: a refusal would promise that it never runs.
             markSent();
         }
+        if (outcome.kind === "notSent" && outcome.reason === "heldUp" && repeats > 0 && !request.signal.aborted) {
+            return attemptThrough(request, box, repeats - 1);
+        }
         return applyOutcome(request, box, outcome, sentAt);
 
         function markSent(): void {
--- a/packages/box/test/forwarding.test.ts
+++ b/packages/box/test/forwarding.test.ts
@@ -47,7 +47,7 @@
     const address = () => `${localHost}:${(listener.address() as AddressInfo).port}`;
 
     function forward(
-        options: { readonly signal?: AbortSignal; readonly to?: string; } = {},
+        options: { readonly signal?: AbortSignal; readonly to?: string; readonly knowsHeldUp?: boolean; } = {},
     ): Promise<ForwardingOutcome> {
         return createForwardingClient(localHost, lifetime.signal).forward({
             box: boxAt(options.to ?? address()),
@@ -58,6 +58,7 @@
                 rawHeaders: ["Host", "app.example"],
                 timeLeft: 1000,
                 isIdempotent: false,
+                knowsHeldUp: options.knowsHeldUp,
             },
             body: Buffer.from("a climb"),
             connectTimeout: milliseconds(200),
@@ -191,6 +192,22 @@
             const outcome = await attemptThrough(new AbortController().signal);
             expect(outcome?.kind === "broken" && await outcome.serverTerminatedAt).to.equal(endedAt);
         });
+
+        it("is sent again to a box that was held up when it arrived", async () => {
+            let arrivals = 0;
+            onRequest = (request, response) => {
+                request.resume();
+                arrivals += 1;
+                if (arrivals === 1) {
+                    response.writeHead(503).end(JSON.stringify({ refusal: "heldUp" }));
+                    return;
+                }
+                const end = { kind: "broken", reason: "closed without an answer", closedByServer: true };
+                response.writeHead(200).end(`${JSON.stringify(end)}\n`);
+            };
+            expect((await attemptThrough(new AbortController().signal))?.kind).to.equal("broken");
+            expect(arrivals).to.equal(2);
+        });
     });
 
     describe("at the box that forwards it", () => {
@@ -278,5 +295,21 @@
                 expect([received.length, sends]).to.deep.equal([0, 0]);
             });
         }
+
+        describe("that may have been unread for a while", () => {
+            const heldUp: Partial<ForwardingEndpointOptions> = { unreadFor: () => milliseconds(800) };
+
+            it("is refused unsent if its sender knows that refusal", async () => {
+                serve(heldUp);
+                expect(await forward({ knowsHeldUp: true })).to.deep.equal({ kind: "notSent", reason: "heldUp" });
+                expect([received.length, sends]).to.deep.equal([0, 0]);
+            });
+
+            it("is sent for a box of an earlier release, with less time", async () => {
+                serve(heldUp);
+                expect((await forward()).kind).to.equal("answer");
+                expect(received[0].timeLeft()).to.be.at.most(250);
+            });
+        });
     });
 });
