--- a/packages/decisions/test/rollouts.test.ts
+++ b/packages/decisions/test/rollouts.test.ts
@@ -145,6 +145,15 @@
             expect(unclear.kind === "undecided" && unclear.cause).to.equal("unclear");
         });
 
+        it("is not good if the trial version fails often, although the proven version fails more often still", () => {
+            const verdict = evaluate(cellsOf(() => ({ failures: 6 }), () => ({ failures: 42 })));
+            expect(verdict.kind).not.to.equal("good");
+        });
+
+        it("is good if the trial version mends one that fails most requests", () => {
+            expect(evaluate(cellsOf(none, () => ({ failures: 42 }))).kind).to.equal("good");
+        });
+
         it("is bad if a late part of the trial is bad, although the whole trial looks good", () => {
             const whole = cellsOf(() => ({ answers: 100, failures: 2 }), () => ({ answers: 800, failures: 12 }));
             const late = cellsOf(() => ({ answers: 4, failures: 2 }), none);
