A version that fails often is not good because the proven one fails more often

Cause: the verdict compares failures with those of the proven version over the same time; while that one fails 85 of 100 for another reason, a version that fails 60 looks better. A version that mends a failing one is still good. An order that stays undecided is rolled back at its end, as before.

--- a/packages/decisions/src/rollouts/verdict.ts
+++ b/packages/decisions/src/rollouts/verdict.ts
@@ -42,6 +42,8 @@
 const minCleanControlAnswers = 100;
 /** Maximum share of failures, from 0 to 1, of a clean proven version. */
 const maxCleanFailureShare = 0.002;
+/** Share of failures, from 0 to 1, of a proven version above which it is no measure for another one. */
+const maxComparableFailureShare = 0.25;
 /** Failures of the trial version against a clean proven version from which it is bad. */
 const decisiveFailuresAgainstClean = 4;
 /** Failures against a clean proven version from which the trial version is doubtful. */
@@ -152,6 +154,17 @@
     return bad >= maxDoubtfulBadAnswers && trimmedDifference > maxDifference && score >= maxChanceScore;
 }
 
+/**
+ * True if both versions fail often: what makes the proven version fail now can hide the failures of the trial version.
+ * One that mends a failing version fails rarely itself.
+ */
+function isBesideFailing(figures: VersionComparison): boolean {
+    const { answers, controlAnswers, controlFailures, failures, route, test } = figures;
+    return test === "failures" && route === undefined
+        && controlFailures > controlAnswers * maxComparableFailureShare
+        && failures > answers * thresholdsOf(figures).toleratedFailureDifference;
+}
+
 /** True if the estimates don't allow a good verdict yet. */
 function isUnclear(figures: VersionComparison, isMoving: boolean): boolean {
     const { minFailureDifference, minSlownessDifference, toleratedFailureDifference, toleratedSlownessDifference } =
@@ -162,7 +175,7 @@
         : [minSlownessDifference, toleratedSlownessDifference];
     const isDoubtful = figures.score >= Math.min(doubtfulScore, figures.criticalScore)
         && figures.difference >= minDifference * factor;
-    if (isDoubtful || failuresAgainstClean(figures) >= doubtfulFailuresAgainstClean) {
+    if (isDoubtful || failuresAgainstClean(figures) >= doubtfulFailuresAgainstClean || isBesideFailing(figures)) {
         return true;
     }
     if (figures.criticalScore === Infinity) {
