box-partition names the delays of its event loop when refusals are slow

The two listed cases (nine of ten refused within 100 ms) are red beside load. A trial beside ten busy processes (load 22) failed with 100.6 and 100.7 ms; boxes, servers and callers share one event loop there, a turn of which took 9 to 12 ms in the middle and 23 to 26 ms at nine of ten. The bound is unchanged; both stay listed with this trace.

--- a/packages/testing/test/box-partition.test.ts
+++ b/packages/testing/test/box-partition.test.ts
@@ -5,6 +5,7 @@
 
 import { milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { type FaultProxy, startFaultProxy } from "../src/soak/fault-proxy.js";
 import type { ServerStandIn } from "../src/standins/backend-server.js";
 import { type ClientAnswer, sendRequest } from "../src/standins/client.js";
@@ -26,6 +27,8 @@
 const cutDuration = 5000;
 /** Fraction of the first attempts that are served at a cut box. */
 const minServed = 0.98;
+/** Nanoseconds in a millisecond. */
+const nanoseconds = 1_000_000;
 /** Milliseconds within which nine of ten requests are refused while no box reaches a server. */
 const refusedWithin = 100;
 
@@ -153,13 +156,19 @@
                 await sendTraffic(1500);
                 const endPartition = partition(boxes.map((_, box) => hostOf(box)), proxies, kind);
                 const cutAt = performance.now();
+                // Boxes, servers and callers share this process, so that its own delays explain a slow answer.
+                const loopDelay = monitorEventLoopDelay({ resolution: 5 });
+                loopDelay.enable();
                 const during = await sendTraffic(cutDuration);
+                loopDelay.disable();
                 endPartition();
                 const endedAt = performance.now();
                 const after = await sendTraffic(servedWithin + 1000);
                 const refused = during.filter(({ sentAt }) => sentAt >= cutAt + servedWithin);
                 const slowest = refused.map(({ took }) => took).sort((a, b) => a - b)[Math.floor(refused.length * 0.9)];
-                expect(slowest, "nine of ten").to.be.at.most(refusedWithin);
+                const delays = [50, 90, 99].map(percent => Math.round(loopDelay.percentile(percent) / nanoseconds));
+                expect(slowest, `nine of ten; delays of the event loop: ${delays.join(", ")} ms`)
+                    .to.be.at.most(refusedWithin);
                 expect(new Set(refused.map(({ status }) => status))).to.deep.equal(new Set([503]));
                 expect(refused.every(({ headers }) => Number(headers["retry-after"]) > 0)).to.equal(true);
                 const afterwards = after.filter(({ sentAt }) => sentAt >= endedAt + servedWithin);
