--- a/packages/box/test/event-loop-monitor.test.ts
+++ b/packages/box/test/event-loop-monitor.test.ts
@@ -1,6 +1,7 @@
 import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { createLog } from "@chalkdale/runtime";
 import { expect } from "chai";
+import { channel } from "node:diagnostics_channel";
 import { type EventLoopMonitor, startEventLoopMonitor } from "../src/event-loop-monitor.js";
 
 describe("the monitor of the event loop", () => {
@@ -60,6 +61,16 @@
         expect(monitor.unreadFor()).to.be.at.least(1600);
     });
 
+    it("counts from a delay for as long as connections that waited are accepted", async () => {
+        await sleep(milliseconds(120));
+        await holdUpThenPoll(400, 1);
+        for (let connection = 0; connection < 100; connection++) {
+            channel("net.server.socket").publish({});
+            await holdUpThenPoll(20, 1);
+        }
+        expect(monitor.unreadFor()).to.be.at.least(2400);
+    });
+
     it("counts from the second of two delays between which all was read", async () => {
         await sleep(milliseconds(120));
         for (const duration of [400, 200]) {
