A delay of the event loop counts for as long as connections may wait that arrived during it

Cause: the monitor forgot a delay after a second. A poll accepts one connection of a listener, so hundreds of waiting ones take longer beside load. Change: a delay counts until the loop was idle, or until four polls without a new connection and a second of running time have passed. Node lets 511 connections wait: once more were accepted, the beginning moves on to when they were counted. A new test holds that the beginning moves on.

--- a/packages/box/src/event-loop-monitor.ts
+++ b/packages/box/src/event-loop-monitor.ts
@@ -21,7 +21,7 @@
 
 /** Milliseconds between two beats of the timer. */
 const beatInterval = 50;
-/** Milliseconds after a delay in which what is read may still have arrived during it. */
+/** Milliseconds for which the loop reads long input of open connections after a delay, if it is never idle. */
 const maxBacklogTime = 1000;
 /** Milliseconds of delay from which the loop counts as held up. */
 const minDelay = milliseconds(100);
@@ -31,19 +31,24 @@
  * listener, and its request is read in the next one.
  */
 const pollsThatReadAll = 4;
+/** Connections that wait for a listener at most, by default of Node.js: after as many, only later ones are left. */
+const maxWaitingConnections = 511;
 /** Channel of Node.js on which each accepted connection is announced. */
 const acceptedChannel = "net.server.socket";
 
 /** What arrived during a delay and may be unread. Times are those of the clock. */
 interface Backlog {
-    /** The beat before the delay. */
-    readonly arrivesFrom: Milliseconds;
+    /** The beat before the delay, or a later time from which all that is unread arrived. */
+    arrivesFrom: Milliseconds;
     /** The late beat, which may run before the sockets are read. */
     readonly since: Milliseconds;
     /** Idle time of the loop until then, in milliseconds: once it grows, nothing is unread. */
     readonly idleBefore: number;
     /** Polls since then, counted anew with each accepted connection until `pollsThatReadAll` are reached. */
     polls: number;
+    /** A time from which on accepted connections are counted. */
+    countedFrom: Milliseconds;
+    accepted: number;
 }
 
 /** Starts the monitor. */
@@ -79,12 +84,20 @@
         const now = clock();
         const delay = now - latestBeat - beatInterval;
         const { idle } = performance.eventLoopUtilization();
-        if (backlog !== undefined && (idle > backlog.idleBefore || latestBeat - backlog.since >= maxBacklogTime)) {
+        const hasWaiting = backlog !== undefined && hasWaitingConnections(backlog);
+        if (backlog !== undefined && hasEnded(backlog, idle, hasWaiting)) {
             backlog = undefined;
         }
         if (delay >= minDelay) {
-            const earlier = backlog !== undefined && backlog.polls < pollsThatReadAll ? backlog : undefined;
-            backlog = { arrivesFrom: earlier?.arrivesFrom ?? latestBeat, since: now, idleBefore: idle, polls: 0 };
+            const earlier = hasWaiting ? backlog : undefined;
+            backlog = {
+                arrivesFrom: earlier?.arrivesFrom ?? latestBeat,
+                since: now,
+                idleBefore: idle,
+                polls: 0,
+                countedFrom: earlier?.countedFrom ?? now,
+                accepted: earlier?.accepted ?? 0,
+            };
             countPolls(backlog);
             total += delay;
             sinceReport = { count: sinceReport.count + 1, longest: Math.max(sinceReport.longest, delay) };
@@ -92,18 +105,37 @@
         latestBeat = now;
     }
 
+    /** True once everything that arrived before the beat was read. Only time in which the loop runs counts. */
+    function hasEnded({ idleBefore, since }: Backlog, idle: number, hasWaiting: boolean): boolean {
+        return idle > idleBefore || !hasWaiting && latestBeat - since >= maxBacklogTime;
+    }
+
     function onAccepted(): void {
-        if (backlog !== undefined && backlog.polls < pollsThatReadAll) {
+        if (backlog === undefined) {
+            return;
+        }
+        backlog.accepted += 1;
+        if (backlog.accepted > maxWaitingConnections) {
+            backlog.arrivesFrom = backlog.countedFrom;
+            backlog.countedFrom = clock();
+            backlog.accepted = 0;
+        }
+        if (backlog.polls < pollsThatReadAll) {
             backlog.polls = 0;
         }
     }
 }
 
+/** True if connections that arrived before the beat may not have been accepted and read. */
+function hasWaitingConnections({ polls }: Backlog): boolean {
+    return polls < pollsThatReadAll;
+}
+
 /** Counts polls of the event loop: one ends before each run of `setImmediate` callbacks. */
 function countPolls(backlog: Backlog): void {
     setImmediate(() => {
         backlog.polls += 1;
-        if (backlog.polls < pollsThatReadAll) {
+        if (hasWaitingConnections(backlog)) {
             countPolls(backlog);
         }
     });
--- a/packages/box/test/event-loop-monitor.test.ts
+++ b/packages/box/test/event-loop-monitor.test.ts
@@ -71,6 +71,17 @@
         expect(monitor.unreadFor()).to.be.at.least(2400);
     });
 
+    it("counts from a later time once more connections were accepted than can have waited", async () => {
+        await sleep(milliseconds(120));
+        await holdUpThenPoll(400, 1);
+        const delayedUntil = performance.now();
+        for (let connection = 0; connection < 1200; connection++) {
+            channel("net.server.socket").publish({});
+            await holdUpThenPoll(1.5, 1);
+        }
+        expect(monitor.unreadFor()).to.be.within(100, performance.now() - delayedUntil);
+    });
+
     it("counts from the second of two delays between which all was read", async () => {
         await sleep(milliseconds(120));
         for (const duration of [400, 200]) {
