Soak: time in which the soak itself was held up is not put down to boxes; requests of departing callers count

Change: the check takes the soak's own delays between the two times off; the retry check counts those requests as well. The bounds are unchanged.

--- a/packages/testing/src/soak/departing-callers.ts
+++ b/packages/testing/src/soak/departing-callers.ts
@@ -15,6 +15,8 @@
 export interface DepartingCallers {
     /** Requests whose callers have left without an answer. */
     readonly departures: readonly ObservedDeparture[];
+    /** When each request was sent. */
+    readonly requestTimes: readonly number[];
     /** Sends no further requests; resolves once every caller has ended. */
     readonly stop: () => Promise<void>;
 }
@@ -42,12 +44,14 @@
 export function startDepartingCallers(environment: SoakEnvironment): DepartingCallers {
     const { now } = environment;
     const departures: ObservedDeparture[] = [];
+    const requestTimes: number[] = [];
     let isStopped = false;
     const callers = environment.boxes.flatMap((box, boxIndex) =>
         Array.from({ length: callersPerBox }, (_, index) => runCaller(box, boxIndex * callersPerBox + index))
     );
     return {
         departures,
+        requestTimes,
         async stop() {
             isStopped = true;
             await Promise.all(callers);
@@ -77,6 +81,7 @@
         const patience = random() < leaveFraction ? minPatience + random() * maxAddedPatience : longPatience;
         const leaveBy = random() < 0.5 ? "close" : "reset";
         const unanswered = new Set(requests.map(({ requestId }) => requestId));
+        requestTimes.push(...requests.map(() => now()));
         const outcomes = connection.send(requests).map(async (outcome, index) => {
             await outcome;
             unanswered.delete(requests[index].requestId);
--- a/packages/testing/src/soak/observations.ts
+++ b/packages/testing/src/soak/observations.ts
@@ -162,6 +162,8 @@
     readonly runs: readonly ObservedRun[];
     /** All requests that arrived at servers, in order of time; undefined if that was not recorded. */
     readonly arrivals?: readonly ObservedRequestArrival[];
+    /** Times of requests that are not among the attempts; undefined if there were none. */
+    readonly otherRequestTimes?: readonly number[];
     /** Requests whose callers have left; undefined if that was not recorded. */
     readonly departures?: readonly ObservedDeparture[];
     readonly boxTerminations: readonly BoxTermination[];
@@ -192,6 +194,8 @@
     readonly isConnected?: (host: string, at: number) => boolean;
     /** True if the box at an address itself had a fault within `connectedAfter`; undefined if that was not recorded. */
     readonly hadBoxFault?: (host: string, at: number) => boolean;
+    /** Milliseconds between two times for which the soak itself was held up; undefined if that was not recorded. */
+    readonly ownDelayWithin?: (from: number, to: number) => number;
     /** Result of the probe once all faults are over; undefined if there were none. */
     readonly recoveryProbe?: RecoveryProbe;
 }
--- a/packages/testing/src/soak/retry-checks.ts
+++ b/packages/testing/src/soak/retry-checks.ts
@@ -12,8 +12,9 @@
 const serviceCount = 2;
 
 /** Returns a breach for the window that exceeds the budget by most, if any does. */
-export function retryBreaches({ arrivals = [], attempts }: Observations): Breach[] {
-    const requestTimes = attempts.map(({ at }) => at).sort((a, b) => a - b);
+export function retryBreaches(seen: Observations): Breach[] {
+    const { arrivals = [] } = seen;
+    const requestTimes = requestTimesOf(seen);
     const retryTimes = retryTimesOf(arrivals);
     let worst: Breach | undefined;
     let worstExcess = 0;
@@ -33,12 +34,17 @@
 }
 
 /** The largest fraction of the budget of a window that was used. */
-export function usedRetryShare({ arrivals = [], attempts }: Observations): number {
-    const requestTimes = attempts.map(({ at }) => at).sort((a, b) => a - b);
+export function usedRetryShare(seen: Observations): number {
+    const { arrivals = [] } = seen;
+    const requestTimes = requestTimesOf(seen);
     const retryTimes = retryTimesOf(arrivals);
     return Math.max(0, ...retryTimes.map(end => countIn(retryTimes, end) / allowedIn(requestTimes, end)));
 }
 
+function requestTimesOf({ attempts, otherRequestTimes = [] }: Observations): readonly number[] {
+    return [...attempts.map(({ at }) => at), ...otherRequestTimes].sort((a, b) => a - b);
+}
+
 /** Times of the arrivals beyond the first of their request. */
 function retryTimesOf(arrivals: NonNullable<Observations["arrivals"]>): readonly number[] {
     const seen = new Set<string>();
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -16,6 +16,7 @@
 import { countCheckedLimits } from "./limit-checks.js";
 import { countNotices, type NoticeCounts } from "./notice-checks.js";
 import type { Breach, ObservedRollout } from "./observations.js";
+import { recordOwnDelays } from "./own-delays.js";
 import { startPartitionCallers } from "./partition-callers.js";
 import { countComparedPartitions } from "./partition-checks.js";
 import { startPipeliningCallers } from "./pipelining-callers.js";
@@ -110,6 +111,7 @@
 async function runInEnvironment(environment: SoakEnvironment, options: SoakOptions): Promise<SoakResult> {
     const { callers: count = defaultCallers, seed } = options;
     const { now, logEvent } = environment;
+    const ownDelays = recordOwnDelays(now);
     const callers = await startCallers(environment, { count, prefix: `s${seed}`, disconnectShare: abandonedFraction });
     const pipelining = startPipeliningCallers(environment, {
         count: pipeliningCallerCount,
@@ -129,6 +131,7 @@
     await changing;
     await Promise.all([callers.stop(), pipelining.stop(), partitionCallers?.stop(), departing?.stop()]);
     rollouts.stopObserving();
+    ownDelays.stop();
     await environment.stopAll();
 
     const attempts = [...callers.attempts, ...pipelining.attempts, ...partitionCallers?.attempts ?? []];
@@ -139,6 +142,7 @@
         attempts,
         runs,
         arrivals,
+        otherRequestTimes: departing?.requestTimes,
         departures: [...callers.departures, ...pipelining.departures, ...departing?.departures ?? []],
         unsolicitedBytes,
         ...injected,
@@ -149,6 +153,7 @@
         isConnected: environment.storeConnectivity.isConnected,
         hadBoxFault: environment.storeConnectivity.hadBoxFault,
         recoveryProbe,
+        ownDelayWithin: ownDelays.within,
     };
     const breaches = findBreaches(seen);
     breaches.forEach(breach => logEvent(`breach="${breach.promise}" at=${Math.round(breach.at)} ${breach.detail}`));
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -227,6 +227,9 @@
         expect(found({ arrivals: arrivalAt(601), departures })).to.deep.equal(["departed"]);
         expect(found({ arrivals: arrivalAt(600), departures })).to.deep.equal([]);
         expect(found({ arrivals: arrivalAt(601, true), departures })).to.deep.equal([]);
+        const ownDelayWithin = (from: number, to: number) => Math.max(0, Math.min(to, 300) - Math.max(from, 200));
+        expect(found({ arrivals: arrivalAt(701), departures, ownDelayWithin })).to.deep.equal(["departed"]);
+        expect(found({ arrivals: arrivalAt(700), departures, ownDelayWithin })).to.deep.equal([]);
     });
 
     it("report retries beyond the budget of a window", () => {
@@ -234,6 +237,8 @@
             Array.from({ length: count + 1 }, (_, index) => ({ requestId: "r-1", at: 100 + index * 50 }));
         expect(found({ arrivals: arrivals(116) })).to.deep.equal([]);
         expect(found({ arrivals: arrivals(117) })).to.deep.equal(["retries"]);
+        expect(found({ arrivals: arrivals(117), otherRequestTimes: Array.from({ length: 5 }, () => 200) }))
+            .to.deep.equal([]);
         expect(
             found({
                 arrivals: [...arrivals(100), ...arrivals(100).map(({ at }) => ({ requestId: "r-1", at: at + 20_000 }))],
