--- a/packages/box/src/metrics.ts
+++ b/packages/box/src/metrics.ts
@@ -12,8 +12,8 @@
     readonly onRequestEnded: (route: string, outcome: string, latency: number) => void;
     /** Called when a request is dropped before its admission because its caller has left. */
     readonly onCallerLeftUnread: () => void;
-    /** Called when a request is held back until its customer's quota admits it. */
-    readonly onHeldBack: () => void;
+    /** Called when a request is delayed until its customer's quota admits it. */
+    readonly onDelayedByQuota: () => void;
     /** Called when an attempt is sent. `age`: upper bound of the time since the request arrived, in milliseconds. */
     readonly onSent: (age: number) => void;
     /** Called when an attempt at a server ended. */
@@ -45,7 +45,7 @@
     const serverLatency = createHistogram();
     const ageWhenSent = createHistogram();
     let leftUnread = 0;
-    let heldBack = 0;
+    let delayed = 0;
     let lookups = 0;
     let restarts = 0;
 
@@ -57,8 +57,8 @@
         onCallerLeftUnread: () => {
             leftUnread += 1;
         },
-        onHeldBack: () => {
-            heldBack += 1;
+        onDelayedByQuota: () => {
+            delayed += 1;
         },
         onSent: age => ageWhenSent.recordValue(toTenths(age)),
         onAttempt: outcome => increment(attempts, `outcome="${outcome}"`),
@@ -74,7 +74,7 @@
                 ...counterLines("requests_total", requests),
                 ...counterLines("attempts_total", attempts),
                 `${prefix}_callers_left_unread_total ${leftUnread}`,
-                `${prefix}_held_back_by_quota_total ${heldBack}`,
+                `${prefix}_delayed_by_quota_total ${delayed}`,
                 `${prefix}_lookups_total ${lookups}`,
                 `${prefix}_servers_restarted_total ${restarts}`,
                 ...histogramLines("request_milliseconds", requestLatency),
--- a/packages/box/src/quotas/customer-quotas.ts
+++ b/packages/box/src/quotas/customer-quotas.ts
@@ -157,7 +157,6 @@
      * Detects a process pause. Reports that were queued meanwhile are outdated: the other coordinator has charged them
      * already, and here they would all be charged at once to a level that earned nothing during the pause. They are
      * ignored. The box did not use its own leases during the pause either, so the pause is not counted in their age.
-     * Charging such reports, and counting the pause, each led to refusals of customers well within their quota.
      */
     function detectProcessPause(): void {
         const pause = clock() - lastRoundAt;
--- a/packages/box/src/requests/direct-attempt.ts
+++ b/packages/box/src/requests/direct-attempt.ts
@@ -211,7 +211,7 @@
     /**
      * True if no answer will come: a new incarnation of the server is listed, or a later server has its address. The
      * check whether the server accepts a connection is not enough, because whichever server has the address now accepts
-     * it: a request then waits until its caller's deadline, 12.5 s in one case. For an idempotent request, which
+     * it: a request would then wait until its caller's deadline. For an idempotent request, which
      * another server may run as well, also true if this box no longer reaches the server. Never rejects.
      */
     async function hasEnded({ isIdempotent, server }: AttemptRequest): Promise<boolean> {
--- a/packages/box/src/requests/quota-admission.ts
+++ b/packages/box/src/requests/quota-admission.ts
@@ -1,6 +1,6 @@
 /**
- * Admits a request by its customer's quota. A request that this box's share of the quota admits a little later is held
- * back until then: its caller would get the same token by a retry, at the cost of a round trip.
+ * Admits a request by its customer's quota. A request that this box's share of the quota admits a little later is
+ * delayed until then: its caller would get the same token by a retry, at the cost of a round trip.
  *
  * Owns nothing; relies on the quotas to admit few such requests in advance, and none of a customer beyond its quota.
  */
@@ -13,7 +13,7 @@
 import type { CustomerQuotas } from "../quotas/customer-quotas.js";
 
 export interface QuotaAdmissionOptions {
-    readonly metrics: Pick<BoxMetrics, "onHeldBack">;
+    readonly metrics: Pick<BoxMetrics, "onDelayedByQuota">;
     readonly headers: Pick<HeaderNames, "deadline">;
     readonly quotas: Pick<CustomerQuotas, "consume" | "reserve" | "refund">;
 }
@@ -22,7 +22,7 @@
 export type QuotaAdmission =
     | { readonly kind: "admitted"; }
     | { readonly kind: "denied"; readonly denial: QuotaDenial; }
-    /** Its caller left while it was held back; it was refunded. */
+    /** Its caller left while it was delayed; it was refunded. */
     | { readonly kind: "callerLeft"; };
 
 /** Returns the function that admits requests; its promise never rejects. */
@@ -40,7 +40,7 @@
         if (!quotas.reserve(customer, denial, maxQuotaWait(timeout))) {
             return { kind: "denied", denial };
         }
-        metrics.onHeldBack();
+        metrics.onDelayedByQuota();
         await sleep(denial.retryAfter, controller.signal);
         if (await caller.confirm()) {
             return { kind: "admitted" };
--- a/packages/box/src/state/snapshot-catch-up.ts
+++ b/packages/box/src/state/snapshot-catch-up.ts
@@ -14,9 +14,8 @@
 import type { StatePeer, StateReader, StateReadResult } from "./state-reader.js";
 
 /**
- * Milliseconds after which a read is overdue and another box may be read as well. Waiting for the timeout of the read,
- * 1.5 s, would take most of a bound on changes of 2 s. A snapshot of 796 servers, 17 KB compressed, normally takes a
- * few one-way delays between regions, of 35 ms each.
+ * Milliseconds after which a read is overdue and another box may be read as well: several round trips between regions.
+ * The timeout of a read would take most of the bound on changes.
  */
 const readOverdueAfter = 400;
 
--- a/packages/decisions/src/limits/timeouts.ts
+++ b/packages/decisions/src/limits/timeouts.ts
@@ -48,14 +48,14 @@
     return milliseconds(isValid ? Math.min(callerTimeout, routeTimeout) : routeTimeout);
 }
 
-/** Milliseconds for which a request is held back at most until its customer's quota admits it. */
-const maxHoldTime = 500;
-/** Fraction of a request's timeout for which it is held back at most, so that its servers have the rest. */
-const maxHoldFraction = 0.25;
+/** Milliseconds for which a request is delayed at most until its customer's quota admits it. */
+const maxQuotaDelay = 500;
+/** Fraction of a request's timeout for which it is delayed at most, so that its servers have the rest. */
+const maxQuotaDelayFraction = 0.25;
 
-/** Returns for how long a request with this timeout may be held back until its customer's quota admits it. */
+/** Returns for how long a request with this timeout may be delayed until its customer's quota admits it. */
 export function maxQuotaWait(timeout: Milliseconds): Milliseconds {
-    return milliseconds(Math.min(maxHoldTime, timeout * maxHoldFraction));
+    return milliseconds(Math.min(maxQuotaDelay, timeout * maxQuotaDelayFraction));
 }
 
 /** Fraction of the remaining time that a server gets at least, since the caller of a request that waited is still there. */
--- a/packages/decisions/test/emulated-quota.ts
+++ b/packages/decisions/test/emulated-quota.ts
@@ -62,7 +62,7 @@
 const roundInterval = 300;
 /** Milliseconds from a report to the lease that answers it, between regions. */
 const leaseDelay = 75;
-/** Milliseconds for which a box holds a request back. */
+/** Milliseconds by which a box delays a request. */
 const maxWait = milliseconds(500);
 /** Milliseconds of the window in which admitted requests are compared with the quota. */
 const window = 5000;
@@ -201,8 +201,8 @@
     return leasesWithWait(scenario, second, milliseconds(0));
 }
 
-/** The same, but boxes hold requests back that their share admits soon. */
-export function leasesHoldingBack(scenario: QuotaScenario, second: () => number): QuotaStrategy {
+/** The same, but boxes delay requests that their share admits soon. */
+export function leasesDelaying(scenario: QuotaScenario, second: () => number): QuotaStrategy {
     return leasesWithWait(scenario, second, maxWait);
 }
 
--- a/packages/decisions/test/quota.test.ts
+++ b/packages/decisions/test/quota.test.ts
@@ -4,7 +4,7 @@
     equalShares,
     gossipedSums,
     leases,
-    leasesHoldingBack,
+    leasesDelaying,
     type QuotaScenario,
     simulateQuota,
 } from "./emulated-quota.js";
@@ -53,8 +53,8 @@
             expect(simulateQuota(scenario, leases, allowance).overshoot).to.be.lessThan(maxOvershoot);
         });
 
-        it(`is kept for ${name} while requests are held back`, () => {
-            expect(simulateQuota(scenario, leasesHoldingBack, allowance).overshoot).to.be.lessThan(maxOvershoot);
+        it(`is kept for ${name} while requests are delayed`, () => {
+            expect(simulateQuota(scenario, leasesDelaying, allowance).overshoot).to.be.lessThan(maxOvershoot);
         });
     }
 
@@ -63,12 +63,12 @@
         expect(simulateQuota(scenarioOf(3), leases, allowance).wronglyRefused).to.be.lessThan(0.1);
     });
 
-    it("refuses fewer requests within their quotas if they are held back", () => {
+    it("refuses fewer requests within their quotas if they are delayed", () => {
         for (const usualDemand of [20, 100]) {
-            const [refusing, holding] = [leases, leasesHoldingBack].map(strategy =>
+            const [refusing, delaying] = [leases, leasesDelaying].map(strategy =>
                 simulateQuota(scenarioOf(usualDemand), strategy, allowance).wronglyRefused
             );
-            expect(holding).to.be.lessThan(refusing);
+            expect(delaying).to.be.lessThan(refusing);
         }
     });
 
