--- a/packages/box/src/event-loop-monitor.ts
+++ b/packages/box/src/event-loop-monitor.ts
@@ -46,7 +46,7 @@
     readonly idleBefore: number;
     /** Polls since then, counted anew with each accepted connection until `pollsThatReadAll` are reached. */
     polls: number;
-    /** A time from which on accepted connections are counted. */
+    /** From when on `accepted` counts accepted connections. */
     countedFrom: Milliseconds;
     accepted: number;
 }
--- a/packages/box/src/paths/reach-questions.ts
+++ b/packages/box/src/paths/reach-questions.ts
@@ -44,16 +44,16 @@
     const { clock, forwardingBoxes } = options;
     const answers = createSharedResults<BackendServer, boolean>(clock);
     /** Boxes in service at the latest new question. */
-    let known: ReadonlySet<IncarnationId> = new Set();
+    let inServiceThen: ReadonlySet<IncarnationId> = new Set();
 
     return {
         isReached: (server, notBefore = milliseconds(clock() - resultLifetime)) =>
             answers.get(server, notBefore, () => askOthers(server)),
         askAnew(server) {
-            known = new Set(rankedBoxes(server, Infinity).map(({ incarnation }) => incarnation));
+            inServiceThen = new Set(rankedBoxes(server, Infinity).map(({ incarnation }) => incarnation));
             return askOthers(server);
         },
-        hasUnasked: server => rankedBoxes(server, Infinity).some(({ incarnation }) => !known.has(incarnation)),
+        hasUnasked: server => rankedBoxes(server, Infinity).some(({ incarnation }) => !inServiceThen.has(incarnation)),
     };
 
     function rankedBoxes(server: BackendServer, count: number): readonly MemberRecord[] {
--- a/packages/box/src/servers/exchange.ts
+++ b/packages/box/src/servers/exchange.ts
@@ -98,7 +98,9 @@
         });
         request.on("response", onResponse);
         // Node assigns the socket in a later tick; from then on it writes at once.
-        request.on("socket", () => void send());
+        request.on("socket", () => {
+            send().catch((error: unknown) => settle({ kind: "broken", reason: String(error) }));
+        });
 
         /** Writes the request, in the tick in which its caller is found to be confirmed. */
         async function send(): Promise<void> {
