Boxes log when they take a server for cold, by what, and what they sent it

Cause: neither logs nor metrics tell a box that did not know that a server is cold from boxes that knew and sent more than its rate together.

Change: server.cold with source, age and share, server.warm with the requests sent; servers_cold and cold_servers_requests_total. The cold time moves from server-state into a module of its own, unchanged in what it decides.

--- a/packages/box/src/box-log.ts
+++ b/packages/box/src/box-log.ts
@@ -13,8 +13,10 @@
     "request.refused": 30,
     "attempt.failed": 20,
     "server.endedUnder": 20,
+    "server.cold": 40,
     "server.leaving": 40,
     "server.restarted": 40,
+    "server.warm": 40,
 };
 
 /** Returns a log that suppresses the lines of an event above its rate. */
--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -40,6 +40,7 @@
 import { createRetryReport } from "./retry-report.js";
 import { createRollouts, type Rollouts } from "./rollouts/rollouts.js";
 import { noTrials } from "./rollouts/trials.js";
+import { createColdServerReport } from "./servers/cold-server-report.js";
 import { createHealthChecker } from "./servers/health-checker.js";
 import { createServerTracking } from "./servers/server-tracking.js";
 import type { BoxSettings } from "./settings.js";
@@ -174,6 +175,12 @@
         signal,
     });
     const isReady = () => state.isComplete() && gracefulShutdown.phase() === "running";
+    const coldServers = createColdServerReport({
+        clock,
+        log,
+        catalog,
+        serversAge: () => replicator.confirmedAge("servers"),
+    });
     const requests: DataPlane = createDataPlane({
         clock,
         random,
@@ -227,6 +234,7 @@
             quotas,
             poisonRequestGuard,
             ...servers,
+            coldServers,
             rollouts,
             traffic,
             requests,
@@ -310,6 +318,7 @@
             state.expireHeldEntries();
             requests.sweep();
             runDueHealthChecks();
+            coldServers.report();
         },
         gossip() {
             poisonRequestGuard.onGossipRound();
--- a/packages/box/src/metrics-text.ts
+++ b/packages/box/src/metrics-text.ts
@@ -19,6 +19,7 @@
 import { retryMetricLines } from "./retry-report.js";
 import { rolloutMetricLines } from "./rollouts/rollout-metrics.js";
 import type { Rollouts } from "./rollouts/rollouts.js";
+import type { ColdServerReport } from "./servers/cold-server-report.js";
 import type { LimitedServers } from "./servers/limited-servers.js";
 import type { ServerNotices } from "./servers/server-notices.js";
 import type { Replicator } from "./state/replicator.js";
@@ -37,6 +38,7 @@
     readonly quotas: CustomerQuotas;
     readonly poisonRequestGuard: Pick<PoisonRequestGuard, "heldCount">;
     readonly limitedServers: Pick<LimitedServers, "limited">;
+    readonly coldServers: Pick<ColdServerReport, "coldCount" | "requestsToCold">;
     readonly serverNotices: Pick<ServerNotices, "backedOffCount">;
     readonly rollouts: Rollouts | undefined;
     readonly traffic: TrafficMeter;
@@ -70,6 +72,8 @@
             servers_age_milliseconds: Math.round(replicator.confirmedAge("servers")),
             store_lost_milliseconds: replicator.storeUnavailableFor(),
             servers_backed_off: options.serverNotices.backedOffCount(),
+            servers_cold: options.coldServers.coldCount(),
+            cold_servers_requests_total: options.coldServers.requestsToCold(),
             servers_limited: options.limitedServers.limited().length,
             requests_held: options.poisonRequestGuard.heldCount(),
             boxes_alive: membership.alive(clock()).length,
--- a/packages/box/test/attempt.test.ts
+++ b/packages/box/test/attempt.test.ts
@@ -50,7 +50,7 @@
     revision: 7,
 };
 
-const unbounded = { allows: () => true, onSent: () => undefined, onNotSent: () => undefined };
+const unbounded = { allows: () => true, onSent: () => undefined, onNotSent: () => undefined, ownRate: () => 0 };
 
 describe("one attempt at a server", () => {
     let listener: Server;
--- a/packages/box/test/rollout-boxes.ts
+++ b/packages/box/test/rollout-boxes.ts
@@ -251,7 +251,12 @@
         createServerState(record, at, {
             recordPropagationDelay: milliseconds(0),
             slowStart: createSlowStart({ self: boxId("b0"), server: record.id, boxes: () => [], rate: () => 0 }),
-            createLimitShare: () => ({ allows: () => true, onSent: () => undefined, onNotSent: () => undefined }),
+            createLimitShare: () => ({
+                allows: () => true,
+                onSent: () => undefined,
+                onNotSent: () => undefined,
+                ownRate: () => 0,
+            }),
         })
     );
     const records = ["v1", "v2"].flatMap((version, isTarget) =>
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -64,6 +64,7 @@
 export * from "./rollouts/trial-sample.js";
 export * from "./rollouts/trial-traffic.js";
 export * from "./rollouts/verdict.js";
+export * from "./servers/coldness.js";
 export * from "./servers/idle-timeout-estimate.js";
 export * from "./servers/limit-share.js";
 export * from "./servers/load-estimate.js";
--- a/packages/decisions/src/limits/shared-rate.ts
+++ b/packages/decisions/src/limits/shared-rate.ts
@@ -23,6 +23,8 @@
     readonly onSent: (at: Milliseconds) => void;
     /** Uncounts a request that was counted and then not sent. */
     readonly onNotSent: () => void;
+    /** Requests a second that this box may send; 0 if it is no holder. */
+    readonly ownRate: () => number;
 }
 
 /** The rate, and the boxes that share it. */
@@ -86,6 +88,10 @@
                 nextAt -= ownShare()?.interval ?? second;
             }
         },
+        ownRate() {
+            const share = ownShare();
+            return share === undefined ? 0 : second / share.interval;
+        },
     };
 
     /**
--- a/packages/decisions/src/servers/limit-share.ts
+++ b/packages/decisions/src/servers/limit-share.ts
@@ -74,6 +74,7 @@
             lastSentAt = previousSentAt;
             holderShare.onNotSent();
         },
+        ownRate: holderShare.ownRate,
     };
 
     /**
--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -8,6 +8,7 @@
 
 import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import type { SharedRate } from "../limits/shared-rate.js";
+import { type ColdPeriod, createColdness } from "./coldness.js";
 import { createEjection, type FailureKind } from "./ejection.js";
 import type { KnownLimit } from "./limit-share.js";
 import { createServerLoad, type LoadReport } from "./load-estimate.js";
@@ -99,6 +100,10 @@
     readonly isOutOfService: () => boolean;
     /** True while the server is in slow start. */
     readonly isCold: (at: Milliseconds) => boolean;
+    /** The latest time in which the server was cold; undefined if it never was. */
+    readonly coldPeriod: () => ColdPeriod | undefined;
+    /** Requests a second that this box may send to the server while it is cold. */
+    readonly slowStartRate: () => number;
     /** Estimated requests at the server from all boxes, running and waiting. */
     readonly load: (at: Milliseconds) => number;
     /** 1 for a server of normal speed, more for a slow one. */
@@ -157,13 +162,14 @@
     let leaving = false;
     let backoffUntil = milliseconds(-Infinity);
     let lastBackoffRequestAt = milliseconds(-Infinity);
-    let coldUntil = coldEnd(first, at);
+    const coldness = createColdness();
+    onColdRecord(first, at);
 
     return {
         record: () => record,
         applyRecord(next, now) {
             if (next.coldFor > 0 && (next.coldFor !== record.coldFor || unlisted)) {
-                coldUntil = Math.max(coldUntil, coldEnd(next, now));
+                onColdRecord(next, now);
             }
             record = next;
             unlisted = false;
@@ -185,9 +191,14 @@
         },
         isListed: () => !unlisted,
         onChosen(now) {
-            const shares = [limitShare, isCold(now) ? slowStart : undefined].filter(share => share !== undefined);
+            const isSlowStart = coldness.isCold(now);
+            const shares = [limitShare, isSlowStart ? slowStart : undefined].filter(share => share !== undefined);
             shares.forEach(share => share.onSent(now));
-            return () => shares.forEach(share => share.onNotSent());
+            const uncount = isSlowStart ? coldness.onSent() : undefined;
+            return () => {
+                shares.forEach(share => share.onNotSent());
+                uncount?.();
+            };
         },
         onSent: load.onSent,
         onEnded: load.onEnded,
@@ -203,7 +214,7 @@
             replaced = true;
         },
         onCold(now, duration) {
-            coldUntil = Math.max(coldUntil, now + duration);
+            coldness.onCold(now, milliseconds(now + duration), "healthCheck");
         },
         onLimitUpdate(update) {
             const isReportable = limit.onUpdate(update);
@@ -215,7 +226,9 @@
         limit: limit.latestUpdate,
         exclusionReason,
         isOutOfService: () => outOfServiceReason() !== undefined,
-        isCold,
+        isCold: coldness.isCold,
+        coldPeriod: coldness.period,
+        slowStartRate: slowStart.ownRate,
         load: now => load.estimate(now, record.slots),
         slowness: speed.slowness,
         severity: now => ejection.isEjected() ? ejectedSeverity : Math.max(outliers.severity(now), speed.severity(now)),
@@ -266,7 +279,7 @@
         if (ejection.isEjected()) {
             return "ejected";
         }
-        return isCold(now) && !slowStart.allows(now) ? "cold" : undefined;
+        return coldness.isCold(now) && !slowStart.allows(now) ? "cold" : undefined;
     }
 
     /** A health check is a request to the server as well, so it is not due before the end of a back-off. */
@@ -278,11 +291,9 @@
         return milliseconds(Math.max(dueAt, backoffUntil));
     }
 
-    function isCold(now: Milliseconds): boolean {
-        return now < coldUntil;
-    }
-
-    function coldEnd(source: BackendServerRecord, now: Milliseconds): number {
-        return source.coldFor > 0 ? milliseconds(now + source.coldFor + options.recordPropagationDelay) : 0;
+    function onColdRecord(source: BackendServerRecord, now: Milliseconds): void {
+        if (source.coldFor > 0) {
+            coldness.onCold(now, milliseconds(now + source.coldFor + options.recordPropagationDelay), "record");
+        }
     }
 }
--- a/packages/decisions/test/emulated-rollout.ts
+++ b/packages/decisions/test/emulated-rollout.ts
@@ -374,7 +374,12 @@
         createServerState(record, at, {
             recordPropagationDelay: milliseconds(0),
             slowStart: createSlowStart({ self: boxId("b"), server: record.id, boxes: () => [], rate: () => 0 }),
-            createLimitShare: () => ({ allows: () => true, onSent: () => undefined, onNotSent: () => undefined }),
+            createLimitShare: () => ({
+                allows: () => true,
+                onSent: () => undefined,
+                onNotSent: () => undefined,
+                ownRate: () => 0,
+            }),
         })
     );
     const records = Array.from({ length: servers * 2 }, (_, index) => ({
--- a/packages/decisions/test/rollout-fixtures.ts
+++ b/packages/decisions/test/rollout-fixtures.ts
@@ -68,7 +68,12 @@
         createServerState(record, at, {
             recordPropagationDelay: milliseconds(0),
             slowStart: createSlowStart({ self: boxId("box-1"), server: record.id, boxes: () => [], rate: () => 0 }),
-            createLimitShare: () => ({ allows: () => true, onSent: () => undefined, onNotSent: () => undefined }),
+            createLimitShare: () => ({
+                allows: () => true,
+                onSent: () => undefined,
+                onNotSent: () => undefined,
+                ownRate: () => 0,
+            }),
         })
     );
     const records = Array.from(
--- a/packages/decisions/test/server-incarnation.test.ts
+++ b/packages/decisions/test/server-incarnation.test.ts
@@ -29,7 +29,7 @@
 const service = serviceId("profiles");
 const firstBirth = 1_700_000_000_000;
 
-const unbounded = { allows: () => true, onSent: () => undefined, onNotSent: () => undefined };
+const unbounded = { allows: () => true, onSent: () => undefined, onNotSent: () => undefined, ownRate: () => 0 };
 
 describe("server incarnations", () => {
     let catalog: ServerCatalog;
--- a/packages/decisions/test/server-state.test.ts
+++ b/packages/decisions/test/server-state.test.ts
@@ -11,7 +11,7 @@
 import { createServerState, createSlowStart } from "../src/index.js";
 
 describe("server state", () => {
-    const noRequests = { allows: () => false, onSent: () => undefined, onNotSent: () => undefined };
+    const noRequests = { allows: () => false, onSent: () => undefined, onNotSent: () => undefined, ownRate: () => 0 };
     const at = (time: number): Milliseconds => milliseconds(time);
     const create = () =>
         createServerState(
--- a/packages/testing/src/promises/decision-mutations.ts
+++ b/packages/testing/src/promises/decision-mutations.ts
@@ -202,7 +202,7 @@
         promise: "P14",
         name: "the request rate of a cold server",
         file: decisionsFile("servers/server-state"),
-        find: "isCold(now) && !slowStart.allows(now)",
+        find: "coldness.isCold(now) && !slowStart.allows(now)",
         replace: "false",
         testFiles: [decisionsTestFile("server-choice")],
     },
