A server that turns cold again with the same cold time is cold

What callers saw: a server that turned cold a second time got its usual load from a box that had missed the records in between (a list read again, changes that were merged). Cause: a record counted as news only if its cold time differed from the last one read. Now it counts if its revision is later.

The unit test failed before and passes. The socket test that was listed wrote the same record twice, which the store takes for no change, so no box could know; servers write what is left with each heartbeat.

--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -168,7 +168,8 @@
     return {
         record: () => record,
         applyRecord(next, now) {
-            if (next.coldFor > 0 && (next.coldFor !== record.coldFor || unlisted)) {
+            // A server that turns cold again may write the same cold time as before.
+            if (next.revision > record.revision || unlisted) {
                 onColdRecord(next, now);
             }
             record = next;
--- a/packages/decisions/test/server-state.test.ts
+++ b/packages/decisions/test/server-state.test.ts
@@ -124,6 +124,17 @@
             expect(state.exclusionReason(at(999))).to.equal("cold");
             expect(state.exclusionReason(at(1000))).to.equal(undefined);
         });
+
+        it("begins again with a record of the same cold time, if those in between were missed [P14]", () => {
+            const state = create();
+            state.applyRecord({ ...state.record(), coldFor: milliseconds(3000), revision: 2 }, at(0));
+            expect(state.isCold(at(2999))).to.equal(true);
+            expect(state.isCold(at(3000))).to.equal(false);
+            state.applyRecord({ ...state.record(), revision: 2 }, at(8000));
+            expect(state.isCold(at(8000))).to.equal(false);
+            state.applyRecord({ ...state.record(), revision: 5 }, at(9000));
+            expect(state.isCold(at(11_999))).to.equal(true);
+        });
     });
 
     describe("a cold server", () => {
--- a/packages/testing/test/box-cold-servers.test.ts
+++ b/packages/testing/test/box-cold-servers.test.ts
@@ -18,6 +18,8 @@
 const callerInterval = 100;
 /** Milliseconds for which a server is cold. */
 const coldTime = 3000;
+/** Milliseconds between two writes of a server's record. */
+const heartbeatInterval = 1500;
 /** Requests a second that a cold server of the deployment bears, and what it tolerates in any second. */
 const coldRate = 14;
 const tolerated = 1.5 * coldRate + 5;
@@ -83,17 +85,22 @@
         return servers.filter((_, index) => zoneOf(index) === zone);
     }
 
-    /** The servers turn cold without a restart, and say so in their records and health answers. */
+    /** The servers turn cold without a restart, and say so in their records and health answers until they are warm. */
     function turnCold(turning: readonly ServerStandIn[]): void {
         for (const server of turning) {
             coldSince.set(server.id, performance.now());
             server.setColdFor(coldTime);
-            const zone = zoneOf(servers.indexOf(server));
-            deployment.writeServerRecord(server, { zone, coldLeft: `${coldTime}ms` });
+            for (let elapsed = 0; elapsed <= coldTime; elapsed += heartbeatInterval) {
+                setTimeout(() => writeRecord(server, coldTime - elapsed), elapsed);
+            }
             setTimeout(() => server.setColdFor(0), coldTime);
         }
     }
 
+    function writeRecord(server: ServerStandIn, coldLeft: number): void {
+        deployment.writeServerRecord(server, { zone: zoneOf(servers.indexOf(server)), coldLeft: `${coldLeft}ms` });
+    }
+
     async function untilWarm(): Promise<void> {
         await pause(milliseconds(coldTime + 500));
     }
