Boxes that are apart share the rates of cold and limited servers with all boxes known to exist

What callers saw: while boxes did not see each other, a cold server got several times its rate, as each box took itself for one of its senders.

Cause: the shares were divided among the boxes that a box sees now, and each new holder sent its first request at once, so restarts in series exceeded the rate as well.

Change: a box that sees most of the boxes known to exist keeps to the holders; any other has one part of the rate among all of them, and what it has earned expires. First requests are earned. Without the store's records of boxes a box has no share. Both rates, of cold servers and of servers with rate limits, use it. Groups apart send the rate at most, beside a majority half of it more.

--- a/packages/box/src/servers/box-server-catalog.ts
+++ b/packages/box/src/servers/box-server-catalog.ts
@@ -29,6 +29,7 @@
             server: record.id,
             boxes: () => limits.eligibleSenders(record.region),
             advertisedBoxIds: limits.advertisedIds,
+            equalParts: limits.equalParts,
         };
         return createServerState(record, at, {
             recordPropagationDelay,
--- a/packages/decisions/src/limits/fleet-size.ts
+++ b/packages/decisions/src/limits/fleet-size.ts
@@ -24,6 +24,13 @@
      * box nor read the records.
      */
     readonly count: () => number | undefined;
+    /** The same, but undefined until the records were read: what a box hears from others may be a part of the fleet. */
+    readonly recordedCount: () => number | undefined;
+    /**
+     * True if the records were read and this box sees more than half of the counted boxes. Of boxes that don't see each
+     * other, at most one group is a majority.
+     */
+    readonly isInMajority: () => boolean;
 }
 
 export interface FleetSizeOptions {
@@ -53,6 +60,14 @@
             readMembership();
             return countedBoxes.size > 0 || hasReadRecords ? countedBoxes.size + 1 : undefined;
         },
+        recordedCount() {
+            readMembership();
+            return hasReadRecords ? countedBoxes.size + 1 : undefined;
+        },
+        isInMajority() {
+            readMembership();
+            return hasReadRecords && seesMajority(clock());
+        },
     };
 
     function updateCountedBoxes(at: Milliseconds): void {
@@ -64,11 +79,15 @@
                 countedBoxes.set(record.box, at - heardAgo);
             }
         }
-        if (membership.alive(at).length * 2 > countedBoxes.size + 1) {
+        if (seesMajority(at)) {
             forgetSilentBoxes(at);
         }
     }
 
+    function seesMajority(at: Milliseconds): boolean {
+        return membership.alive(at).length * 2 > countedBoxes.size + 1;
+    }
+
     function forgetSilentBoxes(at: Milliseconds): void {
         for (const [box, heardAt] of countedBoxes) {
             if (at - heardAt > gossipToFailedTime) {
--- a/packages/decisions/src/limits/shared-limits.ts
+++ b/packages/decisions/src/limits/shared-limits.ts
@@ -56,6 +56,11 @@
      * unchanged.
      */
     readonly eligibleSenders: (region: RegionId) => readonly BoxId[];
+    /**
+     * Number of boxes with equal parts of the rates of cold and limited servers; undefined while this box sees most of
+     * them, so that the senders have the rates. See `SharedRateOptions`.
+     */
+    readonly equalParts: () => number | undefined;
     /** The store's records of boxes were read: shares are divided among these boxes as well. */
     readonly onBoxesRecorded: FleetSize["onRecorded"];
     readonly retryBudgetOf: (service: ServiceId) => RetryBudget;
@@ -100,6 +105,11 @@
         advertisedIds: () => advertisedLists().ids,
         isAdvertised,
         eligibleSenders: sendersOf,
+        equalParts: createTimedCache(
+            clock,
+            advertisedLifetime,
+            () => fleetSize.isInMajority() ? undefined : fleetSize.recordedCount() ?? Infinity,
+        ),
         onBoxesRecorded: fleetSize.onRecorded,
         retryBudgetOf,
         retryBudgets: () => new Map([...budgets].map(([service, budget]) => [service, budget.summary(clock())])),
--- a/packages/decisions/src/servers/limit-share.ts
+++ b/packages/decisions/src/servers/limit-share.ts
@@ -43,6 +43,8 @@
     readonly boxes: () => readonly BoxId[];
     /** Boxes of all regions that are advertised to callers; the same array while they don't change. */
     readonly advertisedBoxIds: () => readonly BoxId[];
+    /** See `SharedRateOptions`. */
+    readonly equalParts?: () => number | undefined;
 }
 
 /** The limit as this box knows it. */
@@ -79,9 +81,12 @@
 
     /**
      * The longer no update arrives, the more boxes send probes and the less often each does: one probe per turn in
-     * total.
+     * total. A box that does not see most others sends none beyond its part of the rate.
      */
     function mayProbe(at: Milliseconds): boolean {
+        if (options.equalParts?.() !== undefined) {
+            return false;
+        }
         const overdue = at - known().updatedAt - silenceBeforeProbes;
         const probers = Math.floor(overdue / probeTurn) + 1;
         const rank = overdue < 0 ? undefined : ownRank(options.advertisedBoxIds());
@@ -89,15 +94,15 @@
     }
 }
 
-function createHolderShare({ boxes, self, server }: LimitShareOptions, rate: () => number): SharedRate {
+function createHolderShare({ boxes, equalParts, self, server }: LimitShareOptions, rate: () => number): SharedRate {
     return createSharedRate({
         self,
         subject: server,
         boxes,
+        equalParts,
         rate: () => Math.max(probeRate, rate()),
         maxHolders: usedRate => usedRate <= probeRate ? 1 : minHolders + Math.floor(usedRate * holdersPerRate),
         usedFraction: 1,
         savedFraction: maxSavedFraction,
-        firstRequest: "earned",
     });
 }
--- a/packages/decisions/src/servers/slow-start.ts
+++ b/packages/decisions/src/servers/slow-start.ts
@@ -22,18 +22,20 @@
     readonly boxes: () => readonly BoxId[];
     /** Requests per second that the server can serve while cold, from all boxes together. */
     readonly rate: () => number;
+    /** See `SharedRateOptions`. */
+    readonly equalParts?: () => number | undefined;
 }
 
 /** Creates this box's share of the slow-start rate of one server. */
-export function createSlowStart({ boxes, rate, self, server }: SlowStartOptions): SharedRate {
+export function createSlowStart({ boxes, equalParts, rate, self, server }: SlowStartOptions): SharedRate {
     return createSharedRate({
         self,
         subject: server,
         boxes,
+        equalParts,
         rate,
         maxHolders: () => maxSenders,
         usedFraction: rateFraction,
         savedFraction: 0,
-        firstRequest: "atOnce",
     });
 }
