After a server has turned cold a box watches again at once

What callers saw: of the servers of a zone that turned cold together, all but the first got their usual load for half a second more and failed requests.

Cause: a box pauses for 500 ms after each answer of a watch with changes, to merge changes that come in series.

Change: the pause is 50 ms after a change by which a known server has turned cold. Servers that are added don't count, nor does the cold time that counts down in each heartbeat, so calm has no further calls. Found by the catalogue, so that the way records arrive does not matter.

The fakes of the shared state in two tests got the new member.

--- a/packages/box/src/state/shared-state.ts
+++ b/packages/box/src/state/shared-state.ts
@@ -53,6 +53,8 @@
     readonly pickDestination: (route: Route) => ServiceId;
     /** True unless the zone is closed. */
     readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
+    /** How often known servers have turned cold by their records, since the start of the box. */
+    readonly coldStarts: () => number;
     /** True once the replicas that every request needs have a snapshot. */
     readonly isComplete: () => boolean;
 }
@@ -88,6 +90,7 @@
     let localitySettings: LocalitySettings = defaultLocalitySettings;
     /** Cached results of `admitsZone`; emptied when the locality settings change. */
     let admissionByZone = new Map<AvailabilityZoneId, boolean>();
+    let coldStarts = 0;
 
     const replicas: { readonly [Kind in SharedKind]: Replica<SharedItems[Kind]>; } = {
         configuration: createReplica<Configuration>(
@@ -114,6 +117,7 @@
         service: id => services.get(id),
         pickDestination,
         admitsZone,
+        coldStarts: () => coldStarts,
         isComplete: () =>
             configuration !== undefined
             && replicas.servers.revision() !== undefined
@@ -155,8 +159,10 @@
     }
 
     function applyServers(records: readonly BackendServerRecord[]): void {
-        const change = options.catalog.applyList(records, clock());
+        const now = clock();
+        const change = options.catalog.applyList(records, now);
         const { added, removed, restarted, startedDraining } = change;
+        coldStarts += countColdStarts(added, now);
         const changed = added.length + removed.length + startedDraining.length + restarted.length;
         if (changed > 0) {
             log.info("servers.changed", {
@@ -174,6 +180,14 @@
         removed.forEach(server => logLeaving(server, "unlisted"));
     }
 
+    /** Returns the number of servers, without those that were added, that have turned cold by the list applied `at`. */
+    function countColdStarts(added: readonly BackendServerRecord[], at: Milliseconds): number {
+        const addedIds = new Set(added.map(record => record.id));
+        return [...options.catalog.all()].filter(({ id, state }) =>
+            state.coldPeriod()?.begunAt === at && !addedIds.has(id)
+        ).length;
+    }
+
     /** Writes one line per server, so that a search for the server's id finds it. */
     function logLeaving(server: BackendServerId, as: "draining" | "unlisted"): void {
         const known = options.catalog.get(server)?.state;
--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -25,6 +25,7 @@
     type UnservedBoxes,
     watchOverdueAfter,
     watchPauseAfterChange,
+    watchPauseAfterColdStart,
 } from "@chalkdale/decisions";
 import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { type Log, sleep } from "@chalkdale/runtime";
@@ -270,6 +271,7 @@
             return false;
         }
         const lastChangeBefore = replica.lastChangeRevision();
+        const coldStartsBefore = state.coldStarts();
         replica.applyChanges(since, outcome.changes, outcome.revision);
         statuses[kind].confirmedAt = clock();
         statuses[kind].provenAt = clock();
@@ -282,7 +284,8 @@
             options.sendDigestToRegion();
         }
         if (hasChanges) {
-            await sleep(watchPauseAfterChange[kind], signal);
+            const hasColdStart = state.coldStarts() > coldStartsBefore;
+            await sleep(hasColdStart ? watchPauseAfterColdStart : watchPauseAfterChange[kind], signal);
         }
         return true;
     }
--- a/packages/box/test/emulated-fleet.ts
+++ b/packages/box/test/emulated-fleet.ts
@@ -185,6 +185,7 @@
             state: {
                 replica: (kind: SharedKind) => replicas[kind],
                 keys: () => ({ isKeyRequired: true }),
+                coldStarts: () => 0,
             } as unknown as SharedState,
             store: createStore(record),
             relayRole,
--- a/packages/box/test/replicator.test.ts
+++ b/packages/box/test/replicator.test.ts
@@ -76,7 +76,7 @@
             random: () => 0.5,
             log: createLog({ write: () => undefined }),
             region: regionId("north"),
-            state: { replica: (kind: SharedKind) => replicas[kind] } as unknown as SharedState,
+            state: { replica: (kind: SharedKind) => replicas[kind], coldStarts: () => 0 } as unknown as SharedState,
             store: {
                 list: () => Promise.resolve({ revision: 5, items: [] }),
                 watch,
--- a/packages/decisions/src/shared-state/replica-refresh.ts
+++ b/packages/decisions/src/shared-state/replica-refresh.ts
@@ -76,6 +76,12 @@
     rollouts: milliseconds(200),
 };
 
+/**
+ * The same after a change by which a known server has turned cold: others of its availability zone often do so at the
+ * same time, and get their usual load until a box learns of it.
+ */
+export const watchPauseAfterColdStart = milliseconds(50);
+
 /** First pause after a failed call. */
 export const initialBackoff = milliseconds(150);
 /**
