Slow start bounds last-resort requests at ejected servers as well

What callers saw: requests at a server that had come back cold while it counted as ejected; it could fall over again. Cause: ejection was checked before slow start, and an ejected idle server is tried as a last resort, outside its share.

Change: slow start is checked first, as the rate limit already was.

--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -272,15 +272,15 @@
         if (now < backoffUntil) {
             return "backedOff";
         }
-        // Checked before ejection: an ejected server may be tried as a last resort, and its rate limit applies to that
-        // as well.
+        // Checked before ejection: an ejected server may be tried as a last resort, and its rate limit and slow start apply
+        // to that as well.
         if (limitShare?.allows(now) === false) {
             return "limited";
         }
-        if (ejection.isEjected()) {
-            return "ejected";
+        if (coldness.isCold(now) && !slowStart.allows(now)) {
+            return "cold";
         }
-        return coldness.isCold(now) && !slowStart.allows(now) ? "cold" : undefined;
+        return ejection.isEjected() ? "ejected" : undefined;
     }
 
     /** A health check is a request to the server as well, so it is not due before the end of a back-off. */
