Servers of a zone that is taken back are cold until their records can have arrived

What callers saw: requests at servers that had turned cold while their zone was closed, from boxes that learned that the zone was open again before they learned of that. Cause: closed zones and servers are two kinds of state, each with a watch of its own; a pause or a slow call delays one and not the other.

--- a/packages/box/src/state/shared-state.ts
+++ b/packages/box/src/state/shared-state.ts
@@ -18,6 +18,7 @@
     describePosition,
     epochOf,
     type LocalitySettings,
+    recordPropagationDelay,
     type Replica,
     resolveLocality,
     type RestartedServer,
@@ -90,6 +91,7 @@
     let localitySettings: LocalitySettings = defaultLocalitySettings;
     /** Cached results of `admitsZone`; emptied when the locality settings change. */
     let admissionByZone = new Map<AvailabilityZoneId, boolean>();
+    let closedZones: readonly AvailabilityZoneId[] = [];
     let coldStarts = 0;
 
     const replicas: { readonly [Kind in SharedKind]: Replica<SharedItems[Kind]>; } = {
@@ -203,11 +205,24 @@
     }
 
     function applyClosedZones(zones: readonly AvailabilityZoneId[]): void {
+        const reopened = closedZones.filter(zone => !zones.includes(zone));
+        closedZones = zones;
+        onZonesReopened(new Set(reopened));
         localitySettings = closeZones(defaultLocalitySettings, zones);
         admissionByZone = new Map();
         log.info("places.changed", { closed: zones.join(",") || "none" });
     }
 
+    /** Servers may have turned cold while they got nothing; their records arrive by another watch. */
+    function onZonesReopened(zones: ReadonlySet<AvailabilityZoneId>): void {
+        const now = clock();
+        for (const { state } of options.catalog.all()) {
+            if (zones.has(state.record().zone)) {
+                state.onCold(now, recordPropagationDelay, "zoneReopened");
+            }
+        }
+    }
+
     function applyRollouts(orders: readonly RolloutOrder[]): void {
         options.onRollouts(orders);
         log.info("rollouts.changed", {
--- a/packages/decisions/src/servers/coldness.ts
+++ b/packages/decisions/src/servers/coldness.ts
@@ -6,8 +6,11 @@
 
 import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
 
-/** How a box learned that a server is cold: by its record in the store, or by a health check. */
-export type ColdSource = "record" | "healthCheck";
+/**
+ * Why a server counts as cold: by its record in the store, by a health check, or because its availability zone was
+ * taken back and it may have turned cold meanwhile.
+ */
+export type ColdSource = "record" | "healthCheck" | "zoneReopened";
 
 /** A time in which a server counts as cold. */
 export interface ColdPeriod {
--- a/packages/decisions/src/servers/server-state.ts
+++ b/packages/decisions/src/servers/server-state.ts
@@ -8,7 +8,7 @@
 
 import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import type { SharedRate } from "../limits/shared-rate.js";
-import { type ColdPeriod, createColdness } from "./coldness.js";
+import { type ColdPeriod, type ColdSource, createColdness } from "./coldness.js";
 import { createEjection, type FailureKind } from "./ejection.js";
 import type { KnownLimit } from "./limit-share.js";
 import { createServerLoad, type LoadReport } from "./load-estimate.js";
@@ -80,8 +80,8 @@
     readonly onHealthy: () => void;
     /** Another server has taken over the address. */
     readonly onReplaced: () => void;
-    /** The server announced that it stays cold for `duration`. */
-    readonly onCold: (at: Milliseconds, duration: Milliseconds) => void;
+    /** The server counts as cold for `duration`, by default because it announced that in a health check. */
+    readonly onCold: (at: Milliseconds, duration: Milliseconds, source?: ColdSource) => void;
     /**
      * Applies an update of the rate limit from the server or another box; returns true if it must be sent on. See
      * `ServerRateLimit`.
@@ -214,8 +214,8 @@
         onReplaced() {
             replaced = true;
         },
-        onCold(now, duration) {
-            coldness.onCold(now, milliseconds(now + duration), "healthCheck");
+        onCold(now, duration, source = "healthCheck") {
+            coldness.onCold(now, milliseconds(now + duration), source);
         },
         onLimitUpdate(update) {
             const isReportable = limit.onUpdate(update);
