Boxes of small regions tell each other of servers that have turned cold

Cause: a region of fewer than six boxes has no relay; each box waits for its own watch, and reads another one's changes 100 to 300 ms after a digest says that they exist, of which only one box sends any at once.

Change: a change by which a known server has turned cold is sent to the boxes of the region in any case. Result: the new test failed before (nothing published) and passes. Calm has no further messages; a cold start costs at most 20 datagrams in a region of five boxes.

--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -277,14 +277,16 @@
         statuses[kind].provenAt = clock();
         onStoreAnswered();
         const hasChanges = outcome.changes.length > 0;
-        if (hasChanges) {
-            publish({ kind, since: lastChangeBefore, complete: outcome.revision, changes: outcome.changes });
+        const hasColdStart = state.coldStarts() > coldStartsBefore;
+        // A box of the region that the store doesn't serve would learn late that a server has turned cold.
+        if (hasChanges && (relayRole.hasRelay() || hasColdStart)) {
+            const { changes, revision: complete } = outcome;
+            options.publish({ kind, since: lastChangeBefore, complete, changes } as StateUpdate);
         }
         if (isDigestNeeded(isUrgent, hasChanges)) {
             options.sendDigestToRegion();
         }
         if (hasChanges) {
-            const hasColdStart = state.coldStarts() > coldStartsBefore;
             await sleep(hasColdStart ? watchPauseAfterColdStart : watchPauseAfterChange[kind], signal);
         }
         return true;
@@ -328,12 +330,6 @@
         }
     }
 
-    function publish<Kind extends SharedKind>(update: StateUpdate<Kind>): void {
-        if (relayRole.hasRelay()) {
-            options.publish(update as StateUpdate);
-        }
-    }
-
     function onOverdue(kind: SharedKind, overdueAfter: number): void {
         logOverdue(kind, overdueAfter);
         markUnserved();
--- a/packages/box/test/replicator.test.ts
+++ b/packages/box/test/replicator.test.ts
@@ -52,12 +52,15 @@
     let published: StateUpdate[];
     /** Address of a box that doesn't answer reads. */
     let unresponsivePeer: string | undefined;
+    /** Changes of servers, each of which counts as a cold start. */
+    let serverChanges: number;
 
     beforeEach(() => {
         lifetime = new AbortController();
         readKinds = [];
         published = [];
         unresponsivePeer = undefined;
+        serverChanges = 0;
     });
 
     afterEach(() => lifetime.abort());
@@ -67,7 +70,7 @@
         const zones: AvailabilityZoneId[][] = [];
         const replicas = {
             configuration: createReplica<never>(() => "main", () => undefined),
-            servers: createReplica<never>(() => "s", () => undefined),
+            servers: createReplica<never>(() => "s", () => serverChanges += 1),
             closedZones: createReplica<AvailabilityZoneId>(zone => zone, items => zones.push([...items])),
             rollouts: createReplica<RolloutOrder>(order => order.service, () => undefined),
         };
@@ -76,7 +79,10 @@
             random: () => 0.5,
             log: createLog({ write: () => undefined }),
             region: regionId("north"),
-            state: { replica: (kind: SharedKind) => replicas[kind], coldStarts: () => 0 } as unknown as SharedState,
+            state: {
+                replica: (kind: SharedKind) => replicas[kind],
+                coldStarts: () => serverChanges,
+            } as unknown as SharedState,
             store: {
                 list: () => Promise.resolve({ revision: 5, items: [] }),
                 watch,
@@ -246,6 +252,23 @@
         await until(() => published.length > 0);
         expect(published).to.deep.equal([{ kind: "closedZones", since: 5, complete: 12, changes: [change] }]);
     });
+
+    it("sends the boxes of a region without a relay the changes by which servers have turned cold, and no others", async () => {
+        const sent = new Set<SharedKind>();
+        const changeOf = (kind: SharedKind) => ({ kind: "put", name: kind, item: kind }) as const;
+        const watch = (kind: SharedKind) => {
+            if (sent.has(kind)) {
+                return never;
+            }
+            sent.add(kind);
+            return Promise.resolve({ kind: "changes", changes: [changeOf(kind)], revision: 12 });
+        };
+        const { replicas } = await start(unrelayedRole, watch as unknown as StateStore["watch"]);
+        await until(() => replicatedKinds(false).every(kind => replicas[kind].revision() === 12));
+        expect(published).to.deep.equal([
+            { kind: "servers", since: 5, complete: 12, changes: [changeOf("servers")] },
+        ]);
+    });
 });
 
 async function until(condition: () => boolean): Promise<void> {
