--- a/packages/testing/src/soak/checks.ts
+++ b/packages/testing/src/soak/checks.ts
@@ -3,6 +3,7 @@
  * checks of this module and those of the other `*-checks` modules.
  */
 
+import { coldBreaches } from "./cold-checks.js";
 import { connectedBoxBreaches } from "./connected-box-checks.js";
 import { departureBreaches } from "./departure-checks.js";
 import { limitBreaches } from "./limit-checks.js";
@@ -48,6 +49,7 @@
         ...partitionBreaches(seen),
         ...retryBreaches(seen),
         ...departureBreaches(seen),
+        ...coldBreaches(seen),
     ];
 }
 
--- a/packages/testing/src/soak/fault-tools.ts
+++ b/packages/testing/src/soak/fault-tools.ts
@@ -23,6 +23,7 @@
  * - `partitions`: those of `all`, and boxes that are partitioned from all servers.
  * - `retries`: those of `all`, servers that fail most requests, and boxes that are partitioned from each other.
  * - `departures`: those of `all`, boxes that are starved or paused in series, and callers that often leave.
+ * - `cold`: those of `all`, servers that turn cold, boxes that are partitioned from each other, and more callers.
  */
 export type FaultSet =
     | "first"
@@ -32,7 +33,8 @@
     | "notices"
     | "partitions"
     | "retries"
-    | "departures";
+    | "departures"
+    | "cold";
 
 /** Minimum duration of a temporary fault, in milliseconds. */
 const minDuration = 500;
--- a/packages/testing/src/soak/faults.ts
+++ b/packages/testing/src/soak/faults.ts
@@ -6,6 +6,7 @@
 import { milliseconds } from "@chalkdale/kernel";
 import { pause } from "../standins/deployment.js";
 import { createBoxPause, createBoxRestart } from "./box-faults.js";
+import { injectColdServers } from "./cold-faults.js";
 import { injectDepartureFaults } from "./departure-faults.js";
 import { type ExtendedFaultCounts, injectExtendedFaults } from "./extended-faults.js";
 import { type Fault, type FaultSet, pickRandom } from "./fault-tools.js";
@@ -16,6 +17,7 @@
     BoxTermination,
     Interval,
     ObservedBackoff,
+    ObservedColdPeriod,
     ObservedLeaving,
     ObservedLimit,
     ObservedPartition,
@@ -46,6 +48,7 @@
     readonly leaving?: readonly ObservedLeaving[];
     readonly backoffs?: readonly ObservedBackoff[];
     readonly partitions: readonly ObservedPartition[] | undefined;
+    readonly coldPeriods: readonly ObservedColdPeriod[] | undefined;
     /** Planned changes without faults beside them: changes the configuration and replaces a server. */
     readonly changeAfterFaults: () => Promise<void>;
 }
@@ -77,6 +80,7 @@
     const partitions = set === "partitions" ? injectPartitions(environment, end) : undefined;
     const retryFaults = set === "retries" ? injectRetryFaults(environment, end) : undefined;
     const departureFaults = set === "departures" ? injectDepartureFaults(environment, end) : undefined;
+    const coldServers = set === "cold" ? injectColdServers(environment, end) : undefined;
     const restores = set === "notices" ? injectStoreRestores(environment, end) : undefined;
     while (now() < end) {
         ends.push(pickRandom(faults, random)());
@@ -87,6 +91,7 @@
     const observedLimits = await limits;
     const observedNotices = await notices;
     const observedPartitions = await partitions;
+    const coldPeriods = await coldServers;
     await restores;
     await retryFaults;
     await departureFaults;
@@ -103,6 +108,7 @@
         limits: observedLimits,
         ...observedNotices,
         partitions: observedPartitions,
+        coldPeriods,
         async changeAfterFaults() {
             await changes.changeConfiguration();
             await changes.replaceServer();
--- a/packages/testing/src/soak/main.ts
+++ b/packages/testing/src/soak/main.ts
@@ -13,7 +13,7 @@
   Runs boxes as real processes under faults drawn from seeds, and checks what callers and servers see.
 
   Usage
-    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5] [--first-faults] [--limits] [--notices] [--partitions] [--retries] [--departures]
+    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5] [--first-faults] [--limits] [--notices] [--partitions] [--retries] [--departures] [--cold]
 
   Exit codes
     0 no breach, 1 a breach or a run that failed, 2 wrong command line
@@ -30,6 +30,7 @@
             partitions: { type: "boolean", default: false },
             retries: { type: "boolean", default: false },
             departures: { type: "boolean", default: false },
+            cold: { type: "boolean", default: false },
             quiet: { type: "boolean", default: false },
         },
     },
@@ -60,6 +61,7 @@
         const {
             attempts,
             breaches,
+            cold,
             faults,
             logFolder,
             connectedBoxes,
@@ -86,7 +88,9 @@
                 Object.entries(notices).map(pair => pair.join(":")).join(",")
             } partitions=${partitions.compared}/${partitions.injected} retries=${
                 usedRetryShare.toFixed(2)
-            } departures=${departures} rollouts=${outcomes.join(",")} breaches=${breaches.length} logs=${logFolder}\n`,
+            } departures=${departures} cold=${cold.periods}/${cold.usedShare.toFixed(2)} rollouts=${
+                outcomes.join(",")
+            } breaches=${breaches.length} logs=${logFolder}\n`,
         );
     }
     process.stdout.write(`${last - first + 1 - failedSeeds} seeds without a breach, ${failedSeeds} with one\n`);
@@ -109,6 +113,9 @@
     if (cli.flags.departures) {
         return "departures";
     }
+    if (cli.flags.cold) {
+        return "cold";
+    }
     return cli.flags.limits ? "limits" : "all";
 }
 
--- a/packages/testing/src/soak/observations.ts
+++ b/packages/testing/src/soak/observations.ts
@@ -36,7 +36,8 @@
         | "partition"
         | "return"
         | "retries"
-        | "departed";
+        | "departed"
+        | "cold";
     /** Milliseconds since the start of the run. */
     readonly at: number;
     readonly detail: string;
@@ -85,6 +86,8 @@
 /** A request that arrived at a server; each further attempt of a request arrives with the same id. */
 export interface ObservedRequestArrival {
     readonly requestId: string;
+    /** Undefined if it was not recorded. */
+    readonly server?: string;
     readonly at: number;
     /** True if the link of its server may have held it back since a time; undefined if that was not recorded. */
     readonly wasHeldBack?: (since: number) => boolean;
@@ -109,6 +112,11 @@
     readonly rate: number;
 }
 
+/** A time in which a server was cold; `to` is the end of its incarnation if that came first. */
+export interface ObservedColdPeriod extends Interval {
+    readonly server: string;
+}
+
 /** A server that announces in its answers, since `from`, that it is leaving. */
 export interface ObservedLeaving {
     readonly server: string;
@@ -179,6 +187,8 @@
     readonly rollouts: readonly ObservedRollout[];
     /** Limits that servers announced; undefined if the faults include none. */
     readonly limits?: readonly ObservedLimit[];
+    /** Times in which servers were cold; undefined if the faults include none. */
+    readonly coldPeriods?: readonly ObservedColdPeriod[];
     /** Servers that announced that they are leaving; undefined if the faults include none. */
     readonly leaving?: readonly ObservedLeaving[];
     /** Back-offs that servers asked for; undefined if the faults include none. */
--- a/packages/testing/src/soak/retry-faults.ts
+++ b/packages/testing/src/soak/retry-faults.ts
@@ -48,7 +48,8 @@
     );
 }
 
-async function partitionBoxes({ boxes, logEvent }: SoakEnvironment, random: RandomSource): Promise<void> {
+/** Partitions all or some of the boxes from all others, for a random time. */
+export async function partitionBoxes({ boxes, logEvent }: SoakEnvironment, random: RandomSource): Promise<void> {
     const duration = minDuration + random() * maxAddedDuration;
     const areAll = random() < partitionedFraction;
     const partitioned = boxes.filter(() => areAll || random() < partitionedFraction);
--- a/packages/testing/src/soak/soak-servers.ts
+++ b/packages/testing/src/soak/soak-servers.ts
@@ -5,7 +5,7 @@
  * Owns the stand-ins and their links; relies on the store for the records.
  */
 
-import type { Milliseconds } from "@chalkdale/kernel";
+import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { type ServerStandIn, startServerStandIn } from "../standins/backend-server.js";
 import { pause } from "../standins/deployment.js";
 import type { MetadataStore } from "../standins/metadata-store.js";
@@ -28,6 +28,8 @@
     readonly service: string;
     readonly zone: string;
     readonly version: string;
+    /** Time of the run until which it is cold. */
+    coldUntil: number;
     /** It drains or was removed, or is about to. */
     gone: boolean;
     /** It has ended and will restart, unless its service moves to another version meanwhile. */
@@ -48,10 +50,10 @@
     /** Starts and lists a server; its version defaults to the one that the service runs. */
     readonly addServer: (service: string, zone: string, version?: string) => Promise<SoakServer>;
     /**
-     * Ends the server abruptly, and starts it again after `downFor` under its id and address, without any state.
-     * Resolves with false if it was stopped for good meanwhile.
+     * Ends the server abruptly, and starts it again after `downFor` under its id and address, without any state and
+     * cold for `coldFor`. Resolves with false if it was stopped for good meanwhile.
      */
-    readonly restartServer: (server: SoakServer, downFor: Milliseconds) => Promise<boolean>;
+    readonly restartServer: (server: SoakServer, downFor: Milliseconds, coldFor?: Milliseconds) => Promise<boolean>;
     /** Starts a server that no valid record lists: any request that runs there is a breach. */
     readonly startUnlistedServer: () => Promise<ServerStandIn>;
     /** Sets the version that the service runs from now on. */
@@ -97,7 +99,7 @@
     ): Promise<SoakServer> {
         const backend = await startServerStandIn({
             id: `i-${service}-${servers.length}`,
-            onArrival: requestId => onArrival(requestId, proxy),
+            onArrival: requestId => onArrival(requestId, backend.id, proxy),
         });
         backend.setWork(serverWork);
         const proxy = await startFaultProxy(backend.address(), { kind: "own" });
@@ -108,6 +110,7 @@
             service,
             zone,
             version: serverVersion,
+            coldUntil: 0,
             gone: false,
             isDown: false,
             isPermanentlyStopped: false,
@@ -119,17 +122,22 @@
         return server;
     }
 
-    function onArrival(requestId: string, proxy: FaultProxy): void {
+    function onArrival(requestId: string, server: string, proxy: FaultProxy): void {
         const at = now();
         const startedAt = performance.now() - at;
         arrivals.push({
             requestId,
+            server,
             at,
             wasHeldBack: since => proxy.wasImpaired(startedAt + since, startedAt + at),
         });
     }
 
-    async function restartServer(server: SoakServer, downFor: Milliseconds): Promise<boolean> {
+    async function restartServer(
+        server: SoakServer,
+        downFor: Milliseconds,
+        coldFor = milliseconds(0),
+    ): Promise<boolean> {
         const { id } = server.backend;
         const port = Number(server.backend.address().split(":")[1]);
         server.isDown = true;
@@ -142,10 +150,11 @@
         server.backend = await startServerStandIn({
             id,
             port,
-            onArrival: requestId => onArrival(requestId, server.proxy),
+            onArrival: requestId => onArrival(requestId, id, server.proxy),
         });
         server.backend.setWork(serverWork);
         server.born = Date.now();
+        server.coldUntil = now() + coldFor;
         observeRuns(server);
         writeRecord(server, "ready");
         return true;
@@ -172,7 +181,8 @@
 
     function writeRecord(server: SoakServer, state: "ready" | "draining"): void {
         const { born, proxy, service, version: serverVersion, zone } = server;
-        const record = { born, service, zone, state, version: serverVersion };
+        const coldLeft = `${Math.round(Math.max(0, server.coldUntil - now()))}ms`;
+        const record = { born, coldLeft, service, zone, state, version: serverVersion };
         store.put("servers", server.backend.id, serverObject(proxy.address(), record));
     }
 }
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -8,6 +8,7 @@
 import { pause } from "../standins/deployment.js";
 import { startCallers } from "./callers.js";
 import { findBreaches } from "./checks.js";
+import { usedColdShare } from "./cold-checks.js";
 import { type ConnectedBoxCounts, countConnectedBoxChecks } from "./connected-box-checks.js";
 import { startDepartingCallers } from "./departing-callers.js";
 import type { ExtendedFaultCounts } from "./extended-faults.js";
@@ -24,6 +25,7 @@
 import { usedRetryShare } from "./retry-checks.js";
 import { connectedAfter } from "./soak-bounds.js";
 import { type SoakEnvironment, startSoakEnvironment } from "./soak-environment.js";
+import { startSteadyCallers } from "./steady-callers.js";
 
 /** What to run. */
 export interface SoakOptions {
@@ -58,6 +60,8 @@
     readonly notices: NoticeCounts & { readonly restores: number; };
     /** The largest fraction of the retry budget of a window that was used. */
     readonly usedRetryShare: number;
+    /** Cold periods of servers, and the most that one got in a window, as a fraction of what it tolerates. */
+    readonly cold: { readonly periods: number; readonly usedShare: number; };
     /** Requests whose callers left without an answer. */
     readonly departures: number;
     /** Directory of the boxes' settings and logs. */
@@ -82,6 +86,7 @@
     partitions: 60,
     retries: 60,
     departures: 60,
+    cold: 60,
 };
 const pipeliningCallerCount = 2;
 /** Fraction of the callers' requests, and of the pipelining callers' rounds, that are abandoned early. */
@@ -120,6 +125,7 @@
     });
     const partitionCallers = options.faults === "partitions" ? startPartitionCallers(environment) : undefined;
     const departing = options.faults === "departures" ? startDepartingCallers(environment) : undefined;
+    const steady = options.faults === "cold" ? startSteadyCallers(environment) : undefined;
     const injection = await injectFaults(environment, options.faultDuration, options.faults);
     const { changeAfterFaults, count: faults, extendedFaults, rollouts, ...injected } = injection;
     const recoveredFrom = now() + recoverWithin;
@@ -129,7 +135,7 @@
     const recoveryProbe = await probeRecovery(environment);
     await pause(milliseconds(recoveredFrom + observedAfterRecovery - now()));
     await changing;
-    await Promise.all([callers.stop(), pipelining.stop(), partitionCallers?.stop(), departing?.stop()]);
+    await Promise.all([callers.stop(), pipelining.stop(), partitionCallers?.stop(), departing?.stop(), steady?.stop()]);
     rollouts.stopObserving();
     ownDelays.stop();
     await environment.stopAll();
@@ -142,7 +148,7 @@
         attempts,
         runs,
         arrivals,
-        otherRequestTimes: departing?.requestTimes,
+        otherRequestTimes: departing?.requestTimes ?? steady?.requestTimes,
         departures: [...callers.departures, ...pipelining.departures, ...departing?.departures ?? []],
         unsolicitedBytes,
         ...injected,
@@ -176,6 +182,7 @@
         notices,
         partitions,
         usedRetryShare: usedRetryShare(seen),
+        cold: { periods: seen.coldPeriods?.length ?? 0, usedShare: usedColdShare(seen) },
         departures: seen.departures.length,
         logFolder,
     };
