--- a/packages/testing/test/box-cold-servers.test.ts
+++ b/packages/testing/test/box-cold-servers.test.ts
@@ -171,6 +171,15 @@
         expect(mostInASecond()).to.be.at.most(tolerated);
     }).timeout(30_000);
 
+    it("are not flooded while no box has the store", async () => {
+        deployment.storeServer.setFault(() => ({ kind: "refused", status: 503 }));
+        deployment.storeServer.dropConnections();
+        await pause(milliseconds(4000));
+        turnCold([servers[0]]);
+        await untilWarm();
+        expect(mostInASecond()).to.be.at.most(tolerated);
+    }).timeout(30_000);
+
     it("use half of their rate at least when all are cold", async () => {
         turnCold(servers);
         await untilWarm();
