Servers are checked for coldness while the store is away, and boxes share the result

Cause: coldness reaches a box by a record, or by a health check of its own, which only ejected servers get; what a check finds was not passed on.

Change: while the store does not answer and no other box confirms the list of servers, one box checks each server twice a second; boxes that don't see most others do so together. What a check finds is sent to up to 64 boxes at once, those of the server's region first. A failed check of this kind ejects nothing. Boxes of earlier releases ignore the new part of a message.

Cost: nothing while the store answers; while it does not, two checks a second for each server of all boxes together.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -43,6 +43,7 @@
 import { createColdServerReport } from "./servers/cold-server-report.js";
 import { createHealthChecker } from "./servers/health-checker.js";
 import { createServerTracking } from "./servers/server-tracking.js";
+import { createUnconfirmedChecks } from "./servers/unconfirmed-checks.js";
 import type { BoxSettings } from "./settings.js";
 import { createStallDetector } from "./stall-detector.js";
 import { startReplicator } from "./state/replicator.js";
@@ -109,6 +110,7 @@
         coldRate: service => state.service(service)?.coldRate ?? 0,
         isReachedDirectly: server => requests.paths.pathTo(server) === "direct",
         sendLimits: (box, reports) => peerLink.sendLimits(box, reports),
+        sendColdReports: (box, reports) => peerLink.sendColdReports(box, reports),
     });
     const { catalog, outlierReports, limitedServers, recentSends } = servers;
     const poisonRequestGuard = createPoisonRequestGuard({
@@ -287,6 +289,7 @@
         onPoisonRequestReports: poisonRequestGuard.onReports,
         poisonRequestReports: poisonRequestGuard.gossipPayload,
         onLimits: limitedServers.onReports,
+        onColdReports: servers.coldServerSharing.onReports,
         limits: limitedServers.gossipPayload,
         onQuota: quotas.onMessage,
         onRollout: (from, message) => rollouts?.onMessage(from, message),
@@ -306,6 +309,13 @@
         log,
         protocol,
         ...servers,
+        unconfirmedChecks: createUnconfirmedChecks({
+            clock,
+            self: settings.box,
+            limits,
+            isStoreUnavailable: () => replicator.storeUnavailableFor() > 0,
+            serversAge: () => replicator.confirmedAge("servers"),
+        }),
         localAddress: settings.callers.host,
         paths: requests.paths,
         healthPathOf: server => state.service(server.state.record().service)?.healthPath,
--- a/packages/box/src/peers/peer-link.ts
+++ b/packages/box/src/peers/peer-link.ts
@@ -28,6 +28,7 @@
 import type { PoisonRequestReport } from "../poison-requests/poison-request-messages.js";
 import type { QuotaMessage } from "../quotas/quota-messages.js";
 import type { RolloutMessage } from "../rollouts/rollout-messages.js";
+import type { ColdReport } from "../servers/cold-messages.js";
 import type { LimitReport } from "../servers/limit-messages.js";
 import type { StateDigest, StateUpdate } from "../state/state-messages.js";
 import type { StatePeer } from "../state/state-reader.js";
@@ -81,6 +82,8 @@
     readonly onLimits: (reports: readonly LimitReport[]) => void;
     /** Server rate limits that gossip sends to all boxes; undefined if there are none. */
     readonly limits: () => readonly LimitReport[] | undefined;
+    /** Another box has found servers to be cold. */
+    readonly onColdReports: (reports: readonly ColdReport[]) => void;
     /** Another box sent a message about customers' quotas. */
     readonly onQuota: (from: MemberRecord, message: QuotaMessage) => void;
     /** Another box sent a message about roll-outs. */
@@ -113,6 +116,8 @@
     readonly sendPoisonRequestReports: (box: MemberRecord, reports: readonly PoisonRequestReport[]) => void;
     /** Sends rate limits that servers announce to a box. */
     readonly sendLimits: (box: MemberRecord, limits: readonly LimitReport[]) => void;
+    /** Tells a box of servers that a health check has found to be cold. */
+    readonly sendColdReports: (box: MemberRecord, reports: readonly ColdReport[]) => void;
     /** Sends a message about customers' quotas to a box. */
     readonly sendQuota: (box: MemberRecord, message: QuotaMessage) => void;
     /** Sends a message about roll-outs to a box. */
@@ -159,6 +164,7 @@
         sendPoisonRequestReports: (box, poisonRequestReports) =>
             send("deadly", JSON.stringify({ ...createMessage([]), deadly: poisonRequestReports }), box),
         sendLimits: (box, limits) => send("limits", JSON.stringify({ ...createMessage([]), limits }), box),
+        sendColdReports: (box, cold) => send("cold", JSON.stringify({ ...createMessage([]), cold }), box),
         sendQuota: (box, quota) => send("quota", JSON.stringify({ ...createMessage([]), quota }), box),
         sendRollout: (box, rollout) =>
             send("rollout", JSON.stringify({ ...createMessage([]), digest: undefined, rollout }), box),
--- a/packages/box/src/peers/peer-messages.ts
+++ b/packages/box/src/peers/peer-messages.ts
@@ -11,6 +11,7 @@
 import { isQuotaMessage, type QuotaMessage } from "../quotas/quota-messages.js";
 import { isRolloutMessage } from "../rollouts/rollout-message-validation.js";
 import type { RolloutMessage } from "../rollouts/rollout-messages.js";
+import { areColdReports, type ColdReport } from "../servers/cold-messages.js";
 import { areLimitReports, type LimitReport } from "../servers/limit-messages.js";
 import { isStateDigest, isStateUpdate, type StateDigest, type StateUpdate } from "../state/state-messages.js";
 import { isOutlierReportMessage, type OutlierReportMessage } from "./outlier-gossip.js";
@@ -62,6 +63,8 @@
     readonly deadly?: readonly PoisonRequestReport[];
     /** Rate limits that servers announce; earlier releases send none. */
     readonly limits?: readonly LimitReport[];
+    /** Servers that a health check has found to be cold; earlier releases send none. */
+    readonly cold?: readonly ColdReport[];
     /** Reports about outlier servers, to boxes of the sender's region only; earlier releases send none. */
     readonly reports?: readonly OutlierReportMessage[];
 }
@@ -109,6 +112,7 @@
         && (message.reports === undefined || areOutlierReports(message.reports))
         && (message.deadly === undefined || arePoisonRequestReports(message.deadly))
         && (message.limits === undefined || areLimitReports(message.limits))
+        && (message.cold === undefined || areColdReports(message.cold))
         && (message.quota === undefined || isQuotaMessage(message.quota))
         && (message.rollout === undefined || isRolloutMessage(message.rollout))
         && (message.regions === undefined || areRegionAges(message.regions));
--- a/packages/box/src/peers/peer-receiver.ts
+++ b/packages/box/src/peers/peer-receiver.ts
@@ -12,6 +12,7 @@
 import type { PoisonRequestReport } from "../poison-requests/poison-request-messages.js";
 import type { QuotaMessage } from "../quotas/quota-messages.js";
 import type { RolloutMessage } from "../rollouts/rollout-messages.js";
+import type { ColdReport } from "../servers/cold-messages.js";
 import type { LimitReport } from "../servers/limit-messages.js";
 import type { StateDigest, StateUpdate } from "../state/state-messages.js";
 import type { StatePeer } from "../state/state-reader.js";
@@ -30,6 +31,7 @@
     readonly onOutlierReports: (reports: readonly OutlierReportMessage[]) => void;
     readonly onPoisonRequestReports: (reports: readonly PoisonRequestReport[]) => void;
     readonly onLimits: (reports: readonly LimitReport[]) => void;
+    readonly onColdReports: (reports: readonly ColdReport[]) => void;
     readonly onQuota: (from: MemberRecord, message: QuotaMessage) => void;
     readonly onRollout: (from: MemberRecord, message: RolloutMessage) => void;
     /** Answers a probe, or a box that wasn't known before. */
@@ -94,6 +96,9 @@
         if (message.limits !== undefined) {
             options.onLimits(message.limits);
         }
+        if (message.cold !== undefined) {
+            options.onColdReports(message.cold);
+        }
         if (message.quota !== undefined) {
             options.onQuota(message.from, message.quota);
         }
--- a/packages/box/src/servers/health-checker.ts
+++ b/packages/box/src/servers/health-checker.ts
@@ -1,9 +1,11 @@
 /**
- * Health checks of ejected servers, which find out when a server has recovered.
- * Servers that answer requests are not checked: each check is billed and has to
- * wait for a slot of the server.
+ * Health checks of ejected servers, which find out when a server has recovered, and,
+ * while the store confirms no records, of servers that may have turned cold. Other
+ * servers are not checked: each check is billed and has to wait for a slot of the
+ * server.
  *
- * Owns the running checks; the server's ejection decides when one is due.
+ * Owns the running checks; the server's ejection and `unconfirmed-checks` decide when
+ * one is due.
  */
 
 import type { BackendServer, ServerCatalog } from "@chalkdale/decisions";
@@ -12,8 +14,10 @@
 import { type IncomingMessage, request as httpRequest } from "node:http";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import type { PathMonitor } from "../paths/path-monitor.js";
+import type { ColdServerSharing } from "./cold-server-sharing.js";
 import type { LimitedServers } from "./limited-servers.js";
 import type { ServerNotices } from "./server-notices.js";
+import type { UnconfirmedChecks } from "./unconfirmed-checks.js";
 
 export interface HealthCheckerOptions {
     readonly clock: Clock;
@@ -22,6 +26,9 @@
     readonly catalog: ServerCatalog;
     readonly limitedServers: Pick<LimitedServers, "onHealthCheckAnswer">;
     readonly serverNotices: Pick<ServerNotices, "onAnswer">;
+    readonly coldServerSharing: Pick<ColdServerSharing, "onChecked">;
+    /** Which servers are checked while their records may be out of date. */
+    readonly unconfirmedChecks: UnconfirmedChecks;
     readonly localAddress: string;
     readonly healthPathOf: (server: BackendServer) => string | undefined;
     readonly paths: Pick<PathMonitor, "pathTo" | "onConnected" | "onConnectFailed">;
@@ -42,14 +49,32 @@
     return function runDueHealthChecks() {
         const now = clock();
         for (const server of options.catalog.all()) {
+            if (running.has(server)) {
+                continue;
+            }
             const dueAt = server.state.healthCheckDueAt();
-            if (dueAt !== undefined && now >= dueAt && !running.has(server)) {
-                running.add(server);
-                void runHealthCheck(server).finally(() => running.delete(server));
+            if (dueAt !== undefined && now >= dueAt) {
+                runOnce(server, runHealthCheck);
+            }
+            else if (dueAt === undefined && options.unconfirmedChecks.takeDue(server)) {
+                runOnce(server, checkForColdness);
             }
         }
     };
 
+    function runOnce(server: BackendServer, check: (server: BackendServer) => Promise<unknown>): void {
+        running.add(server);
+        void check(server).finally(() => running.delete(server));
+    }
+
+    /** Only what the answer says counts: a check that fails does not eject a server that serves requests. */
+    async function checkForColdness(server: BackendServer): Promise<void> {
+        const path = options.healthPathOf(server);
+        if (path !== undefined && options.paths.pathTo(server) === "direct") {
+            await checkDirectly(server, path);
+        }
+    }
+
     async function runHealthCheck(server: BackendServer): Promise<void> {
         const path = options.healthPathOf(server);
         if (path === undefined) {
@@ -125,7 +150,7 @@
             server.state.onReplaced();
         }
         if (coldFor !== undefined && coldFor > 0) {
-            server.state.onCold(clock(), coldFor);
+            options.coldServerSharing.onChecked(server, coldFor);
         }
         if (id === server.id) {
             options.limitedServers.onHealthCheckAnswer(server, response.headers);
--- a/packages/box/src/servers/server-tracking.ts
+++ b/packages/box/src/servers/server-tracking.ts
@@ -19,6 +19,8 @@
 import { createOutlierGossip, type OutlierGossip } from "../peers/outlier-gossip.js";
 import type { BoxSettings } from "../settings.js";
 import { createBoxServerCatalog } from "./box-server-catalog.js";
+import type { ColdReport } from "./cold-messages.js";
+import { type ColdServerSharing, createColdServerSharing } from "./cold-server-sharing.js";
 import type { LimitReport } from "./limit-messages.js";
 import { createLimitedServers, type LimitedServers } from "./limited-servers.js";
 import { createRecentSends, type RecentSends } from "./recent-sends.js";
@@ -38,6 +40,7 @@
     /** False for a server whose direct path is cut. */
     readonly isReachedDirectly: (server: BackendServer) => boolean;
     readonly sendLimits: (box: MemberRecord, reports: readonly LimitReport[]) => void;
+    readonly sendColdReports: (box: MemberRecord, reports: readonly ColdReport[]) => void;
 }
 
 /** What one box knows about servers. */
@@ -47,6 +50,7 @@
     readonly outlierGossip: OutlierGossip;
     readonly recentSends: RecentSends;
     readonly limitedServers: LimitedServers;
+    readonly coldServerSharing: ColdServerSharing;
     readonly serverNotices: ServerNotices;
 }
 
@@ -54,6 +58,7 @@
 export function createServerTracking(options: ServerTrackingOptions): ServerTracking {
     const { clock, limits, log, protocol, settings } = options;
     const catalog = createBoxServerCatalog(settings, limits, options.coldRate);
+    const otherAdvertisedBoxes = () => limits.advertised().filter(({ box }) => box !== settings.box);
     const outlierReports = createOutlierReports(boxId(settings.box));
     return {
         catalog,
@@ -72,10 +77,16 @@
             log,
             protocol,
             catalog,
-            otherAdvertisedBoxes: () => limits.advertised().filter(({ box }) => box !== settings.box),
+            otherAdvertisedBoxes,
             sharesLimit: ({ box }, server) => limits.eligibleSenders(server.state.record().region).includes(box),
             send: options.sendLimits,
         }),
+        coldServerSharing: createColdServerSharing({
+            clock,
+            catalog,
+            otherAdvertisedBoxes,
+            send: options.sendColdReports,
+        }),
         serverNotices: createServerNotices({ catalog, clock, log, protocol }),
     };
 }
--- a/packages/box/src/traffic-meter.ts
+++ b/packages/box/src/traffic-meter.ts
@@ -25,6 +25,8 @@
     | "deadly"
     /** Rate limits that servers report. */
     | "limits"
+    /** Servers that a health check has found to be cold. */
+    | "cold"
     /** Reports, grants, write requests and decisions of roll-outs. */
     | "rollout"
     /** Members read from another box. */
--- a/packages/box/test/emulated-cold-fleet.ts
+++ b/packages/box/test/emulated-cold-fleet.ts
@@ -18,7 +18,7 @@
 import { createSampleRecord } from "./sample-server.js";
 
 /** Which boxes see each other during a partition. */
-export type Partition = "none" | "everyBox" | "zones" | "regions" | "oneZone";
+type Partition = "none" | "everyBox" | "zones" | "regions" | "oneZone";
 
 /** What happens to the boxes of a fleet; times are in milliseconds. */
 export interface ColdFleetOptions {
--- a/packages/box/test/peer-link.test.ts
+++ b/packages/box/test/peer-link.test.ts
@@ -49,6 +49,7 @@
             isFollowingStore: () => false,
             roundsBetweenDigests: 2,
             outlierGossip: { current: () => [], onReports: () => undefined },
+            onColdReports: () => undefined,
             onLimits: () => undefined,
             limits: () => undefined,
             snapshot: () => undefined,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -19,6 +19,7 @@
 export * from "./customers/copy-age.js";
 export * from "./customers/customer-table.js";
 export * from "./limits/body-memory.js";
+export * from "./limits/box-rank.js";
 export * from "./limits/fleet-size.js";
 export * from "./limits/quota/coordinator-liveness.js";
 export * from "./limits/quota/coordinator-set.js";
--- a/packages/decisions/src/servers/coldness.ts
+++ b/packages/decisions/src/servers/coldness.ts
@@ -7,10 +7,10 @@
 import { type Milliseconds, milliseconds } from "@chalkdale/kernel";
 
 /**
- * Why a server counts as cold: by its record in the store, by a health check, or because its availability zone was
- * taken back and it may have turned cold meanwhile.
+ * Why a server counts as cold: by its record in the store, by a health check of this box or of another one (`peer`), or
+ * because its availability zone was taken back and it may have turned cold meanwhile.
  */
-export type ColdSource = "record" | "healthCheck" | "zoneReopened";
+export type ColdSource = "record" | "healthCheck" | "peer" | "zoneReopened";
 
 /** A time in which a server counts as cold. */
 export interface ColdPeriod {
