After a change of servers a box watches again soon, unless changes come in a long series

Cause: the pause followed each change, also a single one.

Change: three changes in a row are each followed by 50 ms, further ones by what keeps to one watch in 500 ms. In the long run there are no more calls than before; single changes cost none.

--- a/packages/box/src/state/store-follower.ts
+++ b/packages/box/src/state/store-follower.ts
@@ -12,6 +12,7 @@
  */
 
 import {
+    createWatchPause,
     describePosition,
     epochOf,
     initialBackoff,
@@ -24,8 +25,6 @@
     type Snapshot,
     type UnservedBoxes,
     watchOverdueAfter,
-    watchPauseAfterChange,
-    watchPauseAfterColdStart,
 } from "@chalkdale/decisions";
 import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { type Log, sleep } from "@chalkdale/runtime";
@@ -76,6 +75,11 @@
     readonly wake: () => void;
 }
 
+type WatchPause = ReturnType<typeof createWatchPause>;
+
+/** What a watch brought: with `turnedCold`, a known server has turned cold. */
+type WatchResult = "historyLost" | "unchanged" | "changed" | "turnedCold";
+
 /** Starts a loop for each kind; the loops end when the signal aborts. */
 export function startStoreFollower(options: StoreFollowerOptions): StoreFollower {
     const { clock, log, relayRole, signal, state, statuses, store, unservedBoxes } = options;
@@ -102,6 +106,7 @@
     };
 
     async function follow(kind: SharedKind): Promise<void> {
+        const pauseAfter = createWatchPause(kind);
         let backoff = initialBackoff;
         let isListNeeded = state.replica(kind).revision() === undefined;
         while (!signal.aborted) {
@@ -115,7 +120,7 @@
                 continue;
             }
             try {
-                isListNeeded = isListNeeded ? await readList(kind) : !await watchOnce(kind);
+                isListNeeded = isListNeeded ? await readList(kind) : !await watchOnce(kind, pauseAfter);
                 onStoreAnswered();
                 backoff = initialBackoff;
             }
@@ -225,7 +230,7 @@
     }
 
     /** Waits for one batch of changes; returns false if the whole list must be read. */
-    async function watchOnce<Kind extends SharedKind>(kind: Kind): Promise<boolean> {
+    async function watchOnce<Kind extends SharedKind>(kind: Kind, pauseAfter: WatchPause): Promise<boolean> {
         const since = state.replica(kind).revision();
         if (since === undefined) {
             return false;
@@ -235,7 +240,11 @@
         const isUrgent = isConfirmationUrgent(kind);
         const cancelTimeout = watchTimeouts.limit(kind, controller, isUrgent);
         try {
-            return await applyWatch(kind, since, isUrgent, AbortSignal.any([signal, controller.signal]));
+            const outcome = await applyWatch(kind, since, isUrgent, AbortSignal.any([signal, controller.signal]));
+            if (outcome === "changed" || outcome === "turnedCold") {
+                await sleep(pauseAfter(clock(), outcome === "turnedCold"), signal);
+            }
+            return outcome !== "historyLost";
         }
         catch (error) {
             // Either another box's snapshot was applied, and the next watch starts from its revision, or the watch
@@ -256,7 +265,7 @@
         since: number,
         isUrgent: boolean,
         watchSignal: AbortSignal,
-    ): Promise<boolean> {
+    ): Promise<WatchResult> {
         const replica = state.replica(kind);
         const wait = isUrgent ? urgentWait : relayRole.watchWait(kind);
         const outcome = await withOverdueCheck(
@@ -268,7 +277,7 @@
         watchTimeouts.onAnswered(kind);
         if (outcome.kind === "historyLost") {
             log.info("store.historyLost", { kind, since: describePosition(since) });
-            return false;
+            return "historyLost";
         }
         const lastChangeBefore = replica.lastChangeRevision();
         const coldStartsBefore = state.coldStarts();
@@ -286,10 +295,10 @@
         if (isDigestNeeded(isUrgent, hasChanges)) {
             options.sendDigestToRegion();
         }
-        if (hasChanges) {
-            await sleep(hasColdStart ? watchPauseAfterColdStart : watchPauseAfterChange[kind], signal);
+        if (!hasChanges) {
+            return "unchanged";
         }
-        return true;
+        return hasColdStart ? "turnedCold" : "changed";
     }
 
     /**
--- a/packages/decisions/src/shared-state/replica-refresh.ts
+++ b/packages/decisions/src/shared-state/replica-refresh.ts
@@ -68,19 +68,45 @@
  * Pause after a change before the next watch: changes come in series, and each watch is a paid call. Without the pause
  * a large fleet would make several times as many calls. It counts towards the maximum propagation delay.
  */
-export const watchPauseAfterChange: Readonly<Record<SharedKind, Milliseconds>> = {
+const watchPauseAfterChange: Readonly<Record<SharedKind, Milliseconds>> = {
     configuration: milliseconds(200),
     servers: milliseconds(500),
     closedZones: milliseconds(200),
     // The outcome of a roll-out is written seconds after `running`.
     rollouts: milliseconds(200),
 };
+/** Changes in a row after which the pause is short, by kind: what a box learns late of a server fails requests. */
+const changesWithShortPause: Readonly<Record<SharedKind, number>> = {
+    configuration: 0,
+    servers: 3,
+    closedZones: 0,
+    rollouts: 0,
+};
+/**
+ * Short pause: merges changes of the same moment. It always follows a change by which a known server has turned cold, as
+ * others of its availability zone often do so at the same time.
+ */
+const shortWatchPause = milliseconds(50);
 
 /**
- * The same after a change by which a known server has turned cold: others of its availability zone often do so at the
- * same time, and get their usual load until a box learns of it.
+ * Returns the function that computes the pause after an answer of a watch of a kind with changes, at the time of the
+ * answer. In the long run it allows as many watches as the pause after each change would.
  */
-export const watchPauseAfterColdStart = milliseconds(50);
+export function createWatchPause(kind: SharedKind): (at: Milliseconds, hasColdStart: boolean) => Milliseconds {
+    const interval = watchPauseAfterChange[kind];
+    const burst = changesWithShortPause[kind] * interval;
+    /** Time at which the allowance for changes in a row is whole again. */
+    let restoredAt = -Infinity;
+
+    return function pauseAfter(at, hasColdStart) {
+        restoredAt = Math.max(restoredAt, at) + interval;
+        if (hasColdStart) {
+            return shortWatchPause;
+        }
+        const untilAllowed = restoredAt - burst - at;
+        return milliseconds(burst === 0 ? interval : Math.max(shortWatchPause, untilAllowed));
+    };
+}
 
 /** First pause after a failed call. */
 export const initialBackoff = milliseconds(150);
--- a/packages/testing/test/box-cold-servers.test.ts
+++ b/packages/testing/test/box-cold-servers.test.ts
@@ -131,6 +131,14 @@
         expect(mostInASecond()).to.be.at.most(tolerated);
     }).timeout(30_000);
 
+    it("are not flooded when they turn cold right after another change", async () => {
+        deployment.writeServerRecord(servers[8], { zone: zoneOf(8), version: "v2" });
+        await pause(milliseconds(20));
+        turnCold(servers.slice(0, 3));
+        await untilWarm();
+        expect(mostInASecond()).to.be.at.most(tolerated);
+    }).timeout(30_000);
+
     it("are not flooded when they turn cold again with the same record", async () => {
         const [server] = servers;
         turnCold([server]);
