--- a/packages/testing/src/soak/cold-faults.ts
+++ b/packages/testing/src/soak/cold-faults.ts
@@ -19,6 +19,11 @@
 const coldTime = 3000;
 /** Milliseconds between two writes of a cold server's record. */
 const heartbeatInterval = 1500;
+/** Fraction of the faults that partition boxes from each other; in the others servers turn cold. */
+const partitionFraction = 0.3;
+/** Fractions of these in which one server turns cold, and those of an availability zone; else all of a service do. */
+const oneServerFraction = 0.3;
+const zoneFraction = 0.4;
 /** Fraction of the faults in which servers restart, and milliseconds for which they are down. */
 const restartFraction = 0.3;
 const downTime = milliseconds(300);
@@ -36,7 +41,7 @@
     const cold = new Set<SoakServer>();
     const ends: Promise<void>[] = [];
     while (environment.now() < end) {
-        if (random() < 0.3) {
+        if (random() < partitionFraction) {
             ends.push(partitionBoxes(environment, random));
         }
         else {
@@ -84,11 +89,12 @@
 
 function pickServers({ servers }: SoakEnvironment, random: RandomSource): readonly SoakServer[] {
     const one = pickRandom(servers, random);
-    const kind = random();
-    if (kind < 0.3) {
+    const drawn = random();
+    if (drawn < oneServerFraction) {
         return [one];
     }
-    return servers.filter(({ service, zone }) => kind < 0.7 ? zone === one.zone : service === one.service);
+    const isOfZone = drawn < oneServerFraction + zoneFraction;
+    return servers.filter(({ service, zone }) => isOfZone ? zone === one.zone : service === one.service);
 }
 
 function isFree({ gone, isDown, isExcludedFromFaults, isPermanentlyStopped }: SoakServer): boolean {
