--- a/packages/decisions/src/limits/shared-limits.ts
+++ b/packages/decisions/src/limits/shared-limits.ts
@@ -5,7 +5,9 @@
  * The shares need no coordinator. All boxes that are known to exist have equal shares of the retries, so that boxes
  * which don't see each other don't use the shares of the others; a box that knows nobody has none. The advertised
  * boxes, those that the directory returns, have equal shares of the connections while each sees all others, and any
- * other box has none, since only callers with an outdated answer of the directory reach it.
+ * other box has none, since only callers with an outdated answer of the directory reach it. A box that sees most of the
+ * boxes known to exist leaves the rates of cold and limited servers to the senders near the server; any other box has an
+ * equal part of them.
  *
  * Owns the retry budgets; relies on the membership for the running boxes.
  */
