Checks for coldness leave out servers that ask for back-off and closed zones

What callers saw: nothing yet; by reading. A check is a request as well, and a server that has asked this box for back-off, or whose zone is closed, is to get none. The extended test failed before (both were checked) and passes.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -315,6 +315,7 @@
             limits,
             isStoreUnavailable: () => replicator.storeUnavailableFor() > 0,
             serversAge: () => replicator.confirmedAge("servers"),
+            admitsZone: state.admitsZone,
         }),
         localAddress: settings.callers.host,
         paths: requests.paths,
--- a/packages/box/src/servers/unconfirmed-checks.ts
+++ b/packages/box/src/servers/unconfirmed-checks.ts
@@ -6,7 +6,7 @@
  */
 
 import { type BackendServer, createBoxRank, type SharedLimits } from "@chalkdale/decisions";
-import { type BoxId, type Clock, hashText } from "@chalkdale/kernel";
+import { type AvailabilityZoneId, type BoxId, type Clock, hashText } from "@chalkdale/kernel";
 
 export interface UnconfirmedChecksOptions {
     readonly clock: Clock;
@@ -16,6 +16,8 @@
     readonly isStoreUnavailable: () => boolean;
     /** Milliseconds since the store confirmed the list of servers, to any box. */
     readonly serversAge: () => number;
+    /** False for an availability zone that is closed to requests. */
+    readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
 }
 
 /** Checks of servers whose records may be out of date. */
@@ -39,8 +41,7 @@
 
     return {
         takeDue(server) {
-            const { state } = server;
-            if (!areRecordsUnconfirmed() || state.isOutOfService() || state.isCold(clock())) {
+            if (!areRecordsUnconfirmed() || !mayTurnCold(server)) {
                 return false;
             }
             const interval = intervalOf(server);
@@ -61,6 +62,12 @@
         return options.isStoreUnavailable() && options.serversAge() >= unconfirmedAge;
     }
 
+    /** False for a server that gets no requests, or is known to be cold. A check is a request to a server as well. */
+    function mayTurnCold({ state }: BackendServer): boolean {
+        return !state.isOutOfService() && !state.isCold(clock()) && state.backoffUntil() <= clock()
+            && options.admitsZone(state.record().zone);
+    }
+
     /** Milliseconds between two checks of this box; undefined if another box checks the server. */
     function intervalOf(server: BackendServer): number | undefined {
         const parts = limits.equalParts();
--- a/packages/box/test/unconfirmed-checks.test.ts
+++ b/packages/box/test/unconfirmed-checks.test.ts
@@ -1,5 +1,5 @@
 import { type BackendServer, createServerState } from "@chalkdale/decisions";
-import { backendServerId, type BoxId, boxId, hashText, milliseconds } from "@chalkdale/kernel";
+import { availabilityZoneId, backendServerId, type BoxId, boxId, hashText, milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
 import { createUnconfirmedChecks } from "../src/servers/unconfirmed-checks.js";
 import { createSampleRecord } from "./sample-server.js";
@@ -9,8 +9,9 @@
     const boxes = Array.from({ length: 9 }, (_, index) => boxId(`box-${index}`));
     const names = Array.from({ length: 12 }, (_, index) => `s-${index}`);
 
-    function createServer(name: string): BackendServer {
-        const state = createServerState(createSampleRecord(name), milliseconds(0), {
+    function createServer(name: string, zone = "north-a"): BackendServer {
+        const record = { ...createSampleRecord(name), zone: availabilityZoneId(zone) };
+        const state = createServerState(record, milliseconds(0), {
             recordPropagationDelay: milliseconds(0),
             slowStart: noRequests,
             createLimitShare: () => noRequests,
@@ -23,13 +24,14 @@
         const counts = new Map<string, number>(names.map(name => [name, 0]));
         let now = 0;
         const fleet = boxes.map((self: BoxId) => ({
-            servers: names.map(createServer),
+            servers: names.map(name => createServer(name)),
             checks: createUnconfirmedChecks({
                 clock: () => milliseconds(now),
                 self,
                 limits: { eligibleSenders: () => boxes, equalParts: () => equalParts },
                 isStoreUnavailable: () => isStoreUnavailable,
                 serversAge: () => 2000,
+                admitsZone: () => true,
             }),
         }));
         for (; now < 10_000; now += 250) {
@@ -51,8 +53,10 @@
         countChecks(true, boxes.length).forEach(count => expect(count).to.be.within(15, 25));
     });
 
-    it("leave out servers that are cold or leaving", () => {
-        const [cold, leaving, other] = names.slice(0, 3).map(createServer);
+    it("leave out servers that are cold or leaving, ask for back-off, or are in a closed zone", () => {
+        const [cold, leaving, backedOff, other] = names.slice(0, 4).map(name => createServer(name));
+        const closed = createServer("s-closed", "north-closed");
+        backedOff.state.onBackoff(milliseconds(0), milliseconds(60_000));
         cold.state.onCold(milliseconds(0), milliseconds(60_000));
         leaving.state.onLeaving();
         let now = 0;
@@ -62,10 +66,11 @@
             limits: { eligibleSenders: () => [boxes[0]], equalParts: () => undefined },
             isStoreUnavailable: () => true,
             serversAge: () => 2000,
+            admitsZone: zone => zone !== "north-closed",
         });
         const checked = new Set<string>();
         for (; now < 2000; now += 250) {
-            [cold, leaving, other].filter(takeDue).forEach(({ id }) => checked.add(id));
+            [cold, leaving, backedOff, closed, other].filter(takeDue).forEach(({ id }) => checked.add(id));
         }
         expect([...checked]).to.deep.equal([other.id]);
     });
