--- a/packages/testing/test/box-limits.test.ts
+++ b/packages/testing/test/box-limits.test.ts
@@ -8,6 +8,7 @@
 import { type ClientAnswer, sendRequest } from "../src/standins/client.js";
 import { pause, startTestDeployment, type TestBox, type TestDeployment, testHost } from "../src/standins/deployment.js";
 import { maxAllowedArrivals, maxArrivalsInSpan, startLimitingServers } from "../src/standins/limiting-servers.js";
+import { partitionFromEachOther } from "../src/standins/partition.js";
 
 const callers = 16;
 const keys = 40;
@@ -83,6 +84,16 @@
         expect(new Set(answers.map(({ status }) => status))).to.deep.equal(new Set([200, 503]));
     });
 
+    it("keep servers within their limits while boxes don't see each other", async () => {
+        const endPartition = partitionFromEachOther(boxes.map(({ peerAddress }) => peerAddress));
+        await sendTraffic(5000, 20);
+        servers.slice(0, 3).forEach(server => server.setLimit(1.5));
+        const answers = await sendTraffic(9000, 20);
+        endPartition();
+        expect(Math.max(...servers.slice(0, 3).map(maxArrivalsInSpan))).to.be.within(1, maxAllowedArrivals(1.5));
+        expect(servedShare(answers)).to.be.greaterThan(0.99);
+    });
+
     it("use servers as before once they no longer report a limit", async () => {
         servers.slice(0, 3).forEach(server => server.setLimit(1.5));
         await sendTraffic(6000, 20);
