A box tells all boxes that were heard from lately of a server that a check finds cold

Cause: while the store refused all calls and a partition of the boxes was just over, two boxes found by checks that the server was cold and told the three boxes that they saw; the other two sent 19 and 8 requests.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -110,6 +110,7 @@
         coldRate: service => state.service(service)?.coldRate ?? 0,
         isReachedDirectly: server => requests.paths.pathTo(server) === "direct",
         sendLimits: (box, reports) => peerLink.sendLimits(box, reports),
+        recentMembers: () => membership.recentMembers(clock()),
         sendColdReports: (box, reports) => peerLink.sendColdReports(box, reports),
     });
     const { catalog, outlierReports, limitedServers, recentSends } = servers;
--- a/packages/box/src/servers/cold-server-sharing.ts
+++ b/packages/box/src/servers/cold-server-sharing.ts
@@ -12,8 +12,8 @@
 export interface ColdServerSharingOptions {
     readonly clock: Clock;
     readonly catalog: Pick<ServerCatalog, "get">;
-    /** The boxes that the directory advertises to callers, without this one. */
-    readonly otherAdvertisedBoxes: () => readonly MemberRecord[];
+    /** Boxes that any box has heard from lately, without this one: also those that this box does not see now. */
+    readonly recentMembers: () => readonly MemberRecord[];
     readonly send: (box: MemberRecord, reports: readonly ColdReport[]) => void;
 }
 
@@ -56,7 +56,7 @@
     /** Returns the boxes of the server's region first, as most of its requests come from these. */
     function recipientsOf({ state }: BackendServer): readonly MemberRecord[] {
         const { region } = state.record();
-        const boxes = options.otherAdvertisedBoxes();
+        const boxes = options.recentMembers();
         return [
             ...boxes.filter(box => box.region === region),
             ...boxes.filter(box => box.region !== region),
--- a/packages/box/src/servers/server-tracking.ts
+++ b/packages/box/src/servers/server-tracking.ts
@@ -39,6 +39,8 @@
     readonly coldRate: (service: ServiceId) => number;
     /** False for a server whose direct path is cut. */
     readonly isReachedDirectly: (server: BackendServer) => boolean;
+    /** Boxes that any box has heard from lately, without this one. */
+    readonly recentMembers: () => readonly MemberRecord[];
     readonly sendLimits: (box: MemberRecord, reports: readonly LimitReport[]) => void;
     readonly sendColdReports: (box: MemberRecord, reports: readonly ColdReport[]) => void;
 }
@@ -58,7 +60,6 @@
 export function createServerTracking(options: ServerTrackingOptions): ServerTracking {
     const { clock, limits, log, protocol, settings } = options;
     const catalog = createBoxServerCatalog(settings, limits, options.coldRate);
-    const otherAdvertisedBoxes = () => limits.advertised().filter(({ box }) => box !== settings.box);
     const outlierReports = createOutlierReports(boxId(settings.box));
     return {
         catalog,
@@ -77,14 +78,14 @@
             log,
             protocol,
             catalog,
-            otherAdvertisedBoxes,
+            otherAdvertisedBoxes: () => limits.advertised().filter(({ box }) => box !== settings.box),
             sharesLimit: ({ box }, server) => limits.eligibleSenders(server.state.record().region).includes(box),
             send: options.sendLimits,
         }),
         coldServerSharing: createColdServerSharing({
             clock,
             catalog,
-            otherAdvertisedBoxes,
+            recentMembers: options.recentMembers,
             send: options.sendColdReports,
         }),
         serverNotices: createServerNotices({ catalog, clock, log, protocol }),
--- a/packages/box/test/cold-server-sharing.test.ts
+++ b/packages/box/test/cold-server-sharing.test.ts
@@ -23,7 +23,7 @@
         const sharing = createColdServerSharing({
             clock: () => milliseconds(1000),
             catalog: { get: id => id === server.id ? server : undefined },
-            otherAdvertisedBoxes: () => others,
+            recentMembers: () => others,
             send: ({ box }, reports) => sent.push({ box, reports }),
         });
         return { server, sharing };
