--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -3,10 +3,10 @@
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { configuration, startServer } from "../standins/backend-server.mjs";
-import { createBoxes, endBoxes, loopbackAddresses, pause, waitUntil } from "../standins/boxes.mjs";
-import { sendAttempt } from "../standins/client.mjs";
-import { startStore } from "../standins/platform-store.mjs";
+import { configuration, startServer } from "../backend-server.mjs";
+import { createBoxes, endBoxes, loopbackAddresses, pause, waitUntil } from "../boxes.mjs";
+import { sendAttempt } from "../client.mjs";
+import { startStore } from "../platform-store.mjs";
 
 const caseFolder = dirname(fileURLToPath(import.meta.url));
 const isTroubled = process.env.TROUBLE !== "0";
--- a/review/standins/backend-server.mjs
+++ b/review/backend-server.mjs
@@ -5,14 +5,19 @@
 
 const heartbeat = 1500;
 
-export async function startServer({ id, host, service, zone, store, slots = 4, queue = 12, work, run, onRequest = () => undefined, idleMs = 10_000, body, framed = () => true, coldFor = 0 }) {
+export async function startServer({ id, host, service, zone, store, slots = 4, queue = 12, work, run, onRequest = () => undefined, idleMs = 10_000, body, framed = () => true, coldFor = 0, hasStartTime = false }) {
     /** Disruptions that hold now; each returns whether it strikes the answer or request at hand. */
     const faults = { shed: () => false, extra: () => undefined };
     let running = 0;
     const waiting = [];
     let draining = false;
     let sequence = 0;
-    const coldUntil = performance.now() + coldFor;
+    let coldUntil = performance.now() + coldFor;
+
+    let bornAt = Date.now();
+    const sockets = new Set();
+    /** Ids of the requests that this incarnation has. */
+    let atWork = new Set();
 
     const server = createServer(async (request, response) => {
         const requestId = request.headers["request-id"];
@@ -51,16 +56,27 @@
             reply(request, response, 503, { "Not-Run": "1" });
             return;
         }
+        const incarnation = atWork;
+        incarnation.add(requestId);
         run({ server: id, requestId, method: request.method, path: request.url, body: text, box: request.socket.remoteAddress });
-        await pause(work());
+        await pause(work(request.url));
+        incarnation.delete(requestId);
+        if (incarnation !== atWork) {
+            return;
+        }
         release();
         if (!isGone) {
             reply(request, response, 200, {}, body?.(requestId) ?? Buffer.from(`answer of ${id} to ${requestId}`));
         }
     });
     server.keepAliveTimeout = idleMs;
+    server.on("connection", socket => {
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+    });
     await new Promise(resolve => server.listen(0, host, resolve));
-    const address = `${host}:${server.address().port}`;
+    const { port } = server.address();
+    const address = `${host}:${port}`;
 
     function coldLeft() {
         return Math.max(0, Math.round(coldUntil - performance.now()));
@@ -117,11 +133,12 @@
             state: draining ? "draining" : "ready",
             cold_left: `${coldLeft()}ms`,
             call_seq: sequence,
+            ...hasStartTime ? { born: bornAt } : {},
         });
     }
 
     record();
-    const timer = setInterval(record, heartbeat);
+    let timer = setInterval(record, heartbeat);
 
     return {
         id,
@@ -133,6 +150,30 @@
             record();
             return performance.now();
         },
+        /** Turns cold again for a time, and says so in the store. */
+        goCold(duration) {
+            coldUntil = performance.now() + duration;
+            record();
+        },
+        /** Its process ends at once; it starts again under its id. Returns the ids of the requests that are lost. */
+        crash(backAfter) {
+            const lost = [...atWork];
+            atWork = new Set();
+            running = 0;
+            waiting.length = 0;
+            clearInterval(timer);
+            server.close();
+            sockets.forEach(socket => socket.destroy());
+            setTimeout(() => {
+                bornAt = Date.now();
+                coldUntil = performance.now() + 3000;
+                server.listen(port, host, () => {
+                    record();
+                    timer = setInterval(record, heartbeat);
+                });
+            }, backAfter);
+            return lost;
+        },
         /** Ends as planned: its entry goes, connections close. */
         end() {
             clearInterval(timer);
--- a/review/standins/platform-store.mjs
+++ b/review/platform-store.mjs
@@ -92,7 +92,7 @@
     }
 
     const server = createServer(async (request, response) => {
-        const url = new URL(request.url, "http://store");
+        const url = new URL(request.url, "http://localhost");
         const body = await readJson(request);
         const match = /^\/v1\/objects\/([^/]+)(?:\/([^/]+?)(\/status)?)?$/.exec(url.pathname);
         if (match === null) {
