--- a/review/client.mjs
+++ b/review/client.mjs
@@ -12,6 +12,7 @@
         let head;
         let error;
         let ended = false;
+        let firstByteAt;
         const timer = setTimeout(() => {
             error ??= "gave up at its deadline";
             socket.destroy();
@@ -39,8 +40,9 @@
                 }
             }
             if (readRate !== undefined) {
+                firstByteAt ??= performance.now();
                 socket.pause();
-                setTimeout(() => socket.resume(), chunk.length / readRate * 1000);
+                setTimeout(() => socket.resume(), firstByteAt + size / readRate * 1000 - performance.now());
             }
             if (isComplete()) {
                 socket.end();
