request.refused and request.served say what each send was told, over which connection or box

Field sendResults: server, local port of the connection or the box in between, and the result; on request.served only for answers other than 2xx, so calm lines stay as they are. Logic is unchanged. chalkdale explain prints the field.

--- a/packages/box/src/paths/forwarding-endpoint.ts
+++ b/packages/box/src/paths/forwarding-endpoint.ts
@@ -9,6 +9,7 @@
 import {
     type BackendServer,
     type BodyMemory,
+    createSendRecord,
     type MemberRecord,
     type ServerCatalog,
     type ShutdownPhase,
@@ -242,6 +243,7 @@
             signal,
             answerMemory,
             caller,
+            sends: createSendRecord(),
             onSend,
             onServed: () => undefined,
         };
--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -14,6 +14,7 @@
     type RefusalKind,
     requestTimeout,
     type Route,
+    type SendRecord,
 } from "@chalkdale/decisions";
 import {
     type BackendServerId,
@@ -53,6 +54,8 @@
     readonly caller: ConfirmedCaller;
     /** The memory of the answers that servers gave to the request. */
     readonly answerMemory: AnswerMemory;
+    /** What each of its sends was told. */
+    readonly sends: SendRecord;
     /** When the latest attempt was sent; undefined before the first. */
     sentAt: Milliseconds | undefined;
     /** The caller retries a request that failed or was refused before; see `CallerRetryDetector`. */
@@ -107,6 +110,7 @@
     readonly unreadFor: Milliseconds;
     readonly caller: ConfirmedCaller;
     readonly answerMemory: AnswerMemory;
+    readonly sends: SendRecord;
     readonly callerRetryDetector: CallerRetryDetector;
     readonly random: () => number;
 }
@@ -137,6 +141,7 @@
         unreadFor: inputs.unreadFor,
         caller: inputs.caller,
         answerMemory: inputs.answerMemory,
+        sends: inputs.sends,
         sentAt: undefined,
         isCallerRetry: inputs.callerRetryDetector.isCallerRetry(route.name, callerTimeout, startedAt),
         deadlineAt: startedAt + timeout,
--- a/packages/box/src/requests/attempt-request.ts
+++ b/packages/box/src/requests/attempt-request.ts
@@ -3,7 +3,7 @@
  * servers: the request of one attempt, and how an attempt can end.
  */
 
-import type { BackendServer } from "@chalkdale/decisions";
+import type { BackendServer, SendRecord, SendResult } from "@chalkdale/decisions";
 import type { Milliseconds, RegionId, ServiceId } from "@chalkdale/kernel";
 import type { ConfirmedCaller, ServerAnswer } from "../servers/exchange.js";
 import type { AnswerMemory } from "./answer-memory.js";
@@ -58,8 +58,26 @@
     readonly answerMemory: Pick<AnswerMemory, "open">;
     /** Tells whether the caller is still there, or at a box that forwards, the box that sent the attempt. */
     readonly caller: ConfirmedCaller;
+    /** Gets each send of the request, before its first byte leaves. */
+    readonly sends: Pick<SendRecord, "begin">;
     /** Called immediately before the request is sent. */
     readonly onSend: () => void;
     /** Called after a success with the time that the server took, without the round trip. */
     readonly onServed: (duration: Milliseconds) => void;
 }
+
+/** Returns what an attempt's outcome says about its send. */
+export function sendResultOf(outcome: AttemptOutcome): SendResult {
+    switch (outcome.kind) {
+        case "answered":
+            return { kind: "answered", status: outcome.answer.status };
+        case "notRun":
+            return { kind: "notRun", status: outcome.status };
+        case "notSent":
+            return { kind: "notSent", reason: outcome.reason };
+        case "broken":
+            return { kind: "noAnswer", reason: outcome.reason };
+        case "cancelled":
+            return { kind: "noAnswer", reason: "cancelled" };
+    }
+}
--- a/packages/box/src/requests/direct-attempt.ts
+++ b/packages/box/src/requests/direct-attempt.ts
@@ -27,7 +27,7 @@
 import { exchange, type ExchangeOutcome } from "../servers/exchange.js";
 import type { ServerConnection } from "../servers/idle-connections.js";
 import type { ConnectFailure, ServerConnections } from "../servers/server-connections.js";
-import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
+import { type AttemptOutcome, type AttemptRequest, sendResultOf } from "./attempt-request.js";
 import { startOverdueCheck } from "./overdue-check.js";
 import type { ServerFeedback } from "./server-feedback.js";
 import type { FindTermination } from "./server-termination.js";
@@ -144,6 +144,8 @@
     async function send(request: AttemptRequest, connection: ServerConnection): Promise<DirectEnd> {
         const { server } = request;
         const sentAt = clock();
+        const { localPort } = connection.socket;
+        const recorded = request.sends.begin(server.id, { kind: "connection", localPort });
         request.onSend();
         server.state.onSent();
         const overdueCheck = startOverdueCheck(overdueThreshold(request.expected), () => hasEnded(request));
@@ -173,7 +175,9 @@
         overdueCheck.end();
         const answerBytes = exchanged.kind === "answer" ? exchanged.answer.body.length : 0;
         options.countBytes(server, request.body.length + answerBytes);
-        return { kind: "ended", exchanged, outcome: applyOutcome(request, connection, exchanged, sentAt) };
+        const outcome = applyOutcome(request, connection, exchanged, sentAt);
+        recorded.end(sendResultOf(outcome));
+        return { kind: "ended", exchanged, outcome };
     }
 
     function applyOutcome(
--- a/packages/box/src/requests/forwarded-attempt.ts
+++ b/packages/box/src/requests/forwarded-attempt.ts
@@ -5,10 +5,16 @@
  * it says so, the attempt is that box's alone. Owns nothing beyond one attempt.
  */
 
-import { connectTimeout, type ForwardingBoxes, type MemberRecord, overdueThreshold } from "@chalkdale/decisions";
+import {
+    connectTimeout,
+    type ForwardingBoxes,
+    type MemberRecord,
+    overdueThreshold,
+    type Send,
+} from "@chalkdale/decisions";
 import { type Clock, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import type { ForwardingClient, ForwardingOutcome } from "../paths/forwarding-client.js";
-import type { AttemptOutcome, AttemptRequest } from "./attempt-request.js";
+import { type AttemptOutcome, type AttemptRequest, sendResultOf } from "./attempt-request.js";
 import { startOverdueCheck } from "./overdue-check.js";
 import type { ServerFeedback } from "./server-feedback.js";
 import type { FindTermination } from "./server-termination.js";
@@ -67,6 +73,7 @@
     ): Promise<AttemptOutcome | undefined> {
         const { server } = request;
         let sentAt: Milliseconds | undefined;
+        let recorded: Send | undefined;
         const overdueCheck = startOverdueCheck(
             overdueThreshold(request.expected),
             () => hasEnded(request, box),
@@ -90,6 +97,9 @@
             signal: AbortSignal.any([request.signal, overdueCheck.signal]),
             answerMemory: request.answerMemory,
             confirmCaller: request.caller.confirm,
+            onHandOver() {
+                recorded = request.sends.begin(server.id, { kind: "box", box: box.box });
+            },
             onSent: markSent,
         });
         overdueCheck.end();
@@ -98,10 +108,17 @@
             // It counts as sent: a refusal would promise that it never runs.
             markSent();
         }
+        if (outcome.kind === "notSent") {
+            recorded?.end({ kind: "notSent", reason: outcome.reason });
+        }
         if (outcome.kind === "notSent" && outcome.reason === "heldUp" && repeats > 0 && !request.signal.aborted) {
             return attemptThrough(request, box, repeats - 1);
         }
-        return applyOutcome(request, box, outcome, sentAt);
+        const ended = applyOutcome(request, box, outcome, sentAt);
+        if (ended !== undefined) {
+            recorded?.end(sendResultOf(ended));
+        }
+        return ended;
 
         function markSent(): void {
             if (sentAt === undefined) {
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -13,6 +13,7 @@
     type BodyMemory,
     type CopyAgeBounds,
     createCallerRetryDetector,
+    createSendRecord,
     guaranteesNotRun,
     isIdempotent,
     type RefusalKind,
@@ -140,6 +141,7 @@
             unreadFor: exchange.unreadFor,
             caller: exchange.caller,
             answerMemory: createAnswerMemory(clock, options.bodyMemory),
+            sends: createSendRecord(),
             callerRetryDetector,
             random: options.random,
         });
--- a/packages/box/src/requests/request-log.ts
+++ b/packages/box/src/requests/request-log.ts
@@ -6,7 +6,13 @@
  * Owns no state; relies on the shared state for the versions that it logs.
  */
 
-import { type ChosenServer, describePosition, type QuotaDenial, type RefusalKind } from "@chalkdale/decisions";
+import {
+    type ChosenServer,
+    describePosition,
+    isSuccessStatus,
+    type QuotaDenial,
+    type RefusalKind,
+} from "@chalkdale/decisions";
 import type { BackendServerId, Clock, CustomerId, Milliseconds, RequestFingerprint } from "@chalkdale/kernel";
 import type { Log, LogFields } from "@chalkdale/runtime";
 import type { BoxMetrics } from "../metrics.js";
@@ -95,6 +101,7 @@
                 customer: active.customer?.id,
                 status: answer.status,
                 tried: [...active.tried].join(","),
+                sendResults: isSuccessStatus(answer.status) ? undefined : active.sends.describe(),
                 ...choiceFields(active.latestChoice),
                 serverVersion: active.latestVersion,
                 after: Math.round(ageOf(active)),
@@ -114,6 +121,7 @@
                 fingerprint: active.fingerprint,
                 sent: active.sent,
                 tried: [...active.tried].join(",") || undefined,
+                sendResults: active.sends.describe(),
                 after: Math.round(ageOf(active)),
                 timeLeft: Math.round(active.deadlineAt - clock()),
                 version: state.configuration()?.version,
--- a/packages/box/src/requests/single-attempt.ts
+++ b/packages/box/src/requests/single-attempt.ts
@@ -79,6 +79,7 @@
             expected: choice.expectedAtNormalSpeed,
             signal,
             answerMemory: active.answerMemory,
+            sends: active.sends,
             caller: {
                 isConfirmed: active.caller.isConfirmed,
                 confirm: async () => await active.caller.confirm() && !signal.aborted,
--- a/packages/box/test/attempt.test.ts
+++ b/packages/box/test/attempt.test.ts
@@ -15,6 +15,7 @@
     type BackendServer,
     type BackendServerRecord,
     createIdleTimeoutEstimate,
+    createSendRecord,
     createServerState,
     createServiceLoad,
 } from "@chalkdale/decisions";
@@ -183,6 +184,7 @@
             expected: milliseconds(400) as Milliseconds,
             signal: controller.signal,
             answerMemory: createAmpleMemory(),
+            sends: createSendRecord(),
             caller: { isConfirmed: () => true, confirm: () => Promise.resolve(!controller.signal.aborted) },
             onSend: () => {
                 sends += 1;
--- a/packages/box/test/forwarding.test.ts
+++ b/packages/box/test/forwarding.test.ts
@@ -3,7 +3,7 @@
  * box answers or does not, and which attempts a box forwards at all.
  */
 
-import { createBodyMemory, type MemberRecord } from "@chalkdale/decisions";
+import { createBodyMemory, createSendRecord, type MemberRecord } from "@chalkdale/decisions";
 import { backendServerId, boxId, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { createLog } from "@chalkdale/runtime";
 import { expect } from "chai";
@@ -68,6 +68,7 @@
             signal: options.signal ?? new AbortController().signal,
             answerMemory: createAmpleMemory(),
             confirmCaller: () => Promise.resolve(true),
+            onHandOver: () => undefined,
             onSent: () => {
                 sends += 1;
             },
@@ -175,6 +176,7 @@
                 signal,
                 answerMemory: createAmpleMemory(),
                 caller: { isConfirmed: () => true, confirm: () => Promise.resolve(!signal.aborted) },
+                sends: createSendRecord(),
                 onSend: () => {
                     sends += 1;
                 },
--- a/packages/box/test/server-feedback.test.ts
+++ b/packages/box/test/server-feedback.test.ts
@@ -1,4 +1,4 @@
-import { createServiceLoad, type LoadReport } from "@chalkdale/decisions";
+import { createSendRecord, createServiceLoad, type LoadReport } from "@chalkdale/decisions";
 import { milliseconds } from "@chalkdale/kernel";
 import { expect } from "chai";
 import { Socket } from "node:net";
@@ -50,6 +50,7 @@
         expected: milliseconds(150),
         signal: new AbortController().signal,
         answerMemory: createAmpleMemory(),
+        sends: createSendRecord(),
         caller: { isConfirmed: () => true, confirm: () => Promise.resolve(true) },
         onSend: () => undefined,
         onServed: () => undefined,
--- a/packages/cli/src/request-trace.ts
+++ b/packages/cli/src/request-trace.ts
@@ -83,11 +83,13 @@
         case "attempt.hedged":
             return `${line.overdue} overdue after ${line.after} ms: hedged attempt at ${line.second}`;
         case "request.served":
-            return `answered ${line.status} after ${line.after} ms${choiceOf(line)}; configuration ${line.version}`;
+            return `answered ${line.status} after ${line.after} ms${choiceOf(line)}; configuration ${line.version}${
+                sendResultsOf(line)
+            }`;
         case "request.refused":
             return `refused as ${line.refusal} after ${line.after ?? 0} ms: ${
                 reasonOf(line)
-            }; configuration ${line.version}`;
+            }; configuration ${line.version}${sendResultsOf(line)}`;
         case "request.callerLeft":
             return `the caller disconnected after ${line.after} ms${unreadOf(line)}`;
         case "request.noRoute":
@@ -152,6 +154,11 @@
     return serverVersion === undefined ? "" : ` of version ${serverVersion}`;
 }
 
+/** What each send was told, over which connection or through which box; empty for a line of an earlier release. */
+function sendResultsOf({ sendResults }: LogLine): string {
+    return sendResults === undefined ? "" : `; sends: ${sendResults}`;
+}
+
 function reasonOf({ refusal }: LogLine): string {
     return isRefusalKind(refusal) ? refusalReasons[refusal] : "a kind of refusal that this release does not know";
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -47,6 +47,7 @@
 export * from "./refusals/caller-retry-pacer.js";
 export * from "./refusals/refusals.js";
 export * from "./refusals/retry-after.js";
+export * from "./refusals/send-record.js";
 export * from "./retry/answer-class.js";
 export * from "./retry/hedge-decision.js";
 export * from "./retry/retry-budget.js";
