--- a/packages/cli/test/request-trace.test.ts
+++ b/packages/cli/test/request-trace.test.ts
@@ -16,7 +16,7 @@
     "level=info event=server.restarted server=i-8 bornAt=1700000005000 previousBornAt=1700000000000 revision=60 inFlightBefore=0 sends=r7:900:2:8190",
     "level=info event=attempt.hedged request=r8 route=look overdue=i-1 second=i-2 after=300 timeLeft=900",
     "level=info event=request.served request=r8 route=look status=200 tried=i-1,i-2 after=400 version=2",
-    "level=info event=request.refused request=r9 route=save refusal=serversFull sent=1 sendResults=\"i-1@port 40112:not run, status 503;i-2@box box-2:not sent, unreachable\" after=7 version=13",
+    "level=info event=request.refused request=r10 route=save refusal=serversFull sent=1 sendResults=\"i-1@port 40112:not run, status 503;i-2@box box-2:not sent, unreachable\" after=7 version=13",
 ].map(readLogLine);
 
 describe("the trace of a request", () => {
@@ -48,7 +48,7 @@
     });
 
     it("has what each send was told, over which connection or through which box", () => {
-        const [step] = traceRequest("r9", lines)!.steps;
+        const [step] = traceRequest("r10", lines)!.steps;
         expect(step).to.match(
             /; sends: i-1@port 40112:not run, status 503;i-2@box box-2:not sent, unreachable$/,
         );
--- a/packages/testing/src/standins/backend-server.ts
+++ b/packages/testing/src/standins/backend-server.ts
@@ -164,7 +164,7 @@
         const requestId = String(request.headers["request-id"] ?? "");
         const expected = request.headers["expect-instance"];
         if (expected !== undefined && expected !== options.id) {
-            response.writeHead(421, { "Request-Id": requestId, "Instance-Id": options.id }).end();
+            response.writeHead(421, { "Request-Id": requestId, "Instance-Id": options.id, "Not-Run": "1" }).end();
             return;
         }
         const behaviour = behaviourOf(request);
--- a/packages/testing/src/standins/server-answers.ts
+++ b/packages/testing/src/standins/server-answers.ts
@@ -23,8 +23,8 @@
     }
     /** Runs the request, then answers with a body of this many bytes, without a length unless `isFramed`. */
     | { readonly kind: "large"; readonly bytes: number; readonly isFramed: boolean; }
-    /** Runs the request, then answers with an error status. */
-    | { readonly kind: "fail"; readonly status: number; }
+    /** Runs the request, then answers with an error status, without Not-Run; `retryAfter` is a header's text. */
+    | { readonly kind: "fail"; readonly status: number; readonly retryAfter?: string; }
     /** Runs the request, then ends the connection or stays silent instead of answering. */
     | { readonly kind: "loseAnswer"; readonly by: "close" | "reset" | "silence"; }
     /** Ends the connection in the middle of the answer. */
@@ -76,7 +76,10 @@
             );
             return;
         case "fail":
-            response.writeHead(behaviour.status, headers).end(text);
+            response.writeHead(behaviour.status, {
+                ...headers,
+                ...behaviour.retryAfter === undefined ? {} : { "Retry-After": behaviour.retryAfter },
+            }).end(text);
             return;
         case "loseAnswer":
             endConnection(request, behaviour.by);
