--- a/packages/testing/src/soak/answer-faults.ts
+++ b/packages/testing/src/soak/answer-faults.ts
@@ -1,6 +1,7 @@
 /**
  * Faults of the answers of servers: copies of answers that come late, with or without a run, answers without a length,
- * and bytes without end. Several servers have them at once, beside the other faults.
+ * bytes without end, and statuses that guarantee without proof that a request has not run. Several servers have them at
+ * once, beside the other faults.
  *
  * Draws from a separate random source, so that the other faults of a seed stay the same.
  */
@@ -27,22 +28,32 @@
 const minCopyDelay = 1;
 const maxAddedCopyDelay = 60;
 
+/** Which faults of answers are injected. */
+export type AnswerFaultSet = "answers" | "guarantees";
+
 /** Injects the faults until the time `end` of the run; resolves with their number once all are over. */
-export async function injectAnswerFaults(environment: SoakEnvironment, end: number): Promise<number> {
+export async function injectAnswerFaults(
+    environment: SoakEnvironment,
+    end: number,
+    set: AnswerFaultSet,
+): Promise<number> {
     const random = createSeededRandom(environment.seed * seedMultiplier);
     const ends: Promise<void>[] = [];
     while (environment.now() < end) {
-        ends.push(spoilAnswers(environment, random));
+        ends.push(spoilAnswers(environment, random, faultsOf(set)));
         await pause(milliseconds(minPause + random() * maxAddedPause));
     }
     await Promise.all(ends);
     return ends.length;
 }
 
-async function spoilAnswers(environment: SoakEnvironment, random: RandomSource): Promise<void> {
+async function spoilAnswers(
+    environment: SoakEnvironment,
+    random: RandomSource,
+    kinds: readonly DrawBehaviour[],
+): Promise<void> {
     const { logEvent, servers } = environment;
     const { backend } = pickRandom(servers.filter(server => !server.isExcludedFromFaults), random);
-    const kinds = [...copiedRefusals, ...otherFaults];
     const fault = pickRandom(kinds, random);
     const share = minShare + random() * maxAddedShare;
     const duration = minDuration + random() * maxAddedDuration;
@@ -69,3 +80,20 @@
     () => ({ kind: "unframed" }),
     random => ({ kind: "endless", bytes: pickRandom(endlessAnswerKinds, random) }),
 ];
+
+/** The server runs the request and answers with a status that guarantees the opposite, without Not-Run. */
+const unprovenGuarantees: readonly DrawBehaviour[] = [
+    random => ({ kind: "fail", status: pickRandom(guaranteeStatuses, random) }),
+    random => ({ kind: "fail", status: pickRandom([429, 503], random), retryAfter: "1" }),
+];
+
+const guaranteeStatuses = [408, 421, 429, 503];
+
+function faultsOf(set: AnswerFaultSet): readonly DrawBehaviour[] {
+    switch (set) {
+        case "answers":
+            return [...copiedRefusals, ...otherFaults];
+        case "guarantees":
+            return [...copiedRefusals, ...otherFaults, ...unprovenGuarantees, ...unprovenGuarantees];
+    }
+}
--- a/packages/testing/src/soak/fault-tools.ts
+++ b/packages/testing/src/soak/fault-tools.ts
@@ -24,6 +24,8 @@
  * - `retries`: those of `all`, servers that fail most requests, and boxes that are partitioned from each other.
  * - `departures`: those of `all`, boxes that are starved or paused in series, and callers that often leave.
  * - `answers`: those of `all`, servers that send answers again or bytes without end, and callers that repeat ids.
+ * - `guarantees`: those of `answers`, boxes that are partitioned from all servers, and servers that run requests and then
+ *   answer as if they had not.
  * - `cold`: those of `all`, servers that turn cold, boxes that are partitioned from each other, and more callers.
  */
 export type FaultSet =
@@ -36,6 +38,7 @@
     | "retries"
     | "departures"
     | "answers"
+    | "guarantees"
     | "cold";
 
 /** Minimum duration of a temporary fault, in milliseconds. */
--- a/packages/testing/src/soak/faults.ts
+++ b/packages/testing/src/soak/faults.ts
@@ -78,10 +78,12 @@
     const extendedFaults = set === "first" ? undefined : injectExtendedFaults(environment, changes, end, set);
     const limits = set === "limits" ? injectServerLimits(environment, end) : undefined;
     const notices = set === "notices" ? injectNotices(environment, end) : undefined;
-    const partitions = set === "partitions" ? injectPartitions(environment, end) : undefined;
+    const partitions = set === "partitions" || set === "guarantees" ? injectPartitions(environment, end) : undefined;
     const retryFaults = set === "retries" ? injectRetryFaults(environment, end) : undefined;
     const departureFaults = set === "departures" ? injectDepartureFaults(environment, end) : undefined;
-    const answerFaults = set === "answers" ? injectAnswerFaults(environment, end) : undefined;
+    const answerFaults = set === "answers" || set === "guarantees"
+        ? injectAnswerFaults(environment, end, set)
+        : undefined;
     const coldServers = set === "cold" ? injectColdServers(environment, end) : undefined;
     const restores = set === "notices" ? injectStoreRestores(environment, end) : undefined;
     while (now() < end) {
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -88,6 +88,7 @@
     retries: 60,
     departures: 60,
     answers: 60,
+    guarantees: 60,
     cold: 60,
 };
 const pipeliningCallerCount = 2;
@@ -128,7 +129,9 @@
     const partitionCallers = options.faults === "partitions" ? startPartitionCallers(environment) : undefined;
     const departing = options.faults === "departures" ? startDepartingCallers(environment) : undefined;
     const steady = options.faults === "cold" ? startSteadyCallers(environment) : undefined;
-    const repeating = options.faults === "answers" ? startRepeatingCallers(environment) : undefined;
+    const repeating = options.faults === "answers" || options.faults === "guarantees"
+        ? startRepeatingCallers(environment)
+        : undefined;
     const injection = await injectFaults(environment, options.faultDuration, options.faults);
     const { changeAfterFaults, count: faults, extendedFaults, rollouts, ...injected } = injection;
     const recoveredFrom = now() + recoverWithin;
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -21,6 +21,7 @@
     { seed: 6001, faultDuration: 14_000, faults: "retries" },
     { seed: 7001, faultDuration: 12_000, faults: "departures" },
     { seed: 9101, faultDuration: 12_000, faults: "answers" },
+    { seed: 9501, faultDuration: 12_000, faults: "guarantees" },
     { seed: 8002, faultDuration: 12_000, faults: "cold" },
 ];
 
