Tests: nothing is sent after a guarantee, and a handed-over request proves nothing until it is refused

Directly, through another box, and at the box that forwards, which ends the connection instead of refusing what it has sent.

--- a/packages/box/test/attempt.test.ts
+++ b/packages/box/test/attempt.test.ts
@@ -18,6 +18,7 @@
     createSendRecord,
     createServerState,
     createServiceLoad,
+    type SendRecord,
 } from "@chalkdale/decisions";
 import {
     availabilityZoneId,
@@ -62,6 +63,7 @@
     let server: BackendServer;
     let closedZones: Set<string>;
     let sends: number;
+    let sendRecord: SendRecord;
     let controller: AbortController;
     let sockets: Socket[];
     /** Milliseconds for which the connection of the attempt was idle. */
@@ -79,6 +81,7 @@
     function reset(): void {
         received = "";
         sends = 0;
+        sendRecord = createSendRecord();
         idleTime = 0;
         terminatedAt = undefined;
         closedZones = new Set();
@@ -184,7 +187,7 @@
             expected: milliseconds(400) as Milliseconds,
             signal: controller.signal,
             answerMemory: createAmpleMemory(),
-            sends: createSendRecord(),
+            sends: sendRecord,
             caller: { isConfirmed: () => true, confirm: () => Promise.resolve(!controller.signal.aborted) },
             onSend: () => {
                 sends += 1;
@@ -213,6 +216,14 @@
         }
     });
 
+    it("sends nothing once the caller was told that the request has not run [P4]", async () => {
+        reset();
+        const attempted = attemptRead(() => void sendRecord.proveNotRun());
+        const socket = await accepted;
+        await Promise.race([once(socket, "close"), once(socket, "data")]);
+        expect([(await attempted).kind, sends, received]).to.deep.equal(["notSent", 0, ""]);
+    });
+
     it("resets the connection of an aborted request, so that no part of it arrives later", async () => {
         reset();
         const ended = attemptRead(() => undefined);
--- a/packages/box/test/forwarding.test.ts
+++ b/packages/box/test/forwarding.test.ts
@@ -135,7 +135,10 @@
     describe("as the box that admitted the request sees it", () => {
         const endedAt = milliseconds(42);
 
-        function attemptThrough(signal: AbortSignal): Promise<AttemptOutcome | undefined> {
+        function attemptThrough(
+            signal: AbortSignal,
+            record = createSendRecord(),
+        ): Promise<AttemptOutcome | undefined> {
             const attempt = createForwardedAttempt({
                 clock,
                 client: createForwardingClient(localHost, lifetime.signal),
@@ -176,7 +179,7 @@
                 signal,
                 answerMemory: createAmpleMemory(),
                 caller: { isConfirmed: () => true, confirm: () => Promise.resolve(!signal.aborted) },
-                sends: createSendRecord(),
+                sends: record,
                 onSend: () => {
                     sends += 1;
                 },
@@ -190,6 +193,31 @@
             expect([outcome?.kind, sends]).to.deep.equal(["cancelled", 1]);
         });
 
+        it("proves nothing from the moment at which the other box gets it until that box refuses it [P4]", async () => {
+            const record = createSendRecord();
+            let provenMeanwhile = true;
+            onRequest = (request, response) => {
+                request.resume();
+                provenMeanwhile = record.proveNotRun() !== undefined;
+                response.writeHead(503).end(JSON.stringify({ refusal: "busy" }));
+            };
+            await attemptThrough(new AbortController().signal, record);
+            expect(provenMeanwhile).to.equal(false);
+            expect(record.proveNotRun()).not.to.equal(undefined);
+        });
+
+        it("is not handed to another box once its caller was told that it has not run [P4]", async () => {
+            const record = createSendRecord();
+            let arrivals = 0;
+            onRequest = (_, response) => {
+                arrivals += 1;
+                response.writeHead(503).end(JSON.stringify({ refusal: "busy" }));
+            };
+            record.proveNotRun();
+            expect(await attemptThrough(new AbortController().signal, record)).to.equal(undefined);
+            expect([arrivals, sends]).to.deep.equal([0, 0]);
+        });
+
         it("shows a server that ended under it, so that a poison request is recognized", async () => {
             onRequest = (_, response) => {
                 const end = { kind: "broken", reason: "closed without an answer", closedByServer: true };
@@ -302,6 +330,16 @@
             });
         }
 
+        it("is never refused after it was sent: its connection ends instead [P4]", async () => {
+            serve({
+                attemptDirectly: request => {
+                    request.sends.begin(known, { kind: "connection", localPort: 1 });
+                    return Promise.resolve({ kind: "notConnected", failure: "ended" });
+                },
+            });
+            expect((await forward()).kind).to.equal("lost");
+        });
+
         describe("that may have been unread for a while", () => {
             const heldUp: Partial<ForwardingEndpointOptions> = { unreadFor: () => milliseconds(800) };
 
