Memory of a large answer is freed part by part as it leaves, so that others need not wait for it

Callers saw: 504 for sound answers of 8 MB, which their servers had given, while other callers read such answers at a megabyte a second. Cause: an answer was held whole and counted until its last byte had left, also what the kernel had long taken; the next ones waited for memory until their route's time was over.

The new test failed before. Two tests of the pipeline shared one body, whose parts sending removes now; each makes its own, checks unchanged.

--- a/packages/box/src/requests/caller-answers.ts
+++ b/packages/box/src/requests/caller-answers.ts
@@ -64,21 +64,22 @@
     };
 }
 
-/** Writes one part after the other, so that it is seen how much of a large body has left. */
-function writeParts(response: ServerResponse, parts: readonly Buffer[], onSent: (bytes: number) => void): void {
+/** Writes one part after the other, and removes each from `parts` once it is written: callers may read slowly. */
+function writeParts(response: ServerResponse, parts: Buffer[], onSent: (bytes: number) => void): void {
     let sent = 0;
-    writeFrom(0);
+    writeNext();
 
-    function writeFrom(index: number): void {
-        if (index >= parts.length - 1) {
-            response.end(parts[index]);
+    function writeNext(): void {
+        const part = parts.shift();
+        if (part === undefined || parts.length === 0) {
+            response.end(part);
             return;
         }
-        response.write(parts[index], error => {
+        response.write(part, error => {
             if (error === undefined || error === null) {
-                sent += parts[index].length;
+                sent += part.length;
                 onSent(sent);
-                writeFrom(index + 1);
+                writeNext();
             }
         });
     }
--- a/packages/box/src/servers/answer-body.ts
+++ b/packages/box/src/servers/answer-body.ts
@@ -8,8 +8,8 @@
 /** A complete body. */
 export interface AnswerBody {
     readonly length: number;
-    /** Its bytes, in order. */
-    readonly parts: readonly Buffer[];
+    /** Its bytes, in order; whoever sends the body removes the parts that have left, so that their memory is freed. */
+    readonly parts: Buffer[];
 }
 
 /** A body that arrives. */
--- a/packages/box/test/caller-pipeline.test.ts
+++ b/packages/box/test/caller-pipeline.test.ts
@@ -139,7 +139,7 @@
     });
 
     describe("with an answer that its caller does not read, when its memory is needed", () => {
-        const body = { length: 8_000_000, parts: Array.from({ length: 8 }, () => Buffer.alloc(1_000_000)) };
+        const bodyBytes = 8_000_000;
         /** Resolves with the bytes that the caller gets, and whether the connection is still open. */
         async function receivedAfterStall(
             framed: boolean,
@@ -155,6 +155,8 @@
             caller.write(requestText("/a"));
             await until(() => exchanges.length === 1, "the request is there");
             const status = decideStatus(200, unsent)!;
+            // Sending removes its parts.
+            const body = { length: bodyBytes, parts: Array.from({ length: 8 }, () => Buffer.alloc(bodyBytes / 8)) };
             const answer = { status, rawHeaders: [], headers: {}, body, framed, reusable: false };
             exchanges[0].respond(forwardAnswer(answer, {
                 memory,
@@ -174,20 +176,20 @@
         it("is ended if its length shows that it is cut", async () => {
             const [bytes, isOpen] = await receivedAfterStall(true, true);
             expect(isOpen).to.equal(false);
-            expect(bytes).to.be.lessThan(body.length);
+            expect(bytes).to.be.lessThan(bodyBytes);
         });
 
         // Guards against the end of the connection being taken for the end of the answer.
         it("is sent whole if it has no length and its caller still waits", async () => {
             const [bytes, isOpen] = await receivedAfterStall(false, true);
             expect(isOpen).to.equal(true);
-            expect(bytes).to.be.greaterThan(body.length);
+            expect(bytes).to.be.greaterThan(bodyBytes);
         });
 
         it("is ended if it has no length and its caller's deadline has passed", async () => {
             const [bytes, isOpen] = await receivedAfterStall(false, false);
             expect(isOpen).to.equal(false);
-            expect(bytes).to.be.lessThan(body.length);
+            expect(bytes).to.be.lessThan(bodyBytes);
         });
     });
 
--- a/packages/decisions/src/limits/body-memory.ts
+++ b/packages/decisions/src/limits/body-memory.ts
@@ -1,6 +1,6 @@
 /**
  * Bounds the memory of all bodies that a box holds: of requests from their first byte to the end of the request, of
- * answers until they have left for the caller.
+ * each part of an answer until it has left for the caller.
  *
  * Once the bound is reached, bodies wait: the box stops reading from their senders, and TCP flow control slows these
  * down. The oldest unfinished body may continue, so half-received bodies can't block each other until they time out,
@@ -41,7 +41,7 @@
     readonly mayRead: (totalBytes?: number) => boolean;
     /** The body has arrived in full; its memory stays in use until `close`. */
     readonly markComplete: () => void;
-    /** The complete body leaves for the caller, and `sent` of its bytes have left the process. */
+    /** The complete body leaves for the caller; the memory of the `sent` bytes that have left the process is released. */
     readonly recordSent: (sent: number, at: Milliseconds) => void;
     /** Releases the memory. Further calls, of any kind, have no effect. */
     readonly close: (at: Milliseconds) => void;
@@ -175,9 +175,11 @@
                     if (entry.isClosed || entry.sentAt !== undefined && sent <= entry.sent) {
                         return;
                     }
+                    releaseSent(entry, sent - entry.sent);
                     entry.sent = sent;
                     entry.sentAt = now;
                     leaving.add(entry);
+                    resumeWaiting(now);
                 },
                 close(now) {
                     if (entry.isClosed) {
@@ -199,6 +201,13 @@
         return entry.account;
     }
 
+    function releaseSent(entry: Entry, sent: number): void {
+        const released = Math.min(entry.held, sent);
+        entry.held -= released;
+        held[entry.part] -= released;
+        completeBytes -= entry.isComplete ? released : 0;
+    }
+
     function tryReserve(entry: Entry): boolean {
         const [oldest] = unfinished;
         reserve(entry, 0);
--- a/packages/decisions/test/body-memory.test.ts
+++ b/packages/decisions/test/body-memory.test.ts
@@ -48,6 +48,23 @@
         expect(memory.held()).to.equal(0);
     });
 
+    it("releases what has left of an answer before the rest has, and each byte only once", () => {
+        const leaving = memory.open("answer", at(0));
+        leaving.recordReceived(2 * maxBytes, 2 * maxBytes, at(1));
+        leaving.markComplete();
+        const waiting = open("waiting");
+        open("later");
+        expect(waiting.mayRead()).to.equal(false);
+        leaving.recordSent(0, at(2));
+        expect(events).to.deep.equal([]);
+        leaving.recordSent(maxBytes, at(3));
+        leaving.recordSent(maxBytes, at(4));
+        expect(memory.held()).to.equal(maxBytes);
+        expect(events).to.deep.equal(["waiting resumes"]);
+        leaving.close(at(5));
+        expect(memory.held()).to.equal(0);
+    });
+
     it("resumes the oldest unfinished body when the one before it is complete", () => {
         const [first, second] = [open("first"), open("second")];
         first.recordReceived(maxBytes, maxBytes, at(1));
--- a/packages/testing/test/box-endless-bytes.test.ts
+++ b/packages/testing/test/box-endless-bytes.test.ts
@@ -40,6 +40,11 @@
 const unframedReaders = 10;
 /** Milliseconds that a slow reader waits after each 64 KB. */
 const readPause = 20;
+/** The same for a caller that reads one megabyte a second. */
+const megabyteASecond = 64;
+/** Downloads on a route with a time limit of 3 s, and the milliseconds between them: four begin each second. */
+const briefDownloads = 32;
+const briefDownloadPause = 250;
 const endlessCallersPerBox = 5;
 /** Name, headers and endless body of a request. */
 const endlessBodies: readonly (readonly [string, string, string])[] = [
@@ -69,6 +74,7 @@
         deployment.configure(2, [
             { name: "lookup", path: "/lookup/", kind: "safe" },
             { name: "large", path: "/large/", kind: "download", timeout: "60s" },
+            { name: "brief", path: "/brief/", kind: "download", timeout: "3s" },
         ]);
         const firstPort = 20_000 + process.pid % 1000 * 10;
         const hosts = Array.from({ length: boxCount }, (_, index) => `127.0.4.${index + 1}`);
@@ -143,6 +149,18 @@
         expect(received.filter(bytes => bytes === largeAnswerBytes)).to.have.length(slowReaders);
     });
 
+    it("pass large answers on within the time of their route, to callers that read a megabyte a second", async () => {
+        serveLargeAnswers({ isFramed: true });
+        const [box] = boxes;
+        const downloads: Promise<number>[] = [];
+        for (let index = 0; index < briefDownloads; index++) {
+            downloads.push(readSlowly(box, `brief-${index}`, { path: "/brief/", pauseAfterRead: megabyteASecond }));
+            await pause(milliseconds(briefDownloadPause));
+        }
+        const received = await Promise.all(downloads);
+        expect(received.filter(bytes => bytes === largeAnswerBytes)).to.have.length(briefDownloads);
+    });
+
     it("give the memory of answers back that their callers don't read", async () => {
         serveLargeAnswers({ isFramed: true });
         const [box] = boxes;
@@ -182,7 +200,9 @@
     function serveLargeAnswers({ isFramed }: { readonly isFramed: boolean; }): void {
         servers.forEach(server =>
             server.setBehaviour(({ url = "" }) =>
-                url === "/large/" ? { kind: "large", bytes: largeAnswerBytes, isFramed } : { kind: "serve" }
+                url === "/large/" || url === "/brief/"
+                    ? { kind: "large", bytes: largeAnswerBytes, isFramed }
+                    : { kind: "serve" }
             )
         );
     }
@@ -240,18 +260,27 @@
     }
 });
 
-function sendDownload({ callerAddress }: BoxProcess, requestId: string, deadline = 60_000): Socket {
+function sendDownload(
+    { callerAddress }: BoxProcess,
+    requestId: string,
+    deadline = 60_000,
+    path = "/large/",
+): Socket {
     const [host, port] = callerAddress.split(":");
     const socket = connect(Number(port), host);
     socket.on("error", () => undefined);
-    const head = ["GET /large/ HTTP/1.1", `Host: ${testHost}`, `Request-Id: ${requestId}`, `Deadline-Ms: ${deadline}`];
+    const head = [`GET ${path} HTTP/1.1`, `Host: ${testHost}`, `Request-Id: ${requestId}`, `Deadline-Ms: ${deadline}`];
     socket.write(`${head.join("\r\n")}\r\n\r\n`);
     return socket;
 }
 
 /** Downloads a large answer at some MB a second; resolves with the bytes of its body. */
-async function readSlowly(box: BoxProcess, requestId: string): Promise<number> {
-    const socket = sendDownload(box, requestId);
+async function readSlowly(
+    box: BoxProcess,
+    requestId: string,
+    { path = "/large/", pauseAfterRead = readPause } = {},
+): Promise<number> {
+    const socket = sendDownload(box, requestId, undefined, path);
     let received = Buffer.alloc(0);
     let bytes = 0;
     let headBytes = 0;
@@ -269,7 +298,7 @@
                 return;
             }
             socket.pause();
-            setTimeout(() => socket.resume(), readPause);
+            setTimeout(() => socket.resume(), pauseAfterRead);
         });
     });
 }
