A hedged attempt goes on when the other server answers 429 without saying that it did not run the request

Callers saw 502 for an idempotent request whose first server was slow, once the second one answered 408, 421 or 429 without Not-Run: that answer counted as final and the first attempt was aborted. Final answers of a hedged request are decided by the retry decision now, in one place.

--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -15,7 +15,7 @@
     decideHedge,
     decideRetry,
     type HedgeInputs,
-    isFailureStatus,
+    isFinalAnswer,
     isIdempotent,
     mayBeHedged,
     type RefusalKind,
@@ -24,6 +24,7 @@
 } from "@chalkdale/decisions";
 import { milliseconds, type ServiceId } from "@chalkdale/kernel";
 import type { PoisonRequestGuard, TrackedRequest } from "../poison-requests/poison-request-guard.js";
+import type { ServerAnswer } from "../servers/exchange.js";
 import type { ActiveRequest, RequestOutcome } from "./active-request.js";
 import type { AttemptOutcome } from "./attempt-request.js";
 import { attemptHedged, type EndedAttempt } from "./hedged-attempt.js";
@@ -185,8 +186,11 @@
         if (outcome.kind !== "answered") {
             return { kind: outcome.kind };
         }
-        const { answer } = outcome;
-        return { kind: "answered", status: answer.status, isVerified: options.isVerified(answer) };
+        return { kind: "answered", ...describeAnswer(outcome.answer) };
+    }
+
+    function describeAnswer(answer: ServerAnswer) {
+        return { status: answer.status, isVerified: options.isVerified(answer) };
     }
 
     /** Makes an attempt, and a hedged one beside it if it becomes overdue and the hedge decision allows it. */
@@ -211,8 +215,8 @@
                 return second;
             },
             isFinal: outcome =>
-                outcome.kind === "answered" && !isFailureStatus(outcome.answer.status)
-                && options.isVerified(outcome.answer),
+                outcome.kind === "answered"
+                && isFinalAnswer(describeAnswer(outcome.answer), isIdempotent(active.route)),
             onFirstFailure: ended => recordOutcome(active, body, ended),
         });
 
--- a/packages/decisions/src/retry/retry-decision.ts
+++ b/packages/decisions/src/retry/retry-decision.ts
@@ -63,7 +63,7 @@
 
 /** Decides what happens after an attempt. */
 export function decideRetry(end: AttemptEnd, inputs: RetryInputs): RetryDecision {
-    if (end.kind === "answered" && isFinal(end, inputs.isIdempotent)) {
+    if (end.kind === "answered" && isFinalAnswer(end, inputs.isIdempotent)) {
         return { kind: "finalAnswer" };
     }
     if (end.kind === "broken" && !inputs.isIdempotent) {
@@ -77,7 +77,10 @@
  * An answer is final unless the request may run again and the answer is a failure, unverified, or guarantees without
  * proof that the request has not run.
  */
-function isFinal({ isVerified, status }: AttemptEnd & { readonly kind: "answered"; }, isIdempotent: boolean): boolean {
+export function isFinalAnswer(
+    { isVerified, status }: Pick<AttemptEnd & { readonly kind: "answered"; }, "isVerified" | "status">,
+    isIdempotent: boolean,
+): boolean {
     return !isFailureStatus(status) && !isGuaranteeStatus(status) && isVerified || !isIdempotent;
 }
 
--- a/packages/decisions/test/retry.test.ts
+++ b/packages/decisions/test/retry.test.ts
@@ -48,6 +48,12 @@
             expect(decideRetry(answered(404), inputs())).to.deep.equal({ kind: "finalAnswer" });
         });
 
+        it("allows a retry after a status that guarantees without proof that the request has not run [P4]", () => {
+            for (const status of [408, 421, 429, 503]) {
+                expect(decideRetry(answered(status), inputs())).to.deep.equal({ kind: "tryNext" });
+            }
+        });
+
         it("stays within the route's attempts and the time left [P11]", () => {
             expect(decideRetry({ kind: "broken" }, inputs({ sent: 2 }))).to.deep.equal(giveUp("brokenOff"));
             expect(decideRetry({ kind: "notRun" }, inputs({ sent: 2 }))).to.deep.equal(giveUp("serversFull"));
--- a/packages/testing/test/box-servers.test.ts
+++ b/packages/testing/test/box-servers.test.ts
@@ -181,6 +181,18 @@
             await waitUntil(() => first.abortedRequests() + second.abortedRequests() === 1, "the work is aborted");
         });
 
+        it("is waited for if the second one answers 429 without saying that it did not run the request [P4]", async () => {
+            first.setWork(3000);
+            second.setWork(3000);
+            const slow = ask("/patient/", { deadlineMs: 60_000 });
+            await waitUntil(() => runs().length === 1, "the first server has the request");
+            const other = first.runs.length === 1 ? second : first;
+            other.setWork(0);
+            other.setBehaviour(() => ({ kind: "fail", status: 429 }));
+            expect((await slow).status).to.equal(200);
+            expect(hedged()).to.equal(1);
+        });
+
         /** The first request loses its connection when its work is done; later ones meet the given behaviour. */
         const loseFirstAnswerThen = (later: ServerBehaviour) => {
             let count = 0;
