--- a/packages/decisions/src/refusals/send-record.ts
+++ b/packages/decisions/src/refusals/send-record.ts
@@ -29,7 +29,7 @@
 declare const proofBrand: unique symbol;
 
 /** Proof that a request has not run and never will; only the record of its sends gives it. */
-export interface NotRunProof {
+interface NotRunProof {
     readonly [proofBrand]: true;
 }
 
