An answer without a length is broken if its connection was reset behind unread bytes

Callers saw: 200 with a part of a server's answer as if it were whole (MIXED), when the server's answer had no length and its connection was reset.

Cause: Node reports such a reset as an orderly end if received bytes are still unread: libuv takes the hang-up behind a short read for the end and never asks for the error. The exchange went by the socket's error only. Shown with a client and a server of ten lines each: 100 of 100 resets right after the write end with "end" and no error, whether or not the client pauses; the peer's address is undefined in each, and present in 100 of 100 orderly ends.

Change: the feed notes at the socket's end, before Node's client ends its own side, whether the connection still has a peer; an answer without a length is complete only then.

--- a/packages/box/src/servers/answer-feed.ts
+++ b/packages/box/src/servers/answer-feed.ts
@@ -16,6 +16,7 @@
 import { Duplex } from "node:stream";
 import { pauseReading, resumeReading } from "../backpressure.js";
 import type { LoopShare } from "../loop-share.js";
+import { hasEndedByReset } from "./connection-end.js";
 
 export interface AnswerFeedOptions {
     readonly socket: Socket;
@@ -38,6 +39,8 @@
 export interface AnswerFeed {
     /** True if the answer to another request was passed over, or bytes followed the answer. */
     readonly hasSurplus: () => boolean;
+    /** True once the connection has ended by a reset, even if the socket reports no error. */
+    readonly wasReset: () => boolean;
     /** Stops feeding; the socket keeps no listener of the feed. */
     readonly stop: () => void;
 }
@@ -85,18 +88,22 @@
     let heads = 0;
     /** Bytes of the bodies of answers to other requests. */
     let surplusBodies = 0;
+    let wasReset = false;
     let isStopped = false;
 
     options.request.on("response", onResponse);
     socket.on("data", onData);
+    // Node's client ends its side in its own listener.
+    socket.prependListener("end", noteReset);
     socket.on("end", onEnd);
 
-    return { hasSurplus: () => hasSurplus, stop };
+    return { hasSurplus: () => hasSurplus, wasReset: () => wasReset, stop };
 
     function stop(): void {
         isStopped = true;
         waiting = [];
         socket.removeListener("data", onData);
+        socket.removeListener("end", noteReset);
         socket.removeListener("end", onEnd);
         resumeReading(socket, "betweenAnswers");
     }
@@ -269,6 +276,10 @@
         request.end();
     }
 
+    function noteReset(): void {
+        wasReset = hasEndedByReset(socket);
+    }
+
     /** The first parser listens to the end of the socket itself. */
     function onEnd(): void {
         if (parser.stream !== socket) {
--- a/packages/box/src/servers/exchange.ts
+++ b/packages/box/src/servers/exchange.ts
@@ -189,7 +189,8 @@
         }
 
         function onEnd(response: IncomingMessage): void {
-            if (!response.complete || !isFramed(response) && socket.errored) {
+            const wasReset = Boolean(socket.errored) || feed?.wasReset() === true;
+            if (!response.complete || !isFramed(response) && wasReset) {
                 settle({ kind: "broken", reason: "answer truncated" });
                 return;
             }
--- a/packages/box/test/exchange.test.ts
+++ b/packages/box/test/exchange.test.ts
@@ -114,6 +114,16 @@
         });
     });
 
+    describe("an answer without a length whose last bytes are unread when its connection is reset", () => {
+        it("is broken", async () => {
+            await withServer(socket => {
+                socket.write(head() + "part", () => socket.resetAndDestroy());
+            }, async send => {
+                expect((await send()).kind).to.equal("broken");
+            });
+        });
+    });
+
     describe("an answer without a length whose end and reset arrive in one turn of the event loop", () => {
         it("is broken", async () => {
             const socket = new Duplex({
