A connection that uses much of the loop's time lets the loop turn in between, so that new connections are accepted

Callers saw: seconds of waiting, up to their deadline, while others sent bytes without end.

Cause: Node 20's event loop (libuv 1.46) accepts one new connection in each turn. A connection could use 25 ms before it was paused, all of it in one turn, and several did so in the same turn.

Change: a connection that has used 5 ms of the loop is paused until the next turn; its share over time is as it was. One read alone never reaches that, and connections that use less than a quarter of the time never do.

The new unit test failed before (8 parts in one turn instead of 2).

--- a/packages/box/src/backpressure.ts
+++ b/packages/box/src/backpressure.ts
@@ -19,7 +19,9 @@
     /** The connection is closing, and more was discarded than its caller can have sent before it knew. */
     | "closing"
     /** The connection has used up its share of the event loop. */
-    | "loopShare";
+    | "loopShare"
+    /** The connection has used much time in this turn of the event loop. */
+    | "loopTurn";
 
 const reasons = new WeakMap<Socket, Set<PauseReason>>();
 
--- a/packages/box/src/loop-share.ts
+++ b/packages/box/src/loop-share.ts
@@ -3,7 +3,8 @@
  *
  * A connection whose bytes take long to handle, such as chunks of one byte without end, would otherwise keep the loop
  * from all others, and from the timers that would end its request. Its reading is paused for as long as its share asks
- * for; connections that need little time are never paused.
+ * for; connections that need little time are never paused. One that uses much time at once lets the loop turn in between,
+since Node accepts one new connection in each turn.
  *
  * Owns the time that each connection owes; relies on its users to run what handles received bytes through it.
  */
@@ -25,6 +26,8 @@
 /** What a connection has used. Times are milliseconds. */
 interface Usage {
     owed: number;
+    /** The same since the connection last let the loop turn. */
+    owedInTurn: number;
     at: number;
 }
 
@@ -32,6 +35,8 @@
 const totalShare = 0.25;
 /** Milliseconds that a connection may use at once. */
 const burst = 25;
+/** Milliseconds that a connection may use before it lets the loop turn; one read alone never reaches them. */
+const turnBurst = 5;
 /**
  * Milliseconds charged for one read at most: a process that is held up while it handles a read must not pause the
  * connection for that.
@@ -77,14 +82,29 @@
 
     function charge(socket: Socket, duration: number): void {
         const now = clock();
-        const usage = usages.get(socket) ?? { owed: 0, at: now };
+        const usage = usages.get(socket) ?? { owed: 0, owedInTurn: 0, at: now };
         const paidOff = (now - usage.at) * totalShare;
         usage.owed = Math.max(0, usage.owed - paidOff) + Math.min(maxCharge, duration);
+        usage.owedInTurn = Math.max(0, usage.owedInTurn - paidOff) + Math.min(turnBurst, duration);
         usage.at = now;
         usages.set(socket, usage);
-        if (usage.owed > burst && !socket.destroyed && !isPausedFor(socket, "loopShare")) {
+        if (socket.destroyed || isPausedFor(socket, "loopShare")) {
+            return;
+        }
+        if (usage.owed > burst) {
             pause(socket, usage);
         }
+        else if (usage.owedInTurn > turnBurst && !isPausedFor(socket, "loopTurn")) {
+            pauseForTurn(socket, usage);
+        }
+    }
+
+    function pauseForTurn(socket: Socket, usage: Usage): void {
+        pauseReading(socket, "loopTurn");
+        setImmediate(() => {
+            usage.owedInTurn = 0;
+            resumeReading(socket, "loopTurn");
+        });
     }
 
     function pause(socket: Socket, usage: Usage): void {
@@ -98,6 +118,7 @@
             socket.removeListener("close", end);
             pausedCount -= 1;
             usage.owed = 0;
+            usage.owedInTurn = 0;
             usage.at = clock();
             resumeReading(socket, "loopShare");
         }
--- a/packages/box/test/loop-share.test.ts
+++ b/packages/box/test/loop-share.test.ts
@@ -103,6 +103,23 @@
         expect(isReadingPaused(connection)).to.equal(true);
     });
 
+    // Guards against connections that wait for seconds to be accepted: Node accepts one in each turn of the loop.
+    it("lets the loop turn between the parts of a read that takes long", async () => {
+        const connection = open();
+        let parts = 0;
+        connection.on("data", () => {
+            now += 3;
+            parts += 1;
+        });
+        share.meter(connection);
+        await new Promise(resolve => setImmediate(resolve));
+        connection.push(Buffer.alloc(64 * 1024));
+        expect(parts).to.equal(2);
+        await new Promise(resolve => setImmediate(resolve));
+        expect(parts).to.equal(4);
+        expect(share.pausedCount()).to.equal(0);
+    });
+
     // Guards against one read of thousands of tiny chunks that is handled in one turn.
     it("ends within one read that takes long, and the rest of it follows later", async () => {
         const connection = open();
