--- a/packages/testing/test/box-store-restored.test.ts
+++ b/packages/testing/test/box-store-restored.test.ts
@@ -156,6 +156,7 @@
             };
             return items.map(({ metadata }) => metadata.name).sort();
         };
+        await waitUntil(() => recordedBoxes().length === boxes.length, "all boxes are in the snapshot");
         const snapshot = deployment.store.takeSnapshot();
         const added = deployment.startBox({ zone: "south-a", host: "127.0.0.40", seeds: [boxes[0].peerAddress] });
         await waitUntil(() => added.running.isReady() && recordedBoxes().includes(added.name), "it is recorded");
