Test: no guarantee from a box that hears nothing from the box which sends for it

A new stand-in discards what is written on chosen connections, so that the request arrives at the other box and its server while nothing comes back.

Measured: of twelve unsafe requests some ran, none twice, none that ran got 408, 421, 429 or 503, none was served during the cut.

--- a/packages/testing/test/box-not-run-guarantee.test.ts
+++ b/packages/testing/test/box-not-run-guarantee.test.ts
@@ -5,6 +5,7 @@
 
 import { expect } from "chai";
 import { type FaultProxy, startFaultProxy } from "../src/soak/fault-proxy.js";
+import { addAnswerCutRule } from "../src/standins/answer-cuts.js";
 import type { ServerStandIn } from "../src/standins/backend-server.js";
 import { type ClientAnswer, sendRequest } from "../src/standins/client.js";
 import {
@@ -19,6 +20,7 @@
 
 const guaranteeStatuses = [408, 421, 429, 503] as const;
 const maxAttempts = 2;
+const requestsInCut = 12;
 const cutBoxHost = "127.0.0.40";
 const boxHosts = [cutBoxHost, "127.0.0.41", "127.0.0.42"];
 const zones = ["north-a", "north-b", "south-a"];
@@ -103,6 +105,31 @@
         });
     }
 
+    it("is not given by a box that hears nothing from the box which sends for it [P4] [P5]", async () => {
+        const endPartition = partition([cutBoxHost], proxies, "reset");
+        const others = new Set(boxes.slice(1).map(box => box.peerAddress));
+        try {
+            await waitUntil(async () => (await send("/lookup/", "warm-up")).status === 200, "others forward");
+            const endCut = addAnswerCutRule((local, remote) =>
+                others.has(local) && remote.startsWith(`${cutBoxHost}:`)
+            );
+            const ids = Array.from({ length: requestsInCut }, (_, index) => `unheard-${index}`);
+            const answers = await Promise.all(ids.map(id => send("/save/", id)));
+            endCut();
+            const runs = ids.map(runCount);
+            expect(runs.filter(count => count > 0)).to.not.deep.equal([]);
+            expect(runs.filter(count => count > 1)).to.deep.equal([]);
+            const guarantees = ids.filter((_, index) =>
+                guaranteeStatuses.some(status => status === answers[index].status)
+            );
+            expect(guarantees.filter(id => runCount(id) > 0)).to.deep.equal([]);
+            expect(answers.filter(({ status }) => status === 200)).to.deep.equal([]);
+        }
+        finally {
+            endPartition();
+        }
+    });
+
     for (const status of [429, 503] as const) {
         it(`is not passed on with the back-off that it asks for (${status}) [P4]`, async () => {
             answerWith(status, "1");
