Soak: a server that is restarted resets its endless answers, and the proxy passes resets on

Change: a restart resets connections with an endless answer, as a restart is to be abrupt, and the proxy passes a reset on where it closed in order. The check of whole answers is unchanged, and covers resets now.

--- a/packages/testing/src/soak/fault-proxy.ts
+++ b/packages/testing/src/soak/fault-proxy.ts
@@ -118,11 +118,21 @@
         pipe(caller, upstream, isSilent);
         pipe(upstream, caller, () => isSilent() || state === "silentBack");
         for (const socket of pair) {
+            let isReset = false;
             const end = () => {
                 pairs.delete(pair);
-                (isBlackholed() ? [socket] : pair).forEach(ended => ended.destroy());
+                (isBlackholed() ? [socket] : pair).forEach(ended =>
+                    isReset ? ended.resetAndDestroy() : ended.destroy()
+                );
             };
-            socket.on("error", end);
+            // Node reports a reset behind unread bytes as an end; a connection that was reset has no peer.
+            socket.prependListener("end", () => {
+                isReset ||= socket === upstream && socket.remoteAddress === undefined;
+            });
+            socket.on("error", ({ code }: NodeJS.ErrnoException) => {
+                isReset ||= code === "ECONNRESET";
+                end();
+            });
             socket.on("close", end);
         }
     }
--- a/packages/testing/src/standins/backend-server.ts
+++ b/packages/testing/src/standins/backend-server.ts
@@ -5,7 +5,7 @@
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
-import { type EndlessAnswer, sendEndlessAnswer } from "./endless-bytes.js";
+import { carriesEndlessAnswer, type EndlessAnswer, sendEndlessAnswer } from "./endless-bytes.js";
 import { sendCopyAfter, type ServerBehaviour, writeAnswer } from "./server-answers.js";
 import { createSlotQueue } from "./slot-queue.js";
 
@@ -97,8 +97,11 @@
 
     const server: Server = createServer((request, response) => void onRequest(request, response));
     server.keepAliveTimeout = options.idleMs ?? defaultIdleMs;
-    server.on("connection", () => {
+    const sockets = new Set<Socket>();
+    server.on("connection", socket => {
         connections += 1;
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
     });
     await new Promise<void>(resolve => server.listen(options.port ?? 0, host, resolve));
 
@@ -139,6 +142,8 @@
         },
         close() {
             server.close();
+            // An orderly end would make an answer without a length look whole.
+            [...sockets].filter(carriesEndlessAnswer).forEach(socket => socket.resetAndDestroy());
             server.closeAllConnections();
         },
     };
--- a/packages/testing/src/standins/endless-bytes.ts
+++ b/packages/testing/src/standins/endless-bytes.ts
@@ -40,6 +40,13 @@
 
 export const endlessAnswerKinds = Object.keys(endlessAnswers) as readonly EndlessAnswer[];
 
+const endlessConnections = new WeakSet<Socket>();
+
+/** True for a connection on which an endless answer was begun. */
+export function carriesEndlessAnswer(socket: Socket): boolean {
+    return endlessConnections.has(socket);
+}
+
 /** Sends an endless answer until the connection closes. */
 export function sendEndlessAnswer(
     socket: Socket,
@@ -49,6 +56,7 @@
 ): void {
     const { repeated, start } = endlessAnswers[kind];
     const headerText = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    endlessConnections.add(socket);
     socket.write(start.replace("{headers}", headerText));
     sendWithoutEnd(socket, repeated, pauseBetweenWrites);
 }
