--- a/packages/box/src/loop-share.ts
+++ b/packages/box/src/loop-share.ts
@@ -3,8 +3,8 @@
  *
  * A connection whose bytes take long to handle, such as chunks of one byte without end, would otherwise keep the loop
  * from all others, and from the timers that would end its request. Its reading is paused for as long as its share asks
- * for; connections that need little time are never paused. One that uses much time at once lets the loop turn in between,
-since Node accepts one new connection in each turn.
+ * for; connections that need little time are never paused. One that uses much time at once lets the loop turn in
+ * between, since Node accepts one new connection in each turn.
  *
  * Owns the time that each connection owes; relies on its users to run what handles received bytes through it.
  */
@@ -26,7 +26,7 @@
 /** What a connection has used. Times are milliseconds. */
 interface Usage {
     owed: number;
-    /** The same since the connection last let the loop turn. */
+    /** What it owes since it last let the loop turn; a part of `owed`. */
     owedInTurn: number;
     at: number;
 }
--- a/packages/testing/src/soak/fault-proxy.ts
+++ b/packages/testing/src/soak/fault-proxy.ts
@@ -1,6 +1,7 @@
 /**
  * A loopback TCP proxy that impairs the connections through it: it delays bytes, resets
- * connections, or stops passing bytes in one direction or both, for a while or for good.
+ * connections, or stops passing bytes in one direction or both, for a while or for good. A reset of one end is passed
+ * on to the other.
  *
  * Owns the proxy's sockets and the record of when the link was impaired.
  */
@@ -125,7 +126,8 @@
                     isReset ? ended.resetAndDestroy() : ended.destroy()
                 );
             };
-            // Node reports a reset behind unread bytes as an end; a connection that was reset has no peer.
+            // Node reports a reset behind unread bytes as an end; a connection that was reset has no peer. Node keeps the
+            // caller's address from its first use, so only the target's end can be told so.
             socket.prependListener("end", () => {
                 isReset ||= socket === upstream && socket.remoteAddress === undefined;
             });
