Review: scripts that cannot run exit with 2 and end what they started

The scripts now tell the two apart, end all boxes on an uncaught error, a signal or after 115 s, take ports below those of outgoing connections, and count no request whose own client left at its deadline. The base of the store's URLs is a loopback address.

--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -3,7 +3,7 @@
 import { appendFileSync, readFileSync, writeFileSync } from "node:fs";
 import { createServer } from "node:http";
 import { connect } from "node:net";
-import { createBoxes, hostOf, sleep } from "../kit-2/boxes.mjs";
+import { createBoxes, hostOf, runCase, sleep } from "../kit-2/boxes.mjs";
 import { newRequestId, parse } from "../kit-2/client.mjs";
 import { recordOf, startServer } from "../kit-2/server.mjs";
 import { startStore } from "../kit-2/store.mjs";
@@ -141,14 +141,18 @@
                 const request = { requestId, address, isKept: count > 0, method: isUnsafe ? "POST" : "GET", sentAt: performance.now() };
                 socket.write(`${request.method} /${isUnsafe ? "rebuild" : "search"}/2f HTTP/1.1\r\nHost: ${host}\r\nRequest-Id: ${requestId}\r\n`
                     + `Affinity-Key: ${Math.floor(Math.random() * 1000)}\r\nDeadline-Ms: ${deadlineMs}\r\n${isUnsafe ? "Content-Length: 0\r\n" : ""}\r\n`);
-                const timer = setTimeout(() => socket.destroy(), deadlineMs + 1000);
+                let isLate = false;
+                const timer = setTimeout(() => {
+                    isLate = true;
+                    socket.destroy();
+                }, deadlineMs);
                 let answer;
                 while ((answer = parse(received, request.method, false)) === undefined && !isClosed) {
                     await new Promise(resolve => wake = resolve);
                 }
                 clearTimeout(timer);
                 request.endedAt = performance.now();
-                requests.push({ ...request, kind: answer === undefined ? "closed" : "answer", status: answer?.status });
+                requests.push({ ...request, kind: answer !== undefined ? "answer" : isLate ? "deadline" : "closed", status: answer?.status });
                 if (answer === undefined || answer.headers.connection === "close") {
                     break;
                 }
@@ -195,8 +199,4 @@
     return faulty;
 }
 
-main().then(code => process.exit(code), error => {
-    note(`could not run: ${error.stack}`);
-    console.error(error);
-    process.exit(2);
-});
+runCase(main, note);
--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,7 +1,7 @@
 // Three boxes of one zone, stopped in turn with SIGTERM, grace 10 s as on pedala-geo-large. Clients follow the directory, hold
 // its answers for one or three times their ttl, and send unsafe requests, each on a new connection.
 import { appendFileSync, writeFileSync } from "node:fs";
-import { createBoxes, hostOf, sleep } from "../kit-2/boxes.mjs";
+import { createBoxes, hostOf, runCase, sleep } from "../kit-2/boxes.mjs";
 import { resolve, send } from "../kit-2/client.mjs";
 import { recordOf, startServer } from "../kit-2/server.mjs";
 import { startStore } from "../kit-2/store.mjs";
@@ -171,8 +171,4 @@
     }
 }
 
-main().then(code => process.exit(code), error => {
-    note(`could not run: ${error.stack}`);
-    console.error(error);
-    process.exit(2);
-});
+runCase(main, note);
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -1,7 +1,7 @@
 // Two boxes, and one tenant that asks for a little more than its quota, in small bursts, so that boxes hold some requests back for a moment.
 // The operator moves a split route from one pair of services to another, every five seconds.
 import { appendFileSync, writeFileSync } from "node:fs";
-import { createBoxes, hostOf, sleep } from "../kit-2/boxes.mjs";
+import { createBoxes, hostOf, runCase, sleep } from "../kit-2/boxes.mjs";
 import { newRequestId, send } from "../kit-2/client.mjs";
 import { recordOf, startServer } from "../kit-2/server.mjs";
 import { startStore } from "../kit-2/store.mjs";
@@ -124,8 +124,4 @@
     }
 }
 
-main().then(code => process.exit(code), error => {
-    note(`could not run: ${error.stack}`);
-    console.error(error);
-    process.exit(2);
-});
+runCase(main, note);
--- a/review/kit-2/boxes.mjs
+++ b/review/kit-2/boxes.mjs
@@ -13,12 +13,48 @@
 const network = `127.${20 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}`;
 export const hostOf = number => `${network}.${number}`;
 
-async function freePort(host) {
-    const server = createServer();
-    await new Promise(done => server.listen(0, host, done));
-    const { port } = server.address();
-    await new Promise(done => server.close(done));
-    return port;
+const isFree = (host, port) =>
+    new Promise(done => {
+        const server = createServer();
+        server.once("error", () => done(false));
+        server.listen(port, host, () => server.close(() => done(true)));
+    });
+
+/** Ports below those that outgoing connections get, free at all hosts. */
+async function freePorts(count, hosts) {
+    const ports = [];
+    for (let tries = 0; ports.length < count && tries < 1000; tries++) {
+        const port = 10_000 + Math.floor(Math.random() * 20_000);
+        const areFree = await Promise.all(hosts.map(host => isFree(host, port)));
+        if (!ports.includes(port) && areFree.every(Boolean)) {
+            ports.push(port);
+        }
+    }
+    if (ports.length < count) {
+        throw new Error("no free ports");
+    }
+    return ports;
+}
+
+/** Milliseconds after which a script that has not ended could not run. */
+const timeLimit = 115_000;
+const started = new Set();
+
+/** Runs a script's `main`, which resolves to 0, 1 or 2 as `run.sh` exits; ends all boxes where it could not run. */
+export function runCase(main, note) {
+    const fail = error => {
+        note(`could not run: ${error?.stack ?? error}`);
+        console.error(error);
+        started.forEach(child => child.kill("SIGKILL"));
+        process.exit(2);
+    };
+    process.on("uncaughtException", fail);
+    process.on("unhandledRejection", fail);
+    for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+        process.on(signal, () => fail(new Error(`ended by ${signal}`)));
+    }
+    setTimeout(() => fail(new Error("not over in time")), timeLimit).unref();
+    main().then(status => process.exit(status === 1 ? 10 : status), fail);
 }
 
 /** `zones`: region by zone; `places`: the zone of each box; `bounds`: the text of the settings. */
@@ -27,10 +63,7 @@
     const deployFile = readFileSync(join(root, "deploy/system.toml"), "utf8");
     const [command, ...parameters] = /^run = "(.*)"$/m.exec(deployFile)[1].split(" ");
     const hosts = places.map((_, index) => hostOf(index + 1));
-    const ports = [];
-    for (let index = 0; index < 5; index++) {
-        ports.push(await freePort(hosts[0]));
-    }
+    const ports = await freePorts(5, hosts);
     const [front, ready, directory, control, metrics] = ports;
     const fields = { cpu_share: 0.54, cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000, ...limits };
 
@@ -60,17 +93,19 @@
             logFile: join(folder, `${name}.log`),
             start() {
                 const { PATH, HOME, LANG } = process.env;
-                const started = spawn(command === "node" ? process.execPath : command, parameters, {
+                const launched = spawn(command === "node" ? process.execPath : command, parameters, {
                     cwd: root,
                     env: { PATH, HOME, LANG, CHALKDALE_SETTINGS: file, CHALKDALE_METRICS_PORT: String(metrics) },
                     stdio: ["ignore", "pipe", "pipe"],
                 });
-                child = started;
+                child = launched;
+                started.add(launched);
                 isWanted = true;
-                started.stdout.pipe(log, { end: false });
-                started.stderr.pipe(log, { end: false });
-                started.once("exit", () => {
-                    if (isWanted && child === started) {
+                launched.stdout.pipe(log, { end: false });
+                launched.stderr.pipe(log, { end: false });
+                launched.once("exit", () => {
+                    started.delete(launched);
+                    if (isWanted && child === launched) {
                         selfEnded += 1;
                     }
                 });
--- a/review/kit-2/store.mjs
+++ b/review/kit-2/store.mjs
@@ -65,7 +65,7 @@
         for await (const chunk of request) {
             chunks.push(chunk);
         }
-        const url = new URL(request.url, "http://store");
+        const url = new URL(request.url, "http://127.0.0.1");
         const [, , , kind, name, sub] = url.pathname.split("/");
         const isWatch = url.searchParams.has("watch");
         const kindOfFault = fault({ method: request.method, kind, caller: request.socket.remoteAddress, isWatch });
