A change of protocol that no request asked for breaks its exchange and no longer ends the box

Cause: the answer feed calls the listener of Node's HTTP client itself. After a head with status 101 that nobody listens for, Node frees the parser and reports nothing; the feed handed it the rest of the read, and the assertion that there is a parser failed in the socket's data event, where an error ends the process. Evidence: the stack in the box's log (socketOnData from feedHead), and the new tests: a 101 whose tail comes in the same read fails alone, behind an interim answer, behind the answer to another request and on a connection that has rested; with the tail in a later read only the reason was wrong ("closed without an answer", blamed on the server's end).

Change: the feed listens for the change of protocol of every parser and breaks the exchange; and an error thrown while received bytes are handled breaks that exchange whatever its cause, so one server's bytes can't reach other requests.

--- a/packages/box/src/servers/answer-feed.ts
+++ b/packages/box/src/servers/answer-feed.ts
@@ -91,7 +91,7 @@
     let wasReset = false;
     let isStopped = false;
 
-    options.request.on("response", onResponse);
+    listenToAnswers(options.request);
     socket.on("data", onData);
     // Node's client ends its side in its own listener.
     socket.prependListener("end", noteReset);
@@ -108,8 +108,24 @@
         resumeReading(socket, "betweenAnswers");
     }
 
+    function listenToAnswers(request: ClientRequest): void {
+        request.on("response", onResponse);
+        // Without this listener Node frees the parser without a word, and what follows the head has none.
+        request.on("upgrade", () => options.onError(new Error("change of protocol that was not asked for")));
+    }
+
     function onData(bytes: Buffer): void {
-        options.loopShare.run(socket, () => feed(bytes));
+        options.loopShare.run(socket, () => guard(() => feed(bytes)));
+    }
+
+    /** Runs what handles received bytes: an error in it breaks the exchange, and must not end the process. */
+    function guard(handle: () => void): void {
+        try {
+            handle();
+        }
+        catch (error) {
+            options.onError(error instanceof Error ? error : new Error(String(error)));
+        }
     }
 
     function feed(bytes: Buffer): void {
@@ -259,7 +275,7 @@
         const stream = createUnconnectedStream();
         const request = httpRequest({ createConnection: () => stream as Socket, method });
         request.shouldKeepAlive = true;
-        request.on("response", onResponse);
+        listenToAnswers(request);
         request.on("error", error => {
             if (!isStopped) {
                 options.onError(error);
@@ -270,7 +286,7 @@
             position = { kind: "head" };
             const received = waiting;
             waiting = [];
-            received.forEach(feed);
+            received.forEach(bytes => guard(() => feed(bytes)));
             resumeReading(socket, "betweenAnswers");
         });
         request.end();
@@ -283,7 +299,7 @@
     /** The first parser listens to the end of the socket itself. */
     function onEnd(): void {
         if (parser.stream !== socket) {
-            parser.stream.emit("end");
+            guard(() => parser.stream.emit("end"));
         }
     }
 }
--- a/packages/box/test/exchange.test.ts
+++ b/packages/box/test/exchange.test.ts
@@ -15,7 +15,9 @@
 /** Runs a server that answers each request on one connection as scripted. */
 async function withServer(
     answer: (socket: Socket, request: string) => void,
-    run: (send: (requestId?: string, caller?: ConfirmedCaller) => Promise<ExchangeOutcome>) => Promise<void>,
+    run: (
+        send: (requestId?: string, caller?: ConfirmedCaller, onHead?: () => void) => Promise<ExchangeOutcome>,
+    ) => Promise<void>,
 ): Promise<void> {
     const server: Server = createServer(socket => {
         socket.on("error", () => undefined);
@@ -26,7 +28,7 @@
     const socket = connect(port, "127.0.0.1");
     await new Promise(resolve => socket.once("connect", resolve));
     // An empty id stands for a request without one.
-    const send = (requestId = "r-1", caller = thereCaller) =>
+    const send = (requestId = "r-1", caller = thereCaller, onHead?: () => void) =>
         exchange({
             socket,
             method: "GET",
@@ -39,6 +41,7 @@
             memory: createAmpleMemory(),
             signal: new AbortController().signal,
             caller,
+            onHead,
         });
     try {
         await run(send);
@@ -251,6 +254,56 @@
         });
     });
 
+    // Guards against boxes that end with an uncaught error: nobody listens for a change of protocol, Node frees its
+    // parser, and what follows the head has none.
+    describe("a change of protocol that no request asked for", () => {
+        const upgrade = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n";
+        const texts = {
+            "with bytes behind it": `${upgrade}hello`,
+            "without bytes behind it": upgrade,
+            "with the own answer behind it": upgrade + framed("own"),
+            "behind the answer to another request": `${framed("other", "r-0")}${upgrade}hello`,
+            "behind an interim answer": `HTTP/1.1 102 Processing\r\n\r\n${upgrade}hello`,
+            "twice": `${upgrade}${upgrade}hello`,
+        };
+
+        for (const [kind, text] of Object.entries(texts)) {
+            for (const size of [1, 7, text.length - 5, text.length]) {
+                it(`breaks only its exchange (${kind}, in parts of ${size} bytes)`, async () => {
+                    await withServer(socket => writeInPieces(socket, text, [size]), async send => {
+                        expect(await send()).to.deep.include({
+                            kind: "broken",
+                            reason: "change of protocol that was not asked for",
+                        });
+                    });
+                });
+            }
+        }
+
+        it("breaks only its exchange on a connection that has carried an answer", async () => {
+            await withServer((socket, request) => {
+                socket.write(request.includes("r-2") ? `${upgrade}hello` : framed("first"));
+            }, async send => {
+                expect((await send("r-1")).kind).to.equal("answer");
+                expect((await send("r-2")).kind).to.equal("broken");
+            });
+        });
+    });
+
+    describe("an error while received bytes are handled", () => {
+        it("breaks only its exchange", async () => {
+            await withServer(socket => socket.write(framed("whole")), async send => {
+                const failing = () => {
+                    throw new Error("a fault in the handling of answers");
+                };
+                expect(await send("r-1", thereCaller, failing)).to.deep.include({
+                    kind: "broken",
+                    reason: "a fault in the handling of answers",
+                });
+            });
+        });
+    });
+
     describe("answers to other requests before the own one", () => {
         const chunked = (id: string) =>
             `${head(["Transfer-Encoding: chunked\r\n"], id)}3\r\nab\n\r\n1;x=\r\nc\r\n0\r\nTrailer: x\r\n\r\n`;
