A change of protocol ends a health check, a call of the store and a read from another box

Callers would see: an ejected server that never comes back at a box, and a box that stops following the store for one kind (old routes, servers that have left), after one answer with status 101.

Cause: Node's client reports neither an answer nor an error for a change of protocol that nobody listens for, only the request's close. The three promises waited for either, and their time limits destroy a request that is destroyed already, so they stayed pending.

Change: onClosedUnanswered tells when a request has closed without either; the check fails, the call and the read reject.

Requests through another box were not affected: they listen for the close, and questions about reach end by their own time limit.

--- a/packages/box/src/index.ts
+++ b/packages/box/src/index.ts
@@ -9,3 +9,4 @@
 export * from "./settings.js";
 export * from "./state/state-store.js";
 export * from "./traffic-meter.js";
+export { onClosedUnanswered } from "./unanswered-request.js";
--- a/packages/box/src/peers/peer-reads.ts
+++ b/packages/box/src/peers/peer-reads.ts
@@ -22,6 +22,7 @@
 import { isItemChange, isMissingChanges, isSharedItem } from "../state/state-messages.js";
 import type { StatePeer, StateReader, StateReadResult } from "../state/state-reader.js";
 import type { TrafficLocality, TrafficPurpose } from "../traffic-meter.js";
+import { onClosedUnanswered } from "../unanswered-request.js";
 
 const membersPath = "/members";
 const statePath = "/state/";
@@ -181,6 +182,7 @@
         });
         request.on("timeout", () => request.destroy(new Error("no answer")));
         request.on("error", reject);
+        onClosedUnanswered(request, () => reject(new Error("closed without an answer")));
     });
 }
 
--- a/packages/box/src/servers/health-checker.ts
+++ b/packages/box/src/servers/health-checker.ts
@@ -15,6 +15,7 @@
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import type { LoopShare } from "../loop-share.js";
 import type { PathMonitor } from "../paths/path-monitor.js";
+import { onClosedUnanswered } from "../unanswered-request.js";
 import type { ColdServerSharing } from "./cold-server-sharing.js";
 import type { LimitedServers } from "./limited-servers.js";
 import type { ServerNotices } from "./server-notices.js";
@@ -140,6 +141,7 @@
                 response.on("error", () => settle(false));
             });
             request.on("error", () => settle(false));
+            onClosedUnanswered(request, () => settle(false));
             request.end();
         });
     }
--- a/packages/box/test/peer-reads.test.ts
+++ b/packages/box/test/peer-reads.test.ts
@@ -5,6 +5,7 @@
 import type { AddressInfo } from "node:net";
 import { createPeerListener, createPeerReads, type PeerReads } from "../src/peers/peer-reads.js";
 import type { StatePeer } from "../src/state/state-reader.js";
+import { startRawServer, unrequestedUpgrade } from "./raw-server.js";
 
 /** Items of a snapshot that is large enough to be compressed. */
 const zones = Array.from({ length: 300 }, (_, index) => availabilityZoneId(`north-${index}`));
@@ -49,6 +50,14 @@
         expect(countedTraffic[0].bytes).to.be.lessThan(JSON.stringify(snapshot).length / 2);
     });
 
+    // Guards against boxes that never read from another one again: the read stayed pending for good.
+    it("fail if the answer is a change of protocol", async () => {
+        const raw = await startRawServer(() => unrequestedUpgrade);
+        const error = await reads.readMembers({ ...peer, peerAddress: raw.address }).catch((reason: unknown) => reason);
+        raw.close();
+        expect(String(error)).to.include("closed without an answer");
+    });
+
     it("return entries that a replica retains after the store has lost them, and reject invalid ones", async () => {
         snapshot = { revision: 9, items: ["north-1"], held: [{ kind: "gone", name: "north-2" }] };
         expect(await reads.readState(peer, "closedZones", undefined)).to.deep.equal({ kind: "snapshot", snapshot });
