A box that shuts down sends only requests that end before it does

Cause: new requests were admitted for 0.4 of the grace whatever they need; of a grace of 10 s, those of the fourth second had 5.5 s left for work of up to 12 s. Requests that wait after their admission, for a body or a quota, were sent without looking at the time again.

Change: leaving-requests decides, at admission and before each attempt, from the phase, the time left for answers, the request's own limit, the expected work, and whether it may have run. While callers may have the address from a look-up, what is expected to end in time is sent; later only what ends in time whatever the server does. The rest is refused as not run. A request that may have run is still tried again if that is expected to end in time, since no refusal could say that it has not run.

--- a/packages/box/src/box.ts
+++ b/packages/box/src/box.ts
@@ -144,6 +144,7 @@
         clock,
         log,
         grace: bounds.shutdownGracePeriod,
+        lookupLifetime: bounds.lookupLifetime,
         inFlight: () => callerServer.connections.inFlight() + requests.forwarding.inProgress(),
         onLeaving: () => {
             updateOwnRecord();
@@ -205,6 +206,7 @@
         versions: rollouts?.versions ?? { admits: () => true, version: () => 0 },
         trials: rollouts?.trialHooks ?? noTrials,
         phase: gracefulShutdown.phase,
+        timeToAnswer: gracefulShutdown.timeToAnswer,
         unreadFor: eventLoop.unreadFor,
         configurationAge: () => replicator.configurationAge(),
         serversAge: () => replicator.confirmedAge("servers"),
--- a/packages/box/src/graceful-shutdown.ts
+++ b/packages/box/src/graceful-shutdown.ts
@@ -13,17 +13,21 @@
     readonly log: Log;
     /** Time between the termination signal and the kill. */
     readonly grace: Milliseconds;
+    /** How long callers may use the addresses that a look-up has returned. */
+    readonly lookupLifetime: Milliseconds;
     /** Returns the number of requests whose answers have not left the process yet. */
     readonly inFlight: () => number;
     /** Called as soon as the shutdown begins. */
     readonly onLeaving: () => void;
-    /** Called when new requests are no longer accepted. */
+    /** Called when new requests are accepted only if they certainly end in time. */
     readonly onClosing: () => void;
 }
 
 /** The graceful shutdown of one box. */
 export interface GracefulShutdown {
     readonly phase: () => ShutdownPhase;
+    /** Time in which the box can still answer; infinite while it runs. */
+    readonly timeToAnswer: () => Milliseconds;
     /** Starts the shutdown; resolves when the process may exit. */
     readonly begin: () => Promise<void>;
 }
@@ -34,19 +38,23 @@
 /** Creates the shutdown; it does nothing until `begin` is called. */
 export function createGracefulShutdown(options: GracefulShutdownOptions): GracefulShutdown {
     const { clock, log } = options;
-    const schedule = createShutdownSchedule(options.grace);
+    const schedule = createShutdownSchedule({
+        gracePeriod: options.grace,
+        lookupLifetime: options.lookupLifetime,
+    });
     const neverAborted = new AbortController().signal;
     let phase: ShutdownPhase = "running";
+    let startedAt: Milliseconds | undefined;
 
     return {
         phase: () => phase,
+        timeToAnswer: () => startedAt === undefined ? milliseconds(Infinity) : schedule.timeToAnswer(elapsed()),
         async begin() {
-            const startedAt = clock();
-            const elapsed = () => milliseconds(clock() - startedAt);
+            startedAt = clock();
             phase = "leaving";
             log.info("stop.leaving", { inFlight: options.inFlight() });
             options.onLeaving();
-            await sleep(schedule.acceptRequestsFor, neverAborted);
+            await sleep(schedule.leavingFor, neverAborted);
             phase = "closing";
             options.onClosing();
             while (!schedule.isDrainOver(elapsed(), options.inFlight())) {
@@ -56,4 +64,9 @@
             log.info("stop.ended", { inFlight: options.inFlight(), after: Math.round(elapsed()) });
         },
     };
+
+    /** Time since the shutdown began. */
+    function elapsed(): Milliseconds {
+        return milliseconds(clock() - (startedAt ?? clock()));
+    }
 }
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -18,11 +18,13 @@
     isFinalAnswer,
     isIdempotent,
     mayBeHedged,
+    mayBeSentWhileLeaving,
     type RefusalKind,
     type RetryBudget,
     type RetryInputs,
+    type ShutdownPhase,
 } from "@chalkdale/decisions";
-import { milliseconds, type ServiceId } from "@chalkdale/kernel";
+import { type Milliseconds, milliseconds, type ServiceId } from "@chalkdale/kernel";
 import type { PoisonRequestGuard, TrackedRequest } from "../poison-requests/poison-request-guard.js";
 import type { ServerAnswer } from "../servers/exchange.js";
 import type { ActiveRequest, RequestOutcome } from "./active-request.js";
@@ -40,6 +42,9 @@
     readonly poisonRequestGuard: Pick<PoisonRequestGuard, "track">;
     /** True while this box reaches no server, neither directly nor through other boxes. */
     readonly isIsolated: () => boolean;
+    readonly phase: () => ShutdownPhase;
+    /** Time in which the box can still answer; infinite while it runs. */
+    readonly timeToAnswer: () => Milliseconds;
 }
 
 /** What the request handler passes to the loop besides its own options. */
@@ -85,6 +90,10 @@
             if ((!isFirstAttempt || tracked.isExcludedFromHedging()) && !await active.caller.confirm()) {
                 return tracked.isStopped() ? giveUp(active, "endsServers") : { kind: "callerLeft" };
             }
+            // It may have waited since it was admitted: for its quota, its body, a permission, or another attempt.
+            if (options.phase() !== "running" && !canAnswer(active)) {
+                return giveUp(active, "leaving");
+            }
             if (options.isIsolated()) {
                 return giveUp(active, "noPath");
             }
@@ -113,6 +122,16 @@
         }
     }
 
+    function canAnswer(active: ActiveRequest): boolean {
+        return mayBeSentWhileLeaving({
+            phase: options.phase(),
+            timeToAnswer: options.timeToAnswer(),
+            timeLimit: milliseconds(active.deadlineAt - clock()),
+            expectedWork: options.workEstimate.expected(active.route, false),
+            mayHaveRun: active.sends.mayHaveRun(),
+        });
+    }
+
     /**
      * True once for a server that refused the request although it has free slots: it accepts the next attempt as likely
      * as any other server does, and at another server the key would be cold and the answer late.
--- a/packages/box/src/requests/data-plane.ts
+++ b/packages/box/src/requests/data-plane.ts
@@ -70,6 +70,8 @@
     readonly trials: TrialHooks;
     readonly loopShare: Pick<LoopShare, "run">;
     readonly phase: () => ShutdownPhase;
+    /** Time in which the box can still answer; infinite while it runs. */
+    readonly timeToAnswer: () => Milliseconds;
     /** Upper bound of the time for which bytes that are read now were unread. */
     readonly unreadFor: () => Milliseconds;
     readonly configurationAge: () => Milliseconds;
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -19,7 +19,6 @@
     guaranteesNotRun,
     isIdempotent,
     type RefusalKind,
-    type ShutdownPhase,
 } from "@chalkdale/decisions";
 import { customerKey, type Milliseconds } from "@chalkdale/kernel";
 import { type Log, startTimeout } from "@chalkdale/runtime";
@@ -43,7 +42,6 @@
     readonly log: Log;
     readonly protocol: CallerProtocol;
     readonly state: SharedState;
-    readonly phase: () => ShutdownPhase;
     /** Time since the store confirmed the copy of the configuration. */
     readonly configurationAge: () => Milliseconds;
     readonly copyAgeBounds: CopyAgeBounds;
@@ -100,6 +98,9 @@
             keys: state.keys(),
             isStateComplete: state.isComplete(),
             phase: options.phase(),
+            timeToAnswer: options.timeToAnswer(),
+            callerTimeout: Number(request.headers[headers.deadline]),
+            expectedWork: route => options.workEstimate.expected(route, false),
             host: hostOf(request),
             path: pathOf(request),
             key: key === undefined ? undefined : customerKey(key),
--- a/packages/box/test/attempt-loop.test.ts
+++ b/packages/box/test/attempt-loop.test.ts
@@ -36,6 +36,8 @@
         roundTrip: () => milliseconds(1),
         loadPerSlot: () => 0,
         isIsolated: () => false,
+        phase: () => "running",
+        timeToAnswer: () => milliseconds(Infinity),
         trials: noTrials,
         recentSends: createRecentSends(() => milliseconds(0)),
         serversAge: () => milliseconds(0),
--- a/packages/decisions/src/admit/admission.ts
+++ b/packages/decisions/src/admit/admission.ts
@@ -1,10 +1,10 @@
 /**
  * Decides whether a box admits a request, before a server is chosen for it, and identifies its customer.
  *
- * A box that isn't ready or is closing refuses at once, since another box can serve the request. Callers take a 404 as
- * final, so it is sent only with a configuration in force. So is a 401, and keys change more often than routes: it is
- * sent only if the copy of the configuration is fresh enough (see `customers/copy-age`); otherwise the caller may
- * retry.
+ * A box that isn't ready, or that shuts down before it could answer (see `leaving-requests`), refuses at once, since
+ * another box can serve the request. Callers take a 404 as final, so it is sent only with a configuration in force. So is
+ * a 401, and keys change more often than routes: it is sent only if the copy of the configuration is fresh enough (see
+ * `customers/copy-age`); otherwise the caller may retry.
  *
  * Owns no state.
  */
@@ -12,8 +12,10 @@
 import type { CustomerKey, Milliseconds } from "@chalkdale/kernel";
 import { type CopyAgeBounds, mayAdmitKnownKey, mayRejectUnknownKey } from "../customers/copy-age.js";
 import type { CustomerTable } from "../customers/customer-table.js";
+import { requestTimeout } from "../limits/timeouts.js";
 import type { RefusalKind } from "../refusals/refusals.js";
 import type { Customer, Route } from "../shared-state/configuration.js";
+import { mayBeSentWhileLeaving } from "./leaving-requests.js";
 import type { RouteTable } from "./route-table.js";
 import type { ShutdownPhase } from "./shutdown-schedule.js";
 
@@ -26,6 +28,12 @@
     /** True if the box has a copy of every kind of shared state that it replicates. */
     readonly isStateComplete: boolean;
     readonly phase: ShutdownPhase;
+    /** Time in which the box can still answer; infinite while it runs. */
+    readonly timeToAnswer: Milliseconds;
+    /** Milliseconds for which the caller waits; not a positive number if it does not say. */
+    readonly callerTimeout: number;
+    /** Expected time of a server's work on a request of a route. */
+    readonly expectedWork: (route: Route) => Milliseconds;
     readonly host: string;
     /** Path without the query. */
     readonly path: string;
@@ -57,12 +65,13 @@
     if (routes === undefined || keys === undefined || !isStateComplete) {
         return { kind: "refused", refusal: "notReady" };
     }
-    if (phase === "closing") {
-        return { kind: "refused", refusal: "leaving" };
-    }
     const route = routes.match(inputs.host, inputs.path);
     if (route === undefined) {
-        return { kind: "refused", refusal: "noRoute" };
+        // A box that is closing leaves what callers take as final to others.
+        return { kind: "refused", refusal: phase === "closing" ? "leaving" : "noRoute" };
+    }
+    if (phase !== "running" && !canAnswer(route, inputs)) {
+        return { kind: "refused", refusal: "leaving" };
     }
     if (!keys.isKeyRequired || route.isPublic) {
         return { kind: "admitted", route, customer: undefined };
@@ -78,3 +87,13 @@
         ? { kind: "admitted", route, customer }
         : { kind: "refused", refusal: "copyTooOld" };
 }
+
+function canAnswer(route: Route, { callerTimeout, expectedWork, phase, timeToAnswer }: AdmissionInputs): boolean {
+    return mayBeSentWhileLeaving({
+        phase,
+        timeToAnswer,
+        timeLimit: requestTimeout(callerTimeout, route.timeout),
+        expectedWork: expectedWork(route),
+        mayHaveRun: false,
+    });
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -2,6 +2,7 @@
 
 export * from "./admit/admission.js";
 export * from "./admit/caller-retry-detector.js";
+export * from "./admit/leaving-requests.js";
 export * from "./admit/pipelining.js";
 export * from "./admit/route-table.js";
 export * from "./admit/shutdown-schedule.js";
--- a/packages/decisions/src/refusals/send-record.ts
+++ b/packages/decisions/src/refusals/send-record.ts
@@ -48,6 +48,8 @@
      * undefined if a server may have run the request.
      */
     readonly proveNotRun: () => NotRunProof | undefined;
+    /** True unless nothing was sent or each send was answered "not run"; unlike the proof, it prevents no later send. */
+    readonly mayHaveRun: () => boolean;
     /** Describes each send for the log; undefined if there was none. */
     readonly describe: () => string | undefined;
 }
@@ -78,11 +80,16 @@
             };
         },
         proveNotRun() {
-            isProven ||= sends.every(({ result }) => result?.kind === "notSent" || result?.kind === "notRun");
+            isProven ||= !mayHaveRun();
             return isProven ? {} as NotRunProof : undefined;
         },
+        mayHaveRun,
         describe: () => sends.map(describeSend).join(";") || undefined,
     };
+
+    function mayHaveRun(): boolean {
+        return sends.some(({ result }) => result?.kind !== "notSent" && result?.kind !== "notRun");
+    }
 }
 
 function describeSend({ path, result, server }: RecordedSend): string {
--- a/packages/decisions/test/admission.test.ts
+++ b/packages/decisions/test/admission.test.ts
@@ -56,6 +56,9 @@
             keys: createCustomerTable(configuration.access),
             isStateComplete: true,
             phase: "running",
+            timeToAnswer: milliseconds(1000),
+            callerTimeout: Number.NaN,
+            expectedWork: () => milliseconds(300),
             host: "app.example:80",
             path: "/climbs/3",
             key: undefined,
@@ -83,9 +86,11 @@
         }
     });
 
-    it("admits new requests while a box is leaving, and none once it is closing [P7]", () => {
+    it("admits new requests while a box is leaving, and none that may outlast it once it is closing [P7]", () => {
         expect(admitWith({ phase: "leaving" }).kind).to.equal("admitted");
         expect(admitWith({ phase: "closing" })).to.deep.equal({ kind: "refused", refusal: "leaving" });
+        expect(admitWith({ phase: "closing", callerTimeout: 1001 }).kind).to.equal("refused");
+        expect(admitWith({ phase: "closing", callerTimeout: 1000 }).kind).to.equal("admitted");
     });
 
     describe("with customers", () => {
--- a/packages/decisions/test/timeouts.test.ts
+++ b/packages/decisions/test/timeouts.test.ts
@@ -40,15 +40,28 @@
 });
 
 describe("the schedule of a graceful shutdown [P7]", () => {
-    const schedule = createShutdownSchedule(milliseconds(6000));
+    const lookupLifetime = milliseconds(2000);
+    const schedule = createShutdownSchedule({ gracePeriod: milliseconds(6000), lookupLifetime });
 
     it("admits new requests at first, then waits for those in flight, and ends before the process is killed", () => {
-        expect(schedule.acceptRequestsFor).to.equal(2400);
+        expect(schedule.leavingFor).to.equal(2400);
         expect(schedule.isDrainOver(milliseconds(2400), 1)).to.equal(false);
         expect(schedule.isDrainOver(milliseconds(2400), 0)).to.equal(true);
         expect(schedule.isDrainOver(milliseconds(5700), 1)).to.equal(true);
     });
 
+    // Guards against requests that are admitted for a part of a long grace and cut at its end.
+    it("admits any request only as long as callers may use the addresses of a look-up [P7]", () => {
+        const long = createShutdownSchedule({ gracePeriod: milliseconds(60_000), lookupLifetime });
+        expect(long.leavingFor).to.equal(2500);
+    });
+
+    it("ends the time for answers before the box stops waiting for them", () => {
+        expect(schedule.timeToAnswer(milliseconds(0))).to.equal(5400);
+        expect(schedule.timeToAnswer(milliseconds(5500))).to.equal(0);
+        expect(schedule.isDrainOver(milliseconds(5400), 1)).to.equal(false);
+    });
+
     it("lets callers read the last answer as far as the grace period allows", () => {
         expect(schedule.lingerFor(milliseconds(2400))).to.equal(600);
         expect(schedule.lingerFor(milliseconds(5500))).to.be.closeTo(200, 1e-6);
--- a/packages/testing/src/promises/box-mutations.ts
+++ b/packages/testing/src/promises/box-mutations.ts
@@ -67,7 +67,7 @@
         promise: "P7",
         name: "the admission of requests while callers may still use the address",
         file: boxFile("graceful-shutdown"),
-        find: "await sleep(schedule.acceptRequestsFor, neverAborted);",
+        find: "await sleep(schedule.leavingFor, neverAborted);",
         replace: "",
         testFiles: [integrationTestFile("box-requests")],
     },
