A box that begins to stop while an attempt of another box arrives refuses it unsent

Callers would see: a request without an answer, cut when the box that sent it for another one exits.

Cause: the endpoint looked at the phase before it read the message and not again.

Change: it looks again before it sends; the other box takes 'busy' as proof that nothing was sent, and tries the next one.

Measured: the new test failed before (the attempt was answered) and passes.

--- a/packages/box/src/paths/forwarding-endpoint.ts
+++ b/packages/box/src/paths/forwarding-endpoint.ts
@@ -183,6 +183,11 @@
             return;
         }
         const { body, head } = decoded;
+        // The box may have begun to stop while the message arrived.
+        if (options.phase() !== "running") {
+            writeRefusal(response, "busy", sender.sends);
+            return;
+        }
         // The sender may be held up as well, and unable to withdraw the attempt.
         if (head.knowsHeldUp === true && sender.unreadFor > 0) {
             writeRefusal(response, "heldUp", sender.sends);
--- a/packages/box/test/forwarding.test.ts
+++ b/packages/box/test/forwarding.test.ts
@@ -3,7 +3,7 @@
  * box answers or does not, and which attempts a box forwards at all.
  */
 
-import { createBodyMemory, createSendRecord, type MemberRecord } from "@chalkdale/decisions";
+import { createBodyMemory, createSendRecord, type MemberRecord, type ShutdownPhase } from "@chalkdale/decisions";
 import { backendServerId, boxId, type Milliseconds, milliseconds } from "@chalkdale/kernel";
 import { createLog } from "@chalkdale/runtime";
 import { expect } from "chai";
@@ -330,6 +330,14 @@
             });
         }
 
+        // Guards against attempts of other boxes that this one sends although it is stopping, and cuts when it exits.
+        it("is refused unsent if the box begins to stop before the attempt was read", async () => {
+            const phases: ShutdownPhase[] = ["running"];
+            serve({ phase: () => phases.shift() ?? "leaving" });
+            expect(await forward()).to.deep.equal({ kind: "notSent", reason: "busy" });
+            expect([received.length, sends]).to.deep.equal([0, 0]);
+        });
+
         it("is never refused after it was sent: its connection ends instead [P4]", async () => {
             serve({
                 attemptDirectly: request => {
