A request that waited leaves nothing of its configuration to requests of a later one

Cause: a request is admitted with a route, waits for its customer's quota, and then picks a destination. Splits were kept by the route's name; the first to pick after a change made the split for all, and a request that had waited made it from its older route.

Change: routes, keys, services and splits of a configuration are one object, and a request holds the one that admitted it. Log lines of requests name that version.

--- a/packages/box/src/requests/active-request.ts
+++ b/packages/box/src/requests/active-request.ts
@@ -35,6 +35,8 @@
 /** A request that is being served. */
 export interface ActiveRequest {
     readonly route: Route;
+    /** Version of the configuration by which the request was admitted. */
+    readonly configurationVersion: number;
     /** The customer whose key the request carries; undefined on routes that need no key. */
     readonly customer: Customer | undefined;
     /** Regions whose servers may get the request; undefined if all may. */
@@ -101,6 +103,7 @@
 /** Inputs of `createActiveRequest` besides the request itself. */
 export interface ActiveRequestInputs {
     readonly route: Route;
+    readonly configurationVersion: number;
     readonly customer: Customer | undefined;
     /** Callers of the deployment have keys, whether or not this route needs one. */
     readonly isKeyRequired: boolean;
@@ -126,6 +129,7 @@
     const key = request.headers[headers.affinityKey];
     return {
         route,
+        configurationVersion: inputs.configurationVersion,
         customer,
         allowedRegions: allowedRegionsOf(route, customer),
         service,
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -11,6 +11,7 @@
     admit,
     type AdmittedRequest,
     type BodyMemory,
+    type ConfigurationInForce,
     type CopyAgeBounds,
     createCallerRetryDetector,
     type DecidedRefusal,
@@ -93,9 +94,10 @@
             return;
         }
         const key = singleValue(request.headers[headers.customerKey]);
+        const inForce = state.inForce();
         const admission = admit({
-            routes: state.routes(),
-            keys: state.keys(),
+            routes: inForce?.routes,
+            keys: inForce?.keys,
             isStateComplete: state.isComplete(),
             phase: options.phase(),
             timeToAnswer: options.timeToAnswer(),
@@ -107,9 +109,10 @@
             configurationAge: options.configurationAge(),
             bounds: options.copyAgeBounds,
         });
-        if (admission.kind === "refused") {
-            requestLog.notAdmitted(describe(request), admission.refusal);
-            refuse(exchange, admission.refusal);
+        if (inForce === undefined || admission.kind === "refused") {
+            const refusal = admission.kind === "refused" ? admission.refusal : "notReady";
+            requestLog.notAdmitted(describe(request), refusal);
+            refuse(exchange, refusal);
             return;
         }
         const { customer, route } = admission;
@@ -129,17 +132,23 @@
                 return;
             case "admitted":
             case undefined:
-                await serveAdmitted(exchange, admission);
+                await serveAdmitted(exchange, admission, inForce);
         }
     }
 
-    async function serveAdmitted(exchange: CallerExchange, { customer, route }: AdmittedRequest): Promise<void> {
+    /** `admittedBy`: the configuration by which the request was admitted, which may no longer be in force. */
+    async function serveAdmitted(
+        exchange: CallerExchange,
+        { customer, route }: AdmittedRequest,
+        admittedBy: ConfigurationInForce,
+    ): Promise<void> {
         const { controller, request } = exchange;
         const active = createActiveRequest(request, headers, {
             route,
+            configurationVersion: admittedBy.configuration.version,
             customer,
             isKeyRequired: state.keys()?.isKeyRequired ?? false,
-            service: state.pickDestination(route),
+            service: admittedBy.pickDestination(route),
             startedAt: exchange.arrivedAt,
             unreadFor: exchange.unreadFor,
             caller: exchange.caller,
@@ -171,7 +180,7 @@
             const { signal } = controller;
             const body = await readBody(exchange, {
                 clock,
-                maxBytes: bodySizeLimit(),
+                maxBytes: Math.min(maxBodySize, admittedBy.configuration.limits.maxBodyBytes),
                 memory: bodyMemory,
                 signal,
             });
@@ -191,10 +200,6 @@
         }
     }
 
-    function bodySizeLimit(): number {
-        return Math.min(maxBodySize, state.configuration()?.limits.maxBodyBytes ?? maxBodySize);
-    }
-
     function timeoutOutcome(active: ActiveRequest): RequestOutcome {
         return { kind: "refusal", refusal: active.sent > 0 ? "timedOut" : "timedOutUnsent" };
     }
--- a/packages/box/src/requests/request-log.ts
+++ b/packages/box/src/requests/request-log.ts
@@ -105,7 +105,7 @@
                 ...choiceFields(active.latestChoice),
                 serverVersion: active.latestVersion,
                 after: Math.round(ageOf(active)),
-                version: state.configuration()?.version,
+                version: active.configurationVersion,
                 ...serversFields(),
             });
         },
@@ -124,7 +124,7 @@
                 sendResults: active.sends.describe(),
                 after: Math.round(ageOf(active)),
                 timeLeft: Math.round(active.deadlineAt - clock()),
-                version: state.configuration()?.version,
+                version: active.configurationVersion,
                 ...serversFields(),
             });
         },
--- a/packages/box/src/state/shared-state.ts
+++ b/packages/box/src/state/shared-state.ts
@@ -1,5 +1,5 @@
 /**
- * This box's replicas of the shared state and what is derived from them: the tables of routes and keys, the catalog of
+ * This box's replicas of the shared state and what is derived from them: the configuration in force, the catalog of
  * servers, and which availability zones admit requests.
  *
  * Owns the replicas; the replicator keeps them up to date.
@@ -9,10 +9,9 @@
     type BackendServerRecord,
     closeZones,
     type Configuration,
-    createCustomerTable,
+    type ConfigurationInForce,
+    createConfigurationInForce,
     createReplica,
-    createRouteTable,
-    createWeightedSplit,
     type CustomerTable,
     defaultLocalitySettings,
     describePosition,
@@ -25,13 +24,11 @@
     type RestoreOptions,
     retentionPolicies,
     type RolloutOrder,
-    type Route,
     type RouteTable,
     type ServerCatalog,
     type Service,
     type SharedItems,
     type SharedKind,
-    type WeightedSplit,
 } from "@chalkdale/decisions";
 import type { AvailabilityZoneId, BackendServerId, Clock, Milliseconds, RegionId, ServiceId } from "@chalkdale/kernel";
 import type { Log } from "@chalkdale/runtime";
@@ -46,12 +43,13 @@
      * no longer has them. To be called a few times a second.
      */
     readonly expireHeldEntries: () => void;
+    /** The newest configuration; undefined before the first. */
+    readonly inForce: () => ConfigurationInForce | undefined;
+    /** Look-ups in the configuration in force; a request uses those of the one that admitted it. */
     readonly configuration: () => Configuration | undefined;
     readonly routes: () => RouteTable | undefined;
     readonly keys: () => CustomerTable | undefined;
     readonly service: (id: ServiceId) => Service | undefined;
-    /** Picks the service that a request on a route goes to, by the weights of the route's destinations. */
-    readonly pickDestination: (route: Route) => ServiceId;
     /** True unless the zone is closed. */
     readonly admitsZone: (zone: AvailabilityZoneId) => boolean;
     /** How often known servers have turned cold by their records, since the start of the box. */
@@ -83,11 +81,7 @@
 /** Creates the shared state with empty replicas. */
 export function createSharedState(options: SharedStateOptions): SharedState {
     const { clock, log } = options;
-    let configuration: Configuration | undefined;
-    let routes: RouteTable | undefined;
-    let keys: CustomerTable | undefined;
-    let services = new Map<ServiceId, Service>();
-    let splitsByRoute = new Map<string, WeightedSplit>();
+    let inForce: ConfigurationInForce | undefined;
     let localitySettings: LocalitySettings = defaultLocalitySettings;
     /** Cached results of `admitsZone`; emptied when the locality settings change. */
     let admissionByZone = new Map<AvailabilityZoneId, boolean>();
@@ -113,15 +107,15 @@
             return newest < 0 ? undefined : epochOf(newest);
         },
         expireHeldEntries: () => Object.values(replicas).forEach(replica => replica.expireHeldEntries()),
-        configuration: () => configuration,
-        routes: () => routes,
-        keys: () => keys,
-        service: id => services.get(id),
-        pickDestination,
+        inForce: () => inForce,
+        configuration: () => inForce?.configuration,
+        routes: () => inForce?.routes,
+        keys: () => inForce?.keys,
+        service: id => inForce?.service(id),
         admitsZone,
         coldStarts: () => coldStarts,
         isComplete: () =>
-            configuration !== undefined
+            inForce !== undefined
             && replicas.servers.revision() !== undefined
             && replicas.closedZones.revision() !== undefined,
     };
@@ -142,21 +136,18 @@
 
     function applyConfiguration(items: readonly Configuration[]): void {
         const [next] = items;
-        if (next === undefined || (configuration !== undefined && next.version <= configuration.version)) {
+        const previous = inForce?.configuration.version;
+        if (next === undefined || previous !== undefined && next.version <= previous) {
             return;
         }
         log.info("configuration.inForce", {
             version: next.version,
-            previous: configuration?.version,
+            previous,
             routes: next.routes.length,
             customers: next.access.kind === "customers" ? next.access.customers.length : undefined,
             at: Math.round(clock()),
         });
-        configuration = next;
-        routes = createRouteTable(next);
-        keys = createCustomerTable(next.access);
-        services = new Map(next.services.map(service => [service.id, service]));
-        splitsByRoute = new Map();
+        inForce = createConfigurationInForce(next);
         options.onConfiguration(next);
     }
 
@@ -246,18 +237,6 @@
         return admits;
     }
 
-    function pickDestination(route: Route): ServiceId {
-        if (route.destinations.length === 1) {
-            return route.destinations[0].service;
-        }
-        let split = splitsByRoute.get(route.name);
-        if (split === undefined) {
-            split = createWeightedSplit(route.destinations);
-            splitsByRoute.set(route.name, split);
-        }
-        return split();
-    }
-
     function regionOf(zone: AvailabilityZoneId): RegionId {
         return options.regionOfZone.get(zone) ?? ("" as RegionId);
     }
--- a/packages/box/test/request-handler.test.ts
+++ b/packages/box/test/request-handler.test.ts
@@ -7,8 +7,7 @@
     type CallerAccess,
     type Configuration,
     createBodyMemory,
-    createCustomerTable,
-    createRouteTable,
+    createConfigurationInForce,
     createWorkEstimate,
     type Route,
     type ShutdownPhase,
@@ -67,8 +66,7 @@
         access = configuration.access;
         age = milliseconds(0);
         const state = {
-            routes: () => createRouteTable(configuration),
-            keys: () => createCustomerTable(access),
+            inForce: () => createConfigurationInForce({ ...configuration, access }),
             isComplete: () => true,
             configuration: () => configuration,
             replica: () => ({ revision: () => 12 }),
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -80,6 +80,7 @@
 export * from "./servers/server-record.js";
 export * from "./servers/server-state.js";
 export * from "./servers/slow-start.js";
+export * from "./shared-state/configuration-in-force.js";
 export * from "./shared-state/configuration.js";
 export * from "./shared-state/relay-role.js";
 export * from "./shared-state/replica-refresh.js";
