A caller's key is not passed on when a change lets anyone in while its request waits

Servers would see: the key of a caller, which a box never passes on, and the customer header as the caller had sent it beside the box's own.

Cause: whether callers need keys was read when the request was about to be sent, not when it was admitted; by then a change may have let anyone in.

Change: it is read from the configuration that admitted the request.

Measured: the new test failed before (the headers at the server had the key) and passes.

--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -147,7 +147,7 @@
             route,
             configurationVersion: admittedBy.configuration.version,
             customer,
-            isKeyRequired: state.keys()?.isKeyRequired ?? false,
+            isKeyRequired: admittedBy.keys.isKeyRequired,
             service: admittedBy.pickDestination(route),
             startedAt: exchange.arrivedAt,
             unreadFor: exchange.unreadFor,
--- a/packages/box/test/configuration-changes.test.ts
+++ b/packages/box/test/configuration-changes.test.ts
@@ -216,6 +216,15 @@
         expect(services.slice(1)).to.deep.equal(["c", "d", "c", "d"]);
     });
 
+    it("does not pass its caller's key on once callers need none [P21]", async () => {
+        configure(1, [routeTo("a")]);
+        await askBeside(() => configure(2, [routeTo("a")], { kind: "anyone" }), { Key: "k-1", Customer: "another" });
+        const [names] = headersAtServers.map(headers => headers.map(text => text.toLowerCase()));
+        expect(names).not.to.include("k-1");
+        expect(names).not.to.include("another");
+        expect(names).to.include("club");
+    });
+
     it("shares no split with a route of the same name on another host", async () => {
         const weighted = (...destinations: WeightedService[]) => ({ ...routeTo(), destinations });
         const other = { ...weighted({ service: serviceId("x"), weight: 1 }, { service: serviceId("y"), weight: 1 }) };
