An answer with a status that ends no request is none

Cause: Node's parser takes any three digits. Below 100 the box failed when it wrote the head to the caller ('request.fault' with a RangeError) and blamed itself; from 600 on it passed the status on. No place decided what an answer is.

Change: final-status decides (200 to 599), where bytes become an answer: from a server, for surplus answers, from a box that forwards, and in a health check, which learns nothing from other answers. Anything else breaks the exchange, so reads go to another server and callers of unsafe requests get 502.

--- a/packages/box/src/paths/forwarding-client.ts
+++ b/packages/box/src/paths/forwarding-client.ts
@@ -6,7 +6,7 @@
  * have run.
  */
 
-import type { MemberRecord } from "@chalkdale/decisions";
+import { describeOddStatus, isFinalStatus, type MemberRecord } from "@chalkdale/decisions";
 import type { BackendServerId, Milliseconds } from "@chalkdale/kernel";
 import { splitAddress, startTimeout } from "@chalkdale/runtime";
 import {
@@ -273,9 +273,15 @@
         return { kind: "lost", reason: "answer of box is invalid" };
     }
     const { body, head } = decoded;
-    return head.kind === "answer"
-        ? { kind: "answer", answer: answerOf(head, body) }
-        : { kind: "broken", reason: head.reason, closedByServer: head.closedByServer };
+    switch (head.kind) {
+        case "answer":
+            // A box of an earlier release passes on any status.
+            return isFinalStatus(head.status)
+                ? { kind: "answer", answer: answerOf(head, body) }
+                : { kind: "broken", reason: describeOddStatus(head.status), closedByServer: false };
+        case "broken":
+            return { kind: "broken", reason: head.reason, closedByServer: head.closedByServer };
+    }
 }
 
 function refusalOf(response: IncomingMessage, body: Buffer): ForwardingOutcome {
--- a/packages/box/src/servers/answer-feed.ts
+++ b/packages/box/src/servers/answer-feed.ts
@@ -10,7 +10,7 @@
  * `data` listener of the socket, and on its parser accepting a head only if it ends with an empty line after CR LF.
  */
 
-import { hasExcessFraming } from "@chalkdale/decisions";
+import { describeOddStatus, hasExcessFraming, isFinalStatus } from "@chalkdale/decisions";
 import { type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
 import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
@@ -242,6 +242,11 @@
         if (isStopped) {
             return;
         }
+        const { statusCode = 0 } = response;
+        if (!isFinalStatus(statusCode)) {
+            options.onError(new Error(describeOddStatus(statusCode)));
+            return;
+        }
         const length = bodyLengthOf(response, method);
         if (options.isOwn(response)) {
             position = { kind: "body", response, left: length };
--- a/packages/box/src/servers/health-checker.ts
+++ b/packages/box/src/servers/health-checker.ts
@@ -8,7 +8,7 @@
  * one is due.
  */
 
-import type { BackendServer, ServerCatalog } from "@chalkdale/decisions";
+import { type BackendServer, isFinalStatus, type ServerCatalog } from "@chalkdale/decisions";
 import type { Clock } from "@chalkdale/kernel";
 import { type Log, splitAddress, startTimeout } from "@chalkdale/runtime";
 import { type IncomingMessage, request as httpRequest } from "node:http";
@@ -136,6 +136,11 @@
             );
             request.on("response", response => {
                 response.resume();
+                if (!isFinalStatus(response.statusCode ?? 0)) {
+                    request.destroy();
+                    settle(false);
+                    return;
+                }
                 const isFromServer = applyAnswer(server, response);
                 response.on("end", () => settle(response.statusCode === 200 && isFromServer));
                 response.on("error", () => settle(false));
--- a/packages/box/test/exchange.test.ts
+++ b/packages/box/test/exchange.test.ts
@@ -290,6 +290,26 @@
         });
     });
 
+    // Guards against callers that get a status which is none, or an internal fault in its place.
+    describe("an answer whose status ends no request", () => {
+        for (const status of ["000", "001", "099", "101", "600", "999"]) {
+            const odd = (id: string) => `HTTP/1.1 ${status} Odd\r\nRequest-Id: ${id}\r\nContent-Length: 5\r\n\r\nwhole`;
+            const reason = `status ${Number(status)} ends no request`;
+
+            it(`is none (${status})`, async () => {
+                await withServer(socket => socket.write(odd("r-1")), async send => {
+                    expect(await send()).to.deep.equal({ kind: "broken", reason, closedByServer: false });
+                });
+            });
+
+            it(`is none if it answers another request (${status})`, async () => {
+                await withServer(socket => socket.write(odd("r-0") + framed("own")), async send => {
+                    expect(await send()).to.deep.equal({ kind: "broken", reason, closedByServer: false });
+                });
+            });
+        }
+    });
+
     describe("an error while received bytes are handled", () => {
         it("breaks only its exchange", async () => {
             await withServer(socket => socket.write(framed("whole")), async send => {
--- a/packages/box/test/forwarding.test.ts
+++ b/packages/box/test/forwarding.test.ts
@@ -117,6 +117,22 @@
             expect(sends).to.equal(1);
         });
 
+        // Guards against boxes of the earlier build, which take any status for an answer.
+        for (const status of [0, 99, 101, 600, 999, 1e9]) {
+            it(`has no answer if its status ends no request (${status})`, async () => {
+                onRequest = (_, response) => {
+                    response.writeHead(200);
+                    const head = { kind: "answer", status, rawHeaders: ["Server-Stamp", "x"], framed: true };
+                    response.end(`${JSON.stringify(head)}\nbody`);
+                };
+                expect(await forward()).to.deep.equal({
+                    kind: "broken",
+                    reason: `status ${status} ends no request`,
+                    closedByServer: false,
+                });
+            });
+        }
+
         it("gets the server's answer with its headers and body", async () => {
             onRequest = (_, response) => {
                 response.writeHead(200);
--- a/packages/box/test/health-checker.test.ts
+++ b/packages/box/test/health-checker.test.ts
@@ -15,10 +15,12 @@
 describe("health checks of an ejected server", () => {
     let raw: RawServer | undefined;
     let results: boolean[];
+    let notices: number;
     const lifetime = new AbortController();
 
     beforeEach(() => {
         results = [];
+        notices = 0;
     });
 
     afterEach(() => raw?.close());
@@ -50,7 +52,7 @@
             } as Partial<CallerProtocol>,
             catalog: { all: () => [server] },
             limitedServers: { onHealthCheckAnswer: silent },
-            serverNotices: { onAnswer: silent },
+            serverNotices: { onAnswer: () => void (notices += 1) },
             coldServerSharing: { onChecked: silent },
             unconfirmedChecks: { takeDue: () => false },
             loopShare: { meter: silent },
@@ -69,6 +71,16 @@
         }
     }
 
+    for (const status of ["000", "600"]) {
+        it(`learn nothing from an answer whose status ends no request (${status})`, async () => {
+            const runDue = await createChecks(() => healthyAnswer.replace("200", status));
+            runDue();
+            await waitForResult(1);
+            expect(results).to.deep.equal([false]);
+            expect(notices).to.equal(0);
+        });
+    }
+
     it("go on after one is answered with a change of protocol", async () => {
         const runDue = await createChecks(request => request === 1 ? unrequestedUpgrade : healthyAnswer);
         runDue();
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -51,6 +51,7 @@
 export * from "./refusals/retry-after.js";
 export * from "./refusals/send-record.js";
 export * from "./retry/answer-class.js";
+export * from "./retry/final-status.js";
 export * from "./retry/hedge-decision.js";
 export * from "./retry/retry-budget.js";
 export * from "./retry/retry-decision.js";
--- a/packages/testing/src/standins/server-answers.ts
+++ b/packages/testing/src/standins/server-answers.ts
@@ -35,6 +35,8 @@
     | { readonly kind: "extra"; readonly afterMs: number; }
     /** Runs the request, then sends bytes until the box closes the connection. */
     | { readonly kind: "endless"; readonly bytes: EndlessAnswer; readonly pauseBetweenWrites?: number; }
+    /** Runs the request, then sends a whole answer with this text in place of a status, such as `000`. */
+    | { readonly kind: "oddStatus"; readonly status: string; }
     /** Sends bytes that are not an HTTP answer. */
     | { readonly kind: "garbage"; }
     /** Answers before it has read the body, and then reads the body. */
@@ -98,6 +100,9 @@
         case "endless":
             sendEndlessAnswer(socket, behaviour.bytes, headers, behaviour.pauseBetweenWrites);
             return;
+        case "oddStatus":
+            socket.write(`HTTP/1.1 ${behaviour.status} Odd\r\n${head}Content-Length: ${text.length}\r\n\r\n${text}`);
+            return;
         case "garbage":
             socket.write("this is no answer\r\n\r\n");
             return;
