An odd record of a box no longer ends the boxes that read it

Callers would see: no box stays up after its start, while one record of a box in the store has an address without a valid port (LOST).

Cause: records of servers are checked when they are read, those of boxes were not. Node throws for a datagram to such a port, in a promise that nobody waits for, which ends the process; the platform starts it again, and it ends again. Shown with real processes: eight of seventeen odd records kept the box from ever serving (no answer within 8 s).

Change: one check for records of boxes from the store, from datagrams and from other boxes' answers; a datagram to an address that can't be used is logged and not sent.

--- a/packages/box/src/index.ts
+++ b/packages/box/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./box.js";
 export * from "./callers/caller-protocol.js";
 export { createLoopShare, type LoopShare } from "./loop-share.js";
+export { isMemberRecord } from "./peers/member-record-validation.js";
 export { type AnswerBodyBuilder, createAnswerBody } from "./servers/answer-body.js";
 export * from "./settings.js";
 export * from "./state/state-store.js";
--- a/packages/box/src/peers/peer-link.ts
+++ b/packages/box/src/peers/peer-link.ts
@@ -21,7 +21,7 @@
     type Snapshot,
 } from "@chalkdale/decisions";
 import type { BoxId, Clock, RegionId } from "@chalkdale/kernel";
-import { type Address, intervalStream, type Log, splitAddress } from "@chalkdale/runtime";
+import { type Address, intervalStream, isUsableAddress, type Log, splitAddress } from "@chalkdale/runtime";
 import { createSocket } from "node:dgram";
 import { createServer } from "node:http";
 import { limitConnections } from "../connection-limiter.js";
@@ -255,6 +255,10 @@
 
     /** A send error is only logged, as for a datagram that is lost on the way: the next round repeats the content. */
     function send(purpose: TrafficPurpose, data: string, { peerAddress, region, zone }: PeerTarget): void {
+        if (!isUsableAddress(peerAddress)) {
+            log.warn("peer.sendFailed", { peer: peerAddress, reason: "no usable address" });
+            return;
+        }
         const { host, port } = splitAddress(peerAddress);
         if (region !== undefined && zone !== undefined) {
             options.countTraffic(purpose, { region, zone }, data.length);
--- a/packages/box/src/peers/peer-messages.ts
+++ b/packages/box/src/peers/peer-messages.ts
@@ -14,6 +14,7 @@
 import { areColdReports, type ColdReport } from "../servers/cold-messages.js";
 import { areLimitReports, type LimitReport } from "../servers/limit-messages.js";
 import { isStateDigest, isStateUpdate, type StateDigest, type StateUpdate } from "../state/state-messages.js";
+import { isMemberRecord } from "./member-record-validation.js";
 import { isOutlierReportMessage, type OutlierReportMessage } from "./outlier-gossip.js";
 
 /**
@@ -122,13 +123,6 @@
     return typeof ages === "object" && ages !== null && Object.values(ages).every(Number.isFinite);
 }
 
-function isMemberRecord(record: MemberRecord | undefined): record is MemberRecord {
-    return typeof record?.box === "string" && typeof record.incarnation === "string"
-        && typeof record.region === "string" && typeof record.zone === "string"
-        && typeof record.peerAddress === "string" && typeof record.callerAddress === "string"
-        && [record.heartbeat, record.capacity, record.load].every(Number.isFinite);
-}
-
 function areOutlierReports(reports: unknown): boolean {
     return Array.isArray(reports) && reports.every(isOutlierReportMessage);
 }
--- a/packages/box/src/peers/peer-reads.ts
+++ b/packages/box/src/peers/peer-reads.ts
@@ -23,6 +23,7 @@
 import type { StatePeer, StateReader, StateReadResult } from "../state/state-reader.js";
 import type { TrafficLocality, TrafficPurpose } from "../traffic-meter.js";
 import { onClosedUnanswered } from "../unanswered-request.js";
+import { isMemberRecord } from "./member-record-validation.js";
 
 const membersPath = "/members";
 const statePath = "/state/";
@@ -93,6 +94,10 @@
     return { ...record, heardAgo: Math.round(heardAgo), suspectedFor: suspectedFor && Math.round(suspectedFor) };
 }
 
+function isMemberInAnswer(member: MemberInAnswer): boolean {
+    return isMemberRecord(member) && [member.heardAgo ?? 0, member.suspectedFor ?? 0].every(Number.isFinite);
+}
+
 function decodeMember({ heardAgo = 0, suspectedFor, ...record }: MemberInAnswer): MemberStatus {
     return { record, heardAgo, suspectedFor };
 }
@@ -117,7 +122,7 @@
     return {
         async readMembers(peer) {
             const members = JSON.parse(await readText(peer, "members", membersPath)) as MemberInAnswer[];
-            return members.map(decodeMember);
+            return members.filter(isMemberInAnswer).map(decodeMember);
         },
         async readState<Kind extends SharedKind>(peer: StatePeer, kind: Kind, since: number | undefined) {
             const query = since === undefined ? "" : `?${sinceParameter}=${since}`;
--- a/packages/runtime/src/addresses.ts
+++ b/packages/runtime/src/addresses.ts
@@ -31,6 +31,12 @@
     return { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
 }
 
+/** True if `HOST:PORT` has a host, and a port to which something can be sent: Node throws for any other port. */
+export function isUsableAddress(text: string): boolean {
+    const { host, port } = splitAddress(text);
+    return text.includes(":") && host !== "" && Number.isInteger(port) && port >= 1 && port <= maxPort;
+}
+
 /** Returns the HTTP URL of a path at an address. */
 export function urlOf({ host, port }: Address, path = ""): string {
     return `http://${isIP(host) === 6 ? `[${host}]` : host}:${port}${path}`;
