An odd refusal of another box no longer ends this one

Callers would see: closed connections at a box to which something at the address of another box answers 503 with a reason that is no text (LOST).

Cause: the reason was turned into a text, which throws for a nested list of 20,000 levels or an object with a toString of its own, in a promise that nobody waits for; such an error ends the process.

Change: a reason that is no text is none, and any error in the reading of the answer makes the attempt 'lost'.

Measured: two of the four new cases failed before (no outcome within 5 s, the error uncaught); all pass.

--- a/packages/box/src/paths/forwarding-client.ts
+++ b/packages/box/src/paths/forwarding-client.ts
@@ -122,7 +122,9 @@
                     settle(lostOrNotSent("connection closed"));
                 }
             });
-            request.on("response", response => void onResponse(response));
+            request.on("response", response => {
+                onResponse(response).catch((error: unknown) => settle({ kind: "lost", reason: String(error) }));
+            });
 
             async function onOpen(): Promise<void> {
                 cancelTimeout();
--- a/packages/box/src/paths/forwarding-messages.ts
+++ b/packages/box/src/paths/forwarding-messages.ts
@@ -120,7 +120,8 @@
 /** True for a valid refusal. */
 export function isForwardingRefusalHead(value: unknown): value is ForwardingRefusalHead {
     const head = value as Partial<ForwardingRefusalHead> | null;
-    return typeof head === "object" && head !== null && refusals.has(String(head.refusal));
+    return typeof head === "object" && head !== null
+        && typeof head.refusal === "string" && refusals.has(head.refusal);
 }
 
 /** True for a valid head of an end. */
--- a/packages/box/test/forwarding.test.ts
+++ b/packages/box/test/forwarding.test.ts
@@ -89,6 +89,17 @@
             expect(await forward()).to.deep.equal({ kind: "notSent", reason: "unsupported" });
         });
 
+        // Guards against boxes that end with an error nobody handles: the text of such a refusal can't be formed.
+        for (const refusal of ["{\"toString\":1}", `${"[".repeat(20_000)}${"]".repeat(20_000)}`, "7", "null"]) {
+            it(`may have been sent if the box refuses with an odd reason (${refusal.slice(0, 14)})`, async () => {
+                onRequest = (request, response) => {
+                    request.resume();
+                    response.writeHead(503).end(`{"refusal":${refusal}}`);
+                };
+                expect(await forward()).to.deep.equal({ kind: "lost", reason: "status 503 of box" });
+            });
+        }
+
         it("was not sent if no connection to the box can be opened", async () => {
             const closed = address();
             listener.close();
