A health check whose path can't be requested fails and no longer ends the box

Cause: Node throws for such a path when the request is made, in a promise that nobody waits for, which ends the process.

Change: the check fails, with the line server.checkFailed, and the next one is due later, as after any failed check.

Measured: the new test failed before (no result, the error uncaught) and passes.

--- a/packages/box/src/servers/health-checker.ts
+++ b/packages/box/src/servers/health-checker.ts
@@ -11,7 +11,7 @@
 import { type BackendServer, isFinalStatus, type ServerCatalog } from "@chalkdale/decisions";
 import type { Clock } from "@chalkdale/kernel";
 import { type Log, splitAddress, startTimeout } from "@chalkdale/runtime";
-import { type IncomingMessage, request as httpRequest } from "node:http";
+import { type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
 import type { CallerProtocol } from "../callers/caller-protocol.js";
 import type { LoopShare } from "../loop-share.js";
 import type { PathMonitor } from "../paths/path-monitor.js";
@@ -108,17 +108,12 @@
     }
 
     function checkDirectly(server: BackendServer, path: string): Promise<HealthCheckResult> {
-        const { host, port } = splitAddress(server.state.record().address);
         return new Promise(resolve => {
-            const request = httpRequest({
-                host,
-                port,
-                path,
-                agent: false,
-                localAddress: options.localAddress,
-                signal: options.signal,
-                timeout: healthCheckTimeout,
-            });
+            const request = openRequest(server, path);
+            if (request === undefined) {
+                resolve("unhealthy");
+                return;
+            }
             let isConnected = false;
             const settle = (healthy: boolean) => {
                 cancelTimeout();
@@ -151,6 +146,26 @@
         });
     }
 
+    /** Returns undefined if Node refuses to send the request, as for a path with blanks. */
+    function openRequest(server: BackendServer, path: string): ClientRequest | undefined {
+        const { host, port } = splitAddress(server.state.record().address);
+        try {
+            return httpRequest({
+                host,
+                port,
+                path,
+                agent: false,
+                localAddress: options.localAddress,
+                signal: options.signal,
+                timeout: healthCheckTimeout,
+            });
+        }
+        catch (error) {
+            log.warn("server.checkFailed", { server: server.id, reason: String(error) });
+            return undefined;
+        }
+    }
+
     /**
      * Updates the server's state from an answer; true if the server itself sent it and not another one at its address.
      */
--- a/packages/box/test/health-checker.test.ts
+++ b/packages/box/test/health-checker.test.ts
@@ -27,7 +27,7 @@
     after(() => lifetime.abort());
 
     /** Creates the function that runs due checks of a server which always has one due. */
-    async function createChecks(answer: (request: number) => string): Promise<() => void> {
+    async function createChecks(answer: (request: number) => string, path = "/health"): Promise<() => void> {
         raw = await startRawServer(answer);
         const { address } = raw;
         const state = {
@@ -57,7 +57,7 @@
             unconfirmedChecks: { takeDue: () => false },
             loopShare: { meter: silent },
             localAddress: "127.0.0.1",
-            healthPathOf: () => "/health",
+            healthPathOf: () => path,
             paths: { pathTo: () => "direct", onConnected: silent, onConnectFailed: () => Promise.resolve(false) },
             signal: lifetime.signal,
         };
@@ -71,6 +71,14 @@
         }
     }
 
+    // Guards against boxes that end with an error nobody handles: Node throws for a path with such characters.
+    it("fail if their path can't be requested", async () => {
+        const runDue = await createChecks(() => healthyAnswer, "/health check");
+        runDue();
+        await waitForResult(1);
+        expect(results).to.deep.equal([false]);
+    });
+
     for (const status of ["000", "600"]) {
         it(`learn nothing from an answer whose status ends no request (${status})`, async () => {
             const runDue = await createChecks(() => healthyAnswer.replace("200", status));
