--- a/packages/box/src/paths/forwarding-client.ts
+++ b/packages/box/src/paths/forwarding-client.ts
@@ -81,6 +81,8 @@
 const maxIdleConnections = 32;
 /** Bounds the memory of one answer; see `exchange`. */
 const maxAnswerBytes = 33 * 1024 * 1024;
+/** Bytes of the longest answer to a question about reach. */
+const maxReachAnswerBytes = 4 * 1024;
 /** Status of a path that an earlier release does not know. */
 const statusNotFound = 404;
 const statusSent = 200;
@@ -155,7 +157,7 @@
                 if (isSent && !settled) {
                     call.onSent();
                 }
-                const body = await readAll(response, call.answerMemory.open());
+                const body = await readAll(response, call.answerMemory.open(), maxAnswerBytes);
                 if (body === undefined) {
                     settle({ kind: "lost", reason: "answer of box truncated" });
                     return;
@@ -197,7 +199,7 @@
             const cancelTimeout = startTimeout(timeout, () => settle("noAnswer"));
             request.on("error", () => settle("noAnswer"));
             request.on("response", response => {
-                void readAll(response, unaccounted).then(body =>
+                void readAll(response, unaccounted, maxReachAnswerBytes).then(body =>
                     settle(body === undefined ? "noAnswer" : replyOf(response, body))
                 );
             });
@@ -233,12 +235,16 @@
 };
 
 /** Resolves with the whole body; undefined if it is incomplete or too large, or there is no memory for it. */
-function readAll(response: IncomingMessage, account: AnswerAccount): Promise<Buffer | undefined> {
+function readAll(
+    response: IncomingMessage,
+    account: AnswerAccount,
+    maxBytes: number,
+): Promise<Buffer | undefined> {
     return new Promise(resolve => {
         const body = createGrowingBuffer(undefined);
         account.listen(() => response.resume(), () => response.destroy());
         response.on("data", (chunk: Buffer) => {
-            if (body.size() + chunk.length > maxAnswerBytes) {
+            if (body.size() + chunk.length > maxBytes) {
                 response.destroy();
                 return;
             }
--- a/packages/box/test/forwarding.test.ts
+++ b/packages/box/test/forwarding.test.ts
@@ -159,6 +159,32 @@
         });
     });
 
+    // Guards against boxes that keep what comes without end in answer to a question of a few bytes.
+    describe("whose reach is asked for", () => {
+        it("is unknown once the answer is longer than any sound one", async () => {
+            let sent = 0;
+            let isClosed = false;
+            onRequest = (_, response) => {
+                response.writeHead(200);
+                response.on("close", () => {
+                    isClosed = true;
+                });
+                const writeOn = () => {
+                    if (!isClosed) {
+                        sent += 1024;
+                        response.write(" ".repeat(1024), writeOn);
+                    }
+                };
+                writeOn();
+            };
+            const client = createForwardingClient(localHost, lifetime.signal);
+            expect(await client.askReach(boxAt(address()), backendServerId("s-1"), milliseconds(3000))).to.equal(
+                "noAnswer",
+            );
+            expect(sent).to.be.lessThan(8 * 1024 * 1024);
+        });
+    });
+
     describe("as the box that admitted the request sees it", () => {
         const endedAt = milliseconds(42);
 
--- a/packages/testing/src/standins/endless-bytes.ts
+++ b/packages/testing/src/standins/endless-bytes.ts
@@ -31,6 +31,11 @@
         repeated: "x".repeat(4096),
     },
     headerLines: { start: "HTTP/1.1 200 OK\r\n{headers}", repeated: "H: x\r\n" },
+    oddStatus: { start: "HTTP/1.1 000 Odd\r\n{headers}\r\n", repeated: "x".repeat(4096) },
+    changeOfProtocol: {
+        start: "HTTP/1.1 101 Switching Protocols\r\n{headers}Connection: Upgrade\r\nUpgrade: other\r\n\r\n",
+        repeated: "x".repeat(4096),
+    },
     notHttp: { start: "", repeated: "no answer " },
     surplusAnswers: { start: "", repeated: "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n" },
 } satisfies Readonly<Record<string, EndlessText>>;
--- a/packages/testing/test/box-endless-bytes.test.ts
+++ b/packages/testing/test/box-endless-bytes.test.ts
@@ -121,7 +121,7 @@
         });
     }
 
-    for (const bytes of ["interimAnswers", "tinyChunks", "largeChunks"] as const) {
+    for (const bytes of ["interimAnswers", "tinyChunks", "largeChunks", "oddStatus", "changeOfProtocol"] as const) {
         it(`serve others and stay alive when health checks get them as well (${bytes}) [P3]`, async () => {
             const faulty = servers.slice(0, faultyServers);
             spoilAnswers(bytes, () => true);
@@ -131,7 +131,7 @@
         });
     }
 
-    for (const bytes of ["interimAnswers", "tinyChunks", "largeChunks"] as const) {
+    for (const bytes of ["interimAnswers", "tinyChunks", "largeChunks", "oddStatus", "changeOfProtocol"] as const) {
         it(`serve others and stay alive when the store sends them (${bytes}) [P3]`, async () => {
             deployment.storeServer.setFault(() => ({ kind: "endless", bytes }));
             deployment.storeServer.dropConnections();
