Of the changes that a replica keeps for other boxes, only the latest of each entry is kept

Cause: a replica keeps its latest 256 changes for boxes that lack only these. The bound is a number, and a change of the configuration is the whole configuration.

Change: a change that a later one of the same entry has replaced is dropped; it is of no use to a reader, for which the last change of an entry counts. What is kept are items that the replica holds anyway.

--- a/packages/decisions/src/shared-state/replica.ts
+++ b/packages/decisions/src/shared-state/replica.ts
@@ -31,7 +31,10 @@
     | { readonly kind: "put"; readonly name: string; readonly item: Item; }
     | { readonly kind: "gone"; readonly name: string; };
 
-/** What another replica lacks: all changes after `since` and up to `revision`, in order. */
+/**
+ * What another replica lacks: the changes after `since` and up to `revision`, in order, without those that a later one of
+ * the same entry has replaced.
+ */
 export interface MissingChanges<Item> {
     readonly since: number;
     readonly revision: number;
@@ -60,12 +63,16 @@
 }
 
 /**
- * Maximum number of changes that are kept for other boxes. 256 changes of about 250 bytes are 64 KB per kind; a whole
- * copy of 796 servers is 107 KB, so more changes would cost as much as the copy.
+ * Maximum number of changes that are kept for other boxes: for the servers, more would cost as much as a whole copy.
+ * Whatever an entry's size, kept changes need hardly any memory, since only the latest of each entry is kept, whose item
+ * the replica holds anyway.
  */
 const maxKeptChanges = 256;
 
-/** A batch of changes that the replica has applied: all those up to `revision` that follow the batch before. */
+/**
+ * A batch of changes that the replica has applied, those up to `revision` that follow the batch before, without those
+ * that were replaced since.
+ */
 interface KeptBatch<Item> {
     readonly revision: number;
     readonly changes: readonly ItemChange<Item>[];
@@ -171,7 +178,14 @@
     };
 
     function keepBatch(batch: KeptBatch<Item>): void {
-        kept.push(batch);
+        const latest = new Map(batch.changes.map(change => [change.name, change]));
+        kept = kept
+            .map(({ changes, ...earlier }) => ({
+                ...earlier,
+                changes: changes.filter(({ name }) => !latest.has(name)),
+            }))
+            .filter(({ changes }) => changes.length > 0);
+        kept.push({ ...batch, changes: [...latest.values()] });
         let count = kept.reduce((sum, { changes }) => sum + changes.length, 0);
         while (count > maxKeptChanges) {
             const [oldest] = kept.splice(0, 1);
