--- a/packages/testing/src/soak/answer-faults.ts
+++ b/packages/testing/src/soak/answer-faults.ts
@@ -1,14 +1,14 @@
 /**
  * Faults of the answers of servers: copies of answers that come late, with or without a run, answers without a length,
- * bytes without end, and statuses that guarantee without proof that a request has not run. Several servers have them at
- * once, beside the other faults.
+ * bytes without end, statuses that guarantee without proof that a request has not run, and statuses that end none.
+ * Several servers have them at once, beside the other faults.
  *
  * Draws from a separate random source, so that the other faults of a seed stay the same.
  */
 
 import { createSeededRandom, milliseconds, type RandomSource } from "@chalkdale/kernel";
 import { pause } from "../standins/deployment.js";
-import { endlessAnswerKinds } from "../standins/endless-bytes.js";
+import { endlessAnswerKinds, endlessOddAnswerKinds } from "../standins/endless-bytes.js";
 import type { ServerBehaviour } from "../standins/server-answers.js";
 import { pickRandom } from "./fault-tools.js";
 import type { SoakEnvironment } from "./soak-environment.js";
@@ -29,7 +29,7 @@
 const maxAddedCopyDelay = 60;
 
 /** Which faults of answers are injected. */
-export type AnswerFaultSet = "answers" | "guarantees";
+export type AnswerFaultSet = "answers" | "guarantees" | "statuses";
 
 /** Injects the faults until the time `end` of the run; resolves with their number once all are over. */
 export async function injectAnswerFaults(
@@ -89,11 +89,23 @@
 
 const guaranteeStatuses = [408, 421, 429, 503];
 
+/** Answers that are none: with odd statuses, behind changes of protocol, or no HTTP at all. */
+const oddAnswers: readonly DrawBehaviour[] = [
+    random => ({ kind: "oddStatus", status: pickRandom(oddStatuses, random) }),
+    random => ({ kind: "oddStatus", status: pickRandom(oddStatuses, random) }),
+    random => ({ kind: "endless", bytes: pickRandom(endlessOddAnswerKinds, random) }),
+    () => ({ kind: "garbage" }),
+];
+
+const oddStatuses = ["000", "001", "099", "100", "101", "103", "150", "199", "600", "999"];
+
 function faultsOf(set: AnswerFaultSet): readonly DrawBehaviour[] {
     switch (set) {
         case "answers":
             return [...copiedRefusals, ...otherFaults];
         case "guarantees":
             return [...copiedRefusals, ...otherFaults, ...unprovenGuarantees, ...unprovenGuarantees];
+        case "statuses":
+            return [...copiedRefusals, ...otherFaults, ...oddAnswers, ...oddAnswers];
     }
 }
--- a/packages/testing/src/soak/box-process.ts
+++ b/packages/testing/src/soak/box-process.ts
@@ -58,6 +58,8 @@
     /** Discards the box's datagrams to other boxes and lets its connections to them hang, also after a restart. */
     readonly cutFromBoxes: (isCut: boolean) => void;
     readonly isRunning: () => boolean;
+    /** Exit codes of the times when the process ended with an error, neither by a signal nor by a planned stop. */
+    readonly ownEnds: () => readonly number[];
     /** Resolves once the process has ended: with its exit code, or undefined if a signal ended it. */
     readonly waitForExit: () => Promise<number | undefined>;
 }
@@ -80,6 +82,7 @@
     writeFileSync(file, settingsOf(options, { callers, readiness, directory, peers }));
     const log: WriteStream = createWriteStream(join(options.folder, `${options.name}.log`), { flags: "a" });
     let child: ChildProcess | undefined;
+    const ownEnds: number[] = [];
 
     return {
         name: options.name,
@@ -106,6 +109,11 @@
                 },
                 stdio: ["ignore", "pipe", "pipe"],
             });
+            child.on("exit", code => {
+                if (code !== null && code !== 0) {
+                    ownEnds.push(code);
+                }
+            });
             if (options.readLog !== false) {
                 child.stdout!.pipe(log, { end: false });
                 child.stderr!.pipe(log, { end: false });
@@ -142,6 +150,7 @@
             writeFileSync(`${boxCutFile}.new`, options.host.slice(0, options.host.lastIndexOf(".") + 1));
             renameSync(`${boxCutFile}.new`, boxCutFile);
         },
+        ownEnds: () => ownEnds,
         isRunning: () => child !== undefined && child.exitCode === null && child.signalCode === null,
         waitForExit() {
             const process = child;
--- a/packages/testing/src/soak/checks.ts
+++ b/packages/testing/src/soak/checks.ts
@@ -50,6 +50,8 @@
         ...retryBreaches(seen),
         ...departureBreaches(seen),
         ...coldBreaches(seen),
+        ...statusBreaches(seen),
+        ...ownEndBreaches(seen),
     ];
 }
 
@@ -67,6 +69,25 @@
     }));
 }
 
+/** A caller gets no answer (status 0), or one whose status ends its request. */
+function statusBreaches({ attempts }: Observations): Breach[] {
+    const odd = attempts.filter(({ answer }) => answer.status !== 0 && (answer.status < 200 || answer.status > 599));
+    return odd.map(({ answer, at, box, requestId }) => ({
+        promise: "status",
+        at,
+        detail: `${requestId} at ${box} got ${answer.status}`,
+    }));
+}
+
+/** Faults of others must not end a box. */
+function ownEndBreaches({ ownEnds = [], recoveredFrom }: Observations): Breach[] {
+    return ownEnds.map(({ box, code }) => ({
+        promise: "own end",
+        at: recoveredFrom,
+        detail: `the process of ${box} ended with ${code}`,
+    }));
+}
+
 /** A request that is not idempotent must run at most once. */
 function atMostOnceBreaches({ runs, attempts }: Observations): Breach[] {
     const idempotent = new Map(attempts.map(attempt => [attempt.requestId, attempt.idempotent]));
--- a/packages/testing/src/soak/fault-tools.ts
+++ b/packages/testing/src/soak/fault-tools.ts
@@ -26,6 +26,8 @@
  * - `answers`: those of `all`, servers that send answers again or bytes without end, and callers that repeat ids.
  * - `guarantees`: those of `answers`, boxes that are partitioned from all servers, and servers that run requests and then
  *   answer as if they had not.
+ * - `statuses`: those of `answers`, servers whose answers have statuses that end no request or change the protocol, and
+ *   odd records of boxes.
  * - `cold`: those of `all`, servers that turn cold, boxes that are partitioned from each other, and more callers.
  */
 export type FaultSet =
@@ -39,6 +41,7 @@
     | "departures"
     | "answers"
     | "guarantees"
+    | "statuses"
     | "cold";
 
 /** Minimum duration of a temporary fault, in milliseconds. */
--- a/packages/testing/src/soak/faults.ts
+++ b/packages/testing/src/soak/faults.ts
@@ -23,6 +23,7 @@
     ObservedLimit,
     ObservedPartition,
 } from "./observations.js";
+import { writeOddBoxRecords } from "./odd-box-records.js";
 import { injectPartitions } from "./partition-faults.js";
 import { createPlannedChanges, type PlannedChanges } from "./planned-changes.js";
 import { injectStoreRestores } from "./restore-faults.js";
@@ -81,9 +82,10 @@
     const partitions = set === "partitions" || set === "guarantees" ? injectPartitions(environment, end) : undefined;
     const retryFaults = set === "retries" ? injectRetryFaults(environment, end) : undefined;
     const departureFaults = set === "departures" ? injectDepartureFaults(environment, end) : undefined;
-    const answerFaults = set === "answers" || set === "guarantees"
+    const answerFaults = set === "answers" || set === "guarantees" || set === "statuses"
         ? injectAnswerFaults(environment, end, set)
         : undefined;
+    const oddRecords = set === "statuses" ? writeOddBoxRecords(environment, end) : undefined;
     const coldServers = set === "cold" ? injectColdServers(environment, end) : undefined;
     const restores = set === "notices" ? injectStoreRestores(environment, end) : undefined;
     while (now() < end) {
@@ -100,6 +102,7 @@
     await retryFaults;
     await departureFaults;
     await answerFaults;
+    await oddRecords;
     endAllFaults(environment);
     await rollouts;
     const { drained, zoneClosures } = changes;
--- a/packages/testing/src/soak/main.ts
+++ b/packages/testing/src/soak/main.ts
@@ -13,7 +13,7 @@
   Runs boxes as real processes under faults drawn from seeds, and checks what callers and servers see.
 
   Usage
-    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5] [--first-faults] [--limits] [--notices] [--partitions] [--retries] [--departures] [--answers] [--guarantees] [--cold]
+    $ npm run soak -- [--seeds 1-50] [--seconds 12] [--boxes 5] [--first-faults] [--limits] [--notices] [--partitions] [--retries] [--departures] [--answers] [--guarantees] [--statuses] [--cold]
 
   Exit codes
     0 no breach, 1 a breach or a run that failed, 2 wrong command line
@@ -32,6 +32,7 @@
             departures: { type: "boolean", default: false },
             answers: { type: "boolean", default: false },
             guarantees: { type: "boolean", default: false },
+            statuses: { type: "boolean", default: false },
             cold: { type: "boolean", default: false },
             quiet: { type: "boolean", default: false },
         },
@@ -121,6 +122,9 @@
     if (cli.flags.guarantees) {
         return "guarantees";
     }
+    if (cli.flags.statuses) {
+        return "statuses";
+    }
     if (cli.flags.cold) {
         return "cold";
     }
--- a/packages/testing/src/soak/observations.ts
+++ b/packages/testing/src/soak/observations.ts
@@ -37,6 +37,8 @@
         | "return"
         | "retries"
         | "departed"
+        | "status"
+        | "own end"
         | "cold";
     /** Milliseconds since the start of the run. */
     readonly at: number;
@@ -166,6 +168,8 @@
 
 /** Everything that a soak run observed. Times are milliseconds since its start. */
 export interface Observations {
+    /** Boxes whose process ended with an error, and its exit code; undefined if that was not recorded. */
+    readonly ownEnds?: readonly { readonly box: string; readonly code: number; }[];
     readonly attempts: readonly ObservedAttempt[];
     readonly runs: readonly ObservedRun[];
     /** All requests that arrived at servers, in order of time; undefined if that was not recorded. */
--- a/packages/testing/src/soak/soak.ts
+++ b/packages/testing/src/soak/soak.ts
@@ -89,9 +89,12 @@
     departures: 60,
     answers: 60,
     guarantees: 60,
+    statuses: 60,
     cold: 60,
 };
 const pipeliningCallerCount = 2;
+/** Sets of faults in which some callers repeat their ids. */
+const repeatingCallerSets: ReadonlySet<FaultSet> = new Set(["answers", "guarantees", "statuses"]);
 /** Fraction of the callers' requests, and of the pipelining callers' rounds, that are abandoned early. */
 const abandonedFraction = 0.05;
 
@@ -129,9 +132,7 @@
     const partitionCallers = options.faults === "partitions" ? startPartitionCallers(environment) : undefined;
     const departing = options.faults === "departures" ? startDepartingCallers(environment) : undefined;
     const steady = options.faults === "cold" ? startSteadyCallers(environment) : undefined;
-    const repeating = options.faults === "answers" || options.faults === "guarantees"
-        ? startRepeatingCallers(environment)
-        : undefined;
+    const repeating = repeatingCallerSets.has(options.faults) ? startRepeatingCallers(environment) : undefined;
     const injection = await injectFaults(environment, options.faultDuration, options.faults);
     const { changeAfterFaults, count: faults, extendedFaults, rollouts, ...injected } = injection;
     const recoveredFrom = now() + recoverWithin;
@@ -169,6 +170,7 @@
         hadBoxFaultBetween: environment.storeConnectivity.hadBoxFaultBetween,
         recoveryProbe,
         ownDelayWithin: ownDelays.within,
+        ownEnds: environment.boxes.flatMap(box => box.ownEnds().map(code => ({ box: box.callerAddress, code }))),
     };
     const breaches = findBreaches(seen);
     breaches.forEach(breach => logEvent(`breach="${breach.promise}" at=${Math.round(breach.at)} ${breach.detail}`));
--- a/packages/testing/src/standins/endless-bytes.ts
+++ b/packages/testing/src/standins/endless-bytes.ts
@@ -31,19 +31,27 @@
         repeated: "x".repeat(4096),
     },
     headerLines: { start: "HTTP/1.1 200 OK\r\n{headers}", repeated: "H: x\r\n" },
+    notHttp: { start: "", repeated: "no answer " },
+    surplusAnswers: { start: "", repeated: "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n" },
+} satisfies Readonly<Record<string, EndlessText>>;
+
+/** The same behind statuses that end no request. */
+const endlessOddAnswers = {
     oddStatus: { start: "HTTP/1.1 000 Odd\r\n{headers}\r\n", repeated: "x".repeat(4096) },
     changeOfProtocol: {
         start: "HTTP/1.1 101 Switching Protocols\r\n{headers}Connection: Upgrade\r\nUpgrade: other\r\n\r\n",
         repeated: "x".repeat(4096),
     },
-    notHttp: { start: "", repeated: "no answer " },
-    surplusAnswers: { start: "", repeated: "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n" },
 } satisfies Readonly<Record<string, EndlessText>>;
 
+const endlessTexts = { ...endlessAnswers, ...endlessOddAnswers };
+
 /** Kinds of endless answers. */
-export type EndlessAnswer = keyof typeof endlessAnswers;
+export type EndlessAnswer = keyof typeof endlessTexts;
 
+/** Kinds from which seeds of the soak draw; these stay as they are. */
 export const endlessAnswerKinds = Object.keys(endlessAnswers) as readonly EndlessAnswer[];
+export const endlessOddAnswerKinds = Object.keys(endlessOddAnswers) as readonly EndlessAnswer[];
 
 const endlessConnections = new WeakSet<Socket>();
 
@@ -59,7 +67,7 @@
     headers: Readonly<Record<string, string>>,
     pauseBetweenWrites = 0,
 ): void {
-    const { repeated, start } = endlessAnswers[kind];
+    const { repeated, start } = endlessTexts[kind];
     const headerText = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
     endlessConnections.add(socket);
     socket.write(start.replace("{headers}", headerText));
--- a/packages/testing/test/box-endless-bytes.test.ts
+++ b/packages/testing/test/box-endless-bytes.test.ts
@@ -13,7 +13,12 @@
 import type { ServerStandIn } from "../src/standins/backend-server.js";
 import { type ClientAnswer, sendRequest } from "../src/standins/client.js";
 import { pause, startTestDeployment, type TestDeployment, testHost, waitUntil } from "../src/standins/deployment.js";
-import { type EndlessAnswer, endlessAnswerKinds, sendWithoutEnd } from "../src/standins/endless-bytes.js";
+import {
+    type EndlessAnswer,
+    endlessAnswerKinds,
+    endlessOddAnswerKinds,
+    sendWithoutEnd,
+} from "../src/standins/endless-bytes.js";
 
 const boxCount = 3;
 const memoryMb = 350;
@@ -110,7 +115,7 @@
 
     afterEach(() => servers.forEach(server => server.setBehaviour(() => ({ kind: "serve" }))));
 
-    for (const bytes of endlessAnswerKinds) {
+    for (const bytes of [...endlessAnswerKinds, ...endlessOddAnswerKinds]) {
         it(`serve others and stay alive (${bytes}) [P3]`, async () => {
             let answers = 0;
             spoilAnswers(bytes, () => {
--- a/packages/testing/test/soak.test.ts
+++ b/packages/testing/test/soak.test.ts
@@ -22,6 +22,7 @@
     { seed: 7001, faultDuration: 12_000, faults: "departures" },
     { seed: 9101, faultDuration: 12_000, faults: "answers" },
     { seed: 9501, faultDuration: 12_000, faults: "guarantees" },
+    { seed: 9701, faultDuration: 12_000, faults: "statuses" },
     { seed: 8002, faultDuration: 12_000, faults: "cold" },
 ];
 
@@ -102,6 +103,13 @@
         ]);
     });
 
+    it("report a status that ends no request, and a box that ended by itself", () => {
+        expect(found({ attempts: [attempt(200), attempt(600)] })).to.include("status");
+        expect(found({ attempts: [attempt(200), attempt(101)] })).to.include("status");
+        expect(found({ attempts: [attempt(200), attempt(0, "")] })).not.to.include("status");
+        expect(found({ ownEnds: [{ box: "box", code: 1 }] })).to.deep.equal(["own end"]);
+    });
+
     it("report pipelined requests that ran without an answer, and those lost in a planned stop", () => {
         const unanswered = (kind: "unread" | "lost") => [{ ...attempt(0, ""), unanswered: { kind, at: 1000 } }];
         const termination = (signal: NodeJS.Signals, at: number) => ({ box: "box", signal, at });
