--- a/packages/box/test/exchange.test.ts
+++ b/packages/box/test/exchange.test.ts
@@ -310,6 +310,61 @@
         }
     });
 
+    // Guards against parts of answers whose order or division makes an error that no exchange catches.
+    describe("answers of any form in any order, divided anywhere", () => {
+        const statuses = ["000", "099", "100", "101", "102", "199", "200", "204", "304", "426", "600", "999"];
+        const headers = [
+            "Request-Id: r-1",
+            "Request-Id: r-0",
+            "Connection: Upgrade\r\nUpgrade: other",
+            "Connection: close",
+            "Content-Length: 5",
+            "Content-Length: 0",
+            "Transfer-Encoding: chunked",
+            "Transfer-Encoding: gzip",
+        ];
+        const bodies = [
+            "",
+            "hello",
+            "5\r\nhello\r\n0\r\n\r\n",
+            "0\r\nTrailer: x\r\n\r\n",
+            "\r\n",
+            "\u0000\u0081\u0005",
+        ];
+        const answers = fc.record({
+            version: fc.constantFrom("1.1", "1.1", "1.0"),
+            status: fc.constantFrom(...statuses),
+            lines: fc.uniqueArray(fc.constantFrom(...headers), { maxLength: 3 }),
+            body: fc.constantFrom(...bodies),
+        }).map(({ body, lines, status, version }) =>
+            [`HTTP/${version} ${status} Any`, ...lines, "", body].join("\r\n")
+        );
+
+        it("are an answer or break their exchange, and nothing else", async () => {
+            const sizes = fc.array(fc.integer({ min: 1, max: 90 }), { minLength: 1, maxLength: 8 });
+            await fc.assert(
+                fc.asyncProperty(
+                    fc.array(answers, { minLength: 1, maxLength: 4 }),
+                    fc.oneof(sizes, fc.constant([10_000])),
+                    async (chosen, pieces) => {
+                        await withServer(socket => {
+                            writeInPieces(socket, chosen.join(""), pieces);
+                            // The end comes behind the bytes, so that an answer without a length is complete.
+                            setTimeout(() => socket.end(), 30);
+                        }, async send => {
+                            const outcome = await send();
+                            expect(["answer", "broken"]).to.include(outcome.kind);
+                            if (outcome.kind === "answer") {
+                                expect(outcome.answer.status).to.be.within(200, 599);
+                            }
+                        });
+                    },
+                ),
+                { numRuns: 300 },
+            );
+        });
+    });
+
     describe("an error while received bytes are handled", () => {
         it("breaks only its exchange", async () => {
             await withServer(socket => socket.write(framed("whole")), async send => {
