A box that has drained takes no request, and only a measured time of work refuses one

The new test got 200 there before.

Change: a phase of its own for that time, drained, in which nothing is admitted, and a log line for its start. The expected work is an upper bound that is 0 until an answer was measured: a box that had measured nothing refused requests by the goal of their route alone, which the test of the planned stop (grace 500 ms) showed.

--- a/packages/box/src/graceful-shutdown.ts
+++ b/packages/box/src/graceful-shutdown.ts
@@ -60,6 +60,8 @@
             while (!schedule.isDrainOver(elapsed(), options.inFlight())) {
                 await sleep(drainCheckInterval, neverAborted);
             }
+            phase = "drained";
+            log.info("stop.drained", { inFlight: options.inFlight(), after: Math.round(elapsed()) });
             await sleep(schedule.lingerFor(elapsed()), neverAborted);
             log.info("stop.ended", { inFlight: options.inFlight(), after: Math.round(elapsed()) });
         },
--- a/packages/box/src/requests/attempt-loop.ts
+++ b/packages/box/src/requests/attempt-loop.ts
@@ -127,7 +127,7 @@
             phase: options.phase(),
             timeToAnswer: options.timeToAnswer(),
             timeLimit: milliseconds(active.deadlineAt - clock()),
-            expectedWork: options.workEstimate.expected(active.route, false),
+            expectedWork: options.workEstimate.maxExpected(active.route),
             mayHaveRun: active.sends.mayHaveRun(),
         });
     }
--- a/packages/box/src/requests/request-handler.ts
+++ b/packages/box/src/requests/request-handler.ts
@@ -102,7 +102,7 @@
             phase: options.phase(),
             timeToAnswer: options.timeToAnswer(),
             callerTimeout: Number(request.headers[headers.deadline]),
-            expectedWork: route => options.workEstimate.expected(route, false),
+            expectedWork: options.workEstimate.maxExpected,
             host: hostOf(request),
             path: pathOf(request),
             key: key === undefined ? undefined : customerKey(key),
--- a/packages/decisions/src/admit/admission.ts
+++ b/packages/decisions/src/admit/admission.ts
@@ -32,7 +32,7 @@
     readonly timeToAnswer: Milliseconds;
     /** Milliseconds for which the caller waits; not a positive number if it does not say. */
     readonly callerTimeout: number;
-    /** Expected time of a server's work on a request of a route. */
+    /** Upper bound of the expected time of a server's work on a request of a route; 0 if nothing is known of it. */
     readonly expectedWork: (route: Route) => Milliseconds;
     readonly host: string;
     /** Path without the query. */
@@ -67,8 +67,8 @@
     }
     const route = routes.match(inputs.host, inputs.path);
     if (route === undefined) {
-        // A box that is closing leaves what callers take as final to others.
-        return { kind: "refused", refusal: phase === "closing" ? "leaving" : "noRoute" };
+        // A box that is about to exit leaves what callers take as final to others.
+        return { kind: "refused", refusal: phase === "closing" || phase === "drained" ? "leaving" : "noRoute" };
     }
     if (phase !== "running" && !canAnswer(route, inputs)) {
         return { kind: "refused", refusal: "leaving" };
--- a/packages/decisions/src/admit/leaving-requests.ts
+++ b/packages/decisions/src/admit/leaving-requests.ts
@@ -17,7 +17,7 @@
     readonly timeToAnswer: Milliseconds;
     /** Time after which the request ends in any case: its caller's deadline, or its route's timeout. */
     readonly timeLimit: Milliseconds;
-    /** Expected time of a server's work. */
+    /** Upper bound of the expected time of a server's work; 0 if nothing is known of it. */
     readonly expectedWork: Milliseconds;
     /** A server may have run the request already: it can't be refused as not run. */
     readonly mayHaveRun: boolean;
@@ -25,10 +25,17 @@
 
 /** True if the request may be sent. */
 export function mayBeSentWhileLeaving(inputs: LeavingRequestInputs): boolean {
-    const { expectedWork, phase, timeLimit, timeToAnswer } = inputs;
-    if (phase === "running" || timeLimit <= timeToAnswer) {
-        return true;
+    const { expectedWork, mayHaveRun, phase, timeLimit, timeToAnswer } = inputs;
+    const certainlyEnds = timeLimit <= timeToAnswer;
+    const isExpectedToEnd = expectedWork <= timeToAnswer;
+    switch (phase) {
+        case "running":
+            return true;
+        case "leaving":
+            return certainlyEnds || isExpectedToEnd;
+        case "closing":
+            return certainlyEnds || mayHaveRun && isExpectedToEnd;
+        case "drained":
+            return false;
     }
-    const mayOutlastBox = phase === "leaving" || inputs.mayHaveRun;
-    return mayOutlastBox && expectedWork <= timeToAnswer;
 }
--- a/packages/decisions/src/admit/shutdown-schedule.ts
+++ b/packages/decisions/src/admit/shutdown-schedule.ts
@@ -1,7 +1,7 @@
 /**
  * The phases of a graceful shutdown within its grace period: first the box still admits new requests, since callers
- * hold its address; then only those that certainly end before it does; then the process exits, before it would be
- * killed.
+ * hold its address; then only those that certainly end before it does; then, once none is in progress, it lets callers
+ * read the last answers, and exits before it would be killed.
  *
  * Owns no state; the shutdown asks it as time passes.
  */
@@ -10,9 +10,10 @@
 
 /**
  * Phases of a box's process. In `leaving` it admits new requests that are expected to end in time, in `closing` only
- * those that certainly do; see `leaving-requests`.
+ * those that certainly do (see `leaving-requests`), and in `drained` none: it exits soon, whatever it would have in
+ * progress.
  */
-export type ShutdownPhase = "running" | "leaving" | "closing";
+export type ShutdownPhase = "running" | "leaving" | "closing" | "drained";
 
 /** Fraction of the grace period for which the phase `leaving` lasts at most. */
 const leavingFraction = 0.4;
--- a/packages/decisions/src/choose/work-estimate.ts
+++ b/packages/decisions/src/choose/work-estimate.ts
@@ -15,6 +15,8 @@
     readonly expected: (route: Route, warm: boolean) => Milliseconds;
     /** Lower bound of the expected time; 0 before the first measurement. */
     readonly minExpected: (route: Route) => Milliseconds;
+    /** Upper bound of the expected time; 0 before the first measurement, since nothing is known then. */
+    readonly maxExpected: (route: Route) => Milliseconds;
     /**
      * Learns from an answer. If this box has not sent the key to the server, the server may still be warm for it from
      * other boxes' requests; the duration decides which of the two times it counts for.
@@ -72,6 +74,10 @@
     return {
         expected: (route, warm) => milliseconds(warm ? learnedOf(route).warm : learnedOf(route).cold),
         minExpected: route => milliseconds(learnedOf(route).isMeasured ? learnedOf(route).warm * minWarmFraction : 0),
+        maxExpected(route) {
+            const { cold, isMeasured, warm } = learnedOf(route);
+            return milliseconds(isMeasured ? Math.max(warm, cold) : 0);
+        },
         onMeasured(route, known, duration) {
             const estimate = learnedOf(route);
             const middle = (estimate.warm + estimate.cold) / 2;
--- a/packages/decisions/test/leaving-requests.test.ts
+++ b/packages/decisions/test/leaving-requests.test.ts
@@ -38,6 +38,12 @@
         expect(maySend({ phase: "closing", mayHaveRun: true, expectedWork: milliseconds(1001) })).to.equal(false);
     });
 
+    it("are refused once the box has nothing in progress, since it exits without looking again", () => {
+        expect(maySend({ phase: "drained", timeLimit: milliseconds(1), expectedWork: milliseconds(0) })).to.equal(
+            false,
+        );
+    });
+
     it("end before the box exits, if they are sent for the first time after other boxes name it no more", () => {
         fc.assert(fc.property(
             fc.integer({ min: 500, max: 60_000 }),
--- a/packages/testing/test/box-planned-stop.test.ts
+++ b/packages/testing/test/box-planned-stop.test.ts
@@ -62,6 +62,19 @@
         expect((await inFlight).status).to.equal(200);
     });
 
+    it("takes no request once it only waits for its callers to read the last answers", async () => {
+        await start("4s");
+        const stopped = box.running.stop();
+        await waitUntil(
+            () => box.logLines.some(line => line.includes("event=stop.drained")),
+            "no request is left",
+        );
+        server.setWork(600);
+        expect((await ask("/lookup/", 1000)).status).to.equal(503);
+        await stopped;
+        expect(server.runs).to.deep.equal([]);
+    });
+
     it("refuses requests whose bodies arrive so late that they may outlast it", async () => {
         await start("2s");
         const [host, port] = box.callerAddress.split(":");
