The program of the soak ends when its runs are over

Cause: Node's clean-up of handles at the end of the loop (gdb: Environment::CleanupHandles, uv_run without an end) waits for a handle that is never closed; which one is not traced. The box ends by process.exit, which has no such wait.

Change: the program of the soak ends by process.exit as well, with the exit code that it has set.

--- a/packages/testing/src/soak/main.ts
+++ b/packages/testing/src/soak/main.ts
@@ -132,3 +132,5 @@
 }
 
 await main();
+// Node's own clean-up at the end of the loop does not always end.
+process.exit();
